--- /dev/null
+++ b/crates/whinspring/src/holder.rs
@@ -0,0 +1,146 @@
+//! The holder of one backend server: slots, queue, grants, duplicates and suspicion.
+//!
+//! Exactly one node holds a server at a time. Its `Holder` alone decides what runs there.
+//! Inputs and the time go in, outputs come out; the daemon carries the outputs out in order.
+
+use {
+    crate::{
+        message::Message,
+        model::{Owner, Server, Suspect},
+        name::{Name, Slice},
+        request::{Job, JobId, Refusal},
+        time::{Tick, Wall},
+    },
+    bytes::Bytes,
+};
+
+/// What happened to the server or to a request.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A request arrived.
+    Arrive(Job),
+    /// The caller went away or the entry gave up.
+    Cancel(JobId),
+    /// The head of the server's answer arrived.
+    Head(JobId),
+    /// The whole answer arrived; it is recorded if the request may not be repeated.
+    Answered {
+        /// The request.
+        job: JobId,
+        /// The encoded answer, if it is small enough to be recorded.
+        answer: Option<Bytes>,
+    },
+    /// The server refused the request before running it.
+    Shed {
+        /// The request.
+        job: JobId,
+        /// Wait that the server asked for, in milliseconds.
+        retry_ms: u32,
+    },
+    /// The request failed.
+    Failed {
+        /// The request.
+        job: JobId,
+        /// Whether a byte of it may have reached the server.
+        sent: bool,
+    },
+    /// A probe or grant was answered.
+    Up {
+        /// Number the server drew at its start.
+        boot: u64,
+        /// Highest term it has accepted a grant of; zero if none.
+        term: u64,
+        /// Whether the server says that it is leaving.
+        leaving: bool,
+        /// Whether the server says that it is still warming up.
+        cold: bool,
+    },
+    /// A probe, grant or connection attempt failed.
+    Down {
+        /// Whether the connection was refused rather than timed out.
+        refused: bool,
+    },
+    /// The records of this server, its slices or suspects changed.
+    Update(Box<Update>),
+    /// The node's lease was extended to this point, or lapsed if it is in the past.
+    Lease(Tick),
+    /// The slices' memory of the former holder arrived: recorded ids of released slices.
+    Memory(Vec<Memory>),
+    /// Time passed.
+    Tick,
+}
+
+/// What the records say of the server.
+#[derive(Debug, Clone)]
+pub struct Update {
+    /// Declaration of the server.
+    pub server: Server,
+    /// Fencing term under which this node holds it.
+    pub term: u64,
+    /// Whether the records name another node as the next holder.
+    pub handover: bool,
+    /// Slices the server owns, with those to be released.
+    pub slices: Vec<(Slice, Owner)>,
+    /// Single keys the server owns, with those to be released.
+    pub keys: Vec<(Name, Owner)>,
+    /// Shares of customers other than 1.
+    pub shares: Vec<(Name, u32)>,
+    /// Requests under suspicion.
+    pub suspects: Vec<Suspect>,
+}
+
+/// What a holder remembers of one unrepeatable request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Memory {
+    /// Slice of the request's key.
+    pub slice: Slice,
+    /// Request id.
+    pub id: Name,
+    /// Calendar time from which the memory of the slice is complete.
+    pub since: Wall,
+    /// The recorded answer; `None` if the request may have run without one.
+    pub answer: Option<Bytes>,
+}
+
+/// What the daemon has to do.
+#[derive(Debug, Clone)]
+pub enum Output {
+    /// Send the request to the server, if the lease still holds when its first byte is written.
+    Start {
+        /// The request.
+        job: JobId,
+        /// Fencing term to send.
+        term: u64,
+        /// Epoch of the slice or key to send.
+        epoch: u64,
+        /// Point after which the first byte must not be written.
+        until: Tick,
+    },
+    /// Answer the request with a result of whinspring's own.
+    Refuse(JobId, Refusal),
+    /// Answer the request with the recorded answer.
+    Replay(JobId, Bytes),
+    /// Stop the request on the server: its caller is gone or its deadline has passed.
+    Abort(JobId),
+    /// Send the server a grant of slices and keys under this term.
+    Grant {
+        /// Fencing term.
+        term: u64,
+        /// Slices and epochs that the server owns from now on.
+        slices: Vec<(Slice, u64)>,
+        /// Single keys and epochs that the server owns from now on.
+        keys: Vec<(Name, u64)>,
+    },
+    /// Probe the server.
+    Probe,
+    /// Tell the controller.
+    Report(Message),
+    /// Store a new or worse suspicion.
+    Suspect(Suspect),
+    /// The slices are released; send the memory of their requests to the next holder.
+    HandOver(Vec<Memory>),
+    /// Add one to a counter of this name.
+    Count(&'static str),
+    /// Write a log line on a change of state.
+    Log(&'static str),
+}
--- /dev/null
+++ b/crates/whinspring/src/message.rs
@@ -0,0 +1,119 @@
+//! Control messages between nodes.
+//!
+//! Requests and their bodies travel beside these on connections of their own, so that bulk data
+//! never delays a heartbeat.
+
+use crate::{
+    name::{Name, ServerId, Slice},
+    record::Record,
+};
+
+/// A control message from one node to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// Asks a lessor to extend the sender's lease.
+    Heartbeat {
+        /// Incarnation of the sender.
+        incarnation: u64,
+        /// Rises with each heartbeat of the incarnation.
+        seq: u64,
+        /// Version of the node record whose lessors the sender relies on.
+        version: u64,
+        /// Store revision up to which the sender knows every record.
+        seen: u64,
+    },
+    /// Extends the lease; counted from when the heartbeat of the same number was sent.
+    Ack {
+        /// Incarnation that the heartbeat named.
+        incarnation: u64,
+        /// Number of the heartbeat.
+        seq: u64,
+        /// Store revision up to which the sender knows every record.
+        seen: u64,
+    },
+    /// Asks a fellow lessor whether it too has stopped extending a node's lease.
+    AskLapse {
+        /// Node that seems lost.
+        node: Name,
+        /// Incarnation of that node.
+        incarnation: u64,
+        /// Version of the node record whose lessors are meant.
+        version: u64,
+    },
+    /// Promises not to extend the lease of this incarnation again.
+    Lapsed {
+        /// Node that seems lost.
+        node: Name,
+        /// Incarnation of that node.
+        incarnation: u64,
+        /// Version of the node record whose lessors are meant.
+        version: u64,
+    },
+    /// Asks for the records changed after a revision.
+    Pull {
+        /// Store revision up to which the sender knows every record.
+        seen: u64,
+    },
+    /// Records changed since the receiver's revision.
+    Records {
+        /// Revision that the receiver must have seen for `seen` to hold.
+        after: u64,
+        /// Revision up to which the receiver knows every record once it has these.
+        seen: u64,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// Tells the controller that a backend server is lost and gets no more work from its holder.
+    ServerLost {
+        /// Service of the server.
+        service: Name,
+        /// The server.
+        server: ServerId,
+        /// Term of the holder that reports.
+        term: u64,
+    },
+    /// Tells the controller that a backend server answers again.
+    ServerBack {
+        /// Service of the server.
+        service: Name,
+        /// The server.
+        server: ServerId,
+        /// Term of the holder that reports.
+        term: u64,
+    },
+    /// Tells the controller that the holder starts no more work on these slices and keys.
+    SlicesReleased {
+        /// Service of the slices.
+        service: Name,
+        /// Server that owned them.
+        server: ServerId,
+        /// Term of the holder that reports.
+        term: u64,
+        /// Released slices with the epoch released.
+        slices: Vec<(Slice, u64)>,
+        /// Released single keys with the epoch released.
+        keys: Vec<(Name, u64)>,
+    },
+    /// Tells the controller that the holder will not use a server again in this term.
+    ServerReleased {
+        /// Service of the server.
+        service: Name,
+        /// The server.
+        server: ServerId,
+        /// Term that ends.
+        term: u64,
+    },
+    /// Tells the controller the load of each slice that a server owns.
+    Load {
+        /// Service of the server.
+        service: Name,
+        /// The server.
+        server: ServerId,
+        /// Share of the server's slots in use, in thousandths.
+        busy: u32,
+        /// Microseconds of slot time a second, by slice, largest first.
+        slices: Vec<(Slice, u64)>,
+        /// Microseconds of slot time a second, by hot key, largest first.
+        keys: Vec<(Name, u64)>,
+    },
+}
--- /dev/null
+++ b/crates/whinspring/src/model.rs
@@ -0,0 +1,247 @@
+//! What the platform's object API holds: services, holders, owners and terms.
+//!
+//! These are the domain types of the records. Their encoding lives in `whinspring-wire`.
+
+use {
+    crate::name::{Name, ServerId, Slice},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// A whinspring node as the platform knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Node {
+    /// Name of the node's VM.
+    pub name: Name,
+    /// Random number drawn at process start: tells a restart from a pause.
+    pub incarnation: u64,
+    /// Address for other nodes.
+    pub addr: SocketAddr,
+    /// Failure domain of the VM.
+    pub domain: Name,
+    /// Whether the node is serving, leaving or lost.
+    pub state: NodeState,
+    /// Nodes whose acknowledgements keep this node's lease.
+    pub lessors: Vec<Name>,
+}
+
+/// Whether a node takes part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeState {
+    /// Serves and may hold servers.
+    Live,
+    /// Finishes what it has and hands its servers over.
+    Leaving,
+    /// Declared lost after its lease lapsed, or gone after a graceful stop.
+    Gone,
+}
+
+/// The term of the node that plans assignments.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Controller {
+    /// Node that has the term.
+    pub node: Name,
+    /// Incarnation of that node.
+    pub incarnation: u64,
+    /// Number of the term.
+    pub term: u64,
+}
+
+/// A service as operators declare it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Name of the service.
+    pub name: Name,
+    /// Path prefix of the service's requests, starting with a slash.
+    pub prefix: Name,
+    /// Where a request carries its key; `None` for an unkeyed service.
+    pub key: Option<KeyPlace>,
+    /// Number of slices of a keyed service; zero for an unkeyed service.
+    pub slices: u32,
+    /// Deadline of requests that bring none, in milliseconds.
+    pub deadline_ms: u32,
+    /// Longest deadline accepted, in milliseconds.
+    pub cap_ms: u32,
+    /// Header that names the customer.
+    pub customer: Name,
+    /// Shares of customers; a customer that is not listed has a share of 1.
+    pub shares: BTreeMap<Name, u32>,
+    /// Backend servers by number.
+    pub servers: BTreeMap<ServerId, Server>,
+}
+
+/// Where a request carries its key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyPlace {
+    /// In the header of this name.
+    Header(Name),
+    /// In the path part of this index after the prefix.
+    PathPart(u32),
+}
+
+/// A backend server as operators declare it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Server {
+    /// Name of the server's VM.
+    pub name: Name,
+    /// HTTP address.
+    pub addr: SocketAddr,
+    /// Failure domain of the VM.
+    pub domain: Name,
+    /// Whether the server checks fencing terms.
+    pub fenced: bool,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Connections it accepts.
+    pub conns: u32,
+    /// What operators want of it.
+    pub state: ServerState,
+}
+
+/// What operators want of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerState {
+    /// It serves.
+    Active,
+    /// It finishes what it has and gets no new work.
+    Draining,
+    /// It is lost: its keys belong to others.
+    Lost,
+}
+
+/// The holders of a service's backend servers.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Holders {
+    /// Holder of each server.
+    pub terms: BTreeMap<ServerId, Holder>,
+}
+
+/// The node that alone talks to a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// Node that holds the server.
+    pub node: Name,
+    /// Incarnation of that node.
+    pub incarnation: u64,
+    /// Fencing term: rises with each change of the holder.
+    pub term: u64,
+    /// Node that takes over once the holder has released the server.
+    pub next: Option<Name>,
+}
+
+/// Slices of one segment object; segments keep objects below the platform's size limit.
+pub const SEGMENT_SLICES: u32 = 4_096;
+
+/// The owners of a contiguous range of a service's slices.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Segment {
+    /// First slice of the range.
+    pub first: u32,
+    /// Owner of each slice of the range.
+    pub owners: Vec<Owner>,
+    /// Owners of single hot keys, which go before their slice's owner.
+    pub keys: BTreeMap<Name, Owner>,
+}
+
+impl Segment {
+    /// Returns the owner of `slice` if this segment covers it.
+    pub fn owner(&self, slice: Slice) -> Option<&Owner> {
+        self.owners.get(slice.0.checked_sub(self.first)? as usize)
+    }
+}
+
+/// The backend server that owns a slice or a single key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Owner {
+    /// Server that owns the slice.
+    pub server: ServerId,
+    /// Rises with each change of the owner.
+    pub epoch: u64,
+    /// Server that takes over once the holder of `server` has released the slice.
+    pub next: Option<ServerId>,
+}
+
+/// A request suspected to crash backend servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspect {
+    /// Fingerprint of the request's service, method, path and body.
+    pub print: u64,
+    /// Servers that died while they ran it.
+    pub deaths: u32,
+    /// Calendar time of the last death, in milliseconds since the Unix epoch.
+    pub last_ms: u64,
+    /// Whether an operator cleared it.
+    pub cleared: bool,
+}
+
+/// An operator's plan.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// Identifier shown to operators.
+    pub id: Name,
+    /// The command that asked for it.
+    pub intent: Name,
+    /// Versions of the records that the plan was computed from.
+    pub base: BTreeMap<Name, u64>,
+    /// Steps that the controller carries out.
+    pub steps: Vec<Step>,
+    /// How far it is.
+    pub state: PlanState,
+    /// Steps done so far.
+    pub done: u32,
+    /// Why it failed or was aborted.
+    pub reason: Name,
+}
+
+/// How far a plan is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlanState {
+    /// Computed; changes nothing.
+    Proposed,
+    /// Confirmed; the controller carries it out.
+    Confirmed,
+    /// All steps done.
+    Finished,
+    /// Stopped by an operator.
+    Aborted,
+    /// A step could not be done.
+    Failed,
+}
+
+/// One step of a plan.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Sets the whole declaration of a service.
+    Declare(Box<Service>),
+    /// Sets what operators want of a server.
+    Want {
+        /// Service of the server.
+        service: Name,
+        /// The server.
+        server: ServerId,
+        /// The state wanted.
+        state: ServerState,
+    },
+    /// Moves a slice.
+    MoveSlice {
+        /// Service of the slice.
+        service: Name,
+        /// The slice.
+        slice: Slice,
+        /// Its new owner.
+        to: ServerId,
+    },
+    /// Gives a single key an owner of its own.
+    MoveKey {
+        /// Service of the key.
+        service: Name,
+        /// The key.
+        key: Name,
+        /// Its new owner.
+        to: ServerId,
+    },
+    /// Clears a suspected request.
+    Clear {
+        /// Fingerprint of the request.
+        print: u64,
+    },
+}
