Decide what runs on a held server

The holder keeps slots, a queue by deadline within and by slot time across customers, estimated waits, numbered grants, memory of unrepeatable requests, crash suspicion, loss detection, releases and load reports. Not tested yet beyond compiling.

--- a/crates/whinspring/src/holder.rs
+++ b/crates/whinspring/src/holder.rs
@@ -1,226 +1,266 @@
 //! The holder of one backend server: slots, queue, grants, duplicates and suspicion.
 //!
-//! Exactly one node holds a server at a time. Its `Holder` alone decides what runs there.
+//! Exactly one node holds a server at a time. Its [`Holder`] alone decides what runs there.
 //! Inputs and the time go in, outputs come out; the daemon carries the outputs out in order.
+//!
+//! The daemon reports the end of each [`Output::Start`] exactly once, also after an
+//! [`Output::Abort`]: by [`Input::Answered`], [`Input::Shed`], [`Input::Fenced`] or
+//! [`Input::Failed`]. Until then the request has its slot. A request that has got an
+//! [`Output::Refuse`] or [`Output::Replay`] has had its final answer: what follows for it only
+//! frees the slot or is remembered.
+
+mod admission;
+mod duplicates;
+mod ending;
+mod estimate;
+mod event;
+mod grants;
+mod life;
+mod load;
+mod loss;
+mod queue;
+mod release;
+mod start;
+mod suspicion;
+
+pub use {
+    event::{Input, Memory, Output, Remembered, RequestId, Unit, Update},
+    queue::{Policy, Queue},
+};
 
 use {
+    self::{
+        duplicates::Duplicates, estimate::Estimate, grants::Grants, life::Life, load::Load,
+        suspicion::Suspicion,
+    },
     crate::{
         code::Code,
-        message::Message,
-        model::{Owner, Server, Suspect},
-        name::{Name, ServerId, Slice},
+        model::Server,
+        name::{Name, ServerId},
         request::{Job, JobId, Refusal},
         time::{Tick, Wall},
     },
-    bytes::Bytes,
-};
-
-/// What happened to the server or to a request.
-#[derive(Debug, Clone)]
-pub enum Input {
-    /// A request arrived.
-    Arrive(Job),
-    /// The caller went away or the entry gave up.
-    Cancel(JobId),
-    /// The head of the server's answer arrived.
-    Head(JobId),
-    /// The whole answer arrived; it is recorded if the request may not be repeated.
-    Answered {
-        /// The request.
-        job: JobId,
-        /// The encoded answer, if it is small enough to be recorded.
-        answer: Option<Bytes>,
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::Duration,
     },
-    /// The server refused the request before running it.
-    Shed {
-        /// The request.
-        job: JobId,
-        /// Wait that the server asked for, in milliseconds.
-        retry_ms: u32,
-    },
-    /// The request failed.
-    Failed {
-        /// The request.
-        job: JobId,
-        /// Whether a byte of it may have reached the server.
-        sent: bool,
-    },
-    /// The server refused the request before running it, because it lacks the grant.
-    Fenced(JobId),
-    /// The server refused a grant because it has seen a higher term.
-    Outranked,
-    /// A probe or grant was answered.
-    Up {
-        /// Number of the grant that this answers; zero for a probe.
-        grant: u64,
-        /// Number the server drew at its start.
-        boot: u64,
-        /// Highest term it has accepted a grant of; zero if none.
-        term: u64,
-        /// Whether the server says that it is leaving.
-        leaving: bool,
-        /// Whether the server says that it is still warming up.
-        cold: bool,
-    },
-    /// A probe, grant or connection attempt failed.
-    Down {
-        /// Whether the connection was refused rather than timed out.
-        refused: bool,
-    },
-    /// The records of this server, its slices or suspects changed.
-    Update(Box<Update>),
-    /// The node's lease was extended to this point, or lapsed if it is in the past.
-    Lease(Tick),
-    /// Memory that the former holder released arrived.
-    Memory(Vec<Memory>),
-    /// Time passed.
-    Tick,
-}
-
-/// What the records say of the server.
-#[derive(Debug, Clone)]
-pub struct Update {
-    /// Declaration of the server.
-    pub server: Server,
-    /// Fencing term under which this node holds it.
-    pub term: u64,
-    /// Whether the records name another node as the next holder.
-    pub handover: bool,
-    /// Slices the server owns, with those to be released.
-    pub slices: Vec<(Slice, Owner)>,
-    /// Single keys the server owns, with those to be released.
-    pub keys: Vec<(Name, Owner)>,
-    /// Keys of the server's slices that have an owner of their own.
-    pub away: Vec<Name>,
-    /// Whether the service divides its requests by key.
-    pub keyed: bool,
-    /// Shares of customers other than 1.
-    pub shares: Vec<(Name, u32)>,
-    /// Requests under suspicion.
-    pub suspects: Vec<Suspect>,
-}
-
-/// A slice or a single key: what is granted, released and remembered as one.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Unit {
-    /// All keys of a slice but those that have an owner of their own.
-    Slice(Slice),
-    /// A single key.
-    Key(Name),
-}
-
-/// What a holder remembers of the unrepeatable requests of one released unit.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Memory {
-    /// The released unit.
-    pub unit: Unit,
-    /// Epoch that was released.
-    pub epoch: u64,
-    /// Term of the holder that released it.
-    pub term: u64,
-    /// Calendar time from which the memory is complete.
-    pub since: Wall,
-    /// The requests.
-    pub entries: Vec<Remembered>,
-}
-
-/// What a holder remembers of one unrepeatable request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Remembered {
-    /// Key of the request.
-    pub key: Name,
-    /// Request id.
-    pub id: Name,
-    /// Calendar time of the request's arrival.
-    pub at: Wall,
-    /// The recorded answer; `None` if the request may have run without one.
-    pub answer: Option<Bytes>,
-}
+};
 
-/// What the daemon has to do.
-#[derive(Debug, Clone)]
-pub enum Output {
-    /// Send the request to the server, if the lease still holds when its first byte is written.
-    Start {
-        /// The request.
-        job: JobId,
-        /// Fencing term to send.
-        term: u64,
-        /// Epoch of the slice or key to send.
-        epoch: u64,
-        /// Point after which the first byte must not be written.
-        until: Tick,
-    },
-    /// Answer the request with a result of whinspring's own.
-    Refuse(JobId, Refusal),
-    /// Answer the request with the recorded answer.
-    Replay(JobId, Bytes),
-    /// Stop the request on the server: its caller is gone or its deadline has passed.
-    Abort(JobId),
-    /// Send the server a grant of slices and keys under this term.
-    Grant {
-        /// Number of the grant, named by the answer.
-        number: u64,
-        /// Fencing term.
-        term: u64,
-        /// Slices and epochs that the server owns from now on.
-        slices: Vec<(Slice, u64)>,
-        /// Single keys and epochs that the server owns from now on.
-        keys: Vec<(Name, u64)>,
-    },
-    /// Probe the server.
-    Probe,
-    /// Tell the controller.
-    Report(Message),
-    /// Store a new or worse suspicion.
-    Suspect(Suspect),
-    /// Units are released; send the memory of each to the holder of its next owner.
-    HandOver(Vec<Memory>),
-    /// Add one to a counter of this name.
-    Count(&'static str),
-    /// Write a log line on a change of state.
-    Log(&'static str),
-}
+/// Mean time after which a caller refused for a passing reason is told to come back.
+const RETRY_SOON: Duration = Duration::from_millis(100);
 
 /// The decisions for one held server.
 #[derive(Debug)]
 pub struct Holder {
     service: Name,
     id: ServerId,
+    server: Server,
+    term: u64,
+    /// What the records said at the start, until the first input brings the calendar time.
+    first: Option<Box<Update>>,
+    lease: Tick,
+    handover: bool,
+    handed: bool,
+    outranked: bool,
+    life: Life,
+    grants: Grants,
+    queue: Queue,
+    runs: BTreeMap<JobId, Run>,
+    /// Deadlines of requests that run.
+    ends: BTreeSet<(Tick, JobId)>,
+    /// The suspect that is to run next, with the time since when.
+    lone: Option<(JobId, Tick)>,
+    duplicates: Duplicates,
+    suspicion: Suspicion,
+    estimate: Estimate,
+    load: Load,
+    /// Memory of units that this server does not own yet, with the time of its arrival.
+    staged: VecDeque<(Tick, Memory)>,
+    /// Point before which the server gets no work because it shed some.
+    pause: Tick,
+    /// When the server last acknowledged a grant.
+    granted: Tick,
+    reported: Tick,
+    rng: ChaCha8Rng,
+}
+
+/// A request that has a slot.
+#[derive(Debug)]
+struct Run {
+    job: Job,
+    start: Tick,
+    tries: u32,
+    /// What its customer was charged.
+    cost: Duration,
+    /// Whether it was started to run alone.
+    alone: bool,
+    /// Whether it has had its final answer.
+    over: bool,
+    /// Whether the daemon was told to stop it.
+    aborted: bool,
+    /// Point up to which its slot time is in the load report.
+    counted: Tick,
+}
+
+/// Time and outputs of one step.
+struct Context<'a> {
+    now: Tick,
+    wall: Wall,
+    out: &'a mut Vec<Output>,
 }
 
 impl Holder {
-    /// Starts to hold a server; the first inputs should be a lease and its outputs' answers.
+    /// Starts to hold a server; nothing starts there before [`Input::Lease`] and the answer to
+    /// the first grant.
     pub fn new(now: Tick, service: Name, id: ServerId, update: Update, seed: u64) -> Self {
-        let _ = (now, update, seed);
-        Self { service, id }
+        Self::with_policy(now, service, id, update, seed, Policy::default())
+    }
+
+    /// As [`Holder::new`], with an order of the queue other than the usual one.
+    pub fn with_policy(
+        now: Tick,
+        service: Name,
+        id: ServerId,
+        update: Update,
+        seed: u64,
+        policy: Policy,
+    ) -> Self {
+        Self {
+            service,
+            id,
+            server: update.server.clone(),
+            term: update.term,
+            first: Some(Box::new(update)),
+            lease: Tick::default(),
+            handover: false,
+            handed: false,
+            outranked: false,
+            life: Life::new(now),
+            grants: Grants::default(),
+            queue: Queue::new(policy),
+            runs: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            lone: None,
+            duplicates: Duplicates::default(),
+            suspicion: Suspicion::default(),
+            estimate: Estimate::default(),
+            load: Load::new(now),
+            staged: VecDeque::new(),
+            pause: Tick::default(),
+            granted: Tick::default(),
+            reported: Tick::default(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
     }
 
     /// Takes in what happened and adds what the daemon has to do, in order.
     pub fn handle(&mut self, now: Tick, wall: Wall, input: Input, out: &mut Vec<Output>) {
-        let _ = (now, wall, &self.service, self.id);
-        if let Input::Arrive(job) = input {
-            out.push(Output::Refuse(job.id, Refusal { code: Code::NoHolder, retry_ms: 100 }));
+        let cx = &mut Context { now, wall, out };
+        if let Some(update) = self.first.take() {
+            self.update(cx, *update);
         }
+        self.life.wake(now);
+        let tick = matches!(input, Input::Tick);
+        self.take(cx, input);
+        self.settle(cx, tick);
     }
 
     /// Returns the number of requests that wait.
     pub fn queued(&self) -> usize {
-        0
+        self.queue.len()
     }
 
-    /// Returns the number of requests that run.
+    /// Returns the number of requests that have a slot.
     pub fn running(&self) -> usize {
-        0
+        self.runs.len()
     }
 
     /// Returns the share of the server's slots in use, in thousandths.
     pub fn busy(&self) -> u32 {
-        0
+        (self.runs.len() as u32 * 1_000) / self.server.slots.max(1)
+    }
+
+    /// Returns the mean service time as measured.
+    pub fn service_time(&self) -> Duration {
+        self.estimate.mean()
+    }
+
+    /// Returns whether the server answers.
+    pub fn is_up(&self) -> bool {
+        self.life.is_up()
+    }
+
+    /// Returns whether the holder has released the server and may be closed once the records
+    /// name another.
+    pub fn is_released(&self) -> bool {
+        self.handed
+    }
+
+    /// Gives the server up without a release: everything that waits or runs gets its answer.
+    pub fn close(mut self, now: Tick, wall: Wall, out: &mut Vec<Output>) {
+        let cx = &mut Context { now, wall, out };
+        self.drop_queue(cx, Code::Moved);
+        self.drop_runs(cx);
+    }
+
+    fn take(&mut self, cx: &mut Context<'_>, input: Input) {
+        match input {
+            Input::Arrive(job) => self.arrive(cx, job),
+            Input::Cancel(job) => self.cancel(cx, job),
+            Input::Head(_) => self.life.sign(cx.now),
+            Input::Answered { job, answer } => self.answered(cx, job, answer),
+            Input::Shed { job, retry_ms } => self.shed(cx, job, retry_ms),
+            Input::Fenced(job) => self.fenced(cx, job),
+            Input::Failed { job, sent } => self.failed(cx, job, sent),
+            Input::Outranked => self.outrank(cx),
+            Input::Up { grant, boot, term, leaving, cold } => {
+                self.up(cx, boot, leaving, cold);
+                self.acknowledge(cx, grant, term);
+            }
+            Input::Down { refused } => self.down(cx, refused),
+            Input::Update(update) => self.update(cx, *update),
+            Input::Lease(until) => self.lease = until,
+            Input::Memory(memories) => self.learn(cx, memories),
+            Input::Tick => {}
+        }
+    }
+
+    /// Brings everything into line with the present time and state.
+    fn settle(&mut self, cx: &mut Context<'_>, tick: bool) {
+        self.check_life(cx);
+        self.check_queue(cx);
+        self.expire(cx);
+        self.release(cx);
+        self.send_grant(cx);
+        self.start(cx);
+        if tick {
+            self.maintain(cx);
+        }
+    }
+
+    /// Does what is needed now and then only.
+    fn maintain(&mut self, cx: &mut Context<'_>) {
+        if self.life.due(cx.now, self.suspicion.in_doubt()) {
+            cx.out.push(Output::Probe);
+        }
+        self.queue.prune();
+        self.duplicates.evict(cx.now);
+        self.suspicion.expire(cx.wall);
+        self.repeat_reports(cx);
+        self.report_load(cx);
+    }
+
+    /// Returns whether the service divides its requests by key.
+    fn is_keyed(&self) -> bool {
+        self.grants.is_keyed()
     }
 
-    /// Returns whether the holder has released the server and may be closed.
-    pub fn released(&self) -> bool {
-        false
+    /// Answers a request with a result and a time to come back spread around `mean`.
+    fn refuse(&mut self, cx: &mut Context<'_>, job: JobId, code: Code, mean: Duration) {
+        let mean = mean.as_millis() as u32;
+        let retry_ms = if mean == 0 { 0 } else { self.rng.random_range(mean / 2..=mean * 3 / 2) };
+        cx.out.push(Output::Refuse(job, Refusal { code, retry_ms: retry_ms.max(mean.min(1)) }));
     }
 }
--- /dev/null
+++ b/crates/whinspring/src/holder/queue.rs
@@ -0,0 +1,311 @@
+//! The queue of one server: by deadline within each customer, by share across customers.
+//!
+//! Customers take turns by start-time fair queueing. Each has a virtual time at which its next
+//! request is due; a started request moves it on by the request's cost over the customer's share,
+//! and the cost is corrected once it is known. A request whose grant is not in force yet is
+//! parked: it has its place among the deadlines but no turn.
+
+use {
+    crate::{
+        name::Name,
+        request::{Job, JobId},
+        time::Tick,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+        time::Duration,
+    },
+};
+
+/// Virtual time of a microsecond of slot time at a share of 1.
+const SCALE: u64 = 1_024;
+/// Customers and requests of each that are looked at for one that may start.
+const SCAN: usize = 8;
+
+/// How the queue is ordered.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// By arrival.
+    Fifo,
+    /// By deadline.
+    Deadline,
+    /// Customers in turn, one request each, weighted by shares; by deadline within each.
+    RoundRobin,
+    /// Customers by slot time used, weighted by shares; by deadline within each.
+    #[default]
+    Usage,
+}
+
+/// A request that waits.
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    /// The request.
+    pub job: Job,
+    /// Starts that ended before the request ran.
+    pub tries: u32,
+    seq: u64,
+    parked: bool,
+}
+
+/// Requests that wait for the server.
+#[derive(Debug, Default)]
+pub struct Queue {
+    policy: Policy,
+    jobs: HashMap<JobId, Waiting>,
+    deadlines: BTreeSet<(Tick, JobId)>,
+    parked: BTreeSet<JobId>,
+    customers: BTreeMap<Name, Customer>,
+    turns: BTreeSet<(u64, Name)>,
+    shares: BTreeMap<Name, u32>,
+    /// Sum of the shares of customers that have requests in turn.
+    active: u64,
+    clock: u64,
+    seq: u64,
+}
+
+/// Place of a request among those of its customer.
+type Rank = (Tick, u64, JobId);
+
+#[derive(Debug)]
+struct Customer {
+    share: u32,
+    due: u64,
+    jobs: VecDeque<Rank>,
+}
+
+impl Queue {
+    /// Returns an empty queue.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
+    /// Returns the number of requests.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns whether there is no request.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Returns a request.
+    pub fn get(&self, id: JobId) -> Option<&Waiting> {
+        self.jobs.get(&id)
+    }
+
+    /// Returns the requests for which `test` holds, in the order of their numbers.
+    pub fn select(&self, test: impl Fn(&Job) -> bool) -> Vec<JobId> {
+        let waiting = self.jobs.values().filter(|waiting| test(&waiting.job));
+        let mut ids: Vec<JobId> = waiting.map(|waiting| waiting.job.id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Returns the earliest deadline and its request.
+    pub fn earliest(&self) -> Option<(Tick, JobId)> {
+        self.deadlines.first().copied()
+    }
+
+    /// Returns the request that is next and passes `test`.
+    pub fn next(&self, test: impl Fn(&Job) -> bool) -> Option<JobId> {
+        for (_, name) in self.turns.iter().take(SCAN) {
+            let ids = self.customers[name].jobs.iter().take(SCAN).map(|rank| rank.2);
+            let mut able = ids.filter(|id| test(&self.jobs[id].job));
+            if let Some(id) = able.next() {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    /// Returns how many requests would start before a new one of this customer and deadline.
+    ///
+    /// `cost` is the expected slot time of a request.
+    pub fn ahead(&self, customer: &Name, deadline: Tick, cost: Duration) -> usize {
+        let name = self.turn_name(customer);
+        let share = self.share(&name);
+        let (due, own, before) = match self.customers.get(&name) {
+            Some(known) => {
+                let rank = (self.order(deadline), u64::MAX, JobId(u64::MAX));
+                let before = known.jobs.partition_point(|other| *other < rank);
+                (known.due.max(self.clock), known.jobs.len(), before)
+            }
+            None => (self.clock, 0, 0),
+        };
+        let step = self.step(cost, 1).max(1);
+        let lag = (due - self.clock) as f64 / step as f64;
+        let turns = lag + (before + 1) as f64 / f64::from(share);
+        let rivals = self.active - if own > 0 { u64::from(share) } else { 0 };
+        let others = self.len() - own - self.parked.len().min(self.len() - own);
+        let ahead = (turns * rivals as f64) as usize;
+        before + ahead.min(others) + self.parked.len()
+    }
+
+    /// Returns whether the customer waits with over twice its share of the queue.
+    pub fn over_share(&self, customer: &Name) -> bool {
+        let Some(known) = self.customers.get(customer) else { return false };
+        let rivals = self.active > u64::from(known.share);
+        let fair = self.len() as u64 * u64::from(known.share);
+        rivals && known.jobs.len() as u64 * self.active > 2 * fair
+    }
+
+    /// Sets the shares of customers; those not listed have a share of 1.
+    pub fn set_shares(&mut self, shares: impl IntoIterator<Item = (Name, u32)>) {
+        self.shares = shares.into_iter().collect();
+        let Self { customers, shares, active, .. } = self;
+        *active = 0;
+        for (name, customer) in customers {
+            customer.share = shares.get(name).copied().unwrap_or(1).max(1);
+            *active += if customer.jobs.is_empty() { 0 } else { u64::from(customer.share) };
+        }
+    }
+
+    /// Adds a request; a parked one gets no turn until [`Queue::unpark`].
+    pub fn push(&mut self, job: Job, tries: u32, parked: bool) {
+        let id = job.id;
+        self.seq += 1;
+        self.deadlines.insert((job.deadline, id));
+        self.jobs.insert(id, Waiting { job, tries, seq: self.seq, parked });
+        if parked {
+            self.parked.insert(id);
+        } else {
+            self.enter(id);
+        }
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, id: JobId) -> Option<Waiting> {
+        let parked = self.jobs.get(&id)?.parked;
+        if parked {
+            self.parked.remove(&id);
+        } else {
+            self.leave(id);
+        }
+        let waiting = self.jobs.remove(&id)?;
+        self.deadlines.remove(&(waiting.job.deadline, id));
+        Some(waiting)
+    }
+
+    /// Removes a request that is being started, and charges its customer the expected cost.
+    pub fn start(&mut self, id: JobId, cost: Duration) -> Option<Waiting> {
+        let waiting = self.remove(id)?;
+        let name = self.turn_name(&waiting.job.meta.customer);
+        if let Some(customer) = self.customers.get(&name) {
+            self.clock = self.clock.max(customer.due);
+        }
+        self.charge(&waiting.job.meta.customer, cost, Duration::ZERO);
+        Some(waiting)
+    }
+
+    /// Corrects what a customer was charged from `expected` to `took`.
+    pub fn correct(&mut self, customer: &Name, expected: Duration, took: Duration) {
+        if self.policy == Policy::Usage {
+            self.charge(customer, took, expected);
+        }
+    }
+
+    /// Parks a request whose grant is not in force any more.
+    pub fn park(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_none_or(|waiting| waiting.parked) {
+            return;
+        }
+        self.leave(id);
+        self.parked.insert(id);
+        if let Some(waiting) = self.jobs.get_mut(&id) {
+            waiting.parked = true;
+        }
+    }
+
+    /// Gives a turn to parked requests that pass `test`.
+    pub fn unpark(&mut self, test: impl Fn(&Job) -> bool) {
+        let jobs = &self.jobs;
+        let able = self.parked.iter().copied().filter(|id| test(&jobs[id].job));
+        for id in able.collect::<Vec<JobId>>() {
+            self.parked.remove(&id);
+            if let Some(waiting) = self.jobs.get_mut(&id) {
+                waiting.parked = false;
+            }
+            self.enter(id);
+        }
+    }
+
+    /// Forgets customers that have neither requests nor a debt.
+    pub fn prune(&mut self) {
+        let clock = self.clock;
+        self.customers.retain(|_, customer| !customer.jobs.is_empty() || customer.due > clock);
+    }
+
+    fn enter(&mut self, id: JobId) {
+        let (name, rank) = self.place(id);
+        let share = self.share(&name);
+        let clock = self.clock;
+        let customer = self.customers.entry(name.clone()).or_insert_with(|| Customer {
+            share,
+            due: clock,
+            jobs: VecDeque::new(),
+        });
+        if customer.jobs.is_empty() {
+            customer.due = customer.due.max(clock);
+            self.active += u64::from(customer.share);
+            self.turns.insert((customer.due, name));
+        }
+        let at = customer.jobs.partition_point(|other| *other < rank);
+        customer.jobs.insert(at, rank);
+    }
+
+    fn leave(&mut self, id: JobId) {
+        let (name, rank) = self.place(id);
+        let Some(customer) = self.customers.get_mut(&name) else { return };
+        let at = customer.jobs.partition_point(|other| *other < rank);
+        customer.jobs.remove(at);
+        if customer.jobs.is_empty() {
+            self.active -= u64::from(customer.share);
+            self.turns.remove(&(customer.due, name));
+        }
+    }
+
+    /// Moves a customer's virtual time on by `plus` and back by `minus`.
+    fn charge(&mut self, customer: &Name, plus: Duration, minus: Duration) {
+        let name = self.turn_name(customer);
+        let share = self.share(&name);
+        let (plus, minus) = (self.step(plus, share), self.step(minus, share));
+        let Some(customer) = self.customers.get_mut(&name) else { return };
+        let due = (customer.due + plus).saturating_sub(minus);
+        if !customer.jobs.is_empty() {
+            self.turns.remove(&(customer.due, name.clone()));
+            self.turns.insert((due, name));
+        }
+        customer.due = due;
+    }
+
+    /// Returns by how much a cost moves virtual time.
+    fn step(&self, cost: Duration, share: u32) -> u64 {
+        match self.policy {
+            Policy::Usage => cost.as_micros() as u64 * SCALE / u64::from(share),
+            _ if cost.is_zero() => 0,
+            _ => SCALE * SCALE / u64::from(share),
+        }
+    }
+
+    fn place(&self, id: JobId) -> (Name, Rank) {
+        let waiting = &self.jobs[&id];
+        let name = self.turn_name(&waiting.job.meta.customer);
+        (name, (self.order(waiting.job.deadline), waiting.seq, id))
+    }
+
+    fn order(&self, deadline: Tick) -> Tick {
+        if self.policy == Policy::Fifo { Tick::default() } else { deadline }
+    }
+
+    fn turn_name(&self, customer: &Name) -> Name {
+        match self.policy {
+            Policy::Fifo | Policy::Deadline => Name::new(),
+            Policy::RoundRobin | Policy::Usage => customer.clone(),
+        }
+    }
+
+    fn share(&self, name: &Name) -> u32 {
+        self.shares.get(name).copied().unwrap_or(1).max(1)
+    }
+}
--- a/crates/whinspring/src/view.rs
+++ b/crates/whinspring/src/view.rs
@@ -142,7 +142,7 @@
             slices: Vec::new(),
             keys: Vec::new(),
             away: Vec::new(),
-            keyed: service.key.is_some(),
+            slice_count: if service.key.is_some() { service.slices } else { 0 },
             shares: service.shares.iter().map(|(name, share)| (name.clone(), *share)).collect(),
             suspects: self.suspects.values().filter_map(|known| known.value.clone()).collect(),
         }
