Add the wire messages of records and control

Cause: records and control messages had no encoding, so neither the platform's objects nor the links between nodes could carry them.

Fields, records and messages of newer versions are skipped, left out, or an error of their own.

--- /dev/null
+++ b/crates/whinspring-wire/src/control.rs
@@ -0,0 +1,210 @@
+//! Control messages between nodes.
+
+use {
+    crate::{
+        error::{BadFieldSnafu, Error, GarbageSnafu, TooLargeSnafu, UnknownTypeSnafu},
+        generated::{
+            control::{self as wire, message::Message as Choice},
+            record,
+        },
+    },
+    bytes::Bytes,
+    prost::Message as _,
+    snafu::{OptionExt, ResultExt, ensure},
+    whinspring::{
+        message::Message,
+        name::{Name, ServerId, Slice},
+        record::Record,
+    },
+};
+
+/// Largest control message accepted, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// Encodes a control message.
+pub fn encode(message: &Message) -> Bytes {
+    wire::Message::from(message).encode_to_vec().into()
+}
+
+/// Decodes a control message.
+///
+/// Records of a kind that this version does not know are left out.
+///
+/// # Errors
+///
+/// Fails if the bytes exceed [`MAX_MESSAGE_BYTES`] or are no valid message. A message of a type
+/// that this version does not know is [`Error::UnknownType`].
+pub fn decode(bytes: &[u8]) -> Result<Message, Error> {
+    ensure!(
+        bytes.len() <= MAX_MESSAGE_BYTES,
+        TooLargeSnafu { bytes: bytes.len(), limit: MAX_MESSAGE_BYTES }
+    );
+    wire::Message::decode(bytes).context(GarbageSnafu)?.try_into()
+}
+
+impl From<&Message> for wire::Message {
+    fn from(message: &Message) -> Self {
+        let choice = match message {
+            Message::Heartbeat { incarnation, seq, version, seen } => {
+                Choice::Heartbeat(wire::Heartbeat {
+                    incarnation: *incarnation,
+                    seq: *seq,
+                    version: *version,
+                    seen: *seen,
+                })
+            }
+            Message::Ack { incarnation, seq, seen } => {
+                Choice::Ack(wire::Ack { incarnation: *incarnation, seq: *seq, seen: *seen })
+            }
+            Message::AskLapse { node, incarnation, version } => {
+                Choice::AskLapse(lapse(node, *incarnation, *version))
+            }
+            Message::Lapsed { node, incarnation, version } => {
+                Choice::Lapsed(lapse(node, *incarnation, *version))
+            }
+            Message::Pull { seen } => Choice::Pull(wire::Pull { seen: *seen }),
+            Message::Records { after, seen, records } => Choice::Records(wire::Records {
+                after: *after,
+                seen: *seen,
+                records: records.iter().map(record::Record::from).collect(),
+            }),
+            Message::ServerLost { service, server, term } => {
+                Choice::ServerLost(report(service, *server, *term))
+            }
+            Message::ServerBack { service, server, term } => {
+                Choice::ServerBack(report(service, *server, *term))
+            }
+            Message::ServerReleased { service, server, term } => {
+                Choice::ServerReleased(report(service, *server, *term))
+            }
+            Message::SlicesReleased { service, server, term, slices, keys } => {
+                let (slices, slice_epochs) = slice_columns(slices);
+                let (keys, key_epochs) = key_columns(keys);
+                Choice::SlicesReleased(wire::SlicesReleased {
+                    service: service.to_string(),
+                    server: server.0,
+                    term: *term,
+                    slices,
+                    slice_epochs,
+                    keys,
+                    key_epochs,
+                })
+            }
+            Message::Load { service, server, busy, slices, keys } => {
+                let (slices, slice_loads) = slice_columns(slices);
+                let (keys, key_loads) = key_columns(keys);
+                Choice::Load(wire::Load {
+                    service: service.to_string(),
+                    server: server.0,
+                    busy: *busy,
+                    slices,
+                    slice_loads,
+                    keys,
+                    key_loads,
+                })
+            }
+        };
+        Self { message: Some(choice) }
+    }
+}
+
+impl TryFrom<wire::Message> for Message {
+    type Error = Error;
+
+    fn try_from(message: wire::Message) -> Result<Self, Error> {
+        match message.message.context(UnknownTypeSnafu { what: "control message" })? {
+            Choice::Heartbeat(beat) => Ok(Self::Heartbeat {
+                incarnation: beat.incarnation,
+                seq: beat.seq,
+                version: beat.version,
+                seen: beat.seen,
+            }),
+            Choice::Ack(ack) => {
+                Ok(Self::Ack { incarnation: ack.incarnation, seq: ack.seq, seen: ack.seen })
+            }
+            Choice::AskLapse(lapse) => Ok(Self::AskLapse {
+                node: lapse.node.into(),
+                incarnation: lapse.incarnation,
+                version: lapse.version,
+            }),
+            Choice::Lapsed(lapse) => Ok(Self::Lapsed {
+                node: lapse.node.into(),
+                incarnation: lapse.incarnation,
+                version: lapse.version,
+            }),
+            Choice::Pull(pull) => Ok(Self::Pull { seen: pull.seen }),
+            Choice::Records(message) => Ok(Self::Records {
+                after: message.after,
+                seen: message.seen,
+                records: known_records(message.records)?,
+            }),
+            Choice::ServerLost(report) => Ok(Self::ServerLost {
+                service: report.service.into(),
+                server: ServerId(report.server),
+                term: report.term,
+            }),
+            Choice::ServerBack(report) => Ok(Self::ServerBack {
+                service: report.service.into(),
+                server: ServerId(report.server),
+                term: report.term,
+            }),
+            Choice::ServerReleased(report) => Ok(Self::ServerReleased {
+                service: report.service.into(),
+                server: ServerId(report.server),
+                term: report.term,
+            }),
+            Choice::SlicesReleased(released) => Ok(Self::SlicesReleased {
+                service: released.service.into(),
+                server: ServerId(released.server),
+                term: released.term,
+                slices: slice_pairs(released.slices, released.slice_epochs)?,
+                keys: key_pairs(released.keys, released.key_epochs)?,
+            }),
+            Choice::Load(load) => Ok(Self::Load {
+                service: load.service.into(),
+                server: ServerId(load.server),
+                busy: load.busy,
+                slices: slice_pairs(load.slices, load.slice_loads)?,
+                keys: key_pairs(load.keys, load.key_loads)?,
+            }),
+        }
+    }
+}
+
+/// Builds a message on the lapse of a lease.
+fn lapse(node: &Name, incarnation: u64, version: u64) -> wire::Lapse {
+    wire::Lapse { node: node.to_string(), incarnation, version }
+}
+
+/// Builds a report on one server.
+fn report(service: &Name, server: ServerId, term: u64) -> wire::ServerReport {
+    wire::ServerReport { service: service.to_string(), server: server.0, term }
+}
+
+/// Converts the records of a kind that this version knows.
+fn known_records(records: Vec<record::Record>) -> Result<Vec<Record>, Error> {
+    let known = |record: &record::Record| record.kind() != record::Kind::Unspecified;
+    records.into_iter().filter(known).map(Record::try_from).collect()
+}
+
+/// Splits slices and their numbers into columns.
+fn slice_columns(pairs: &[(Slice, u64)]) -> (Vec<u32>, Vec<u64>) {
+    pairs.iter().map(|(slice, number)| (slice.0, *number)).unzip()
+}
+
+/// Splits keys and their numbers into columns.
+fn key_columns(pairs: &[(Name, u64)]) -> (Vec<String>, Vec<u64>) {
+    pairs.iter().map(|(key, number)| (key.to_string(), *number)).unzip()
+}
+
+/// Joins columns of slices and their numbers.
+fn slice_pairs(slices: Vec<u32>, numbers: Vec<u64>) -> Result<Vec<(Slice, u64)>, Error> {
+    ensure!(slices.len() == numbers.len(), BadFieldSnafu { field: "slices" });
+    Ok(slices.into_iter().map(Slice).zip(numbers).collect())
+}
+
+/// Joins columns of keys and their numbers.
+fn key_pairs(keys: Vec<String>, numbers: Vec<u64>) -> Result<Vec<(Name, u64)>, Error> {
+    ensure!(keys.len() == numbers.len(), BadFieldSnafu { field: "keys" });
+    Ok(keys.into_iter().map(Name::from).zip(numbers).collect())
+}
