Add the frames of links between nodes

Cause: entries and holders need one framing for control messages and for multiplexed requests. Ruled out: HTTP between nodes (a stream would need a connection of its own, and a cancel is a closed connection). Meta carries the deaths known to the entry, as the holder's author asked.

--- a/crates/whinspring-wire/src/generated.rs
+++ b/crates/whinspring-wire/src/generated.rs
@@ -8,3 +8,7 @@
 pub mod control {
     include!("generated/whinspring.control.rs");
 }
+
+pub mod link {
+    include!("generated/whinspring.link.rs");
+}
--- a/crates/whinspring-wire/src/lib.rs
+++ b/crates/whinspring-wire/src/lib.rs
@@ -6,5 +6,7 @@
 
 pub mod control;
 pub mod error;
+pub mod frame;
 pub mod generated;
+pub mod link;
 pub mod record;
--- a/crates/whinspring/src/request.rs
+++ b/crates/whinspring/src/request.rs
@@ -25,6 +25,8 @@
     pub repeatable: bool,
     /// Fingerprint of service, method, path and body.
     pub print: u64,
+    /// Servers known to the entry to have died while they ran it.
+    pub deaths: u32,
 }
 
 /// The key of a request and where it belongs.
