Add links between nodes: handshake, control messages, request streams

Cause: entries reach holders, and control loops each other, over connections of our own. Ruled out: a connection per request (a handshake each), and one shared window per connection (a slow reader would stall every stream). Change: ControlLinks::send never blocks and drops when a peer is out of reach; DataLinks::open multiplexes streams with a credit each; both ends ping a silent connection that has work in flight and condemn it alone.

--- /dev/null
+++ b/crates/whinspring-daemon/src/link.rs
@@ -0,0 +1,65 @@
+//! Links between nodes.
+//!
+//! A connection opens with a handshake that proves possession of the deployment's key, and then
+//! carries either control messages or multiplexed requests. Connections are opened on demand and
+//! closed when idle. One that has work in flight and falls silent is condemned alone: its
+//! requests fail, and the next ones open a new connection.
+
+pub use self::{
+    accept::Listener,
+    asked::Asked,
+    control::ControlLinks,
+    data::{DataLinks, Unreachable},
+    served::Served,
+};
+
+use {
+    crate::{clock::Clock, metrics::Metrics},
+    std::{net::SocketAddr, sync::Arc},
+    tokio::runtime::Handle,
+    whinspring::name::Name,
+    whinspring_wire::link::Purpose,
+};
+
+mod accept;
+mod asked;
+mod control;
+mod data;
+mod handshake;
+mod line;
+mod pool;
+mod served;
+mod socket;
+
+/// What a node's links share.
+#[derive(Debug)]
+pub struct Local {
+    /// Name of the deployment.
+    pub deployment: Name,
+    /// Keys of the deployment: the first is used, the others are accepted too.
+    pub keys: Vec<Vec<u8>>,
+    /// Name of this node's VM.
+    pub node: Name,
+    /// Incarnation of this node.
+    pub incarnation: u64,
+    /// Address on which this node accepts links.
+    pub addr: SocketAddr,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Where control links run, so that bulk data never delays them.
+    pub control: Handle,
+    /// Where data links run.
+    pub data: Handle,
+}
+
+impl Local {
+    /// Returns where links of this purpose run.
+    fn runtime(&self, purpose: Purpose) -> &Handle {
+        match purpose {
+            Purpose::Control => &self.control,
+            Purpose::Data => &self.data,
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/metrics.rs
@@ -0,0 +1,115 @@
+//! Counters and gauges of the process.
+
+use {
+    prometheus_client::{
+        encoding::{EncodeLabelSet, text::encode},
+        metrics::{
+            counter::Counter,
+            family::Family,
+            gauge::Gauge,
+            histogram::{Histogram, exponential_buckets},
+        },
+        registry::Registry,
+    },
+    std::time::Duration,
+    whinspring::{code::Code, name::Name},
+};
+
+/// Upper bound of the fastest latency bucket, in seconds.
+const FIRST_BUCKET_S: f64 = 0.000_25;
+
+/// Number of latency buckets, each twice as wide as the one before.
+const BUCKETS: u16 = 18;
+
+/// Everything that the process counts.
+#[derive(Debug)]
+pub struct Metrics {
+    /// What the metrics page shows.
+    registry: Registry,
+    /// Occurrences by name.
+    events: Family<EventLabels, Counter>,
+    /// Answers to callers.
+    answers: Family<AnswerLabels, Counter>,
+    /// Time from a request's head to its answer's head.
+    latency: Histogram,
+    /// Requests of callers in progress.
+    pub flights: Gauge,
+    /// Requests at this node's held servers, queued or running.
+    pub jobs: Gauge,
+    /// Connections of callers.
+    pub callers: Gauge,
+    /// Data connections to and from other nodes.
+    pub links: Gauge,
+}
+
+/// Labels of an occurrence.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EventLabels {
+    /// What happened.
+    event: &'static str,
+}
+
+/// Labels of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    /// Service of the request; empty if none matched.
+    service: String,
+    /// Result code.
+    code: u16,
+    /// Its class.
+    class: &'static str,
+}
+
+impl Metrics {
+    /// Creates metrics at zero.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("whinspring");
+        let events = Family::default();
+        let answers = Family::default();
+        let buckets = exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS);
+        let latency = Histogram::new(buckets);
+        let flights = Gauge::default();
+        let jobs = Gauge::default();
+        let callers = Gauge::default();
+        let links = Gauge::default();
+        registry.register("events", "Occurrences by name", events.clone());
+        registry.register("answers", "Answers to callers by result", answers.clone());
+        registry.register("latency_seconds", "Time to the answer's head", latency.clone());
+        registry.register("flights", "Requests of callers in progress", flights.clone());
+        registry.register("jobs", "Requests queued or running at held servers", jobs.clone());
+        registry.register("caller_connections", "Connections of callers", callers.clone());
+        registry.register("data_links", "Data connections between nodes", links.clone());
+        Self { registry, events, answers, latency, flights, jobs, callers, links }
+    }
+
+    /// Counts an occurrence.
+    pub fn count(&self, event: &'static str) {
+        self.events.get_or_create(&EventLabels { event }).inc();
+    }
+
+    /// Returns how often an event was counted.
+    pub fn counted(&self, event: &'static str) -> u64 {
+        self.events.get_or_create(&EventLabels { event }).get()
+    }
+
+    /// Counts an answer to a caller and the time that it took.
+    pub fn answered(&self, service: &Name, code: Code, took: Duration) {
+        let class = code.class().as_str();
+        let labels = AnswerLabels { service: service.to_string(), code: code as u16, class };
+        self.answers.get_or_create(&labels).inc();
+        self.latency.observe(took.as_secs_f64());
+    }
+
+    /// Returns the metrics page.
+    pub fn page(&self) -> String {
+        let mut page = String::new();
+        encode(&mut page, &self.registry).expect("a string takes any text");
+        page
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
