Add the client of the platform's object API

Change: whinspring-platform makes one HTTP call per method over a hyper-util client, each with a timeout. A write that gets no answer is Unknown; a conflict with the writer's own mark is an earlier sending and counts as written. Ruled out: retrying inside the client, since only the caller knows whether its lease still allows the write.

--- a/crates/whinspring-platform/src/lib.rs
+++ b/crates/whinspring-platform/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Client of the platform's object API.
+//!
+//! [`Platform`] makes one HTTP call per method and gives each a timeout. It decides nothing: a
+//! write whose reply is lost is reported as [`Stored::Unknown`], and the writer settles it by
+//! reading the record's mark back.
+//!
+//! [`Stored::Unknown`]: whinspring::control::Stored::Unknown
+
+mod client;
+mod error;
+mod json;
+mod object;
+
+pub use {
+    client::{CALL_TIMEOUT, Platform, WATCH_SLACK},
+    error::Error,
+    json::{Vm, VmState},
+    object::{Listing, Object},
+};
