Take the platform's address as an IP and port

Cause: the platform client connects to a socket address, and processes talk by IP numbers; settings took a host name that nothing could resolve.

Change: platform is IP:PORT or http://IP:PORT.

--- a/crates/whinspring/src/settings.rs
+++ b/crates/whinspring/src/settings.rs
@@ -90,8 +90,8 @@
     pub peer: SocketAddr,
     /// Address of the operators' port.
     pub admin: SocketAddr,
-    /// Host and port of the platform's object API.
-    pub platform: Name,
+    /// Address of the platform's object API.
+    pub platform: SocketAddr,
     /// Where the deployment's key is.
     pub secret: Secret,
     /// Other nodes to ask for records while the platform is down.
@@ -144,7 +144,7 @@
 const ADDR_HINT: &str = "write IP:PORT, such as 10.0.0.4:7000";
 
 /// What the platform's address may be.
-const PLATFORM_HINT: &str = "write HOST:PORT or http://HOST:PORT, such as 10.0.0.2:8500";
+const PLATFORM_HINT: &str = "write IP:PORT or http://IP:PORT, such as 10.0.0.2:8500";
 
 impl Node {
     /// Reads the section `node`.
@@ -156,7 +156,7 @@
         let caller = reader.required("caller", ADDR_HINT, parse_addr);
         let peer = reader.required("peer", "write the IP:PORT that others reach", parse_peer);
         let admin = reader.required("admin", ADDR_HINT, parse_addr);
-        let platform = reader.required("platform", PLATFORM_HINT, parse_authority);
+        let platform = reader.required("platform", PLATFORM_HINT, parse_platform);
         let secret = read_secret(&mut reader);
         let peers = reader.optional("peers", "write IP:PORT, IP:PORT, ...", parse_peers);
         check_ports(&mut reader, caller, peer, admin);
@@ -227,14 +227,10 @@
     (!text.is_empty()).then(|| text.into())
 }
 
-/// Reads a host and port, with or without `http://` before and a slash behind.
-pub fn parse_authority(text: &str) -> Option<Name> {
+/// Reads an address with or without `http://` before and a slash behind.
+pub fn parse_platform(text: &str) -> Option<SocketAddr> {
     let text = text.strip_prefix("http://").unwrap_or(text);
-    let text = text.strip_suffix('/').unwrap_or(text);
-    let (host, port) = text.rsplit_once(':')?;
-    port.parse::<u16>().ok().filter(|port| *port > 0)?;
-    let fits = |c: char| c.is_ascii_alphanumeric() || ".-:[]".contains(c);
-    (!host.is_empty() && host.chars().all(fits)).then(|| text.into())
+    parse_peer(text.strip_suffix('/').unwrap_or(text))
 }
 
 /// Bounds on what a node takes in.
