--- a/crates/whinspring-wire/tests/round_trips.rs
+++ b/crates/whinspring-wire/tests/round_trips.rs
@@ -223,6 +223,8 @@
             .prop_map(|(service, server, term)| Message::ServerLost { service, server, term }),
         (name(), server_id(), any::<u64>())
             .prop_map(|(service, server, term)| Message::ServerBack { service, server, term }),
+        (name(), server_id(), any::<u64>())
+            .prop_map(|(service, server, term)| Message::ServerLeaving { service, server, term }),
         (name(), server_id(), any::<u64>())
             .prop_map(|(service, server, term)| Message::ServerReleased { service, server, term }),
         (name(), server_id(), any::<u64>(), slices(), keys()).prop_map(
