--- /dev/null
+++ b/crates/whinspring-standin/src/bin/whinspring-standin-platform.rs
@@ -0,0 +1,26 @@
+//! Stand-in for the platform as a process of its own.
+
+use {
+    clap::Command,
+    std::io,
+    whinspring_standin::{
+        command,
+        platform::{self, Options},
+    },
+};
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    let matches = Command::new("whinspring-standin-platform")
+        .about("Stand-in for the platform's object API")
+        .arg(command::listen())
+        .arg(command::number("history", "10000", "Revisions that a watch can look back"))
+        .arg(command::number("seed", "0", "Seed of the choice of lost replies"))
+        .get_matches();
+    let options = Options {
+        listen: *matches.get_one("listen").expect("has a default"),
+        history: *matches.get_one("history").expect("has a default"),
+        seed: *matches.get_one("seed").expect("has a default"),
+    };
+    command::run(platform::start(options).await?).await
+}
--- /dev/null
+++ b/crates/whinspring-standin/src/command.rs
@@ -0,0 +1,44 @@
+//! What the stand-ins' command lines share.
+
+use {
+    crate::http::Running,
+    clap::{Arg, value_parser},
+    std::{
+        io::{self, Write},
+        net::SocketAddr,
+    },
+};
+
+/// Returns the `--listen` argument; port 0 takes a free port.
+pub fn listen() -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .value_name("ADDR")
+        .default_value("127.0.0.1:0")
+        .value_parser(value_parser!(SocketAddr))
+        .help("Address to listen on; port 0 takes a free port")
+}
+
+/// Returns an argument that takes a number.
+pub fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
+/// Prints the first line of a stand-in: the address it listens on.
+pub fn announce(addr: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout();
+    writeln!(out, "listening {addr}")?;
+    out.flush()
+}
+
+/// Announces a listener and serves it until the process ends.
+pub async fn run(running: Running) -> io::Result<()> {
+    announce(running.addr)?;
+    running.wait().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/whinspring-standin/src/pattern.rs
@@ -0,0 +1,110 @@
+//! Long bodies whose every byte can be checked by the caller.
+//!
+//! The byte at each offset follows from the path and the offset, so neither side keeps the body.
+
+use {
+    bytes::Bytes,
+    http_body::{Body, Frame, SizeHint},
+    std::{
+        any::Any,
+        convert::Infallible,
+        fmt::{self, Debug, Formatter},
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    twox_hash::XxHash3_64,
+};
+
+/// Bytes of one frame.
+const FRAME_BYTES: u64 = 64 * 1024;
+
+/// Period of the pattern in bytes: a prime, so that a shift by whole frames is seen.
+const PERIOD: usize = 65_521;
+
+/// One period of the pattern of a path, repeated once so that any frame is a plain slice.
+#[derive(Debug, Clone)]
+pub struct Source {
+    twice: Bytes,
+}
+
+impl Source {
+    /// Returns the pattern of `path`.
+    pub fn new(path: &str) -> Self {
+        let mut seed = XxHash3_64::oneshot(path.as_bytes());
+        let mut period = Vec::with_capacity(PERIOD * 3);
+        while period.len() < PERIOD {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            period.extend_from_slice(&(seed >> 16).to_le_bytes()[..4]);
+        }
+        period.truncate(PERIOD);
+        period.extend_from_within(..);
+        period.extend_from_within(..PERIOD);
+        Self { twice: period.into() }
+    }
+
+    /// Returns `len` bytes of the pattern at `offset`; at most [`FRAME_BYTES`].
+    fn frame(&self, offset: u64, len: u64) -> Bytes {
+        let start = (offset % PERIOD as u64) as usize;
+        self.twice.slice(start..start + len as usize)
+    }
+
+    /// Returns whether `bytes` are those of the pattern at `offset`.
+    pub fn matches(&self, offset: u64, bytes: &[u8]) -> bool {
+        let mut at = offset;
+        for part in bytes.chunks(FRAME_BYTES as usize) {
+            if self.frame(at, part.len() as u64) != part {
+                return false;
+            }
+            at += part.len() as u64;
+        }
+        true
+    }
+}
+
+/// A body of the pattern of one path.
+pub struct Pattern {
+    source: Source,
+    sent: u64,
+    len: u64,
+    done: Option<Box<dyn Any + Send + Sync>>,
+}
+
+impl Pattern {
+    /// Returns a body of `len` bytes; `done` is dropped when the body ends or is given up.
+    pub fn new(path: &str, len: u64, done: impl Any + Send + Sync) -> Self {
+        Self { source: Source::new(path), sent: 0, len, done: Some(Box::new(done)) }
+    }
+}
+
+impl Debug for Pattern {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Pattern").field("sent", &self.sent).field("len", &self.len).finish()
+    }
+}
+
+impl Body for Pattern {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let len = FRAME_BYTES.min(self.len - self.sent);
+        if len == 0 {
+            self.done = None;
+            return Poll::Ready(None);
+        }
+        let frame = self.source.frame(self.sent, len);
+        self.sent += len;
+        Poll::Ready(Some(Ok(Frame::data(frame))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.sent == self.len
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.len - self.sent)
+    }
+}
--- /dev/null
+++ b/crates/whinspring-standin/src/platform/api.rs
@@ -0,0 +1,306 @@
+//! The calls of the object API and of the stand-in itself.
+
+use {
+    super::{
+        VALUE_LIMIT,
+        faults::{Change, Faults, Outage},
+        store::{Id, Outcome, Store, Write},
+        vms::{State, Vms},
+    },
+    crate::http::{Answer, Handler, Hangup, json, status},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Either, Full, Limited},
+    hyper::{HeaderMap, Method, Request, StatusCode, body::Incoming, header::HeaderValue},
+    parking_lot::Mutex,
+    percent_encoding::percent_decode_str,
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep, timeout_at},
+    },
+};
+
+/// Replies lost of a thousand when every reply is lost.
+const PER_MILLE: u32 = 1_000;
+
+/// Longest wait of a watch, in milliseconds.
+const WATCH_CAP_MS: u64 = 60_000;
+
+/// The object API over its store.
+#[derive(Debug)]
+pub(super) struct Api {
+    store: Mutex<Store>,
+    vms: Mutex<Vms>,
+    calls: Mutex<Calls>,
+    random: Mutex<StdRng>,
+    faults: watch::Sender<Faults>,
+    revision: watch::Sender<u64>,
+}
+
+/// Calls since the start, by type.
+#[derive(Debug, Default, Clone, Serialize)]
+struct Calls {
+    total: u64,
+    #[serde(flatten)]
+    types: BTreeMap<&'static str, u64>,
+}
+
+/// Body that sets a VM's state.
+#[derive(Debug, Deserialize)]
+struct VmBody {
+    state: State,
+}
+
+/// A call of the object API.
+#[derive(Debug)]
+enum Call {
+    Get(Id),
+    List,
+    Put(Id),
+    Delete(Id),
+    Watch { after: u64, wait: Duration },
+    Vms,
+}
+
+impl Call {
+    /// Reads the call from method and path.
+    fn parse(method: &Method, path: &str, query: &str) -> Option<Self> {
+        let mut parts = path.trim_start_matches('/').splitn(3, '/');
+        match (method, parts.next()?, parts.next(), parts.next()) {
+            (&Method::GET, "objects", None, None) => Some(Self::List),
+            (&Method::GET, "objects", Some(kind), Some(name)) => Some(Self::Get(id(kind, name)?)),
+            (&Method::PUT, "objects", Some(kind), Some(name)) => Some(Self::Put(id(kind, name)?)),
+            (&Method::DELETE, "objects", Some(kind), Some(name)) => {
+                Some(Self::Delete(id(kind, name)?))
+            }
+            (&Method::GET, "vms", None, None) => Some(Self::Vms),
+            (&Method::GET, "watch", None, None) => {
+                let after = query_number(query, "after")?;
+                let wait = query_number(query, "wait_ms")?.min(WATCH_CAP_MS);
+                Some(Self::Watch { after, wait: Duration::from_millis(wait) })
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the name under which the call is counted.
+    fn type_name(&self) -> &'static str {
+        match self {
+            Self::Get(_) => "get",
+            Self::List => "list",
+            Self::Put(_) => "put",
+            Self::Delete(_) => "delete",
+            Self::Watch { .. } => "watch",
+            Self::Vms => "vms",
+        }
+    }
+}
+
+impl Handler for Api {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Answer, Hangup> {
+        let (head, body) = request.into_parts();
+        let query = head.uri.query().unwrap_or_default();
+        let Some(call) = Call::parse(&head.method, head.uri.path(), query) else {
+            let body = read(body).await.unwrap_or_default();
+            return Ok(self.control(&head.method, head.uri.path(), &body));
+        };
+        self.count(call.type_name());
+        let faults = self.faults.subscribe();
+        unless_down(faults, self.answer(call, &head.headers, body)).await
+    }
+}
+
+impl Api {
+    /// Returns an empty platform.
+    pub(super) fn new(history: u64, seed: u64) -> Self {
+        Self {
+            store: Mutex::new(Store::new(history)),
+            vms: Mutex::new(Vms::default()),
+            calls: Mutex::new(Calls::default()),
+            random: Mutex::new(StdRng::seed_from_u64(seed)),
+            faults: watch::Sender::new(Faults::default()),
+            revision: watch::Sender::new(0),
+        }
+    }
+
+    /// Answers a call of the object API, with half of the delay before and after it.
+    async fn answer(
+        &self,
+        call: Call,
+        headers: &HeaderMap,
+        body: Incoming,
+    ) -> Result<Answer, Hangup> {
+        let half = Duration::from_millis(self.faults.borrow().delay_ms) / 2;
+        sleep(half).await;
+        let answer = match call {
+            Call::Get(id) => self.get(&id),
+            Call::List => json(&self.store.lock().list()),
+            Call::Watch { after, wait } => self.watch(after, wait).await,
+            Call::Vms => self.list_vms(),
+            Call::Put(id) => {
+                let Some(value) = read(body).await else {
+                    return Ok(status(StatusCode::PAYLOAD_TOO_LARGE));
+                };
+                self.write(id, headers, Some(value))?
+            }
+            Call::Delete(id) => self.write(id, headers, None)?,
+        };
+        sleep(half).await;
+        Ok(answer)
+    }
+
+    /// Reads one object.
+    fn get(&self, id: &Id) -> Answer {
+        let store = self.store.lock();
+        let Some(entry) = store.get(id) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let value = entry.value.clone().unwrap_or_default();
+        let mut answer = Answer::new(Either::Left(Full::new(value)));
+        stamp(&mut answer, entry.version, entry.mark);
+        answer
+    }
+
+    /// Writes or deletes one object; some replies are lost after that.
+    fn write(&self, id: Id, headers: &HeaderMap, value: Option<Bytes>) -> Result<Answer, Hangup> {
+        let expect = header_number(headers, "x-if-version");
+        let mark = header_number(headers, "x-mark");
+        let (Some(expect), Some(mark)) = (expect, mark) else {
+            return Ok(status(StatusCode::BAD_REQUEST));
+        };
+        let outcome = self.store.lock().write(Write { id, expect, mark, value });
+        let mut answer = match outcome {
+            Outcome::Written(_) => status(StatusCode::OK),
+            Outcome::Conflict { .. } => status(StatusCode::CONFLICT),
+        };
+        match outcome {
+            Outcome::Written(version) => {
+                self.revision.send_replace(version);
+                stamp(&mut answer, version, mark);
+            }
+            Outcome::Conflict { version, mark } => stamp(&mut answer, version, mark),
+        }
+        if self.lose_reply() {
+            return Err(Hangup);
+        }
+        Ok(answer)
+    }
+
+    /// Returns what changed after a revision, waiting for a first change.
+    async fn watch(&self, after: u64, wait: Duration) -> Answer {
+        let end = Instant::now() + wait;
+        let mut revision = self.revision.subscribe();
+        loop {
+            revision.mark_unchanged();
+            let changes = self.store.lock().changes(after);
+            let Some(changes) = changes else {
+                return status(StatusCode::GONE);
+            };
+            let waited = Instant::now() >= end;
+            if waited || !changes.objects.is_empty() {
+                return json(&changes);
+            }
+            let _ = timeout_at(end, revision.changed()).await;
+        }
+    }
+
+    /// Lists the VMs as they were before the lag.
+    fn list_vms(&self) -> Answer {
+        let lag = Duration::from_millis(self.faults.borrow().vm_lag_ms);
+        json(&self.vms.lock().list(Instant::now().checked_sub(lag)))
+    }
+
+    /// Answers the calls of the stand-in itself.
+    fn control(&self, method: &Method, path: &str, body: &Bytes) -> Answer {
+        match (method.as_str(), path) {
+            ("GET", "/calls") => json(&*self.calls.lock()),
+            ("GET", "/faults") => json(&*self.faults.borrow()),
+            ("PUT", "/faults") => with_body(body, |change: Change| {
+                self.faults.send_modify(|faults| faults.apply(change));
+            }),
+            ("PUT", path) if path.starts_with("/vms/") => with_body(body, |vm: VmBody| {
+                let name = path.trim_start_matches("/vms/");
+                self.vms.lock().set(name, vm.state, Instant::now());
+            }),
+            _ => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Counts a call.
+    fn count(&self, type_name: &'static str) {
+        let mut calls = self.calls.lock();
+        calls.total += 1;
+        *calls.types.entry(type_name).or_default() += 1;
+    }
+
+    /// Draws whether the reply to a write is lost.
+    fn lose_reply(&self) -> bool {
+        let share = self.faults.borrow().lose_replies;
+        share > 0 && self.random.lock().random_range(0..PER_MILLE) < share
+    }
+}
+
+/// Carries a call on as long as the platform is not down.
+///
+/// A call caught by an outage is lost, also once the platform is back.
+async fn unless_down(
+    mut faults: watch::Receiver<Faults>,
+    answer: impl Future<Output = Result<Answer, Hangup>>,
+) -> Result<Answer, Hangup> {
+    let mut answer = pin!(answer);
+    loop {
+        let outage = faults.borrow_and_update().outage;
+        match outage {
+            Outage::Off => {}
+            Outage::Refuse => return Err(Hangup),
+            Outage::Hang => {
+                let _ = faults.wait_for(|faults| faults.outage != Outage::Hang).await;
+                return Err(Hangup);
+            }
+        }
+        tokio::select! {
+            biased;
+            _ = faults.changed() => {}
+            answer = &mut answer => return answer,
+        }
+    }
+}
+
+/// Reads a body up to the value limit.
+async fn read(body: Incoming) -> Option<Bytes> {
+    Some(Limited::new(body, VALUE_LIMIT).collect().await.ok()?.to_bytes())
+}
+
+/// Applies a JSON body.
+fn with_body<T: DeserializeOwned>(body: &Bytes, apply: impl FnOnce(T)) -> Answer {
+    let Ok(value) = serde_json::from_slice(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    apply(value);
+    status(StatusCode::OK)
+}
+
+/// Adds the headers with version and mark.
+fn stamp(answer: &mut Answer, version: u64, mark: u64) {
+    answer.headers_mut().insert("x-version", HeaderValue::from(version));
+    answer.headers_mut().insert("x-mark", HeaderValue::from(mark));
+}
+
+/// Decodes the kind and name of an object.
+fn id(kind: &str, name: &str) -> Option<Id> {
+    let name = percent_decode_str(name).decode_utf8().ok()?;
+    Some(Id { kind: kind.into(), name: name.into() })
+}
+
+/// Reads a header that holds a number.
+fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Reads a number of the query.
+fn query_number(query: &str, name: &str) -> Option<u64> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/whinspring-standin/src/platform/store.rs
@@ -0,0 +1,165 @@
+//! Versioned objects in memory.
+//!
+//! Each write gets the next revision of the whole store. Deleted objects are kept as long as a
+//! watch may still ask for their deletion.
+
+use {
+    base64::{Engine, engine::general_purpose::STANDARD},
+    bytes::Bytes,
+    serde::{Serialize, Serializer},
+    std::collections::BTreeMap,
+};
+
+/// Identity of an object.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub(super) struct Id {
+    /// Its kind.
+    pub(super) kind: String,
+    /// Its name within the kind.
+    pub(super) name: String,
+}
+
+/// An object or what is left of a deleted one.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct Entry {
+    /// Revision of its last write.
+    pub(super) version: u64,
+    /// Mark of its last write.
+    pub(super) mark: u64,
+    /// Its content; `None` once deleted.
+    #[serde(serialize_with = "encode")]
+    pub(super) value: Option<Bytes>,
+}
+
+/// A conditional update.
+#[derive(Debug)]
+pub(super) struct Write {
+    /// Object to write.
+    pub(super) id: Id,
+    /// Version it must have; zero if it must not exist.
+    pub(super) expect: u64,
+    /// Mark of the write.
+    pub(super) mark: u64,
+    /// New content; `None` deletes.
+    pub(super) value: Option<Bytes>,
+}
+
+/// How a conditional update ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// Written at this version.
+    Written(u64),
+    /// The object was at another version.
+    Conflict {
+        /// Its present version; zero if it does not exist.
+        version: u64,
+        /// Mark of its last write; zero if it does not exist.
+        mark: u64,
+    },
+}
+
+/// Body of a list or a watch.
+#[derive(Debug, Serialize)]
+pub(super) struct Listing {
+    /// Revision up to which the objects are complete.
+    pub(super) revision: u64,
+    /// The objects.
+    pub(super) objects: Vec<Item>,
+}
+
+/// One object of a listing.
+#[derive(Debug, Serialize)]
+pub(super) struct Item {
+    #[serde(flatten)]
+    id: Id,
+    #[serde(flatten)]
+    entry: Entry,
+}
+
+/// All objects.
+#[derive(Debug)]
+pub(super) struct Store {
+    revision: u64,
+    history: u64,
+    entries: BTreeMap<Id, Entry>,
+    latest: BTreeMap<u64, Id>,
+}
+
+impl Store {
+    /// Returns an empty store that looks back `history` revisions.
+    pub(super) fn new(history: u64) -> Self {
+        Self { revision: 0, history, entries: BTreeMap::new(), latest: BTreeMap::new() }
+    }
+
+    /// Returns the object of `id`, if there is one.
+    pub(super) fn get(&self, id: &Id) -> Option<&Entry> {
+        self.entries.get(id).filter(|entry| entry.value.is_some())
+    }
+
+    /// Returns every object.
+    pub(super) fn list(&self) -> Listing {
+        let live = self.entries.iter().filter(|(_, entry)| entry.value.is_some());
+        let objects = live.map(|(id, entry)| Item { id: id.clone(), entry: entry.clone() });
+        Listing { revision: self.revision, objects: objects.collect() }
+    }
+
+    /// Returns what changed after a revision; `None` if that is too old or in the future.
+    pub(super) fn changes(&self, after: u64) -> Option<Listing> {
+        if after < self.horizon() || after > self.revision {
+            return None;
+        }
+        let changed = self.latest.range(after + 1..).filter_map(|(_, id)| {
+            let entry = self.entries.get(id)?.clone();
+            Some(Item { id: id.clone(), entry })
+        });
+        Some(Listing { revision: self.revision, objects: changed.collect() })
+    }
+
+    /// Writes an object if it is at the expected version.
+    pub(super) fn write(&mut self, write: Write) -> Outcome {
+        let (version, mark) = match self.get(&write.id) {
+            Some(entry) => (entry.version, entry.mark),
+            None => (0, 0),
+        };
+        let absent = version == 0 && write.value.is_none();
+        if version != write.expect || absent {
+            return Outcome::Conflict { version, mark };
+        }
+        self.revision += 1;
+        let entry = Entry { version: self.revision, mark: write.mark, value: write.value };
+        if let Some(old) = self.entries.insert(write.id.clone(), entry) {
+            self.latest.remove(&old.version);
+        }
+        self.latest.insert(self.revision, write.id);
+        self.forget();
+        Outcome::Written(self.revision)
+    }
+
+    /// Returns the oldest revision that a watch can start from.
+    fn horizon(&self) -> u64 {
+        self.revision.saturating_sub(self.history)
+    }
+
+    /// Drops what is left of objects deleted before the horizon.
+    fn forget(&mut self) {
+        let horizon = self.horizon();
+        let gone: Vec<_> = self
+            .latest
+            .range(..=horizon)
+            .filter(|(_, id)| self.get(id).is_none())
+            .map(|(version, id)| (*version, id.clone()))
+            .collect();
+        for (version, id) in gone {
+            self.latest.remove(&version);
+            self.entries.remove(&id);
+        }
+    }
+}
+
+/// Writes a value in base64.
+fn encode<S: Serializer>(value: &Option<Bytes>, serializer: S) -> Result<S::Ok, S::Error> {
+    match value {
+        Some(bytes) => serializer.serialize_str(&STANDARD.encode(bytes)),
+        None => serializer.serialize_none(),
+    }
+}
