--- a/crates/whinspring-standin/src/platform/api.rs
+++ b/crates/whinspring-standin/src/platform/api.rs
@@ -15,7 +15,7 @@
     percent_encoding::percent_decode_str,
     rand::{Rng, SeedableRng, rngs::StdRng},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{collections::BTreeMap, future::pending, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, pin::pin, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{Instant, sleep, timeout_at},
@@ -107,12 +107,8 @@
             return Ok(self.control(&head.method, head.uri.path(), &body));
         };
         self.count(call.type_name());
-        let mut faults = self.faults.subscribe();
-        tokio::select! {
-            biased;
-            hangup = outage(&mut faults) => Err(hangup),
-            answer = self.answer(call, &head.headers, body) => answer,
-        }
+        let faults = self.faults.subscribe();
+        unless_down(faults, self.answer(call, &head.headers, body)).await
     }
 }
 
@@ -246,24 +242,30 @@
     }
 }
 
-/// Waits for an outage and ends when the connection has to be closed.
-async fn outage(faults: &mut watch::Receiver<Faults>) -> Hangup {
+/// Carries a call on as long as the platform is not down.
+///
+/// A call caught by an outage is lost, also once the platform is back.
+async fn unless_down(
+    mut faults: watch::Receiver<Faults>,
+    answer: impl Future<Output = Result<Answer, Hangup>>,
+) -> Result<Answer, Hangup> {
+    let mut answer = pin!(answer);
     loop {
-        match faults.borrow_and_update().outage {
+        let outage = faults.borrow_and_update().outage;
+        match outage {
             Outage::Off => {}
-            Outage::Refuse => return Hangup,
-            Outage::Hang => break,
+            Outage::Refuse => return Err(Hangup),
+            Outage::Hang => {
+                let _ = faults.wait_for(|faults| faults.outage != Outage::Hang).await;
+                return Err(Hangup);
+            }
         }
-        if faults.changed().await.is_err() {
-            return Hangup;
+        tokio::select! {
+            biased;
+            _ = faults.changed() => {}
+            answer = &mut answer => return answer,
         }
     }
-    // A call caught by a hanging platform is lost, also once the platform is back.
-    let back = faults.wait_for(|faults| faults.outage != Outage::Hang);
-    if back.await.is_err() {
-        pending::<()>().await;
-    }
-    Hangup
 }
 
 /// Reads a body up to the value limit.
