--- a/crates/whinspring-wire/src/control.rs
+++ b/crates/whinspring-wire/src/control.rs
@@ -74,6 +74,9 @@
             Message::ServerBack { service, server, term } => {
                 Choice::ServerBack(report(service, *server, *term))
             }
+            Message::ServerLeaving { service, server, term } => {
+                Choice::ServerLeaving(report(service, *server, *term))
+            }
             Message::ServerReleased { service, server, term } => {
                 Choice::ServerReleased(report(service, *server, *term))
             }
@@ -148,6 +151,11 @@
                 server: ServerId(report.server),
                 term: report.term,
             }),
+            Choice::ServerLeaving(report) => Ok(Self::ServerLeaving {
+                service: report.service.into(),
+                server: ServerId(report.server),
+                term: report.term,
+            }),
             Choice::ServerReleased(report) => Ok(Self::ServerReleased {
                 service: report.service.into(),
                 server: ServerId(report.server),
