Compute operators' plans from intents and records

Cause: operators had no way to see what a change would do before it happens.

Record keys are written as kind/name.

Ruled out: naming every record that the forecast read as a base (each move by the controller would then refuse an operator's drain): only records that the steps' correctness depends on are named.

--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -6,12 +6,14 @@
 
 pub mod code;
 pub mod control;
+pub mod declaration;
 pub mod entry;
 pub mod holder;
 pub mod ini;
 pub mod message;
 pub mod model;
 pub mod name;
+pub mod plan;
 pub mod record;
 pub mod request;
 pub mod settings;
--- a/crates/whinspring/src/model.rs
+++ b/crates/whinspring/src/model.rs
@@ -108,6 +108,17 @@
     Lost,
 }
 
+impl ServerState {
+    /// Returns the state as operators read it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Active => "active",
+            Self::Draining => "draining",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// The holders of a service's backend servers.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Holders {
@@ -180,7 +191,8 @@
     pub id: Name,
     /// The command that asked for it.
     pub intent: Name,
-    /// Versions of the records that the plan was computed from.
+    /// Versions of the records that the plan was computed from, by `kind/name`; zero for a
+    /// record that did not exist.
     pub base: BTreeMap<Name, u64>,
     /// Steps that the controller carries out.
     pub steps: Vec<Step>,
@@ -207,6 +219,19 @@
     Failed,
 }
 
+impl PlanState {
+    /// Returns the state as operators read it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Proposed => "proposed",
+            Self::Confirmed => "confirmed",
+            Self::Finished => "finished",
+            Self::Aborted => "aborted",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// One step of a plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
--- /dev/null
+++ b/crates/whinspring/src/plan.rs
@@ -0,0 +1,114 @@
+//! Operators' plans: an intent and the records in, steps and a forecast out.
+//!
+//! [`propose`] computes a plan and changes nothing. The operators' client stores it as proposed;
+//! an operator confirms it; the controller carries it out. A plan names the version of each record
+//! that its correctness depends on. [`conflict`] tells whether one of them changed: the client asks
+//! before it confirms, and the controller asks again, in the order of the confirmations, so that
+//! one of two conflicting plans wins whole.
+
+mod change;
+mod error;
+mod forecast;
+mod intent;
+
+use {
+    crate::{
+        model::{Plan, PlanState, Service, Step},
+        name::Name,
+        record::{Key, Kind, Record, Value},
+    },
+    change::Change,
+    std::collections::BTreeMap,
+};
+
+pub use {
+    error::Error,
+    forecast::{Forecast, HOP_MS, Risk, WRITE_MS},
+    intent::Intent,
+};
+
+/// All records that a plan is computed from.
+pub type Records = BTreeMap<Key, Record>;
+
+/// A plan that is not stored yet, with what it would lead to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Proposal {
+    /// The plan.
+    pub plan: Plan,
+    /// What it would lead to.
+    pub forecast: Forecast,
+}
+
+/// Computes the plan `id` for an intent.
+///
+/// # Errors
+///
+/// Fails if the intent cannot be carried out from these records; nothing is changed either way.
+pub fn propose(records: &Records, intent: &Intent, id: Name) -> Result<Proposal, Error> {
+    let change = Change::of(records, intent)?;
+    let forecast = Forecast::of(records, &change);
+    let plan = Plan {
+        id,
+        intent: intent.to_string().into(),
+        base: change.base,
+        steps: change.steps,
+        state: PlanState::Proposed,
+        done: 0,
+        reason: Name::new(),
+    };
+    Ok(Proposal { plan, forecast })
+}
+
+/// A record that is no longer at the version that a plan was computed from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Conflict {
+    /// The record, as `kind/name`.
+    pub key: Name,
+    /// Version that the plan was computed from.
+    pub base: u64,
+    /// Version now; zero if the record does not exist.
+    pub now: u64,
+}
+
+/// Returns the first record of the plan's base that changed since.
+///
+/// `version` gives the present version of a record, zero if it does not exist.
+pub fn conflict(plan: &Plan, version: impl Fn(&Key) -> u64) -> Option<Conflict> {
+    for (name, base) in &plan.base {
+        let now = Key::parse(name).map_or(0, |key| version(&key));
+        if now != *base {
+            return Some(Conflict { key: name.clone(), base: *base, now });
+        }
+    }
+    None
+}
+
+/// Returns the declaration that a plan would put in force, if it is one.
+pub fn declared(plan: &Plan) -> Option<&Service> {
+    match plan.steps.as_slice() {
+        [Step::Declare(service)] => Some(service),
+        _ => None,
+    }
+}
+
+/// Returns the version of a record, zero if it does not exist.
+pub fn version(records: &Records, key: &Key) -> u64 {
+    let live = records.get(key).filter(|record| record.value.is_some());
+    live.map_or(0, |record| record.version)
+}
+
+/// Returns the service `name`.
+pub fn service<'a>(records: &'a Records, name: &str) -> Option<&'a Service> {
+    match &records.get(&Key::new(Kind::Service, name))?.value {
+        Some(Value::Service(service)) => Some(service),
+        _ => None,
+    }
+}
+
+/// Returns every service by name.
+pub fn services(records: &Records) -> impl Iterator<Item = &Service> {
+    records.values().filter_map(|record| match &record.value {
+        Some(Value::Service(service)) => Some(service),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/whinspring/src/plan/forecast.rs
@@ -0,0 +1,158 @@
+//! What a plan would lead to, as far as the records tell.
+
+mod difference;
+mod risk;
+
+use {
+    super::{
+        Records,
+        change::{Change, key_owner, slice_owner},
+        service,
+    },
+    crate::{
+        model::{Owner, Segment, ServerState, Service, Step},
+        name::{ServerId, Slice, slice_of},
+        record::{Key, Value},
+    },
+    std::collections::BTreeSet,
+};
+
+pub use risk::Risk;
+
+/// Time that a write to the platform is reckoned to take, in milliseconds.
+pub const WRITE_MS: u32 = 10;
+
+/// Time that a message or grant is reckoned to take, in milliseconds.
+pub const HOP_MS: u32 = 2;
+
+/// Messages and grants between the release of a slice and its next start of work.
+const MOVE_HOPS: u32 = 3;
+
+/// What a plan would lead to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Forecast {
+    /// What changes, one line each.
+    pub changes: Vec<String>,
+    /// Slices that get their first owner.
+    pub assigned: u32,
+    /// Slices whose owner is expected to change.
+    pub slices: u32,
+    /// Single keys whose owner is expected to change.
+    pub keys: u32,
+    /// Expected pause of each of them, without the requests that run on it, in milliseconds.
+    pub pause_ms: u32,
+    /// Longest such pause, in milliseconds: all requests that run on it use up their deadline.
+    pub worst_ms: u32,
+    /// What could go wrong, the worst first.
+    pub risks: Vec<Risk>,
+}
+
+impl Forecast {
+    /// Works out what a change would lead to.
+    pub(super) fn of(records: &Records, change: &Change) -> Self {
+        let before = change.after.as_ref().and_then(|after| service(records, &after.name));
+        let mut forecast = Self {
+            changes: difference::lines(records, before, change),
+            assigned: 0,
+            slices: 0,
+            keys: 0,
+            pause_ms: 0,
+            worst_ms: 0,
+            risks: risk::list(before, change),
+        };
+        forecast.count_moves(&change.steps);
+        if let Some(after) = &change.after {
+            forecast.count_shifts(records, before, after);
+            forecast.set_pauses(after.cap_ms);
+        }
+        forecast
+    }
+
+    /// Counts the slices and keys that the steps move themselves.
+    fn count_moves(&mut self, steps: &[Step]) {
+        for step in steps {
+            match step {
+                Step::MoveSlice { .. } => self.slices += 1,
+                Step::MoveKey { .. } => self.keys += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Counts the slices and keys that follow from servers that come and go.
+    fn count_shifts(&mut self, records: &Records, before: Option<&Service>, after: &Service) {
+        if after.slices == 0 {
+            return;
+        }
+        let Some(before) = before else {
+            self.assigned = after.slices;
+            return;
+        };
+        let old = active(before);
+        let new = active(after);
+        let left: BTreeSet<_> = old.difference(&new).copied().collect();
+        for owner in owners(records, after) {
+            self.slices += u32::from(left.contains(&owner.server));
+        }
+        for owner in single_keys(records, after) {
+            self.keys += u32::from(left.contains(&owner.server));
+        }
+        let joined = new.difference(&old).count() as u32;
+        if joined > 0 && left.len() < joined as usize {
+            let extra = joined - left.len() as u32;
+            self.slices += share(after.slices, extra, new.len() as u32);
+        }
+    }
+
+    /// Sets how long what moves would pause.
+    fn set_pauses(&mut self, cap_ms: u32) {
+        if self.slices + self.keys == 0 {
+            return;
+        }
+        self.pause_ms = WRITE_MS + MOVE_HOPS * HOP_MS;
+        self.worst_ms = self.pause_ms + cap_ms;
+    }
+}
+
+/// Returns the part of `slices` that `some` of `all` servers get.
+fn share(slices: u32, some: u32, all: u32) -> u32 {
+    (u64::from(slices) * u64::from(some)).div_ceil(u64::from(all)) as u32
+}
+
+/// Returns the active servers of a service.
+fn active(service: &Service) -> BTreeSet<ServerId> {
+    let servers = service.servers.iter();
+    servers.filter(|(_, server)| server.state == ServerState::Active).map(|(id, _)| *id).collect()
+}
+
+/// Returns the segments of a service.
+fn segments<'a>(records: &'a Records, service: &'a Service) -> impl Iterator<Item = &'a Segment> {
+    let count = service.slices.div_ceil(crate::model::SEGMENT_SLICES);
+    (0..count).filter_map(|index| match &records.get(&Key::segment(&service.name, index))?.value {
+        Some(Value::Segment(segment)) => Some(segment),
+        _ => None,
+    })
+}
+
+/// Returns the owner of each slice of a service.
+fn owners<'a>(records: &'a Records, service: &'a Service) -> impl Iterator<Item = &'a Owner> {
+    segments(records, service).flat_map(|segment| &segment.owners)
+}
+
+/// Returns the owner of each single key of a service.
+fn single_keys<'a>(records: &'a Records, service: &'a Service) -> impl Iterator<Item = &'a Owner> {
+    segments(records, service).flat_map(|segment| segment.keys.values())
+}
+
+/// Returns the server that a step takes a slice or key from.
+fn source(records: &Records, service: &Service, step: &Step) -> Option<ServerId> {
+    let owner = match step {
+        Step::MoveSlice { slice, .. } => slice_owner(records, &service.name, *slice),
+        Step::MoveKey { key, .. } if service.slices > 0 => {
+            let slice: Slice = slice_of(key, service.slices);
+            key_owner(records, &service.name, key, slice)
+        }
+        _ => None,
+    };
+    owner.map(|owner| owner.server)
+}
--- /dev/null
+++ b/crates/whinspring/src/plan/forecast/risk.rs
@@ -0,0 +1,118 @@
+//! What could go wrong with a plan.
+
+use {
+    super::active,
+    crate::{
+        model::{ServerState, Service, Step},
+        name::Name,
+        plan::change::Change,
+    },
+    std::{
+        collections::BTreeSet,
+        fmt::{self, Display, Formatter},
+    },
+};
+
+/// What could go wrong with a plan.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Risk {
+    /// The request may crash servers again.
+    CrashAgain,
+    /// A single server remains.
+    OneServer,
+    /// Fewer slots remain.
+    LessCapacity {
+        /// Slots of active servers before.
+        before: u32,
+        /// Slots of active servers after.
+        after: u32,
+    },
+    /// All active servers are in one failure domain.
+    OneDomain(Name),
+    /// A server does not check fencing terms.
+    NotFenced(Name),
+    /// A new server may be cold.
+    Cold(Name),
+    /// Callers' paths change.
+    PrefixChange,
+}
+
+impl Display for Risk {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::CrashAgain => {
+                f.write_str("if the request still crashes servers, up to two more are lost")
+            }
+            Self::OneServer => f.write_str("a single active server remains: its loss stops all"),
+            Self::LessCapacity { before, after } => {
+                write!(f, "active slots fall from {before} to {after}: more waiting and refusals")
+            }
+            Self::OneDomain(domain) => {
+                write!(f, "all active servers are in {domain}: its loss stops all")
+            }
+            Self::NotFenced(server) => {
+                write!(f, "{server} does not check fences: a lost holder's lease must run out")
+            }
+            Self::Cold(server) => write!(f, "{server} may be slow until it has warmed up"),
+            Self::PrefixChange => f.write_str("callers of the former prefix get 400 at once"),
+        }
+    }
+}
+
+/// Returns what could go wrong with a change, the worst first.
+pub(super) fn list(before: Option<&Service>, change: &Change) -> Vec<Risk> {
+    let mut risks = Vec::new();
+    if change.steps.iter().any(|step| matches!(step, Step::Clear { .. })) {
+        risks.push(Risk::CrashAgain);
+    }
+    if let Some(after) = &change.after
+        && change.steps.iter().any(|step| matches!(step, Step::Declare(_) | Step::Want { .. }))
+    {
+        risks.extend(service_risks(before, after));
+    }
+    risks.sort();
+    risks
+}
+
+/// Returns what could go wrong with a service as it would be.
+fn service_risks(before: Option<&Service>, after: &Service) -> Vec<Risk> {
+    let mut risks = Vec::new();
+    let now = active(after);
+    let domains: BTreeSet<_> = now.iter().map(|id| &after.servers[id].domain).collect();
+    if now.len() == 1 {
+        risks.push(Risk::OneServer);
+    } else if let [domain] = Vec::from_iter(domains)[..] {
+        risks.push(Risk::OneDomain(domain.clone()));
+    }
+    if let Some(before) = before {
+        risks.extend(change_risks(before, after));
+    }
+    for id in &now {
+        let server = &after.servers[id];
+        let old = before.and_then(|before| before.servers.get(id));
+        let was_active = old.is_some_and(|old| old.state == ServerState::Active);
+        if !server.fenced && old.is_none_or(|old| old.fenced) {
+            risks.push(Risk::NotFenced(server.name.clone()));
+        }
+        if before.is_some() && !was_active {
+            risks.push(Risk::Cold(server.name.clone()));
+        }
+    }
+    risks
+}
+
+/// Returns what could go wrong with the change of a service in force.
+fn change_risks(before: &Service, after: &Service) -> Vec<Risk> {
+    let mut risks = Vec::new();
+    let slots = |service: &Service| -> u32 {
+        active(service).iter().map(|id| service.servers[id].slots).sum()
+    };
+    let (old, new) = (slots(before), slots(after));
+    if new < old {
+        risks.push(Risk::LessCapacity { before: old, after: new });
+    }
+    if before.prefix != after.prefix {
+        risks.push(Risk::PrefixChange);
+    }
+    risks
+}
--- a/crates/whinspring/src/record.rs
+++ b/crates/whinspring/src/record.rs
@@ -4,9 +4,12 @@
 //! is the revision of its last write, and a node never replaces a record by one of a lower
 //! version.
 
-use crate::{
-    model::{Controller, Holders, Node, Plan, Segment, Service, Suspect},
-    name::Name,
+use {
+    crate::{
+        model::{Controller, Holders, Node, Plan, Segment, Service, Suspect},
+        name::Name,
+    },
+    std::fmt::{self, Display, Formatter},
 };
 
 /// The kind of a record.
@@ -73,6 +76,23 @@
     pub fn new(kind: Kind, name: impl Into<Name>) -> Self {
         Self { kind, name: name.into() }
     }
+
+    /// Returns the key written as `kind/name`, if `text` is one.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (kind, name) = text.split_once('/')?;
+        Some(Self::new(Kind::parse(kind)?, name))
+    }
+
+    /// Returns the key of the segment `index` of a service.
+    pub fn segment(service: &str, index: u32) -> Self {
+        Self::new(Kind::Segment, format!("{service}.{index}"))
+    }
+}
+
+impl Display for Key {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.as_str(), self.name)
+    }
 }
 
 /// The content of a record.
