--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod record;
 pub mod request;
 pub mod settings;
+pub mod sketch;
 pub mod time;
 pub mod view;
