--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -6,13 +6,17 @@
 
 pub mod code;
 pub mod control;
+pub mod declaration;
 pub mod entry;
 pub mod holder;
+pub mod ini;
 pub mod message;
 pub mod model;
 pub mod name;
+pub mod plan;
 pub mod record;
 pub mod request;
+pub mod settings;
 pub mod sketch;
 pub mod time;
 pub mod view;
