--- a/crates/whinspring/src/holder/admission.rs
+++ b/crates/whinspring/src/holder/admission.rs
@@ -173,20 +173,13 @@
         let mean = self.estimate.mean();
         let slots = self.life.slots(self.server.slots).max(1);
         let ahead = self.queue.ahead(&job.meta.customer, job.deadline, mean) as u32;
-        if ahead == 0 && self.runs.len() < slots {
-            return Duration::ZERO;
-        }
-        let rests: Vec<Duration> = self.rests(cx).collect();
-        let soonest = rests.iter().min().copied().unwrap_or_default();
-        let total = rests.iter().sum::<Duration>().min(mean * slots as u32 + soonest);
-        let queue = (mean * ahead + total) / slots as u32;
-        if self.runs.len() < slots { queue } else { queue.max(soonest) }
-    }
-
-    fn rests(&self, cx: &Context<'_>) -> impl Iterator<Item = Duration> {
-        let now = cx.now;
         let runs = self.runs.values();
-        runs.map(move |run| self.estimate.rest(run.job.meta.print, run.start, now))
+        let mut free: Vec<Duration> = runs
+            .map(|run| self.estimate.rest(run.job.meta.print, run.start, cx.now))
+            .chain(std::iter::repeat_n(Duration::ZERO, slots.saturating_sub(self.runs.len())))
+            .collect();
+        free.sort_unstable();
+        pour(&free, mean * ahead)
     }
 
     fn expire_joined(&mut self, cx: &mut Context<'_>) {
@@ -222,3 +215,17 @@
         }
     }
 }
+
+/// Returns when work of this amount has been started on slots that get free at these times,
+/// earliest first.
+fn pour(free: &[Duration], work: Duration) -> Duration {
+    let mut begun = Duration::ZERO;
+    for (used, at) in (1u32..).zip(free) {
+        begun += *at;
+        let end = (work + begun) / used;
+        if free.get(used as usize).is_none_or(|next| end <= *next) {
+            return end;
+        }
+    }
+    begun
+}
--- a/crates/whinspring/src/holder/ending.rs
+++ b/crates/whinspring/src/holder/ending.rs
@@ -86,6 +86,8 @@
         if stop && !run.aborted {
             run.aborted = true;
             cx.out.push(Output::Abort(id));
+            let (print, age) = (run.job.meta.print, cx.now.since(run.start));
+            self.estimate.record_cut(cx.now, print, age);
         }
         if !stop {
             self.ends.insert((linger, id));
--- a/crates/whinspring/src/holder/estimate.rs
+++ b/crates/whinspring/src/holder/estimate.rs
@@ -51,6 +51,13 @@
         self.mean_us += (sample - self.mean_us) * gain;
     }
 
+    /// Takes in that a request has run for `age` and was then given up.
+    pub fn record_cut(&mut self, now: Tick, print: u64, age: Duration) {
+        if age > self.mean() {
+            self.record(now, print, age * 3 / 2);
+        }
+    }
+
     /// Returns the mean service time; single long requests count little.
     pub fn mean(&self) -> Duration {
         Duration::from_micros(self.mean_us as u64)
@@ -63,7 +70,7 @@
 
     /// Returns whether a request is known to be long.
     pub fn is_long(&self, print: u64) -> bool {
-        self.long.contains_key(&print)
+        self.long.get(&print).is_some_and(|took| *took >= self.long_age())
     }
 
     /// Returns whether short requests were served lately.
--- a/crates/whinspring/src/holder/life.rs
+++ b/crates/whinspring/src/holder/life.rs
@@ -13,7 +13,7 @@
 /// with the answer.
 const PROBE_BUSY: Duration = Duration::from_millis(500);
 /// Time between probes of a lost server.
-const PROBE_LOST: Duration = Duration::from_millis(200);
+const PROBE_LOST: Duration = Duration::from_millis(100);
 /// Unanswered probes after which the server is lost.
 const MAX_MISSED: u32 = 2;
 /// Silence before which no server is lost.
--- a/crates/whinspring/src/holder/loss.rs
+++ b/crates/whinspring/src/holder/loss.rs
@@ -117,6 +117,7 @@
         self.repeat_releases(cx);
         let marked = self.server.state == ServerState::Lost;
         if self.life.is_lost() && !marked {
+            self.grants.lose();
             cx.out.push(Output::Report(self.lost()));
         }
         if self.life.is_up() && (marked || self.grants.has_lost()) {
--- a/crates/whinspring/src/holder/start.rs
+++ b/crates/whinspring/src/holder/start.rs
@@ -40,7 +40,8 @@
     fn may_start(&self, cx: &Context<'_>) -> bool {
         let leased = cx.now < self.lease && !self.outranked;
         let alone = self.runs.values().any(|run| run.alone && cx.now < run.start + ALONE_MOST);
-        let open = self.life.is_up() && !self.is_closed(cx);
+        let up = self.life.is_up() && self.suspicion.is_settled();
+        let open = up && !self.is_closed(cx);
         leased && open && !alone && cx.now >= self.pause
     }
 
@@ -50,9 +51,14 @@
             return lone;
         }
         let reserve = self.runs.len() + 1 >= self.server.slots as usize && self.has_long(cx);
-        let id = self.queue.next(|job| !reserve || !self.estimate.is_long(job.meta.print))?;
+        let doubt = self.suspicion.in_doubt();
+        let suspect = |print| self.suspicion.trust(cx.wall, print) == Trust::Suspected;
+        let id = self.queue.next(|job| {
+            let print = job.meta.print;
+            !(reserve && self.estimate.is_long(print)) && !(doubt && suspect(print))
+        })?;
         let print = self.queue.get(id)?.job.meta.print;
-        if self.suspicion.trust(cx.wall, print) != Trust::Suspected {
+        if !suspect(print) {
             return Some((id, false));
         }
         if self.runs.is_empty() {
--- a/crates/whinspring/src/holder/suspicion.rs
+++ b/crates/whinspring/src/holder/suspicion.rs
@@ -37,6 +37,8 @@
     print: u64,
     alone: bool,
     at: Wall,
+    /// Whether the server has answered since.
+    answered: bool,
 }
 
 /// Suspects and doubts of one server.
@@ -64,6 +66,11 @@
         !self.doubts.is_empty()
     }
 
+    /// Returns whether the server has answered since the last doubt.
+    pub fn is_settled(&self) -> bool {
+        self.doubts.iter().all(|doubt| doubt.answered)
+    }
+
     /// Takes in what the records say.
     pub fn update(&mut self, suspects: Vec<Suspect>) {
         for known in suspects {
@@ -84,12 +91,15 @@
 
     /// Notes that a request failed in flight.
     pub fn doubt(&mut self, wall: Wall, print: u64, alone: bool) {
-        self.doubts.push(Doubt { print, alone, at: wall });
+        self.doubts.push(Doubt { print, alone, at: wall, answered: false });
     }
 
     /// Clears old doubts: the server answered and is the one it was.
     pub fn alive(&mut self, wall: Wall) {
         self.doubts.retain(|doubt| wall.0 < doubt.at.0 + DOUBT_LEAST_MS);
+        for doubt in &mut self.doubts {
+            doubt.answered = true;
+        }
     }
 
     /// Drops doubts that no later event can settle.
--- /dev/null
+++ b/crates/whinspring/tests/holder/fake.rs
@@ -0,0 +1,178 @@
+//! A fake backend server on a hand-moved clock.
+
+use {
+    std::collections::{BTreeMap, BTreeSet},
+    whinspring::{
+        holder::{Input, Output},
+        request::{JobId, Meta},
+        time::Tick,
+    },
+};
+
+/// One run of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ran {
+    pub job: JobId,
+    pub id: String,
+    pub print: u64,
+}
+
+/// A backend server that runs what it is sent.
+#[derive(Debug)]
+pub struct Fake {
+    pub up: bool,
+    pub frozen: bool,
+    pub leaving: bool,
+    pub boot: u64,
+    pub term: u64,
+    /// Service time in milliseconds, and that of single fingerprints.
+    pub service_ms: u64,
+    pub slow: BTreeMap<u64, u64>,
+    /// Fingerprints that crash the server.
+    pub deadly: BTreeSet<u64>,
+    pub restart_ms: Option<u64>,
+    pub log: Vec<Ran>,
+    pub crashes: u32,
+    pub most: usize,
+    active: BTreeMap<JobId, (u64, Meta)>,
+    replies: BTreeMap<(u64, u64), Input>,
+    revive: Option<u64>,
+    seq: u64,
+}
+
+impl Default for Fake {
+    fn default() -> Self {
+        Self {
+            up: true,
+            frozen: false,
+            leaving: false,
+            boot: 1,
+            term: 0,
+            service_ms: 10,
+            slow: BTreeMap::new(),
+            deadly: BTreeSet::new(),
+            restart_ms: Some(50),
+            log: Vec::new(),
+            crashes: 0,
+            most: 0,
+            active: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            revive: None,
+            seq: 0,
+        }
+    }
+}
+
+impl Fake {
+    /// Carries an output out.
+    pub fn act(&mut self, ms: u64, output: &Output, metas: &BTreeMap<JobId, Meta>) {
+        match output {
+            Output::Start { job, term, until, .. } => {
+                assert!(Tick::from_millis(ms) < *until, "{job:?} started after {until:?}");
+                self.start(ms, *job, *term, &metas[job]);
+            }
+            Output::Abort(job) if self.active.remove(job).is_some() => {
+                self.reply(ms + 1, Input::Failed { job: *job, sent: true });
+            }
+            Output::Grant { number, term, .. } => self.grant(ms, *number, *term),
+            Output::Probe if !self.up => self.reply(ms + 1, Input::Down { refused: true }),
+            Output::Probe => self.answer(ms + 5, 0),
+            _ => {}
+        }
+    }
+
+    /// Returns what the holder hears at this point.
+    pub fn advance(&mut self, ms: u64) -> Vec<Input> {
+        if self.revive.is_some_and(|at| at <= ms) {
+            self.revive = None;
+            self.up = true;
+        }
+        if !self.frozen {
+            self.finish(ms);
+        }
+        let later = self.replies.split_off(&(ms + 1, 0));
+        std::mem::replace(&mut self.replies, later).into_values().collect()
+    }
+
+    /// Ends the process: what runs is lost.
+    pub fn crash(&mut self, ms: u64) {
+        self.up = false;
+        self.boot += 1;
+        self.term = 0;
+        self.revive = self.restart_ms.map(|wait| ms + wait);
+        self.replies.retain(|_, input| !matches!(input, Input::Up { .. }));
+        for (job, _) in std::mem::take(&mut self.active) {
+            self.reply(ms + 1, Input::Failed { job, sent: true });
+        }
+    }
+
+    /// Loses the connections of everything that runs; the runs go on unseen.
+    pub fn cut(&mut self, ms: u64) {
+        for (job, _) in std::mem::take(&mut self.active) {
+            self.reply(ms + 1, Input::Failed { job, sent: true });
+        }
+    }
+
+    /// Drops the connections of a holder that is gone; nobody hears of what runs.
+    pub fn forget(&mut self) {
+        self.active.clear();
+        self.replies.clear();
+    }
+
+    fn start(&mut self, ms: u64, job: JobId, term: u64, meta: &Meta) {
+        if !self.up {
+            self.reply(ms + 1, Input::Failed { job, sent: false });
+            return self.reply(ms + 1, Input::Down { refused: true });
+        }
+        if term != self.term {
+            return self.reply(ms + 1, Input::Fenced(job));
+        }
+        self.log.push(Ran { job, id: meta.id.to_string(), print: meta.print });
+        let deadly = self.deadly.contains(&meta.print);
+        let took = self.slow.get(&meta.print).copied().unwrap_or(self.service_ms);
+        let took = if deadly { 3 } else { took };
+        self.active.insert(job, (ms + took, meta.clone()));
+        self.most = self.most.max(self.active.len());
+    }
+
+    fn grant(&mut self, ms: u64, number: u64, term: u64) {
+        if !self.up {
+            return self.reply(ms + 1, Input::Down { refused: true });
+        }
+        if term < self.term {
+            return self.reply(ms + 2, Input::Outranked);
+        }
+        if !self.frozen {
+            self.term = term;
+            self.answer(ms + 2, number);
+        }
+    }
+
+    fn answer(&mut self, at: u64, grant: u64) {
+        if self.frozen {
+            return;
+        }
+        let (boot, term, leaving) = (self.boot, self.term, self.leaving);
+        self.reply(at, Input::Up { grant, boot, term, leaving, cold: false });
+    }
+
+    fn finish(&mut self, ms: u64) {
+        let done = self.active.iter().filter(|(_, (end, _))| *end <= ms);
+        let done: Vec<JobId> = done.map(|(job, _)| *job).collect();
+        for job in done {
+            let Some((_, meta)) = self.active.remove(&job) else { continue };
+            if self.deadly.contains(&meta.print) {
+                self.active.insert(job, (ms, meta));
+                self.crashes += 1;
+                return self.crash(ms);
+            }
+            let answer = Some(format!("answer to {}", meta.id).into());
+            self.reply(ms, Input::Answered { job, answer });
+        }
+    }
+
+    fn reply(&mut self, at: u64, input: Input) {
+        self.seq += 1;
+        self.replies.insert((at, self.seq), input);
+    }
+}
--- /dev/null
+++ b/crates/whinspring/tests/holder/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the decisions for one held server.
+
+mod fake;
+mod random;
+mod sessions;
+mod world;
