--- a/crates/whinspring-standin/src/bin/whinspring-standin-platform.rs
+++ b/crates/whinspring-standin/src/bin/whinspring-standin-platform.rs
@@ -9,11 +9,11 @@
     },
 };
 
-#[tokio::main]
-async fn main() -> io::Result<()> {
+fn main() -> io::Result<()> {
     let matches = Command::new("whinspring-standin-platform")
         .about("Stand-in for the platform's object API")
         .arg(command::listen())
+        .arg(command::threads())
         .arg(command::number("history", "10000", "Revisions that a watch can look back"))
         .arg(command::number("seed", "0", "Seed of the choice of lost replies"))
         .get_matches();
@@ -22,5 +22,6 @@
         history: *matches.get_one("history").expect("has a default"),
         seed: *matches.get_one("seed").expect("has a default"),
     };
-    command::run(platform::start(options).await?).await
+    let threads = *matches.get_one("threads").expect("has a default");
+    command::block_on(threads, async { command::run(platform::start(options).await?).await })
 }
--- /dev/null
+++ b/crates/whinspring-standin/src/bin/whinspring-standin-relay.rs
@@ -0,0 +1,64 @@
+//! Cutting TCP relay as a process of its own.
+//!
+//! Takes commands from standard input, one a line: `cut`, `stall`, `block`, `pass`, `delay MS`.
+//! Answers each with `ok` or `?`.
+
+use {
+    clap::{Arg, Command, value_parser},
+    std::{
+        io::{self, Write},
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio::io::{AsyncBufReadExt, BufReader},
+    whinspring_standin::{command, relay::Relay},
+};
+
+fn main() -> io::Result<()> {
+    let matches = Command::new("whinspring-standin-relay")
+        .about("TCP relay that cuts, stalls or delays what passes")
+        .arg(command::listen())
+        .arg(command::threads())
+        .arg(
+            Arg::new("target")
+                .long("target")
+                .value_name("ADDR")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Address to relay to"),
+        )
+        .get_matches();
+    let listen = *matches.get_one("listen").expect("has a default");
+    let target = *matches.get_one("target").expect("is required");
+    let threads = *matches.get_one("threads").expect("has a default");
+    command::block_on(threads, relay(listen, target))
+}
+
+/// Runs a relay until standard input ends.
+async fn relay(listen: SocketAddr, target: SocketAddr) -> io::Result<()> {
+    let relay = Relay::start(listen, target).await?;
+    command::announce(relay.addr)?;
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Some(line) = lines.next_line().await? {
+        let reply = if obey(&relay, &line) { "ok" } else { "?" };
+        let mut out = io::stdout();
+        writeln!(out, "{reply}")?;
+        out.flush()?;
+    }
+    relay.close().await;
+    Ok(())
+}
+
+/// Carries out one command; returns whether it was understood.
+fn obey(relay: &Relay, line: &str) -> bool {
+    let mut words = line.split_whitespace();
+    match (words.next(), words.next().and_then(|ms| ms.parse().ok())) {
+        (Some("cut"), None) => relay.cut(),
+        (Some("stall"), None) => relay.stall(),
+        (Some("block"), None) => relay.block(true),
+        (Some("pass"), None) => relay.block(false),
+        (Some("delay"), Some(ms)) => relay.delay(Duration::from_millis(ms)),
+        _ => return false,
+    }
+    true
+}
--- /dev/null
+++ b/crates/whinspring-standin/src/caller.rs
@@ -0,0 +1,326 @@
+//! Stand-in for a caller: sends a request and checks that the answer is its own and whole.
+
+use {
+    crate::{
+        http::Body,
+        pattern::{Pattern, Source},
+        server::Echo,
+    },
+    bytes::{Bytes, BytesMut},
+    http_body_util::{BodyExt, Either, Full},
+    hyper::{
+        HeaderMap, Method, Request, Response,
+        body::Incoming,
+        header::{HeaderName, HeaderValue},
+    },
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    std::{
+        hash::Hasher,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    twox_hash::XxHash3_64,
+};
+
+/// Answers up to this size are kept to be read as JSON.
+const KEPT_BYTES: usize = 1 << 20;
+
+/// A caller with its pool of connections; clones share it.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Body>,
+}
+
+/// A request to send.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Where to send it.
+    pub addr: SocketAddr,
+    /// HTTP method.
+    pub method: Method,
+    /// Path with query; `bytes=N` in the query asks for N bytes of a pattern.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub payload: Payload,
+    /// Longest wait for the whole answer.
+    pub timeout: Duration,
+}
+
+/// Body of a request.
+#[derive(Debug, Clone)]
+pub enum Payload {
+    /// These bytes.
+    Whole(Bytes),
+    /// So many bytes of the path's pattern, made while they are sent.
+    Pattern(u64),
+}
+
+/// How an exchange ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer came.
+    Whole,
+    /// The answer was cut before it was whole.
+    Cut,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection was lost before the head of the answer.
+    Broken,
+    /// No whole answer came within the timeout.
+    Silent,
+}
+
+/// What came back.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// How the exchange ended.
+    pub end: End,
+    /// HTTP status; zero without a head.
+    pub status: u16,
+    /// Whinspring's result code, if there is one.
+    pub code: Option<u16>,
+    /// Whinspring's class, if there is one.
+    pub class: Option<Class>,
+    /// Wait that whinspring asks for, in milliseconds.
+    pub retry_ms: Option<u32>,
+    /// Whether the answer came with `Retry-After`.
+    pub retry_after: bool,
+    /// Whether the body is the caller's own and whole: its echo, or every byte of its pattern.
+    pub verified: bool,
+    /// Bytes of the body that came.
+    pub bytes: u64,
+    /// Echo of the backend server, if the body is one.
+    pub echo: Option<Echo>,
+    /// Time from sending to the end.
+    pub latency: Duration,
+}
+
+/// Class of an answer, as a header names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Class {
+    /// The backend server's own answer.
+    Done,
+    /// The request did not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+/// What is read of a body.
+#[derive(Debug, Default)]
+struct Content {
+    kept: BytesMut,
+    whole: bool,
+    matches: bool,
+}
+
+impl Class {
+    /// Returns the class named `text`.
+    fn parse(text: &str) -> Option<Self> {
+        match text {
+            "done" => Some(Self::Done),
+            "not-run" => Some(Self::NotRun),
+            "unknown" => Some(Self::Unknown),
+            _ => None,
+        }
+    }
+}
+
+impl Call {
+    /// Returns a call without headers or body.
+    pub fn new(addr: SocketAddr, method: Method, path: impl Into<String>) -> Self {
+        Self {
+            addr,
+            method,
+            path: path.into(),
+            headers: HeaderMap::new(),
+            payload: Payload::Whole(Bytes::new()),
+            timeout: Duration::from_secs(30),
+        }
+    }
+
+    /// Adds a header.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the value is not visible ASCII.
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        let value = HeaderValue::from_str(value).expect("is visible ASCII");
+        self.headers.insert(HeaderName::from_static(name), value);
+        self
+    }
+
+    /// Sets the body.
+    pub fn payload(mut self, payload: Payload) -> Self {
+        self.payload = payload;
+        self
+    }
+
+    /// Sets the timeout.
+    pub fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Returns the number of bytes asked for by the query.
+    fn asked(&self) -> Option<u64> {
+        let (_, query) = self.path.split_once('?')?;
+        query.split('&').find_map(|pair| pair.strip_prefix("bytes=")?.parse().ok())
+    }
+
+    /// Returns whether `echo` is that of this call.
+    fn is_echoed(&self, echo: &Echo) -> bool {
+        let text = |name| self.headers.get(name).and_then(|value| value.to_str().ok());
+        let (bytes, digest) = self.payload.digest(&self.path);
+        echo.method == self.method.as_str()
+            && echo.path == self.path
+            && echo.id == text("whinspring-request-id").unwrap_or_default()
+            && echo.key == text("x-key").unwrap_or_default()
+            && echo.bytes == bytes
+            && echo.digest == digest
+    }
+
+    /// Makes the HTTP request.
+    fn request(&self) -> Request<Body> {
+        let body = match &self.payload {
+            Payload::Whole(bytes) => Either::Left(Full::new(bytes.clone())),
+            Payload::Pattern(len) => Either::Right(Pattern::new(&self.path, *len, || {})),
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        let uri = format!("http://{}{}", self.addr, self.path);
+        *request.uri_mut() = uri.parse().expect("the path is part of a URI");
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+}
+
+impl Payload {
+    /// Returns length and digest of the body.
+    fn digest(&self, path: &str) -> (u64, u64) {
+        let mut hash = XxHash3_64::default();
+        match self {
+            Self::Whole(bytes) => {
+                hash.write(bytes);
+                (bytes.len() as u64, hash.finish())
+            }
+            Self::Pattern(len) => {
+                for frame in Source::new(path).frames(*len) {
+                    hash.write(&frame);
+                }
+                (*len, hash.finish())
+            }
+        }
+    }
+}
+
+impl Reply {
+    /// Returns a reply without a head.
+    fn without_head(end: End) -> Self {
+        Self {
+            end,
+            status: 0,
+            code: None,
+            class: None,
+            retry_ms: None,
+            retry_after: false,
+            verified: false,
+            bytes: 0,
+            echo: None,
+            latency: Duration::ZERO,
+        }
+    }
+
+    /// Reads the head of an answer.
+    fn with_head(answer: &Response<Incoming>) -> Self {
+        let text = |name| answer.headers().get(name).and_then(|value| value.to_str().ok());
+        Self {
+            status: answer.status().as_u16(),
+            code: text("whinspring-code").and_then(|code| code.parse().ok()),
+            class: text("whinspring-class").and_then(Class::parse),
+            retry_ms: text("whinspring-retry-ms").and_then(|ms| ms.parse().ok()),
+            retry_after: text("retry-after").is_some(),
+            ..Self::without_head(End::Silent)
+        }
+    }
+
+    /// Returns whether this is the backend server's own whole answer to the call.
+    pub fn is_right(&self) -> bool {
+        let done = matches!(self.class, None | Some(Class::Done));
+        done && self.end == End::Whole && self.status == 200 && self.verified
+    }
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Caller {
+    /// Returns a caller without connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and waits for its end.
+    pub async fn send(&self, call: &Call) -> Reply {
+        let start = Instant::now();
+        let mut reply = Reply::without_head(End::Silent);
+        let _ = tokio::time::timeout(call.timeout, self.exchange(call, &mut reply)).await;
+        reply.latency = start.elapsed();
+        reply
+    }
+
+    /// Sends a request and reads the answer; what came is left in `reply` on a timeout.
+    async fn exchange(&self, call: &Call, reply: &mut Reply) {
+        let answer = match self.client.request(call.request()).await {
+            Ok(answer) => answer,
+            Err(error) if error.is_connect() => return reply.end = End::Unreachable,
+            Err(_) => return reply.end = End::Broken,
+        };
+        *reply = Reply::with_head(&answer);
+        let content = read(answer.into_body(), call, &mut reply.bytes).await;
+        reply.end = if content.whole { End::Whole } else { End::Cut };
+        if call.asked().is_some() {
+            reply.verified = content.whole && content.matches && call.asked() == Some(reply.bytes);
+            return;
+        }
+        reply.echo = serde_json::from_slice(&content.kept).ok();
+        let own = reply.echo.as_ref().is_some_and(|echo| call.is_echoed(echo));
+        reply.verified = content.whole && own;
+    }
+}
+
+/// Reads a body to its end or until it is cut, in bounded memory.
+async fn read(mut body: Incoming, call: &Call, bytes: &mut u64) -> Content {
+    let source = call.asked().map(|_| Source::new(&call.path));
+    let mut content = Content { matches: true, ..Content::default() };
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return content;
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        match &source {
+            Some(source) => content.matches &= source.matches(*bytes, &data),
+            None if content.kept.len() < KEPT_BYTES => content.kept.extend_from_slice(&data),
+            None => {}
+        }
+        *bytes += data.len() as u64;
+    }
+    content.whole = true;
+    content
+}
--- a/crates/whinspring-standin/src/command.rs
+++ b/crates/whinspring-standin/src/command.rs
@@ -42,3 +42,15 @@
     running.wait().await;
     Ok(())
 }
+
+/// Returns the `--threads` argument.
+pub fn threads() -> Arg {
+    number("threads", "2", "Threads that serve connections")
+}
+
+/// Runs a stand-in on `threads` threads.
+pub fn block_on<T>(threads: u64, future: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let threads = usize::try_from(threads).unwrap_or(1).max(1);
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    builder.worker_threads(threads).enable_all().build()?.block_on(future)
+}
--- a/crates/whinspring-standin/src/pattern.rs
+++ b/crates/whinspring-standin/src/pattern.rs
@@ -6,7 +6,6 @@
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     std::{
-        any::Any,
         convert::Infallible,
         fmt::{self, Debug, Formatter},
         pin::Pin,
@@ -48,6 +47,12 @@
         self.twice.slice(start..start + len as usize)
     }
 
+    /// Returns the first `len` bytes of the pattern in frames.
+    pub fn frames(&self, len: u64) -> impl Iterator<Item = Bytes> {
+        let offsets = (0..len).step_by(FRAME_BYTES as usize);
+        offsets.map(move |offset| self.frame(offset, FRAME_BYTES.min(len - offset)))
+    }
+
     /// Returns whether `bytes` are those of the pattern at `offset`.
     pub fn matches(&self, offset: u64, bytes: &[u8]) -> bool {
         let mut at = offset;
@@ -66,13 +71,25 @@
     source: Source,
     sent: u64,
     len: u64,
-    done: Option<Box<dyn Any + Send + Sync>>,
+    done: Option<Box<dyn FnOnce() + Send + Sync>>,
 }
 
 impl Pattern {
-    /// Returns a body of `len` bytes; `done` is dropped when the body ends or is given up.
-    pub fn new(path: &str, len: u64, done: impl Any + Send + Sync) -> Self {
-        Self { source: Source::new(path), sent: 0, len, done: Some(Box::new(done)) }
+    /// Returns a body of `len` bytes; `done` is called once all of it was handed over.
+    pub fn new(path: &str, len: u64, done: impl FnOnce() + Send + Sync + 'static) -> Self {
+        let mut body = Self { source: Source::new(path), sent: 0, len, done: Some(Box::new(done)) };
+        body.finish();
+        body
+    }
+
+    /// Reports the end if all was handed over.
+    fn finish(&mut self) {
+        if self.sent < self.len {
+            return;
+        }
+        if let Some(done) = self.done.take() {
+            done();
+        }
     }
 }
 
@@ -92,11 +109,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         let len = FRAME_BYTES.min(self.len - self.sent);
         if len == 0 {
-            self.done = None;
             return Poll::Ready(None);
         }
         let frame = self.source.frame(self.sent, len);
         self.sent += len;
+        self.finish();
         Poll::Ready(Some(Ok(Frame::data(frame))))
     }
 
