Read and write records through the platform's client

Cause: daemons and operators work with records, not bytes. A record that this version cannot read is listed beside the others. Ruled out: failing the whole list on one bad object, which would keep every node from its configuration.

--- a/crates/whinspring-platform/src/lib.rs
+++ b/crates/whinspring-platform/src/lib.rs
@@ -10,10 +10,12 @@
 mod error;
 mod json;
 mod object;
+mod record;
 
 pub use {
     client::{CALL_TIMEOUT, Platform, WATCH_SLACK},
     error::Error,
     json::{Vm, VmState},
     object::{Listing, Object},
+    record::{Fault, Reading},
 };
