Add the process harness, the callers' driver and the demo

Cause: demo and all experiments need real processes, started and stopped by process id, and callers that resend as ours do. Change: fleet starts platform, servers and daemons on free loopback ports in turn over failure domains, writes their settings, declares services through the operators' client, freezes, kills and restarts; driver resends under one id; verdict holds callers' endings against the servers' run logs; the demo puts them together.

--- /dev/null
+++ b/crates/whinspring-bench/src/fleet/operator.rs
@@ -0,0 +1,80 @@
+//! The operators' client, run as an operator would.
+
+use {
+    super::{
+        error::{Error, OperatorSnafu, ProgramSnafu},
+        process::beside,
+    },
+    snafu::ResultExt,
+    std::{
+        ffi::OsStr,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
+    tokio::process::Command,
+};
+
+/// Runs the operators' client against one platform.
+#[derive(Debug, Clone)]
+pub struct Operator {
+    dir: PathBuf,
+    store: SocketAddr,
+}
+
+/// One command and what it printed.
+#[derive(Debug, Clone)]
+pub struct Said {
+    /// Arguments of the command.
+    pub command: String,
+    /// What it printed.
+    pub output: String,
+}
+
+impl Operator {
+    /// Returns a client of the platform at `store`.
+    pub(super) fn new(dir: &Path, store: SocketAddr) -> Self {
+        Self { dir: dir.into(), store }
+    }
+
+    /// Plans a service declared in a file, and confirms the plan.
+    pub async fn declare(&self, file: &Path) -> Result<Vec<Said>, Error> {
+        let planned = self
+            .run(["service", "declare"].map(OsStr::new).into_iter().chain([file.as_os_str()]))
+            .await?;
+        let Some(plan) = plan_id(&planned.output) else {
+            let Said { command, output } = planned;
+            return OperatorSnafu { command, output }.fail();
+        };
+        let confirmed = self.run(["confirm", plan].map(OsStr::new)).await?;
+        Ok(vec![planned, confirmed])
+    }
+
+    /// Runs one command; fails if it exits with another code than zero.
+    pub async fn run<'a>(&self, args: impl IntoIterator<Item = &'a OsStr>) -> Result<Said, Error> {
+        let program = beside("whinspring");
+        let args: Vec<_> = args.into_iter().collect();
+        let result = Command::new(&program)
+            .arg("--platform")
+            .arg(self.store.to_string())
+            .args(&args)
+            .current_dir(&self.dir)
+            .kill_on_drop(true)
+            .output()
+            .await
+            .context(ProgramSnafu { program })?;
+        let words: Vec<_> = args.iter().map(|arg| arg.to_string_lossy()).collect();
+        let command = words.join(" ");
+        let text = [result.stdout, result.stderr].concat();
+        let output = String::from_utf8_lossy(&text).into_owned();
+        if !result.status.success() {
+            return OperatorSnafu { command, output }.fail();
+        }
+        Ok(Said { command, output })
+    }
+}
+
+/// Finds the plan's id in the output of a command that made a plan.
+fn plan_id(output: &str) -> Option<&str> {
+    let line = output.lines().find_map(|line| line.trim().strip_prefix("plan "))?;
+    line.split_whitespace().next()
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/fleet/process.rs
@@ -0,0 +1,224 @@
+//! One child process: start, readiness, signals, use of the machine, end.
+
+use {
+    super::{
+        POLL,
+        error::{DirSnafu, Error, NotReadySnafu, ProgramSnafu, SignalSnafu},
+    },
+    snafu::ResultExt,
+    std::{
+        ffi::OsString,
+        fs::File,
+        io,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::Stdio,
+        time::{Duration, Instant},
+    },
+    tokio::process::{Child, Command},
+};
+
+/// Longest wait for a process to say that it listens.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Lines of output shown when a process fails.
+const SHOWN_LINES: usize = 20;
+
+/// A child process; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// Name used for its files.
+    pub name: String,
+    program: PathBuf,
+    args: Vec<OsString>,
+    log: PathBuf,
+    log_start: usize,
+    child: Child,
+    pid: i32,
+    ended: bool,
+}
+
+/// What a process has used of the machine.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct Usage {
+    /// Processor time since its start.
+    pub cpu: Duration,
+    /// Resident memory now, in KiB.
+    pub rss_kb: u64,
+    /// Largest resident memory so far, in KiB.
+    pub peak_kb: u64,
+}
+
+impl Process {
+    /// Starts a program of this build; its output goes to `NAME.log` in `dir`.
+    pub fn start(dir: &Path, name: &str, program: &str, args: &[OsString]) -> Result<Self, Error> {
+        let program = beside(program);
+        let log = dir.join(format!("{name}.log"));
+        let log_start = length(&log);
+        let child = spawn(&program, args, &log)?;
+        let pid = child.id().map_or(0, |pid| pid as i32);
+        Ok(Self {
+            name: name.into(),
+            program,
+            args: args.into(),
+            log,
+            log_start,
+            child,
+            pid,
+            ended: false,
+        })
+    }
+
+    /// Starts the program again after its end, with the same arguments and files.
+    pub async fn restart(&mut self) -> Result<(), Error> {
+        self.kill().await;
+        self.log_start = length(&self.log);
+        self.child = spawn(&self.program, &self.args, &self.log)?;
+        self.pid = self.child.id().map_or(0, |pid| pid as i32);
+        self.ended = false;
+        Ok(())
+    }
+
+    /// Returns its process id.
+    pub fn pid(&self) -> i32 {
+        self.pid
+    }
+
+    /// Waits for the line `listening ADDR` of its output.
+    pub async fn listening(&mut self) -> Result<SocketAddr, Error> {
+        let end = Instant::now() + START_TIMEOUT;
+        while Instant::now() < end && !self.has_ended() {
+            let output = std::fs::read_to_string(&self.log).unwrap_or_default();
+            let lines = output.get(self.log_start..).unwrap_or_default().lines();
+            let mut addrs = lines.filter_map(|line| line.strip_prefix("listening ")?.parse().ok());
+            if let Some(addr) = addrs.next() {
+                return Ok(addr);
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        self.not_ready()
+    }
+
+    /// Fails with the end of the output.
+    pub fn not_ready<T>(&self) -> Result<T, Error> {
+        NotReadySnafu { name: &self.name, output: self.tail() }.fail()
+    }
+
+    /// Returns the last lines of its output.
+    pub fn tail(&self) -> String {
+        let output = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<_> = output.lines().collect();
+        lines[lines.len().saturating_sub(SHOWN_LINES)..].join("\n")
+    }
+
+    /// Returns whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.ended = self.ended || !matches!(self.child.try_wait(), Ok(None));
+        self.ended
+    }
+
+    /// Returns what it has used of the machine, if it still runs.
+    pub fn usage(&self) -> Option<Usage> {
+        usage(self.pid)
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn kill(&mut self) {
+        if !self.ended {
+            let _ = self.child.kill().await;
+            self.ended = true;
+        }
+    }
+
+    /// Asks it to stop (SIGTERM).
+    pub fn terminate(&self) -> Result<(), Error> {
+        self.signal(libc::SIGTERM)
+    }
+
+    /// Freezes it (SIGSTOP).
+    pub fn freeze(&self) -> Result<(), Error> {
+        self.signal(libc::SIGSTOP)
+    }
+
+    /// Lets it go on after [`Process::freeze`] (SIGCONT).
+    pub fn thaw(&self) -> Result<(), Error> {
+        self.signal(libc::SIGCONT)
+    }
+
+    /// Waits until it ends by itself, at most `limit`; returns whether it did.
+    pub async fn ends_within(&mut self, limit: Duration) -> bool {
+        let ended = tokio::time::timeout(limit, self.child.wait()).await.is_ok();
+        self.ended = self.ended || ended;
+        ended
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn close(mut self) {
+        self.kill().await;
+    }
+
+    /// Sends a signal to the child, unless its end has been seen.
+    fn signal(&self, signal: i32) -> Result<(), Error> {
+        if self.ended {
+            return Err(io::ErrorKind::NotFound.into()).context(SignalSnafu { name: &self.name });
+        }
+        // SAFETY: kill takes no pointers; the process is a child that was not waited for.
+        #[allow(unsafe_code)]
+        let result = unsafe { libc::kill(self.pid, signal) };
+        if result != 0 {
+            return Err(io::Error::last_os_error()).context(SignalSnafu { name: &self.name });
+        }
+        Ok(())
+    }
+}
+
+/// Returns the path of a program of the same build as this one.
+pub(super) fn beside(program: &str) -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let dir = own.parent().unwrap_or(Path::new("."));
+    let is_test = dir.ends_with("deps");
+    let dir = if is_test { dir.parent().unwrap_or(dir) } else { dir };
+    dir.join(program)
+}
+
+/// Starts a program that writes its output to the end of `log`.
+fn spawn(program: &Path, args: &[OsString], log: &Path) -> Result<Child, Error> {
+    let output = File::options().create(true).append(true).open(log).context(DirSnafu)?;
+    let errors = output.try_clone().context(DirSnafu)?;
+    Command::new(program)
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(output)
+        .stderr(errors)
+        .kill_on_drop(true)
+        .spawn()
+        .context(ProgramSnafu { program })
+}
+
+/// Returns the length of a file, zero if there is none.
+fn length(path: &Path) -> usize {
+    std::fs::metadata(path).map_or(0, |meta| meta.len() as usize)
+}
+
+/// Reads what a process has used.
+fn usage(pid: i32) -> Option<Usage> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let kb = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.trim_end_matches("kB").trim().parse().ok()
+    };
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let (_, fields) = stat.rsplit_once(')')?;
+    let mut ticks = fields.split_whitespace().skip(11).map_while(|field| field.parse::<u64>().ok());
+    let cpu_ticks = ticks.next()? + ticks.next()?;
+    let cpu = Duration::from_secs_f64(cpu_ticks as f64 / ticks_per_s());
+    Some(Usage { cpu, rss_kb: kb("VmRSS:")?, peak_kb: kb("VmHWM:")? })
+}
+
+/// Returns the number of clock ticks a second in process statistics.
+fn ticks_per_s() -> f64 {
+    // SAFETY: sysconf takes no pointers.
+    #[allow(unsafe_code)]
+    let ticks = unsafe { libc::sysconf(libc::_SC_CLK_TCK) };
+    ticks.max(1) as f64
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/fleet/server.rs
@@ -0,0 +1,66 @@
+//! A backend server stand-in of a fleet.
+
+use {
+    super::{
+        error::{DirSnafu, Error},
+        process::Process,
+        shape::{ServerShape, ServiceShape},
+    },
+    snafu::ResultExt,
+    std::{
+        ffi::OsString,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
+    whinspring_standin::runs::{Line, read},
+};
+
+/// A backend server of a fleet.
+#[derive(Debug)]
+pub struct Server {
+    /// Name of its VM.
+    pub name: String,
+    /// Service it belongs to.
+    pub service: String,
+    /// Failure domain of its VM.
+    pub domain: String,
+    /// Its address; stays the same over restarts.
+    pub addr: SocketAddr,
+    /// Its process.
+    pub process: Process,
+    run_log: PathBuf,
+}
+
+impl Server {
+    /// Starts a server on a free port.
+    pub(super) async fn start(
+        dir: &Path,
+        service: &ServiceShape,
+        shape: &ServerShape,
+        index: usize,
+        domain: String,
+    ) -> Result<Self, Error> {
+        let name = format!("{}-{}", service.name, index + 1);
+        let run_log = dir.join(format!("{name}.runs"));
+        let addr = super::free_addr()?;
+        let mut args: Vec<OsString> = Vec::new();
+        let mut option = |name: &str, value: OsString| args.extend([name.into(), value]);
+        option("--listen", addr.to_string().into());
+        option("--name", name.clone().into());
+        option("--slots", shape.slots.to_string().into());
+        option("--conns", shape.conns.to_string().into());
+        option("--run-log", run_log.clone().into());
+        if shape.fenced {
+            args.push("--fenced".into());
+        }
+        args.extend(shape.args.iter().map(OsString::from));
+        let mut process = Process::start(dir, &name, "whinspring-standin-server", &args)?;
+        process.listening().await?;
+        Ok(Self { name, service: service.name.clone(), domain, addr, process, run_log })
+    }
+
+    /// Returns what the server has run so far.
+    pub fn runs(&self) -> Result<Vec<Line>, Error> {
+        read(&self.run_log).context(DirSnafu)
+    }
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/main.rs
@@ -0,0 +1,58 @@
+//! Command line of the experiments.
+
+use {
+    clap::{Arg, ArgMatches, Command, value_parser},
+    std::{path::PathBuf, process::ExitCode},
+    whinspring_bench::demo,
+};
+
+fn main() -> ExitCode {
+    let matches = arguments().get_matches();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("no threads can be started: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if runtime.block_on(run(&matches)) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Returns the command line.
+fn arguments() -> Command {
+    let seed = Arg::new("seed")
+        .long("seed")
+        .value_name("N")
+        .default_value("1")
+        .value_parser(value_parser!(u64))
+        .help("Seed of everything that is drawn");
+    let keep = Arg::new("keep")
+        .long("keep")
+        .value_name("DIR")
+        .value_parser(value_parser!(PathBuf))
+        .help("Directory to keep settings and logs in");
+    let experiment = |name: &'static str, about: &'static str| {
+        Command::new(name).about(about).arg(seed.clone()).arg(keep.clone())
+    };
+    Command::new("whinspring-bench")
+        .about("Experiments over real processes")
+        .subcommand_required(true)
+        .subcommand(experiment("demo", "From nothing to a lost server and a lost daemon"))
+}
+
+/// Runs an experiment; returns whether it passed.
+async fn run(matches: &ArgMatches) -> bool {
+    let Some((name, matches)) = matches.subcommand() else {
+        return false;
+    };
+    let seed = *matches.get_one("seed").expect("has a default");
+    let keep = matches.get_one::<PathBuf>("keep").map(PathBuf::as_path);
+    let result = match name {
+        "demo" => demo::run(seed, keep).await,
+        _ => Ok(false),
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("error: {error}");
+        false
+    })
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/verdict.rs
@@ -0,0 +1,111 @@
+//! What callers saw against what the servers ran.
+
+use {
+    crate::driver::{Ending, Story},
+    std::{
+        collections::BTreeMap,
+        fmt::{self, Display, Formatter},
+        time::Duration,
+    },
+    whinspring_standin::runs::{Event, Line},
+};
+
+/// Counts of requests by how they ended, and of broken promises.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Verdict {
+    /// Requests.
+    pub requests: u64,
+    /// Sendings, resends among them.
+    pub sendings: u64,
+    /// Requests whose caller got its own whole answer.
+    pub done: u64,
+    /// Requests refused in the end.
+    pub not_run: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Requests given up after lost connections.
+    pub lost: u64,
+    /// Sendings without a final answer by the deadline.
+    pub silent: u64,
+    /// Requests answered with something else than their own whole answer.
+    pub wrong: u64,
+    /// Unrepeatable requests that were started more than once.
+    pub doubled: u64,
+    /// Requests that were only ever refused, yet were started.
+    pub false_not_run: u64,
+    /// Requests with an answer that no run log knows.
+    pub unlogged: u64,
+    /// Longest time from a first sending to the end.
+    pub slowest: Duration,
+}
+
+impl Verdict {
+    /// Judges stories by the run logs of all servers.
+    pub fn new<'a>(
+        stories: impl IntoIterator<Item = &'a Story>,
+        runs: impl IntoIterator<Item = &'a Line>,
+    ) -> Self {
+        let mut starts: BTreeMap<&str, u64> = BTreeMap::new();
+        for line in runs {
+            if line.event == Event::Start {
+                *starts.entry(&line.id).or_default() += 1;
+            }
+        }
+        let mut verdict = Self::default();
+        for story in stories {
+            let started = starts.get(story.request.id.as_str()).copied().unwrap_or_default();
+            verdict.add(story, started);
+        }
+        verdict
+    }
+
+    /// Counts one story whose request was started so many times.
+    fn add(&mut self, story: &Story, started: u64) {
+        let endings: Vec<_> = story.sendings.iter().map(|sending| sending.ending()).collect();
+        let only_refused = endings.iter().all(|ending| *ending == Ending::NotRun);
+        let ending = story.ending();
+        self.requests += 1;
+        self.sendings += endings.len() as u64;
+        self.silent += endings.iter().filter(|ending| **ending == Ending::Silent).count() as u64;
+        self.doubled += u64::from(!story.request.is_repeatable() && started > 1);
+        self.false_not_run += u64::from(only_refused && started > 0);
+        self.unlogged += u64::from(ending == Ending::Done && started == 0);
+        self.slowest = self.slowest.max(story.took);
+        match ending {
+            Ending::Done => self.done += 1,
+            Ending::NotRun => self.not_run += 1,
+            Ending::Unknown => self.unknown += 1,
+            Ending::Lost => self.lost += 1,
+            Ending::Wrong => self.wrong += 1,
+            Ending::Silent => {}
+        }
+    }
+
+    /// Returns whether no promise was broken and no request was given up.
+    pub fn is_right(&self) -> bool {
+        let broken = self.silent + self.wrong + self.doubled + self.false_not_run + self.unlogged;
+        broken + self.lost + self.not_run == 0
+    }
+}
+
+impl Display for Verdict {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "requests={} sendings={} done={} not_run={} unknown={} lost={} silent={} wrong={} \
+             doubled={} false_not_run={} unlogged={} slowest_ms={}",
+            self.requests,
+            self.sendings,
+            self.done,
+            self.not_run,
+            self.unknown,
+            self.lost,
+            self.silent,
+            self.wrong,
+            self.doubled,
+            self.false_not_run,
+            self.unlogged,
+            self.slowest.as_millis()
+        )
+    }
+}
