Control: leases, membership, spread of records, controller and its planner

The daemon needs the pure control machine. One node alone and three nodes now come up from an empty platform, take leases, elect a controller, give holders to servers and owners to slices; a lost node, a lost server, a drain, a pause past the lease and a graceful stop are handled.

Ruled out: moving slices of a lost server without a recorded intent. The server can come back between the controller's decision and its (late) write, and then two servers own a slice. Every move is now two writes: next owner, release by the present holder, owner at the next epoch; the holder of a lost server answers the intent at once with SlicesReleased.

Interfaces others should know: Event::Vms carries VmState (leaving and gone differ: only gone VMs are declared lost); Control::incarnation() is drawn anew when a node returns after it was declared lost, and holder records must be compared with it; Replica is always a prefix of the platform's history.

--- /dev/null
+++ b/crates/whinspring/src/control/controller.rs
@@ -0,0 +1,194 @@
+//! The controller at work: what it remembers, and how decisions become writes.
+
+use {
+    super::{Action, Control, writes::Purpose},
+    crate::{
+        message::Message,
+        name::{Name, ServerId},
+        planner::{self, Memory, holders, segments},
+        record::{Key, Kind},
+        replica::Replica,
+        time::Tick,
+    },
+    rand::Rng,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Time that a new controller listens to reports before it moves slices.
+const LISTEN: Duration = Duration::from_millis(300);
+
+/// Time without a message after which the platform's word that a VM is gone is believed.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// Time after which everything is looked at again without a cause.
+const REVIEW: Duration = Duration::from_millis(1_000);
+
+/// Time for which a server that came back gets no slices; doubles with each loss.
+const BAR_MIN: Duration = Duration::from_millis(2_000);
+
+/// Longest such time.
+const BAR_MAX: Duration = Duration::from_millis(300_000);
+
+/// Time without a loss after which a server's former losses no longer count.
+const FORGIVE: Duration = Duration::from_millis(600_000);
+
+/// The controller's part of a node that has the term.
+#[derive(Debug)]
+pub(super) struct Term {
+    /// When this node began to act as the controller.
+    since: Tick,
+    /// Whether slices may be moved yet.
+    listened: bool,
+    /// When everything was last looked at.
+    reviewed: Option<Tick>,
+    /// What the holders reported.
+    memory: Memory,
+    /// Losses of each server: how many, and when the last one was.
+    losses: BTreeMap<(Name, ServerId), (u32, Tick)>,
+}
+
+impl Control {
+    /// Acts as the controller while this node has the term and a valid lease.
+    pub(super) fn tend_controller(&mut self, out: &mut Vec<Action>) {
+        if !self.is_controller() {
+            self.term = None;
+            return;
+        }
+        let now = self.now;
+        let fresh = || Term {
+            since: now,
+            listened: false,
+            reviewed: None,
+            memory: Memory::default(),
+            losses: BTreeMap::new(),
+        };
+        let term = self.term.get_or_insert_with(fresh);
+        let listened = now.since(term.since) >= LISTEN;
+        let due = term.reviewed.is_none_or(|reviewed| now.since(reviewed) >= REVIEW);
+        if !self.dirty && !due && listened == term.listened {
+            return;
+        }
+        term.listened = listened;
+        self.dirty = false;
+        term.reviewed = Some(now);
+        term.memory.leaving =
+            self.own.vms_leaving.iter().chain(&self.own.vms_gone).cloned().collect();
+        self.bury(out);
+        self.plan(listened, out);
+    }
+
+    /// Takes a report of a holder.
+    pub(super) fn report(&mut self, message: Message) {
+        let now = self.now;
+        let replica = &self.replica;
+        let Some(term) = &mut self.term else { return };
+        let held = |service: &Name, server: ServerId, number: u64| {
+            let holders = planner::holders_of(replica, service);
+            holders.and_then(|h| h.terms.get(&server)).is_some_and(|holder| holder.term == number)
+        };
+        match message {
+            Message::ServerLost { service, server, term: number }
+                if held(&service, server, number) =>
+            {
+                term.lost(now, (service, server), number);
+            }
+            Message::ServerBack { service, server, term: number }
+                if held(&service, server, number) =>
+            {
+                term.back(now, (service, server));
+            }
+            Message::ServerReleased { service, server, term: number } => {
+                term.memory.servers.insert((service, server), number);
+            }
+            Message::SlicesReleased { service, server, term: number, slices, keys }
+                if held(&service, server, number) =>
+            {
+                term.memory.slices.entry(service.clone()).or_default().extend(slices);
+                term.memory.keys.entry(service).or_default().extend(keys);
+            }
+            _ => return,
+        }
+        self.dirty = true;
+    }
+
+    /// Declares nodes lost whose VMs the platform says are gone.
+    fn bury(&mut self, out: &mut Vec<Action>) {
+        let gone = self.own.vms_gone.clone();
+        let unheard = |name: &Name| *name != self.setup.name && !self.heard(name, SILENCE);
+        let gone: Vec<Name> = gone.into_iter().filter(unheard).collect();
+        for name in gone {
+            let version = self.replica.version(&Key::new(Kind::Node, name.clone()));
+            self.declare(&name, version, out);
+        }
+    }
+
+    /// Writes what differs from the decisions.
+    fn plan(&mut self, listened: bool, out: &mut Vec<Action>) {
+        let Some(term) = &mut self.term else { return };
+        term.prune(&self.replica);
+        let mut counts = holders::counts(&self.replica);
+        let mut writes = Vec::new();
+        for service in planner::services(&self.replica) {
+            writes.extend(holders::plan(&self.replica, &term.memory, service, &mut counts));
+            if listened {
+                writes.extend(segments::plan(&self.replica, &term.memory, self.now, service));
+            }
+        }
+        for write in writes {
+            if self.writes.free(&self.replica, &write.key) {
+                let expect = self.replica.version(&write.key);
+                let mark = self.rng.random();
+                out.push(self.writes.put(
+                    Purpose::Plan,
+                    write.key,
+                    expect,
+                    Some(write.value),
+                    mark,
+                ));
+            } else {
+                self.dirty = true;
+            }
+        }
+    }
+}
+
+impl Term {
+    /// Notes the loss of a server.
+    fn lost(&mut self, now: Tick, id: (Name, ServerId), number: u64) {
+        if self.memory.lost.insert(id.clone(), number).is_some() {
+            return;
+        }
+        let losses = self.losses.entry(id).or_insert((0, now));
+        let count = if now.since(losses.1) > FORGIVE { 1 } else { losses.0 + 1 };
+        *losses = (count, now);
+    }
+
+    /// Notes the return of a server.
+    fn back(&mut self, now: Tick, id: (Name, ServerId)) {
+        if self.memory.lost.remove(&id).is_none() {
+            return;
+        }
+        let count = self.losses.get(&id).map_or(1, |losses| losses.0);
+        let bar = (BAR_MIN * 2_u32.saturating_pow(count.saturating_sub(1).min(16))).min(BAR_MAX);
+        self.memory.barred.insert(id, now + bar);
+    }
+
+    /// Forgets reports that the records have overtaken.
+    fn prune(&mut self, replica: &Replica) {
+        let term_of = |id: &(Name, ServerId)| {
+            let holders = planner::holders_of(replica, &id.0);
+            holders.and_then(|holders| holders.terms.get(&id.1)).map_or(0, |holder| holder.term)
+        };
+        self.memory.lost.retain(|id, number| *number == term_of(id));
+        self.memory.servers.retain(|id, number| *number >= term_of(id));
+        for (service, slices) in &mut self.memory.slices {
+            slices.retain(|(slice, epoch)| {
+                let index = slice.0 / crate::model::SEGMENT_SLICES;
+                let segment = planner::segment_of(replica, service, index);
+                segment
+                    .and_then(|segment| segment.owner(*slice))
+                    .is_some_and(|owner| owner.epoch <= *epoch)
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring/src/control/election.rs
@@ -0,0 +1,106 @@
+//! The controller's term: who takes it when there is none, and how it is handed on.
+
+use {
+    super::{Action, Control, roster, writes::Purpose},
+    crate::{
+        model::{Controller, NodeState},
+        name::Name,
+        record::{Key, Kind, Value},
+        time::Tick,
+    },
+    rand::Rng,
+    std::time::Duration,
+};
+
+/// Name of the controller's record.
+const CONTROLLER: &str = "controller";
+
+/// Head start of each candidate over the next.
+const STAGGER: Duration = Duration::from_millis(60);
+
+/// Largest number of head starts waited for.
+const MAX_STAGGER: u32 = 50;
+
+/// A term that nobody has, as this node sees it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Vacancy {
+    /// Version of the controller's record.
+    version: u64,
+    /// When it was found vacant.
+    since: Tick,
+}
+
+impl Control {
+    /// Returns the controller's record with its version.
+    pub(super) fn controller(&self) -> Option<(u64, &Controller)> {
+        let record = self.replica.get(&Key::new(Kind::Controller, CONTROLLER))?;
+        match &record.value {
+            Some(Value::Controller(controller)) => Some((record.version, controller)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the records name this incarnation as the controller.
+    pub(super) fn named(&self) -> bool {
+        let mine = |c: &Controller| c.node == self.setup.name && c.incarnation == self.incarnation;
+        self.controller().is_some_and(|(_, controller)| mine(controller))
+    }
+
+    /// Takes a vacant term, or hands this node's own term on when it leaves.
+    pub(super) fn tend_term(&mut self, out: &mut Vec<Action>) {
+        if self.named() && self.own.retiring && self.lease_valid() {
+            self.hand_on(out);
+            return;
+        }
+        let vacant = self.vacant();
+        let former = self.vacancy.filter(|former| Some(former.version) == vacant);
+        self.vacancy = vacant.map(|version| former.unwrap_or(Vacancy { version, since: self.now }));
+        let Some(vacancy) = self.vacancy else { return };
+        if !self.lease_valid() || self.own.retiring {
+            return;
+        }
+        let Some(place) = self.place(vacancy.version) else { return };
+        if self.now.since(vacancy.since) >= STAGGER * place.min(MAX_STAGGER) {
+            self.write_term(self.setup.name.clone(), self.incarnation, out);
+        }
+    }
+
+    /// Returns the version of the controller's record if nobody has the term.
+    fn vacant(&self) -> Option<u64> {
+        let Some((version, controller)) = self.controller() else { return Some(0) };
+        let present = roster::present(&self.replica, &controller.node, controller.incarnation);
+        (!present).then_some(version)
+    }
+
+    /// Returns this node's place among the candidates for the next term.
+    fn place(&self, version: u64) -> Option<u32> {
+        let mine = roster::rank(&[&self.setup.name], version + 1);
+        let own = roster::node(&self.replica, &self.setup.name)?.1;
+        let before = |name: &Name| roster::rank(&[name], version + 1) < mine;
+        let place = self.roster.others.iter().filter(|name| before(name)).count();
+        (own.state == NodeState::Live).then_some(place as u32)
+    }
+
+    /// Names another node as the controller.
+    fn hand_on(&mut self, out: &mut Vec<Action>) {
+        let successor = self.roster.others.iter().filter(|name| !self.own.vms_gone.contains(name));
+        let Some(name) = successor.min_by_key(|name| roster::rank(&[name], 0)).cloned() else {
+            return;
+        };
+        let Some((_, node)) = roster::node(&self.replica, &name) else { return };
+        let incarnation = node.incarnation;
+        self.write_term(name, incarnation, out);
+    }
+
+    /// Writes the next term.
+    fn write_term(&mut self, node: Name, incarnation: u64, out: &mut Vec<Action>) {
+        let key = Key::new(Kind::Controller, CONTROLLER);
+        if !self.writes.free(&self.replica, &key) {
+            return;
+        }
+        let (expect, term) = self.controller().map_or((0, 0), |(version, c)| (version, c.term));
+        let value = Value::Controller(Controller { node, incarnation, term: term + 1 });
+        let mark = self.rng.random();
+        out.push(self.writes.put(Purpose::Term, key, expect, Some(value), mark));
+    }
+}
--- /dev/null
+++ b/crates/whinspring/src/control/membership.rs
@@ -0,0 +1,315 @@
+//! This node's own record: joining, choice of lessors, return after a loss, graceful stop.
+
+use {
+    super::{Action, Control, Peer, VmState, roster, writes::Purpose},
+    crate::{
+        lease::{HEARTBEAT, LESSORS, SOLO_RENEW},
+        message::Message,
+        model::{Node, NodeState},
+        name::Name,
+        record::{Key, Kind, Value},
+        time::Tick,
+    },
+    rand::Rng,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Time without acknowledgement after which a lessor is replaced.
+const LESSOR_SILENT: Duration = Duration::from_millis(400);
+
+/// Time for which a silent node is not chosen again, unless there is no other.
+const SHUN: Duration = Duration::from_millis(5_000);
+
+/// Time within which a node must have been heard to be added as a lessor.
+const FRESH: Duration = Duration::from_millis(1_000);
+
+/// Time without a lease before desperate changes of lessors.
+const LEASELESS: Duration = Duration::from_millis(1_500);
+
+/// Largest number of other nodes that a node without lessors may disregard.
+const SOLO_OTHERS: usize = 2;
+
+/// Time between two rounds of questions to possible lessors.
+const PROBE: Duration = Duration::from_millis(300);
+
+/// Time between two looks at the list of VMs.
+const VMS_INTERVAL: Duration = Duration::from_millis(5_000);
+
+/// The state of this node's own membership.
+#[derive(Debug, Default)]
+pub(super) struct Membership {
+    /// Version of the first record of this process; zero before it has joined.
+    pub joined: u64,
+    /// Whether this incarnation has joined.
+    pub present: bool,
+    /// Whether another process took over this node's name.
+    pub superseded: bool,
+    /// Whether a graceful stop has begun.
+    pub retiring: bool,
+    /// Whether the graceful stop is complete.
+    pub retired: bool,
+    /// VMs that the platform says are gone.
+    pub vms_gone: Vec<Name>,
+    /// VMs that the platform says are leaving.
+    pub vms_leaving: Vec<Name>,
+    /// Incarnation of each lessor when it was chosen, and when that was.
+    chosen: BTreeMap<Name, (u64, Tick)>,
+    /// Nodes that were silent as lessors, and when.
+    shunned: BTreeMap<Name, Tick>,
+    /// State and lessors in the write under way.
+    proposed: Option<(NodeState, Vec<Name>)>,
+    /// When the last write of the own record without lessors was sent.
+    renewed: Tick,
+    /// Next round of heartbeats.
+    next_beat: Tick,
+    /// Next desperate change of lessors.
+    next_change: Tick,
+    /// Next round of questions to possible lessors.
+    next_probe: Tick,
+    /// Next look at the list of VMs.
+    next_vms: Tick,
+}
+
+impl Control {
+    /// Sends heartbeats and keeps this node's own record as it should be.
+    pub(super) fn tend_membership(&mut self, out: &mut Vec<Action>) {
+        self.tend_record(out);
+        self.tend_beats(out);
+        self.tend_probes(out);
+        self.tend_vms(out);
+    }
+
+    /// Takes the platform's list of VMs.
+    pub(super) fn vms(&mut self, vms: Vec<(Name, VmState)>) {
+        self.own.vms_gone.clear();
+        self.own.vms_leaving.clear();
+        for (name, state) in vms {
+            match state {
+                VmState::Live => {}
+                VmState::Leaving => self.own.vms_leaving.push(name),
+                VmState::Gone => self.own.vms_gone.push(name),
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Ends a write of this node's own record.
+    pub(super) fn own_stored(&mut self, version: Option<u64>, out: &mut Vec<Action>) {
+        let proposed = self.own.proposed.take();
+        let Some(version) = version else {
+            self.lease.abandon();
+            return;
+        };
+        self.lease.confirm(version);
+        if !self.own.present {
+            self.own.present = true;
+            out.push(Action::Log(format!("joined as {} at version {version}", self.setup.name)));
+        }
+        if self.own.joined == 0 {
+            self.own.joined = version;
+        }
+        if proposed.is_some_and(|(state, _)| state == NodeState::Gone) {
+            self.lease.reset();
+            self.own.retired = true;
+        }
+        self.own.next_beat = self.now;
+    }
+
+    /// Compares this node's record with what it should be, and writes it if they differ.
+    fn tend_record(&mut self, out: &mut Vec<Action>) {
+        let key = Key::new(Kind::Node, self.setup.name.clone());
+        if !self.spread.ready
+            || self.own.superseded
+            || self.own.retired
+            || !self.writes.free(&self.replica, &key)
+        {
+            return;
+        }
+        let own = roster::node(&self.replica, &self.setup.name).map(|(_, node)| node.clone());
+        match own {
+            Some(node) if node.incarnation == self.incarnation => self.tend_present(node, out),
+            _ if self.own.present => self.supersede(out),
+            _ if self.own.retiring => self.own.retired = true,
+            _ => {
+                let lessors = self.choose(&[], None);
+                self.write_own(NodeState::Live, lessors, out);
+            }
+        }
+    }
+
+    /// Keeps up a record that shows this incarnation.
+    fn tend_present(&mut self, node: Node, out: &mut Vec<Action>) {
+        if node.state == NodeState::Gone {
+            self.rejoin(out);
+            return;
+        }
+        if self.own.retiring && self.empty() {
+            self.write_own(NodeState::Gone, node.lessors, out);
+            return;
+        }
+        let state = if self.own.retiring { NodeState::Leaving } else { NodeState::Live };
+        let lessors = self.wanted_lessors(&node);
+        let renew = lessors.is_empty() && self.now.since(self.own.renewed) >= SOLO_RENEW;
+        if state != node.state || lessors != node.lessors || renew {
+            self.write_own(state, lessors, out);
+        }
+    }
+
+    /// Starts over as a new incarnation after this one was declared lost.
+    fn rejoin(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::Log(format!("{} was declared lost and joins again", self.setup.name)));
+        out.push(Action::Count("rejoins"));
+        self.lease.reset();
+        self.incarnation = self.rng.random();
+        self.own.present = false;
+        self.reports = Default::default();
+        if self.own.retiring {
+            self.own.retired = true;
+        }
+    }
+
+    /// Stops for good: a later process of this VM has taken the name.
+    fn supersede(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::Log(format!("another process has taken over {}", self.setup.name)));
+        self.lease.reset();
+        self.own.superseded = true;
+    }
+
+    /// Writes this node's record.
+    fn write_own(&mut self, state: NodeState, lessors: Vec<Name>, out: &mut Vec<Action>) {
+        let key = Key::new(Kind::Node, self.setup.name.clone());
+        let node = Node {
+            name: self.setup.name.clone(),
+            incarnation: self.incarnation,
+            addr: self.setup.addr,
+            domain: self.setup.domain.clone(),
+            state,
+            lessors: lessors.clone(),
+        };
+        for name in &lessors {
+            let incarnation =
+                roster::node(&self.replica, name).map_or(0, |(_, node)| node.incarnation);
+            let former =
+                self.own.chosen.get(name).copied().filter(|chosen| chosen.0 == incarnation);
+            self.own.chosen.insert(name.clone(), former.unwrap_or((incarnation, self.now)));
+        }
+        self.own.chosen.retain(|name, _| lessors.contains(name));
+        self.lease.propose(self.now, &lessors);
+        self.own.renewed = self.now;
+        self.own.next_beat = self.now;
+        self.own.proposed = Some((state, lessors));
+        let expect = self.replica.version(&key);
+        let mark = self.rng.random();
+        out.push(self.writes.put(Purpose::Own, key, expect, Some(Value::Node(node)), mark));
+    }
+
+    /// Returns the lessors that this node's record should name.
+    fn wanted_lessors(&mut self, own: &Node) -> Vec<Name> {
+        let good: Vec<Name> = own.lessors.iter().filter(|name| self.good(name)).cloned().collect();
+        for name in own.lessors.iter().filter(|name| !good.contains(name)) {
+            self.own.shunned.insert(name.clone(), self.now);
+        }
+        let now = self.now;
+        self.own.shunned.retain(|_, since| now.since(*since) < SHUN);
+        let leaseless = now.since(self.leased) >= LEASELESS;
+        if !good.is_empty() || own.lessors.is_empty() {
+            let fresh = (good.len() == own.lessors.len()).then_some(FRESH);
+            return self.choose(&good, fresh);
+        }
+        let others = self.others();
+        if others.len() <= 1 || (others.len() <= SOLO_OTHERS && leaseless) {
+            return Vec::new();
+        }
+        if !leaseless || now < self.own.next_change {
+            return own.lessors.clone();
+        }
+        self.own.next_change = now + self.jitter(LEASELESS * 2);
+        self.choose(&[], None)
+    }
+
+    /// Returns whether a lessor is the process that was chosen, stays, and answers.
+    fn good(&self, name: &Name) -> bool {
+        let Some((_, node)) = roster::node(&self.replica, name) else { return false };
+        let Some((incarnation, since)) = self.own.chosen.get(name) else { return false };
+        let acked = self.lease.acked(name).unwrap_or_default();
+        let since = acked.max(*since).max(self.awake);
+        node.state == NodeState::Live
+            && node.incarnation == *incarnation
+            && self.now.since(since) < LESSOR_SILENT
+    }
+
+    /// Adds lessors to `kept`: other failure domains first, few leases, then a fixed random order.
+    ///
+    /// With `fresh` only nodes heard within this span are added.
+    fn choose(&self, kept: &[Name], fresh: Option<Duration>) -> Vec<Name> {
+        let mut chosen = kept.to_vec();
+        let mut candidates = self.others();
+        candidates.retain(|name| !kept.contains(name));
+        if let Some(span) = fresh {
+            candidates
+                .retain(|name| self.heard(name, span) && !self.own.shunned.contains_key(name));
+        } else if !kept.is_empty() {
+            candidates.retain(|name| !self.own.shunned.contains_key(name));
+        }
+        while chosen.len() < LESSORS {
+            let best = candidates.iter().min_by_key(|name| self.preference(name, &chosen)).cloned();
+            let Some(best) = best else { break };
+            candidates.retain(|name| *name != best);
+            chosen.push(best);
+        }
+        chosen
+    }
+
+    /// Orders candidates for a lessor beside those `chosen`.
+    fn preference(&self, name: &Name, chosen: &[Name]) -> (bool, bool, bool, usize, u64) {
+        let domain =
+            |name: &Name| roster::node(&self.replica, name).map(|(_, node)| node.domain.clone());
+        let own = domain(name);
+        let near = own.as_ref() == Some(&self.setup.domain);
+        let twice = chosen.iter().any(|other| domain(other) == own);
+        let shunned = self.own.shunned.contains_key(name);
+        (shunned, near, twice, self.roster.load(name), roster::rank(&[&self.setup.name, name], 0))
+    }
+
+    /// Returns the other live nodes whose VMs are not gone.
+    fn others(&self) -> Vec<Name> {
+        let gone = &self.own.vms_gone;
+        self.roster.others.iter().filter(|name| !gone.contains(name)).cloned().collect()
+    }
+
+    /// Sends heartbeats when it is time to.
+    fn tend_beats(&mut self, out: &mut Vec<Action>) {
+        if self.now < self.own.next_beat || self.lease.version() == 0 {
+            return;
+        }
+        self.own.next_beat = self.now + HEARTBEAT;
+        self.send_beats(|_| true, out);
+    }
+
+    /// Asks nodes that could become lessors whether they are there.
+    fn tend_probes(&mut self, out: &mut Vec<Action>) {
+        if self.now < self.own.next_probe || !self.own.present {
+            return;
+        }
+        self.own.next_probe = self.now + PROBE;
+        let lessors = self.lease.lessors();
+        let wanted = LESSORS.saturating_sub(lessors.len());
+        let mut candidates = self.others();
+        candidates.retain(|name| !lessors.contains(name) && !self.heard(name, FRESH));
+        candidates.sort_by_cached_key(|name| self.preference(name, &lessors));
+        for name in candidates.into_iter().take(wanted) {
+            let Some((_, node)) = roster::node(&self.replica, &name) else { continue };
+            let peer = Peer { name, addr: node.addr };
+            out.push(Action::Send(peer, Message::Pull { seen: self.replica.seen() }));
+        }
+    }
+
+    /// Reads the list of VMs when that is this node's task.
+    fn tend_vms(&mut self, out: &mut Vec<Action>) {
+        let asks = self.term.is_some() || self.now.since(self.leased) >= LEASELESS;
+        if asks && self.now >= self.own.next_vms && self.own.present {
+            self.own.next_vms = self.now + VMS_INTERVAL;
+            out.push(Action::ListVms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring/src/control/writes.rs
@@ -0,0 +1,157 @@
+//! Conditional writes under way, settled when their replies are lost.
+//!
+//! A write without a reply is sent again unchanged: if it had taken effect, the platform answers
+//! with a conflict that shows the write's own mark.
+
+use {
+    super::{Action, Stored},
+    crate::{
+        record::{Key, Value},
+        replica::Replica,
+        time::Tick,
+    },
+    rand::Rng,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// First wait before a write without a reply is sent again.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+
+/// Longest such wait.
+const RETRY_MAX: Duration = Duration::from_millis(2_000);
+
+/// What a write is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// This node's own record.
+    Own,
+    /// The record of a lost node.
+    Loss,
+    /// The controller's term.
+    Term,
+    /// A decision of the controller.
+    Plan,
+}
+
+/// A write that has not ended.
+#[derive(Debug, Clone)]
+pub(super) struct Pending {
+    /// What it is for.
+    pub purpose: Purpose,
+    /// Record written.
+    pub key: Key,
+    /// Version that the record must have.
+    pub expect: u64,
+    /// Mark of the write.
+    mark: u64,
+    /// Content; `None` deletes.
+    pub value: Option<Value>,
+    /// When to send it again; `None` while a reply is awaited.
+    retry: Option<Tick>,
+    /// Wait before it is sent again after the next lost reply.
+    wait: Duration,
+}
+
+/// A write that has ended.
+#[derive(Debug, Clone)]
+pub(super) struct Ended {
+    /// The write.
+    pub write: Pending,
+    /// Its version if it took effect.
+    pub version: Option<u64>,
+}
+
+/// All writes under way, at most one a record.
+#[derive(Debug, Default)]
+pub(super) struct Writes {
+    /// Number of the last write.
+    last: u64,
+    /// Writes by number.
+    pending: BTreeMap<u64, Pending>,
+    /// Versions, by record, that the replica must reach before the record is written again.
+    ahead: BTreeMap<Key, u64>,
+}
+
+impl Writes {
+    /// Returns whether `key` may be written: no write is under way or still unseen in `replica`.
+    pub fn free(&self, replica: &Replica, key: &Key) -> bool {
+        let settled = self.ahead.get(key).is_none_or(|version| replica.written(key) >= *version);
+        settled && !self.pending.values().any(|write| write.key == *key)
+    }
+
+    /// Returns the highest version known of and not yet in `replica`, zero if there is none.
+    pub fn unseen(&self, replica: &Replica) -> u64 {
+        self.ahead.values().copied().filter(|version| *version > replica.seen()).max().unwrap_or(0)
+    }
+
+    /// Begins a write.
+    pub fn put(
+        &mut self,
+        purpose: Purpose,
+        key: Key,
+        expect: u64,
+        value: Option<Value>,
+        mark: u64,
+    ) -> Action {
+        self.last += 1;
+        let write = Pending { purpose, key, expect, mark, value, retry: None, wait: RETRY_MIN };
+        let action = write.action(self.last);
+        self.pending.insert(self.last, write);
+        action
+    }
+
+    /// Notes the reply to a write, and returns the write if it has ended.
+    pub fn stored(
+        &mut self,
+        now: Tick,
+        op: u64,
+        outcome: Stored,
+        rng: &mut impl Rng,
+    ) -> Option<Ended> {
+        let write = self.pending.get_mut(&op)?;
+        let (ahead, version) = match outcome {
+            Stored::Written(version) => (version, Some(version)),
+            Stored::Conflict { version, mark } if mark == write.mark => (version, Some(version)),
+            Stored::Conflict { version: 0, .. } if write.expect > 0 => (write.expect + 1, None),
+            Stored::Conflict { version, .. } => (version, None),
+            Stored::Unknown => {
+                write.retry = Some(now + write.wait.mul_f64(rng.random_range(0.5..1.0)));
+                write.wait = (write.wait * 2).min(RETRY_MAX);
+                return None;
+            }
+        };
+        let write = self.pending.remove(&op)?;
+        self.ahead.insert(write.key.clone(), ahead);
+        Some(Ended { write, version })
+    }
+
+    /// Sends again the writes whose wait is over, unless `wanted` says that they are given up.
+    pub fn retry(&mut self, now: Tick, wanted: impl Fn(Purpose) -> bool, out: &mut Vec<Action>) {
+        self.pending.retain(|_, write| write.retry.is_none() || wanted(write.purpose));
+        for (op, write) in &mut self.pending {
+            if write.retry.is_some_and(|retry| retry <= now) {
+                write.retry = None;
+                out.push(write.action(*op));
+            }
+        }
+    }
+
+    /// Forgets what the replica has caught up with.
+    pub fn prune(&mut self, replica: &Replica) {
+        self.ahead
+            .retain(|key, version| replica.written(key) < *version && replica.seen() < *version);
+    }
+}
+
+impl Pending {
+    /// Returns the action that sends the write.
+    fn action(&self, op: u64) -> Action {
+        Action::Put {
+            op,
+            key: self.key.clone(),
+            expect: self.expect,
+            mark: self.mark,
+            value: self.value.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring/src/planner/segments.rs
@@ -0,0 +1,184 @@
+//! Which server owns each slice: created evenly, moved off servers that are lost or leave.
+
+use {
+    super::{Memory, Write, segment_key, segment_of},
+    crate::{
+        model::{Owner, SEGMENT_SLICES, Segment, ServerState, Service},
+        name::{Name, ServerId, Slice},
+        record::Value,
+        replica::Replica,
+        time::Tick,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Slices of one server that wait for their release at once while it drains.
+const DRAIN_BATCH: usize = 256;
+
+/// What a service's servers can be used for.
+#[derive(Debug)]
+struct Servers {
+    /// Servers that may be given slices, with their slots.
+    usable: BTreeMap<ServerId, u32>,
+    /// Servers whose slices go elsewhere at once.
+    lost: BTreeSet<ServerId>,
+    /// Servers whose slices go elsewhere in batches.
+    draining: BTreeSet<ServerId>,
+    /// Slices owned, or about to be owned, by each server.
+    counts: BTreeMap<ServerId, usize>,
+    /// Slices of each draining server that wait for their release.
+    waiting: BTreeMap<ServerId, usize>,
+}
+
+/// Returns the number of segments of a service.
+pub fn segment_count(service: &Service) -> u32 {
+    service.slices.div_ceil(SEGMENT_SLICES)
+}
+
+/// Returns whether a server owns a slice or key of `service`, or is about to.
+pub fn owns(replica: &Replica, service: &Service, server: ServerId) -> bool {
+    let uses = |owner: &Owner| owner.server == server || owner.next == Some(server);
+    let segments =
+        (0..segment_count(service)).filter_map(|index| segment_of(replica, &service.name, index));
+    segments.into_iter().any(|segment| segment.owners.iter().chain(segment.keys.values()).any(uses))
+}
+
+/// Returns the segments of `service` that should differ from the records.
+pub fn plan(replica: &Replica, memory: &Memory, now: Tick, service: &Service) -> Vec<Write> {
+    let mut servers = Servers::new(replica, memory, now, service);
+    let mut writes = Vec::new();
+    for index in 0..segment_count(service) {
+        let value = match segment_of(replica, &service.name, index) {
+            Some(segment) => servers.tend(memory, &service.name, segment),
+            None => servers.create(service, index),
+        };
+        let key = segment_key(&service.name, index);
+        writes.extend(value.map(|segment| Write { key, value: Value::Segment(segment) }));
+    }
+    writes
+}
+
+impl Servers {
+    /// Sorts the servers of a service by what they can be used for.
+    fn new(replica: &Replica, memory: &Memory, now: Tick, service: &Service) -> Self {
+        let id = |id: ServerId| (service.name.clone(), id);
+        let active =
+            |id: &ServerId| service.servers.get(id).is_some_and(|s| s.state == ServerState::Active);
+        let reported: BTreeSet<ServerId> =
+            service.servers.keys().copied().filter(|s| memory.lost.contains_key(&id(*s))).collect();
+        let mut usable = BTreeMap::new();
+        let mut draining = BTreeSet::new();
+        for (server, declared) in &service.servers {
+            let leaves = !active(server) || memory.leaving.contains(&declared.name);
+            let barred = memory.barred.get(&id(*server)).is_some_and(|until| now < *until);
+            if leaves {
+                draining.insert(*server);
+            } else if !reported.contains(server) && !barred {
+                usable.insert(*server, declared.slots.max(1));
+            }
+        }
+        let total = service.servers.keys().filter(|id| active(id)).count();
+        let lost_active = reported.iter().filter(|id| active(id)).count();
+        let lost = if lost_active * 2 > total { BTreeSet::new() } else { reported };
+        let mut servers =
+            Self { usable, lost, draining, counts: BTreeMap::new(), waiting: BTreeMap::new() };
+        for index in 0..segment_count(service) {
+            let Some(segment) = segment_of(replica, &service.name, index) else { continue };
+            servers.count(segment);
+        }
+        servers
+    }
+
+    /// Counts the slices of one segment.
+    fn count(&mut self, segment: &Segment) {
+        for owner in &segment.owners {
+            *self.counts.entry(owner.next.unwrap_or(owner.server)).or_default() += 1;
+            if owner.next.is_some() {
+                *self.waiting.entry(owner.server).or_default() += 1;
+            }
+        }
+    }
+
+    /// Returns a new segment with its slices spread evenly.
+    fn create(&mut self, service: &Service, index: u32) -> Option<Segment> {
+        let first = index * SEGMENT_SLICES;
+        let slices = SEGMENT_SLICES.min(service.slices - first);
+        let mut owners = Vec::with_capacity(slices as usize);
+        for _ in 0..slices {
+            owners.push(Owner { server: self.take()?, epoch: 1, next: None });
+        }
+        Some(Segment { first, owners, keys: BTreeMap::new() })
+    }
+
+    /// Returns what a segment should be, if that differs.
+    fn tend(&mut self, memory: &Memory, service: &Name, segment: &Segment) -> Option<Segment> {
+        let mut changes = Vec::new();
+        let released = memory.slices.get(service);
+        for (offset, owner) in segment.owners.iter().enumerate() {
+            let slice = Slice(segment.first + offset as u32);
+            let released = released.is_some_and(|set| set.contains(&(slice, owner.epoch)));
+            changes.extend(self.tend_owner(owner, released).map(|owner| (offset, owner)));
+        }
+        let mut keys = Vec::new();
+        let released = memory.keys.get(service);
+        for (key, owner) in &segment.keys {
+            let released = released.is_some_and(|set| set.contains(&(key.clone(), owner.epoch)));
+            keys.extend(self.tend_owner(owner, released).map(|owner| (key.clone(), owner)));
+        }
+        if changes.is_empty() && keys.is_empty() {
+            return None;
+        }
+        let mut after = segment.clone();
+        for (offset, owner) in changes {
+            after.owners[offset] = owner;
+        }
+        after.keys.extend(keys);
+        Some(after)
+    }
+
+    /// Returns what one owner should be, if that differs.
+    fn tend_owner(&mut self, owner: &Owner, released: bool) -> Option<Owner> {
+        if let Some(next) = owner.next {
+            if !self.usable.contains_key(&next)
+                && (self.lost.contains(&next) || self.draining.contains(&next))
+            {
+                let next = self.take()?;
+                return Some(Owner { next: Some(next), ..owner.clone() });
+            }
+            return released.then(|| Owner { server: next, epoch: owner.epoch + 1, next: None });
+        }
+        if !self.must_leave(owner.server) {
+            return None;
+        }
+        let next = self.take()?;
+        if let Some(count) = self.counts.get_mut(&owner.server) {
+            *count = count.saturating_sub(1);
+        }
+        Some(Owner { next: Some(next), ..owner.clone() })
+    }
+
+    /// Returns whether a slice of this server is to be moved now.
+    fn must_leave(&mut self, server: ServerId) -> bool {
+        if self.lost.contains(&server) {
+            return true;
+        }
+        if !self.draining.contains(&server) {
+            return false;
+        }
+        let waiting = self.waiting.entry(server).or_default();
+        *waiting += 1;
+        *waiting <= DRAIN_BATCH
+    }
+
+    /// Chooses the server with the fewest slices for its slots, and counts one more for it.
+    fn take(&mut self) -> Option<ServerId> {
+        let fill = |id: &ServerId, slots: u32| {
+            let count = self.counts.get(id).copied().unwrap_or_default() as u64;
+            (count * 1_000_000 / u64::from(slots), id.0)
+        };
+        let (server, _) = self.usable.iter().min_by_key(|(id, slots)| fill(id, **slots))?;
+        let server = *server;
+        *self.counts.entry(server).or_default() += 1;
+        Some(server)
+    }
+}
--- /dev/null
+++ b/crates/whinspring/src/replica.rs
@@ -0,0 +1,128 @@
+//! A node's copy of all records.
+//!
+//! The copy is always the platform's state at one revision, [`Replica::seen`]: batches are applied
+//! whole, and a batch that does not join on to what is known is refused. A holder may therefore
+//! conclude from the record that gave it a server that it knows every earlier change of owners.
+//! A record never goes back to a lower version.
+
+use {
+    crate::record::{Key, Kind, Record},
+    std::collections::BTreeMap,
+};
+
+/// Deleted records that are remembered for peers.
+const MAX_DELETED: usize = 4_096;
+
+/// All records as of one revision of the platform.
+#[derive(Debug, Default)]
+pub struct Replica {
+    /// Live records.
+    records: BTreeMap<Key, Record>,
+    /// Deleted records.
+    deleted: BTreeMap<Key, Record>,
+    /// Keys of live and deleted records by version.
+    versions: BTreeMap<u64, Key>,
+    /// Revision up to which every record is known.
+    seen: u64,
+    /// Revision up to which deletions may have been forgotten.
+    floor: u64,
+}
+
+/// Records that bring another node up to date.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// Revision that the other node must have seen.
+    pub after: u64,
+    /// Revision that it will have seen.
+    pub seen: u64,
+    /// The records, by rising version.
+    pub records: Vec<Record>,
+}
+
+impl Replica {
+    /// Returns the record of `key` unless it does not exist.
+    pub fn get(&self, key: &Key) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// Returns the existing records of a kind, by name.
+    pub fn iter(&self, kind: Kind) -> impl Iterator<Item = &Record> {
+        let first = Key::new(kind, "");
+        self.records
+            .range(first..)
+            .map(|(_, record)| record)
+            .take_while(move |r| r.key.kind == kind)
+    }
+
+    /// Returns the revision up to which every record is known.
+    pub fn seen(&self) -> u64 {
+        self.seen
+    }
+
+    /// Returns the version that a conditional write of `key` must name, zero if it does not exist.
+    pub fn version(&self, key: &Key) -> u64 {
+        self.get(key).map_or(0, |record| record.version)
+    }
+
+    /// Returns the version of the last known write of `key`, a deletion included.
+    pub fn written(&self, key: &Key) -> u64 {
+        let deleted = self.deleted.get(key).map_or(0, |record| record.version);
+        self.version(key).max(deleted)
+    }
+
+    /// Returns what a node that has seen `after` lacks.
+    ///
+    /// If deletions since then have been forgotten, these are all records.
+    pub fn changes(&self, after: u64) -> Changes {
+        let after = if after < self.floor { 0 } else { after };
+        let keys = self.versions.range(after + 1..).map(|(_, key)| key);
+        let records =
+            keys.filter_map(|key| self.records.get(key).or_else(|| self.deleted.get(key)));
+        Changes { after, seen: self.seen, records: records.cloned().collect() }
+    }
+
+    /// Takes over `records`, which are all changes after `after` up to `seen`.
+    ///
+    /// Returns the keys that changed; none if the batch is old or leaves a gap.
+    pub fn apply(&mut self, after: u64, seen: u64, records: Vec<Record>) -> Vec<Key> {
+        if after > self.seen || seen <= self.seen {
+            return Vec::new();
+        }
+        let floor = self.seen;
+        let mut changed = Vec::new();
+        for record in records {
+            if record.version <= floor || record.version <= self.written(&record.key) {
+                continue;
+            }
+            changed.push(record.key.clone());
+            self.insert(record);
+        }
+        self.seen = seen;
+        self.forget();
+        changed
+    }
+
+    /// Stores one record in place of its former version.
+    fn insert(&mut self, record: Record) {
+        let key = record.key.clone();
+        let former = self.records.remove(&key).or_else(|| self.deleted.remove(&key));
+        if let Some(former) = former {
+            self.versions.remove(&former.version);
+        }
+        self.versions.insert(record.version, key.clone());
+        let table = if record.value.is_some() { &mut self.records } else { &mut self.deleted };
+        table.insert(key, record);
+    }
+
+    /// Forgets the oldest deletions beyond the limit.
+    fn forget(&mut self) {
+        while self.deleted.len() > MAX_DELETED {
+            let oldest = self.deleted.values().map(|record| record.version).min();
+            let Some(key) = oldest.and_then(|version| self.versions.remove(&version)) else {
+                return;
+            };
+            self.floor = oldest.unwrap_or_default();
+            self.deleted.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring/tests/control.rs
@@ -0,0 +1,6 @@
+//! Sessions of the control machines around a small fake.
+
+#[path = "control/fake.rs"]
+mod fake;
+#[path = "control/sessions.rs"]
+mod sessions;
