Run holders: backend connections, probes, grants and requests

Cause: the decisions of whinspring::holder need something that carries them out. Ruled out: a pooled client in front of the server (it hides whether a byte was written, and when). Change: one Held per held server feeds its Holder under a lock and carries the outputs out in order. A request's task drives its own connection through a gate that looks at the clock at the first write, so a lapsed lease stops it there, and knows exactly whether a byte left. Idle connections are looked at before reuse.

--- /dev/null
+++ b/crates/whinspring-daemon/src/backend.rs
@@ -0,0 +1,120 @@
+//! Connections to one backend server.
+//!
+//! A connection is driven by the task that uses it, so that a request is written by the task that
+//! has just looked at the clock, and a connection that was closed while it was idle is seen
+//! before it is used again.
+
+pub use self::{
+    conn::Conn,
+    fault::Fault,
+    upstream::Upstream,
+};
+
+use {
+    crate::clock::Clock,
+    http::HeaderValue,
+    parking_lot::Mutex,
+    std::{net::SocketAddr, time::Duration},
+};
+
+mod conn;
+mod fault;
+mod guard;
+mod upstream;
+
+/// Idle connections that are kept.
+const MAX_IDLE: usize = 8;
+
+/// Age at which an idle connection is not used again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Age at which an idle connection is not used for a request that may run only once.
+const FRESH: Duration = Duration::from_millis(1_000);
+
+/// Connections to one backend server.
+#[derive(Debug)]
+pub struct Backend {
+    /// Clock of the process.
+    clock: Clock,
+    /// What is known of the server and its connections.
+    state: Mutex<State>,
+}
+
+/// The server and its idle connections.
+#[derive(Debug)]
+struct State {
+    /// Address of the server.
+    addr: SocketAddr,
+    /// Idle connections, the one used last at the end.
+    idle: Vec<Conn>,
+}
+
+impl Backend {
+    /// Creates an empty set of connections to the server at `addr`.
+    pub fn new(addr: SocketAddr, clock: Clock) -> Self {
+        Self { clock, state: Mutex::new(State { addr, idle: Vec::new() }) }
+    }
+
+    /// Sets the address of the server; a change drops the idle connections.
+    pub fn set_addr(&self, addr: SocketAddr) {
+        let mut state = self.state.lock();
+        if state.addr != addr {
+            state.addr = addr;
+            state.idle.clear();
+        }
+    }
+
+    /// Returns the value of the host header of requests to the server.
+    pub fn host(&self) -> HeaderValue {
+        let addr = self.state.lock().addr.to_string();
+        HeaderValue::from_str(&addr).expect("an address is visible ASCII")
+    }
+
+    /// Returns an idle connection, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server takes no connection; nothing was sent then.
+    pub async fn take(&self, once: bool) -> Result<Conn, Fault> {
+        let oldest = if once { FRESH } else { IDLE_TIMEOUT };
+        while let Some(mut conn) = self.pop(oldest) {
+            if conn.is_usable().await {
+                return Ok(conn);
+            }
+        }
+        self.open().await
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server takes no connection.
+    pub async fn open(&self) -> Result<Conn, Fault> {
+        let addr = self.state.lock().addr;
+        Conn::open(addr, self.clock).await
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub async fn give_back(&self, mut conn: Conn) {
+        if !conn.settle().await {
+            return;
+        }
+        let mut state = self.state.lock();
+        if state.addr != conn.addr() {
+            return;
+        }
+        state.idle.push(conn);
+        if state.idle.len() > MAX_IDLE {
+            state.idle.remove(0);
+        }
+    }
+
+    /// Takes the connection that was used last, if it is not too old.
+    fn pop(&self, oldest: Duration) -> Option<Conn> {
+        let mut state = self.state.lock();
+        state.idle.retain(|conn| conn.age() < IDLE_TIMEOUT);
+        let fresh = state.idle.last().is_some_and(|conn| conn.age() < oldest);
+        if fresh { state.idle.pop() } else { None }
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/backend/conn.rs
@@ -0,0 +1,191 @@
+//! One connection to a backend server.
+
+use {
+    super::{
+        Fault, Upstream,
+        guard::{Gate, Guard},
+    },
+    crate::clock::Clock,
+    bytes::{Bytes, BytesMut},
+    http::{Request, Response},
+    http_body::Body,
+    hyper::{
+        body::Incoming,
+        client::conn::http1::{Builder, Connection, SendRequest},
+    },
+    socket2::SockRef,
+    std::{
+        future::poll_fn,
+        io,
+        net::SocketAddr,
+        pin::{Pin, pin},
+        sync::Arc,
+        task::{Context, Poll},
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpStream, time::timeout},
+    whinspring::time::Tick,
+};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which unacknowledged bytes end a connection.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// A connection, driven by the task that uses it.
+#[derive(Debug)]
+pub struct Conn {
+    /// Sends requests.
+    sender: SendRequest<Upstream>,
+    /// Reads and writes the socket; `None` once it has ended.
+    driver: Option<Pin<Box<Connection<Guard, Upstream>>>>,
+    /// Whether the present request may be written.
+    gate: Arc<Gate>,
+    /// Address of the server.
+    addr: SocketAddr,
+    /// When the connection was last used.
+    used: Instant,
+    /// Whether it has carried a request before.
+    reused: bool,
+}
+
+impl Conn {
+    /// Opens a connection.
+    pub(super) async fn open(addr: SocketAddr, clock: Clock) -> Result<Self, Fault> {
+        let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let socket = socket.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let socket = socket.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => Fault::Refused,
+            _ => Fault::Unreachable,
+        })?;
+        let tuned = socket.set_nodelay(true).and_then(|()| {
+            SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+        });
+        tuned.map_err(|_| Fault::Unreachable)?;
+        let gate = Gate::new(clock);
+        let guard = Guard::new(socket, gate.clone());
+        let handshake = Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(guard).await;
+        let (sender, driver) = handshake.map_err(|_| Fault::Unreachable)?;
+        let driver = Some(Box::pin(driver));
+        Ok(Self { sender, driver, gate, addr, used: Instant::now(), reused: false })
+    }
+
+    /// Returns the address of the server.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the time since the connection was last used.
+    pub fn age(&self) -> Duration {
+        self.used.elapsed()
+    }
+
+    /// Returns whether the connection has carried a request before.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Returns whether the connection is still open, after a look at the socket.
+    pub async fn is_usable(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.drive(cx);
+            Poll::Ready(())
+        })
+        .await;
+        self.driver.is_some() && self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails, or if no byte was written before `until`.
+    pub async fn send(
+        &mut self,
+        request: Request<Upstream>,
+        until: Tick,
+    ) -> Result<Response<Incoming>, Fault> {
+        self.gate.set(until);
+        let mut answer = pin!(self.sender.try_send_request(request));
+        let (driver, gate) = (&mut self.driver, &self.gate);
+        let answer = poll_fn(|cx| {
+            drive(driver, cx);
+            answer.as_mut().poll(cx)
+        })
+        .await;
+        self.used = Instant::now();
+        self.reused = true;
+        answer.map_err(|_| if gate.wrote() { Fault::Sent } else { Fault::Unsent })
+    }
+
+    /// Returns the next bytes of an answer; `None` after the last.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails before the end of the answer.
+    pub async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+        loop {
+            let frame = poll_fn(|cx| {
+                self.drive(cx);
+                Pin::new(&mut *body).poll_frame(cx)
+            })
+            .await;
+            let Some(frame) = frame else { return Ok(None) };
+            let frame = frame.map_err(|_| Fault::Sent)?;
+            if let Ok(bytes) = frame.into_data() {
+                return Ok(Some(bytes));
+            }
+        }
+    }
+
+    /// Returns a whole answer of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails, or if the answer is longer.
+    pub async fn collect(&mut self, body: &mut Incoming, limit: usize) -> Result<Bytes, Fault> {
+        let Some(first) = self.next(body).await? else { return Ok(Bytes::new()) };
+        let Some(second) = self.next(body).await? else { return Ok(first) };
+        let mut all = BytesMut::from(first);
+        all.extend_from_slice(&second);
+        while let Some(bytes) = self.next(body).await? {
+            all.extend_from_slice(&bytes);
+            if all.len() > limit {
+                return Err(Fault::Sent);
+            }
+        }
+        Ok(all.freeze())
+    }
+
+    /// Brings the connection to rest after an answer; returns whether it can be used again.
+    pub(super) async fn settle(&mut self) -> bool {
+        self.used = Instant::now();
+        poll_fn(|cx| {
+            self.drive(cx);
+            let mut ready = self.sender.poll_ready(cx);
+            if ready.is_pending() {
+                self.drive(cx);
+                ready = self.sender.poll_ready(cx);
+            }
+            Poll::Ready(self.driver.is_some() && matches!(ready, Poll::Ready(Ok(()))))
+        })
+        .await
+    }
+
+    /// Reads and writes the socket as far as possible.
+    fn drive(&mut self, cx: &mut Context<'_>) {
+        drive(&mut self.driver, cx);
+    }
+}
+
+/// Reads and writes a socket as far as possible.
+fn drive(driver: &mut Option<Pin<Box<Connection<Guard, Upstream>>>>, cx: &mut Context<'_>) {
+    let ended = driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready());
+    if ended {
+        *driver = None;
+    }
+}
--- a/crates/whinspring-daemon/src/exchange/upload.rs
+++ b/crates/whinspring-daemon/src/exchange/upload.rs
@@ -4,7 +4,10 @@
     super::{Chunk, Flow, Gone, WINDOW_BYTES},
     crate::link::Served,
     bytes::Bytes,
-    std::sync::Arc,
+    std::{
+        sync::Arc,
+        task::{Context, Poll, ready},
+    },
     tokio::sync::mpsc,
 };
 
@@ -62,19 +65,21 @@
         }
     }
 
-    /// Waits for the next bytes; `None` after the last.
+    /// Polls for the next bytes; `None` after the last.
     ///
     /// # Errors
     ///
     /// Fails if the entry went away before the last byte.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, Gone> {
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Gone>> {
         if self.done {
-            return Ok(None);
+            return Poll::Ready(Ok(None));
         }
-        let chunk = self.chunks.recv().await.ok_or(Gone)?;
+        let Some(chunk) = ready!(self.chunks.poll_recv(cx)) else {
+            return Poll::Ready(Err(Gone));
+        };
         self.done = chunk.last;
         self.grant(chunk.bytes.len());
-        Ok(Some(chunk.bytes))
+        Poll::Ready(Ok(Some(chunk.bytes)))
     }
 
     /// Grants the entry a credit.
--- /dev/null
+++ b/crates/whinspring-daemon/src/held.rs
@@ -0,0 +1,362 @@
+//! The held servers: each runs one [`Holder`] and carries out what it decides.
+//!
+//! The holder's lock is taken for the length of one decision; its outputs are carried out in
+//! order under the lock, and none of them blocks.
+
+use {
+    crate::{backend::Backend, exchange::{Call, Flow, Reply}, shared::Shared},
+    log::info,
+    parking_lot::{Mutex, MutexGuard},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, AtomicU64, Ordering},
+        },
+    },
+    tokio::sync::mpsc,
+    tokio_util::sync::CancellationToken,
+    whinspring::{
+        code::Code,
+        holder::{Holder, Input, Output, Update},
+        name::{Name, ServerId},
+        request::{Job, JobId, Refusal},
+    },
+    whinspring_wire::link::Reason,
+};
+
+pub use whinspring::view::Held as Record;
+
+mod answer;
+mod probe;
+mod run;
+
+/// A server that this node holds.
+pub struct Held {
+    /// Service of the server.
+    service: Name,
+    /// The server.
+    server: ServerId,
+    /// Tables of the process.
+    shared: Arc<Shared>,
+    /// Connections to the server.
+    backend: Backend,
+    /// Number of the last request.
+    last: AtomicU64,
+    /// Term under which this node holds the server.
+    term: AtomicU64,
+    /// Requests that run.
+    running: AtomicU32,
+    /// Requests that wait.
+    queued: AtomicU32,
+    /// The decisions and the requests that they are about.
+    state: Mutex<State>,
+}
+
+/// What a decision reads and changes.
+struct State {
+    /// Decides; `None` once the server is given up.
+    holder: Option<Holder>,
+    /// Requests without a final answer, or still on the server.
+    jobs: HashMap<JobId, Entry>,
+    /// Outputs of one decision; kept to reuse its memory.
+    outputs: Vec<Output>,
+    /// Requests that were to start but are not there any more.
+    orphans: Vec<JobId>,
+}
+
+/// A request at the holder.
+enum Entry {
+    /// It waits for a slot, or for the run of an earlier sending.
+    Waiting(Box<Call>),
+    /// It runs.
+    Running {
+        /// Takes the final answer if it is not the server's.
+        refuse: mpsc::UnboundedSender<Refusal>,
+        /// Stops it on the server.
+        stop: CancellationToken,
+    },
+    /// Its run failed, and the holder is deciding on its final answer.
+    Ended(Reply),
+}
+
+/// What is left of a request when its run has ended.
+enum Left {
+    /// Nothing: it has had its final answer.
+    Nothing,
+    /// All of it: it may start again.
+    Call(Box<Call>),
+    /// The way back to its entry.
+    Reply(Reply),
+}
+
+/// Leave to send a request to the server.
+#[derive(Debug, Clone, Copy)]
+struct Order {
+    /// The request.
+    job: JobId,
+    /// Fencing term to send.
+    term: u64,
+    /// Epoch to send.
+    epoch: u64,
+    /// Point after which no first byte may be written.
+    until: whinspring::time::Tick,
+}
+
+impl Held {
+    /// Starts to hold a server.
+    pub fn start(
+        shared: Arc<Shared>,
+        service: Name,
+        server: ServerId,
+        update: Update,
+    ) -> Arc<Self> {
+        let term = AtomicU64::new(update.term);
+        let backend = Backend::new(update.server.addr, shared.clock);
+        let now = shared.clock.now();
+        let holder = Holder::new(now, service.clone(), server, update, rand::random());
+        info!(service = service.as_str(), server = server.0; "holding a server");
+        let state = State {
+            holder: Some(holder),
+            jobs: HashMap::new(),
+            outputs: Vec::new(),
+            orphans: Vec::new(),
+        };
+        let lease = shared.lease();
+        let held = Arc::new(Self {
+            service,
+            server,
+            shared,
+            backend,
+            last: AtomicU64::new(0),
+            term,
+            running: AtomicU32::new(0),
+            queued: AtomicU32::new(0),
+            state: Mutex::new(state),
+        });
+        held.feed(Input::Lease(lease));
+        held
+    }
+
+    /// Returns the service of the server.
+    pub fn service(&self) -> &Name {
+        &self.service
+    }
+
+    /// Returns the server.
+    pub fn server(&self) -> ServerId {
+        self.server
+    }
+
+    /// Returns whether the server is held under `term`.
+    pub fn is_under(&self, term: u64) -> bool {
+        self.term.load(Ordering::Acquire) == term
+    }
+
+    /// Returns how many requests run and how many wait.
+    pub fn load(&self) -> (u32, u32) {
+        (self.running.load(Ordering::Relaxed), self.queued.load(Ordering::Relaxed))
+    }
+
+    /// Takes a request.
+    pub fn arrive(self: &Arc<Self>, call: Call) {
+        let id = JobId(self.last.fetch_add(1, Ordering::Relaxed));
+        let meta = call.open.meta.clone();
+        let job = Job { id, meta, deadline: call.deadline };
+        let flow = call.reply.flow();
+        let mut state = self.state.lock();
+        self.shared.metrics.jobs.inc();
+        state.jobs.insert(id, Entry::Waiting(Box::new(call)));
+        self.step(&mut state, Input::Arrive(job));
+        self.watch(state, id, flow);
+    }
+
+    /// Tells the holder what happened, and carries out what it decides.
+    pub fn feed(self: &Arc<Self>, input: Input) {
+        self.step(&mut self.state.lock(), input);
+    }
+
+    /// Gives the server up.
+    pub fn close(self: &Arc<Self>) {
+        let mut state = self.state.lock();
+        let Some(holder) = state.holder.take() else { return };
+        let mut outputs = std::mem::take(&mut state.outputs);
+        holder.close(self.shared.clock.now(), self.shared.clock.wall(), &mut outputs);
+        self.carry_out(&mut state, &mut outputs);
+        for (_, entry) in state.jobs.drain() {
+            self.shared.metrics.jobs.dec();
+            if let Entry::Waiting(call) = entry {
+                let refusal = Refusal { code: Code::Moved, retry_ms: 0 };
+                call.reply.refuse(Reason::Refused(refusal));
+            }
+        }
+        info!(service = self.service.as_str(), server = self.server.0; "gave a server up");
+    }
+
+    /// Takes note that a run has ended.
+    fn finish(self: &Arc<Self>, id: JobId, left: Left, input: Input) {
+        let mut state = self.state.lock();
+        if state.jobs.remove(&id).is_none() {
+            return;
+        }
+        match left {
+            Left::Nothing => {
+                self.shared.metrics.jobs.dec();
+                self.step(&mut state, input);
+            }
+            Left::Call(call) => {
+                let flow = call.reply.flow();
+                state.jobs.insert(id, Entry::Waiting(call));
+                self.step(&mut state, input);
+                self.watch(state, id, flow);
+            }
+            Left::Reply(reply) => {
+                state.jobs.insert(id, Entry::Ended(reply));
+                self.step(&mut state, input);
+                state.jobs.remove(&id);
+                self.shared.metrics.jobs.dec();
+            }
+        }
+    }
+
+    /// Cancels a request that still waits when its entry goes away.
+    fn watch(self: &Arc<Self>, state: MutexGuard<'_, State>, id: JobId, flow: Arc<Flow>) {
+        let waits = matches!(state.jobs.get(&id), Some(Entry::Waiting(_)));
+        drop(state);
+        if !waits {
+            return;
+        }
+        let held = self.clone();
+        self.shared.runtime.spawn(async move {
+            flow.gone().await;
+            held.cancel(id);
+        });
+    }
+
+    /// Forgets a request whose entry has gone, unless it runs.
+    fn cancel(self: &Arc<Self>, id: JobId) {
+        let mut state = self.state.lock();
+        if matches!(state.jobs.get(&id), Some(Entry::Waiting(_))) {
+            self.take_waiting(&mut state, id);
+            self.step(&mut state, Input::Cancel(id));
+        }
+    }
+
+    /// Makes one decision, and those that follow from it at once.
+    fn step(self: &Arc<Self>, state: &mut State, input: Input) {
+        self.decide(state, input);
+        while let Some(job) = state.orphans.pop() {
+            self.decide(state, Input::Failed { job, sent: false });
+        }
+    }
+
+    /// Makes one decision.
+    fn decide(self: &Arc<Self>, state: &mut State, input: Input) {
+        let Some(holder) = &mut state.holder else { return };
+        if let Input::Update(update) = &input {
+            self.term.store(update.term, Ordering::Release);
+            self.backend.set_addr(update.server.addr);
+        }
+        let mut outputs = std::mem::take(&mut state.outputs);
+        holder.handle(self.shared.clock.now(), self.shared.clock.wall(), input, &mut outputs);
+        self.running.store(holder.running() as u32, Ordering::Relaxed);
+        self.queued.store(holder.queued() as u32, Ordering::Relaxed);
+        self.carry_out(state, &mut outputs);
+        state.outputs = outputs;
+    }
+
+    /// Carries out what the holder decided, in order.
+    fn carry_out(self: &Arc<Self>, state: &mut State, outputs: &mut Vec<Output>) {
+        for output in outputs.drain(..) {
+            match output {
+                Output::Start { job, term, epoch, until } => {
+                    self.begin(state, Order { job, term, epoch, until });
+                }
+                Output::Refuse(job, refusal) => self.refuse(state, job, refusal),
+                Output::Replay(job, record) => self.replay(state, job, &record),
+                Output::Abort(job) => {
+                    if let Some(Entry::Running { stop, .. }) = state.jobs.get(&job) {
+                        stop.cancel();
+                    }
+                }
+                Output::Grant { number, term, slices, keys } => {
+                    let held = self.clone();
+                    let grant = probe::Grant { number, term, slices, keys };
+                    self.shared.runtime.spawn(async move { held.grant(grant).await });
+                }
+                Output::Probe => {
+                    let held = self.clone();
+                    self.shared.runtime.spawn(async move { held.probe().await });
+                }
+                Output::Report(message) => {
+                    let _ = self.shared.reports.messages.send(message);
+                }
+                Output::Suspect(suspect) => {
+                    let _ = self.shared.reports.suspects.send(suspect);
+                }
+                Output::HandOver(_) => self.shared.metrics.count("memory_not_sent"),
+                Output::Count(event) => self.shared.metrics.count(event),
+                Output::Log(line) => {
+                    info!(service = self.service.as_str(), server = self.server.0; "{line}");
+                }
+            }
+        }
+    }
+
+    /// Sends a request to the server in the background.
+    fn begin(self: &Arc<Self>, state: &mut State, order: Order) {
+        let Some(call) = self.take_waiting(state, order.job) else {
+            state.orphans.push(order.job);
+            return;
+        };
+        self.shared.metrics.jobs.inc();
+        let (refuse, refused) = mpsc::unbounded_channel();
+        let stop = CancellationToken::new();
+        let entry = Entry::Running { refuse, stop: stop.clone() };
+        state.jobs.insert(order.job, entry);
+        let run = run::Run::new(self.clone(), order, call, refused, stop);
+        self.shared.runtime.spawn(run.run());
+    }
+
+    /// Answers a request with a result of whinspring's own.
+    fn refuse(&self, state: &mut State, job: JobId, refusal: Refusal) {
+        match state.jobs.remove(&job) {
+            Some(Entry::Running { refuse, stop }) => {
+                let _ = refuse.send(refusal);
+                state.jobs.insert(job, Entry::Running { refuse, stop });
+            }
+            Some(Entry::Waiting(call)) => {
+                self.shared.metrics.jobs.dec();
+                call.reply.refuse(Reason::Refused(refusal));
+            }
+            Some(Entry::Ended(reply)) => reply.refuse(Reason::Refused(refusal)),
+            None => {}
+        }
+    }
+
+    /// Answers a request with a recorded answer.
+    fn replay(&self, state: &mut State, job: JobId, record: &[u8]) {
+        let Some(mut call) = self.take_waiting(state, job) else { return };
+        match answer::replay(record) {
+            Some(head) => call.reply.head(head),
+            None => {
+                let refusal = Refusal { code: Code::MaybeRan, retry_ms: 0 };
+                call.reply.refuse(Reason::Refused(refusal));
+            }
+        }
+    }
+
+    /// Takes a waiting request out of the table.
+    fn take_waiting(&self, state: &mut State, job: JobId) -> Option<Box<Call>> {
+        match state.jobs.remove(&job)? {
+            Entry::Waiting(call) => {
+                self.shared.metrics.jobs.dec();
+                Some(call)
+            }
+            other => {
+                state.jobs.insert(job, other);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/held/probe.rs
@@ -0,0 +1,122 @@
+//! Probes and grants: calls of the holder's own to its server.
+
+use {
+    super::Held,
+    crate::{
+        backend::{Fault, Upstream},
+        headers::{GRANT_PATH, PROBE_PATH},
+    },
+    bytes::Bytes,
+    http::{Method, Request, StatusCode, header::CONTENT_TYPE},
+    serde::{Deserialize, Serialize},
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
+    whinspring::{
+        holder::Input,
+        name::{Name, Slice},
+    },
+};
+
+/// Longest time that an answer to a probe or grant is awaited.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Largest answer to a probe or grant, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 10;
+
+/// A set of slices and keys for the server.
+#[derive(Debug)]
+pub struct Grant {
+    /// Number of the grant.
+    pub number: u64,
+    /// Fencing term.
+    pub term: u64,
+    /// Slices and epochs that the server owns.
+    pub slices: Vec<(Slice, u64)>,
+    /// Single keys and epochs that the server owns.
+    pub keys: Vec<(Name, u64)>,
+}
+
+/// Body of a grant.
+#[derive(Debug, Serialize)]
+struct GrantBody<'a> {
+    /// Fencing term.
+    term: u64,
+    /// Slices and epochs.
+    slices: Vec<(u32, u64)>,
+    /// Keys and epochs.
+    keys: Vec<(&'a str, u64)>,
+}
+
+/// Answer to a probe or grant.
+#[derive(Debug, Deserialize)]
+struct Sign {
+    /// Number that the server drew at its start.
+    boot: u64,
+    /// Highest term that it has accepted a grant of.
+    term: u64,
+    /// Whether it is ready, cold or leaving.
+    state: String,
+}
+
+impl Held {
+    /// Probes the server.
+    pub(super) async fn probe(self: Arc<Self>) {
+        let request = Request::get(PROBE_PATH).body(Upstream::empty());
+        let input = self.ask(request, 0).await;
+        self.feed(input);
+    }
+
+    /// Grants the server its slices and keys.
+    pub(super) async fn grant(self: Arc<Self>, grant: Grant) {
+        let body = GrantBody {
+            term: grant.term,
+            slices: grant.slices.iter().map(|(slice, epoch)| (slice.0, *epoch)).collect(),
+            keys: grant.keys.iter().map(|(key, epoch)| (key.as_str(), *epoch)).collect(),
+        };
+        let body = serde_json::to_vec(&body).expect("numbers and strings are valid JSON");
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(GRANT_PATH)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Upstream::whole(body.into()));
+        let input = self.ask(request, grant.number).await;
+        self.feed(input);
+    }
+
+    /// Sends a probe or grant and returns what it showed.
+    async fn ask(&self, request: http::Result<Request<Upstream>>, grant: u64) -> Input {
+        let request = request.expect("the parts are valid");
+        match timeout(PROBE_TIMEOUT, self.ask_steps(request)).await {
+            Ok(Ok((StatusCode::OK, body))) => sign(&body, grant),
+            Ok(Ok((StatusCode::CONFLICT, _))) if grant > 0 => Input::Outranked,
+            Ok(Ok(_)) | Err(_) => Input::Down { refused: false },
+            Ok(Err(fault)) => Input::Down { refused: fault == Fault::Refused },
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    async fn ask_steps(&self, request: Request<Upstream>) -> Result<(StatusCode, Bytes), Fault> {
+        let until = self.shared.lease();
+        let mut conn = self.backend.take(false).await?;
+        let answer = conn.send(request, until).await?;
+        let status = answer.status();
+        let mut body = answer.into_body();
+        let bytes = conn.collect(&mut body, MAX_ANSWER_BYTES).await?;
+        self.backend.give_back(conn).await;
+        Ok((status, bytes))
+    }
+}
+
+/// Returns what an answer shows.
+fn sign(body: &[u8], grant: u64) -> Input {
+    let Ok(sign) = serde_json::from_slice::<Sign>(body) else {
+        return Input::Down { refused: false };
+    };
+    Input::Up {
+        grant,
+        boot: sign.boot,
+        term: sign.term,
+        leaving: sign.state == "leaving",
+        cold: sign.state == "cold",
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -0,0 +1,379 @@
+//! One request on the server, from its start to its end.
+
+use {
+    super::{
+        Held, Left, Order,
+        answer::{MAX_RECORD_BYTES, record},
+    },
+    crate::{
+        backend::{Conn, Fault, Upstream},
+        exchange::{Call, Flow, Reply, Upload},
+        headers::{
+            DEADLINE, EPOCH, NOT_RUN, REQUEST_ID, SLICE, TERM, TRACEPARENT, strip_hop, strip_own,
+        },
+        trace,
+    },
+    bytes::Bytes,
+    fastrace::Span,
+    http::{
+        HeaderMap, HeaderValue, Request, Response,
+        header::{HOST, RETRY_AFTER},
+    },
+    http_body::Body,
+    hyper::body::Incoming,
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::timeout},
+    tokio_util::sync::CancellationToken,
+    whinspring::{
+        code::Code,
+        holder::Input,
+        request::Refusal,
+        time::Tick,
+    },
+    whinspring_wire::link::{Head, Open, Reason},
+};
+
+/// Longest time without a byte of an answer's body.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest time that a caller may take to read a window of an answer's body.
+const READER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Largest answer that is passed on as one piece, in bytes of its body.
+const WHOLE_BYTES: u64 = MAX_RECORD_BYTES as u64;
+
+/// A request on the server.
+pub struct Run {
+    /// The held server.
+    held: Arc<Held>,
+    /// Leave to send the request.
+    order: Order,
+    /// The request.
+    open: Box<Open>,
+    /// When the caller must have an answer.
+    deadline: Tick,
+    /// The rest of the request's body, until it is used.
+    upload: Option<Upload>,
+    /// Where the answer goes, until the caller has had a final answer.
+    reply: Option<Reply>,
+    /// Tells that the entry has gone.
+    flow: Arc<Flow>,
+    /// Whether the holder was told so.
+    cancelled: bool,
+    /// Final answers that are not the server's.
+    refused: mpsc::UnboundedReceiver<Refusal>,
+    /// Stops the request on the server.
+    stop: CancellationToken,
+}
+
+/// How a request ended on the server.
+enum End {
+    /// It was answered; with the answer's record if there is one.
+    Answered(Option<Bytes>),
+    /// The server refused it before running it, and asked for a wait in milliseconds.
+    Shed(u32),
+    /// The server refused it before running it, as it lacks the grant.
+    Fenced,
+    /// It failed.
+    Failed(Fault),
+}
+
+/// The holder stopped the request.
+struct Stopped;
+
+impl Run {
+    /// Prepares a request.
+    pub(super) fn new(
+        held: Arc<Held>,
+        order: Order,
+        call: Box<Call>,
+        refused: mpsc::UnboundedReceiver<Refusal>,
+        stop: CancellationToken,
+    ) -> Self {
+        let Call { open, deadline, upload, reply } = *call;
+        let flow = reply.flow();
+        Self {
+            held,
+            order,
+            open,
+            deadline,
+            upload: Some(upload),
+            reply: Some(reply),
+            flow,
+            cancelled: false,
+            refused,
+            stop,
+        }
+    }
+
+    /// Sends the request and passes the answer on.
+    pub async fn run(mut self) {
+        let parent = trace::context(&self.open.headers);
+        let span = Span::root("holder", parent);
+        let child = Span::enter_with_parent("backend", &span);
+        let traceparent = trace::header(&child, parent);
+        let end = match self.attempt(traceparent).await {
+            Ok(end) => end,
+            Err(Stopped) => End::Failed(Fault::Sent),
+        };
+        drop(child);
+        self.end(end);
+    }
+
+    /// Sends the request, twice if a connection turned out to have been closed while idle.
+    async fn attempt(&mut self, traceparent: HeaderValue) -> Result<End, Stopped> {
+        let once = !self.open.meta.repeatable;
+        let held = self.held.clone();
+        let mut conn = match self.attend(held.backend.take(once)).await? {
+            Ok(conn) => conn,
+            Err(fault) => return Ok(End::Failed(fault)),
+        };
+        let stale = conn.is_reused() && !once && self.open.whole;
+        let request = self.request(traceparent.clone());
+        let until = self.order.until;
+        match self.attend(conn.send(request, until)).await? {
+            Ok(answer) => self.answer(conn, answer).await,
+            Err(fault) if fault.is_sent() && stale => {
+                drop(conn);
+                self.held.shared.metrics.count("backend_stale_connection");
+                self.again(traceparent).await
+            }
+            Err(fault) => Ok(End::Failed(fault)),
+        }
+    }
+
+    /// Sends the request again, on a new connection.
+    async fn again(&mut self, traceparent: HeaderValue) -> Result<End, Stopped> {
+        let held = self.held.clone();
+        let mut conn = match self.attend(held.backend.open()).await? {
+            Ok(conn) => conn,
+            Err(_) => return Ok(End::Failed(Fault::Sent)),
+        };
+        let request = self.request(traceparent);
+        let until = self.order.until;
+        match self.attend(conn.send(request, until)).await? {
+            Ok(answer) => self.answer(conn, answer).await,
+            Err(_) => Ok(End::Failed(Fault::Sent)),
+        }
+    }
+
+    /// Passes the server's answer on.
+    async fn answer(
+        &mut self,
+        mut conn: Conn,
+        answer: Response<Incoming>,
+    ) -> Result<End, Stopped> {
+        let (parts, mut body) = answer.into_parts();
+        if let Some(reason) = parts.headers.get(NOT_RUN) {
+            let end = refusal(reason, &parts.headers);
+            let rest = timeout(PROGRESS_TIMEOUT, conn.collect(&mut body, MAX_RECORD_BYTES));
+            if let Ok(Ok(_)) = self.attend(rest).await? {
+                self.held.backend.give_back(conn).await;
+            }
+            return Ok(end);
+        }
+        let length = body.size_hint().exact();
+        let mut headers = parts.headers;
+        strip_own(&mut headers);
+        let declared = headers.get(http::header::CONTENT_LENGTH).cloned();
+        strip_hop(&mut headers);
+        if let Some(declared) = declared.filter(|_| self.open.method == http::Method::HEAD) {
+            headers.insert(http::header::CONTENT_LENGTH, declared);
+        }
+        let head = Head {
+            stream: 0,
+            status: parts.status,
+            code: Code::Done,
+            headers,
+            body: Bytes::new(),
+            whole: false,
+            length,
+        };
+        if length.is_some_and(|length| length <= WHOLE_BYTES) {
+            return self.whole(conn, head, body).await;
+        }
+        self.stream(conn, head, body).await
+    }
+
+    /// Passes a small answer on as one piece.
+    async fn whole(
+        &mut self,
+        mut conn: Conn,
+        mut head: Head,
+        mut body: Incoming,
+    ) -> Result<End, Stopped> {
+        let bytes = timeout(PROGRESS_TIMEOUT, conn.collect(&mut body, MAX_RECORD_BYTES));
+        let Ok(Ok(bytes)) = self.attend(bytes).await? else {
+            return Ok(End::Failed(Fault::Sent));
+        };
+        head.body = bytes;
+        head.whole = true;
+        let record = (!self.open.meta.repeatable).then(|| record(&head));
+        if let Some(mut reply) = self.reply.take() {
+            reply.head(head);
+        }
+        self.held.backend.give_back(conn).await;
+        Ok(End::Answered(record))
+    }
+
+    /// Passes an answer on piece by piece.
+    async fn stream(
+        &mut self,
+        mut conn: Conn,
+        head: Head,
+        mut body: Incoming,
+    ) -> Result<End, Stopped> {
+        self.held.feed(Input::Head(self.order.job));
+        if let Some(reply) = &mut self.reply {
+            reply.head(head);
+        }
+        loop {
+            let next = timeout(PROGRESS_TIMEOUT, conn.next(&mut body));
+            let bytes = match self.attend(next).await? {
+                Ok(Ok(Some(bytes))) => bytes,
+                Ok(Ok(None)) => break,
+                _ => return Ok(End::Failed(Fault::Sent)),
+            };
+            self.pass(bytes, false).await?;
+        }
+        self.pass(Bytes::new(), true).await?;
+        self.held.backend.give_back(conn).await;
+        Ok(End::Answered(None))
+    }
+
+    /// Passes bytes of an answer's body on, unless the caller has had a final answer.
+    async fn pass(&mut self, bytes: Bytes, last: bool) -> Result<(), Stopped> {
+        let Some(mut reply) = self.reply.take() else { return Ok(()) };
+        let sent = tokio::select! {
+            sent = timeout(READER_TIMEOUT, reply.data(bytes, last)) => sent,
+            Some(_) = self.refused.recv() => return Ok(()),
+            () = self.stop.cancelled() => return Err(Stopped),
+        };
+        match sent {
+            Ok(Ok(())) => self.reply = Some(reply),
+            Ok(Err(_)) => self.cancel(),
+            Err(_) => {
+                self.held.shared.metrics.count("reader_stalled");
+                self.cancel();
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for `work`, and meanwhile for what ends the request otherwise.
+    async fn attend<F: Future>(&mut self, work: F) -> Result<F::Output, Stopped> {
+        let mut work = std::pin::pin!(work);
+        loop {
+            let flow = self.flow.clone();
+            tokio::select! {
+                biased;
+                output = &mut work => return Ok(output),
+                Some(refusal) = self.refused.recv() => {
+                    if let Some(reply) = self.reply.take() {
+                        reply.refuse(Reason::Refused(refusal));
+                        self.cancelled = true;
+                    }
+                }
+                () = flow.gone(), if !self.cancelled => self.cancel(),
+                () = self.stop.cancelled() => return Err(Stopped),
+            }
+        }
+    }
+
+    /// Tells the holder that the caller has gone.
+    fn cancel(&mut self) {
+        if !std::mem::replace(&mut self.cancelled, true) {
+            self.held.feed(Input::Cancel(self.order.job));
+        }
+    }
+
+    /// Builds the request for the server.
+    fn request(&mut self, traceparent: HeaderValue) -> Request<Upstream> {
+        let open = &self.open;
+        let body = match self.upload.take() {
+            Some(upload) if !open.whole => {
+                upload.open();
+                Upstream::partial(open.body.clone(), upload, open.length)
+            }
+            upload => {
+                self.upload = upload;
+                Upstream::whole(open.body.clone())
+            }
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = open.method.clone();
+        *request.uri_mut() = open.path.parse().unwrap_or_default();
+        *request.headers_mut() = open.headers.clone();
+        let headers = request.headers_mut();
+        headers.insert(TERM, self.order.term.into());
+        if let Some(place) = &open.meta.place {
+            headers.insert(SLICE, place.slice.0.into());
+            headers.insert(EPOCH, self.order.epoch.into());
+        }
+        let left = self.deadline.since(self.held.shared.clock.now());
+        headers.insert(DEADLINE, (left.as_millis() as u64).into());
+        if let Ok(id) = HeaderValue::from_str(&open.meta.id)
+            && !open.meta.id.is_empty()
+        {
+            headers.insert(REQUEST_ID, id);
+        }
+        headers.insert(TRACEPARENT, traceparent);
+        headers.insert(HOST, self.held.backend.host());
+        request
+    }
+
+    /// Tells the holder how the request ended.
+    fn end(mut self, end: End) {
+        let job = self.order.job;
+        if let Ok(refusal) = self.refused.try_recv()
+            && let Some(reply) = self.reply.take()
+        {
+            reply.refuse(Reason::Refused(refusal));
+        }
+        let held = self.held.clone();
+        match end {
+            End::Answered(answer) => {
+                held.finish(job, Left::Nothing, Input::Answered { job, answer });
+            }
+            End::Shed(retry_ms) => {
+                let left = self.give_back(Code::Shed, retry_ms);
+                held.finish(job, left, Input::Shed { job, retry_ms });
+            }
+            End::Fenced => {
+                let left = self.give_back(Code::Moved, 0);
+                held.finish(job, left, Input::Fenced(job));
+            }
+            End::Failed(fault) if fault.is_sent() => {
+                let left = self.reply.take().map_or(Left::Nothing, Left::Reply);
+                held.finish(job, left, Input::Failed { job, sent: true });
+            }
+            End::Failed(fault) => {
+                let left = self.give_back(Code::NoOwner, 0);
+                held.finish(job, left, Input::Failed { job, sent: false });
+                if fault.is_down() {
+                    held.feed(Input::Down { refused: fault == Fault::Refused });
+                }
+            }
+        }
+    }
+
+    /// Returns the request if it may start again; refuses it if its body has been used.
+    fn give_back(&mut self, code: Code, retry_ms: u32) -> Left {
+        let Some(reply) = self.reply.take() else { return Left::Nothing };
+        let Some(upload) = self.upload.take() else {
+            reply.refuse(Reason::Refused(Refusal { code, retry_ms }));
+            return Left::Nothing;
+        };
+        let open = self.open.clone();
+        Left::Call(Box::new(Call { open, deadline: self.deadline, upload, reply }))
+    }
+}
+
+/// Returns how a request ended that the server says it did not run.
+fn refusal(reason: &HeaderValue, headers: &HeaderMap) -> End {
+    if reason.as_bytes() == b"fenced" {
+        return End::Fenced;
+    }
+    let seconds = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
+    End::Shed(seconds.map_or(0, |seconds: u32| seconds.saturating_mul(1_000)))
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/trace.rs
@@ -0,0 +1,26 @@
+//! W3C trace context: taken over from the caller or created, and passed on.
+
+use {
+    crate::headers::TRACEPARENT,
+    fastrace::{
+        Span,
+        collector::{SpanContext, SpanId},
+    },
+    http::{HeaderMap, HeaderValue},
+};
+
+/// Returns the trace context of a request, or a new one.
+pub fn context(headers: &HeaderMap) -> SpanContext {
+    let header = headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
+    header.and_then(SpanContext::decode_w3c_traceparent).unwrap_or_else(SpanContext::random)
+}
+
+/// Returns the header that passes the context of `span` on.
+///
+/// While spans are not collected, the trace goes on with a new span id.
+pub fn header(span: &Span, parent: SpanContext) -> HeaderValue {
+    let context = SpanContext::from_span(span);
+    let context = context.unwrap_or(SpanContext { span_id: SpanId::random(), ..parent });
+    let text = context.encode_w3c_traceparent();
+    HeaderValue::from_str(&text).expect("a trace context is visible ASCII")
+}
