Take memory over only from the direct predecessor; share deaths among an entry's requests

Cause: memory that a holder released with the whole server may be followed by other holders in the same epoch, so it says nothing to the owner of the next epoch; memory now says which kind it is. An entry's other requests of the same fingerprint now run alone for 10 s after a loss, which bridges the spread of the suspicion. Ruled out: telling the two kinds apart by term alone, because a moved slice changes servers and with it the sequence of terms. The seeded chain now hands servers over as well.

--- a/crates/whinspring/src/entry.rs
+++ b/crates/whinspring/src/entry.rs
@@ -31,7 +31,7 @@
 /// Time within which a lost server or holder is expected to be replaced.
 const LOSS_TIME: Duration = Duration::from_millis(500);
 /// Times that a repeatable request is forwarded again after a server was lost with it.
-const MAX_DEATHS: u32 = 1;
+const MAX_LOSSES: u32 = 1;
 /// Mean time after which a refused caller is told to come back, in milliseconds.
 const RETRY_MS: u32 = 500;
 
@@ -82,6 +82,10 @@
     /// Since when the request waits for records.
     waiting: Option<Tick>,
     tries: u32,
+    /// Servers lost with the request.
+    losses: u32,
+    /// Whether the last try lost a server.
+    died: bool,
 }
 
 /// Why a request has no target now, and how long that is expected to last.
@@ -105,6 +109,8 @@
             avoid: Vec::new(),
             waiting: None,
             tries: 0,
+            losses: 0,
+            died: false,
         }
     }
 
@@ -115,6 +121,7 @@
 
     /// Decides what to do next.
     pub fn next(&mut self, now: Tick, view: &View, budget: &mut Budget) -> Step {
+        self.share_doubt(now, budget);
         if let Some(refusal) = self.settled {
             return Step::Answer(refusal);
         }
@@ -149,6 +156,16 @@
         }
     }
 
+    /// Tells other requests of a death that this one has met, and learns of theirs.
+    fn share_doubt(&mut self, now: Tick, budget: &mut Budget) {
+        if std::mem::take(&mut self.died) {
+            budget.doubts.note(now, self.meta.print);
+        }
+        if self.tries == 0 && budget.doubts.contains(now, self.meta.print) {
+            self.meta.deaths = self.meta.deaths.max(1);
+        }
+    }
+
     fn find(
         &mut self,
         now: Tick,
@@ -214,10 +231,12 @@
         self.unknown = Some(refusal);
         let lost = matches!(refusal.code, Code::ServerLost | Code::HolderLost);
         if refusal.code == Code::ServerLost {
-            self.meta.deaths += 1;
+            self.losses += 1;
+            self.died = true;
+            self.meta.deaths = 1;
             self.avoid.extend(self.target.as_ref().map(|target| target.server));
         }
-        if !self.meta.repeatable || !lost || self.meta.deaths > MAX_DEATHS {
+        if !self.meta.repeatable || !lost || self.losses > MAX_LOSSES {
             self.settled = Some(refusal);
         }
     }
--- a/crates/whinspring/src/entry/budget.rs
+++ b/crates/whinspring/src/entry/budget.rs
@@ -17,6 +17,11 @@
 /// Age at which knowledge of a server's load is of no use.
 const STALE: Duration = Duration::from_millis(2_000);
 
+/// Time for which a doubt is remembered.
+const DOUBT_TTL: Duration = Duration::from_secs(10);
+/// Doubts remembered at most.
+const MAX_DOUBTS: usize = 1_024;
+
 /// What all requests of an entry share.
 #[derive(Debug, Default)]
 pub struct Budget {
@@ -24,6 +29,34 @@
     pub retries: Retries,
     /// What is known of the servers' load.
     pub outstanding: Outstanding,
+    /// Requests that servers were lost with.
+    pub doubts: Doubts,
+}
+
+/// Fingerprints of requests that servers were lost with lately.
+///
+/// It bridges the time until the holders' suspicion has spread: a caller that sends such a request
+/// again through this entry has it run alone.
+#[derive(Debug, Default)]
+pub struct Doubts {
+    prints: BTreeMap<u64, Tick>,
+}
+
+impl Doubts {
+    /// Notes that a server was lost with the request.
+    pub fn note(&mut self, now: Tick, print: u64) {
+        if self.prints.len() >= MAX_DOUBTS {
+            self.prints.retain(|_, at| now.since(*at) < DOUBT_TTL);
+        }
+        if self.prints.len() < MAX_DOUBTS {
+            self.prints.insert(print, now);
+        }
+    }
+
+    /// Returns whether a server was lost with the request lately.
+    pub fn contains(&self, now: Tick, print: u64) -> bool {
+        self.prints.get(&print).is_some_and(|at| now.since(*at) < DOUBT_TTL)
+    }
 }
 
 /// A token bucket that limits retries to a share of first tries.
--- a/crates/whinspring/src/holder/event.rs
+++ b/crates/whinspring/src/holder/event.rs
@@ -114,6 +114,9 @@
     pub epoch: u64,
     /// Term of the holder that released it.
     pub term: u64,
+    /// Whether no holder serves the unit in this epoch any more; otherwise the next holder of
+    /// the same server does.
+    pub last: bool,
     /// Calendar time from which the memory is complete.
     pub since: Wall,
     /// The requests.
--- a/crates/whinspring/src/holder/release.rs
+++ b/crates/whinspring/src/holder/release.rs
@@ -129,6 +129,7 @@
             unit: unit.clone(),
             epoch: owned.epoch,
             term: self.term,
+            last: !self.handed,
             since: self.duplicates.complete_since(since),
             entries: self.duplicates.collect(unit),
         }
@@ -155,9 +156,10 @@
     /// A later holder of the same epoch must not take it: it lacks what the first one ran.
     fn follows(&self, memory: &Memory) -> bool {
         let Some(owned) = self.grants.get(&memory.unit) else { return false };
-        let moved = owned.epoch == memory.epoch + 1 && owned.first;
-        let held = owned.epoch == memory.epoch && self.term == memory.term + 1;
-        moved || held
+        if memory.last {
+            return owned.epoch == memory.epoch + 1 && owned.first;
+        }
+        owned.epoch == memory.epoch && self.term == memory.term + 1
     }
 
     /// Refuses what waits for units that are not to be served here any more.
--- a/crates/whinspring/src/request.rs
+++ b/crates/whinspring/src/request.rs
@@ -25,7 +25,7 @@
     pub repeatable: bool,
     /// Fingerprint of service, method, path and body.
     pub print: u64,
-    /// Servers known to the entry to have died while they ran it.
+    /// 1 if the entry has seen a server lost while it ran the request, otherwise 0.
     pub deaths: u32,
 }
 
--- a/crates/whinspring/tests/holder/random.rs
+++ b/crates/whinspring/tests/holder/random.rs
@@ -13,7 +13,7 @@
     rand_chacha::ChaCha8Rng,
     std::collections::BTreeMap,
     whinspring::{
-        holder::{Input, Memory, Policy},
+        holder::{Input, Memory, Policy, Update},
         message::Message,
         model::Owner,
         name::{ServerId, slice_of},
@@ -100,7 +100,8 @@
             84..86 => self.world.fake.frozen = !self.world.fake.frozen,
             86..89 => self.begin_move(),
             89..91 => self.lose_holder(),
-            91..93 => self.world.leased = !self.world.leased,
+            91..93 => self.begin_handover(),
+            93..95 => self.world.leased = !self.world.leased,
             _ => self.deliver(),
         }
         let ms = self.rng.random_range(0..60);
@@ -166,6 +167,12 @@
         self.world.run(10);
     }
 
+    /// Names another holder; the server changes hands when it is released.
+    fn begin_handover(&mut self) {
+        let next = Update { handover: true, ..update(self.term, self.epoch) };
+        self.world.input(Input::Update(Box::new(next)));
+    }
+
     /// Delivers a part of the memory that is under way, and loses some.
     fn deliver(&mut self) {
         let mail = std::mem::take(&mut self.mail);
@@ -179,6 +186,10 @@
                 Message::SlicesReleased { term, .. } if term == self.term => {
                     return self.change_owner();
                 }
+                Message::ServerReleased { term, .. } if term == self.term => {
+                    self.mail.append(&mut self.world.handed);
+                    return self.lose_holder();
+                }
                 Message::ServerLost { term, .. }
                     if term == self.term && self.rng.random_bool(0.5) =>
                 {
--- a/crates/whinspring/tests/holder/sessions.rs
+++ b/crates/whinspring/tests/holder/sessions.rs
@@ -4,7 +4,7 @@
     super::world::{EPOCH_MS, World, get, post, update},
     insta::assert_snapshot,
     whinspring::{
-        holder::{Input, Policy, Update},
+        holder::{Input, Memory, Policy, Update},
         model::{Owner, ServerState, Suspect},
         name::{ServerId, Slice, slice_of},
         request::Meta,
@@ -144,6 +144,16 @@
     second.arrive(1, Meta { first: false, ..post("a", "x") }, 300);
     assert_eq!(second.answer(1), "MaybeRan", "the first holder of the epoch may have run it");
 
+    let server = handed.iter().cloned().map(|memory| Memory { last: false, ..memory });
+    let server: Vec<Memory> = server.collect();
+    let expected = ["replayed answer to x", "MaybeRan", "MaybeRan"];
+    for ((term, epoch), expected) in [(2, 1), (3, 1), (3, 2)].into_iter().zip(expected) {
+        let mut taken = World::new(update(term, epoch));
+        taken.input(Input::Memory(server.clone()));
+        taken.arrive(1, Meta { first: false, ..post("a", "x") }, 300);
+        assert_eq!(taken.answer(1), expected, "another holder may have run it since");
+    }
+
     let mut later = World::new(update(1, 3));
     later.input(Input::Memory(handed));
     later.arrive(1, Meta { first: false, ..post("a", "x") }, 300);
--- a/crates/whinspring/tests/routing/entry.rs
+++ b/crates/whinspring/tests/routing/entry.rs
@@ -79,6 +79,20 @@
     assert_eq!(code(&flight.next(at(20), &view("n2"), budget)), Code::ServerLost);
 }
 
+#[test]
+fn resend_after_a_death_is_to_run_alone() {
+    let budget = &mut Budget::default();
+    let mut first = flight(meta("a", false), 1_000);
+    first.next(at(0), &view("n2"), budget);
+    first.failed(at(10), refused(Code::ServerLost));
+    first.next(at(10), &view("n2"), budget);
+    for (ms, deaths) in [(20, 1), (10_020, 0)] {
+        let mut resent = Flight::new(meta("a", false), at(ms), at(ms + 1_000), 2);
+        resent.next(at(ms), &view("n2"), budget);
+        assert_eq!(resent.meta().deaths, deaths);
+    }
+}
+
 #[test]
 fn not_run_is_not_said_after_a_try_that_may_have_run() {
     let budget = &mut Budget::default();
