--- a/crates/whinspring/tests/holder/main.rs
+++ b/crates/whinspring/tests/holder/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions for one held server.
 
+mod crashes;
 mod fake;
 mod random;
 mod sessions;
--- a/crates/whinspring/tests/holder/random.rs
+++ b/crates/whinspring/tests/holder/random.rs
@@ -163,7 +163,7 @@
     /// Lets another node take over after the lease of the present one.
     fn lose_holder(&mut self) {
         self.term += 1;
-        self.world.lose_holder(self.term, self.epoch);
+        self.world.lose_holder(update(self.term, self.epoch));
         self.world.run(10);
     }
 
--- a/crates/whinspring/tests/holder/sessions.rs
+++ b/crates/whinspring/tests/holder/sessions.rs
@@ -138,7 +138,7 @@
     assert_eq!((next.answer(1), next.answer(2)), ("MaybeRan", "replayed answer to x"));
 
     let mut second = World::new(update(1, 2));
-    second.lose_holder(2, 2);
+    second.lose_holder(update(2, 2));
     second.run(30);
     second.input(Input::Memory(handed.clone()));
     second.arrive(1, Meta { first: false, ..post("a", "x") }, 300);
--- a/crates/whinspring/tests/holder/world.rs
+++ b/crates/whinspring/tests/holder/world.rs
@@ -131,12 +131,11 @@
     }
 
     /// Replaces the holder by one that knows nothing, as after the loss of its node.
-    pub fn lose_holder(&mut self, term: u64, epoch: u64) {
+    pub fn lose_holder(&mut self, update: Update) {
         let open = self.metas.keys().filter(|job| !self.answers.contains_key(job));
         self.cancelled.extend(open);
         self.fake.forget();
         let now = Tick::from_millis(self.ms);
-        let update = update(term, epoch);
         self.holder = Holder::new(now, "bays".into(), ServerId(1), update, self.ms);
     }
 
@@ -145,8 +144,13 @@
         self.answers.get(&JobId(number)).map_or("none", String::as_str)
     }
 
-    /// Takes in the outputs of a holder that is closed.
-    pub fn output(&mut self, output: Output) {
+    /// Returns whether a request was lost with its holder, or cancelled.
+    pub fn is_gone(&self, number: u64) -> bool {
+        self.cancelled.contains(&JobId(number))
+    }
+
+    /// Carries an output out.
+    fn output(&mut self, output: Output) {
         self.note_output(&output);
         self.fake.act(self.ms, &output, &self.metas);
         assert!(self.fake.most <= 2, "more than two requests ran at once");
