--- a/crates/whinspring/tests/holder/sessions.rs
+++ b/crates/whinspring/tests/holder/sessions.rs
@@ -212,6 +212,20 @@
     assert_snapshot!(world.trace);
 }
 
+#[test]
+fn death_beside_others_is_no_second_one() {
+    let mut world = World::new(update(1, 1));
+    world.fake.deadly.insert(666);
+    world.arrive(1, Meta { print: 666, ..get("a") }, 1_000);
+    world.arrive(2, Meta { print: 7, ..get("b") }, 1_000);
+    let elsewhere = Suspect { print: 7, deaths: 1, last_ms: EPOCH_MS, cleared: false };
+    let next = Update { suspects: vec![elsewhere], ..update(1, 1) };
+    world.input(Input::Update(Box::new(next)));
+    world.run(100);
+    let deaths = world.suspects.iter().map(|suspect| (suspect.print, suspect.deaths));
+    assert_eq!(deaths.collect::<Vec<_>>(), [(666, 1), (7, 1)]);
+}
+
 #[test]
 fn suspicion_of_other_holders_counts() {
     let suspect = |deaths| Suspect { print: 5, deaths, last_ms: EPOCH_MS, cleared: false };
