--- /dev/null
+++ b/crates/whinspring-cli/src/intent.rs
@@ -0,0 +1,148 @@
+//! Intents from the command line, and again from the text of a stored plan.
+
+use {
+    crate::{
+        command,
+        error::{BadFileSnafu, Error, UnreadableSnafu},
+    },
+    clap::ArgMatches,
+    snafu::ResultExt,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+    },
+    whinspring::{
+        declaration,
+        model::{Plan, Server, ServerState, Service},
+        name::{Name, Slice},
+        plan::{self, Intent},
+    },
+};
+
+/// Returns the intent of a command, if it is one that asks for a plan.
+///
+/// # Errors
+///
+/// Fails if the file of a declaration is not accepted.
+pub fn parse(matches: &ArgMatches) -> Result<Option<Intent>, Error> {
+    let intent = match matches.subcommand() {
+        Some(("service", sub)) => match sub.subcommand() {
+            Some(("declare", args)) => {
+                let path: &PathBuf = one(args, "file");
+                Some(Intent::Declare(Box::new(read(path)?)))
+            }
+            _ => None,
+        },
+        Some(("server", sub)) => sub.subcommand().and_then(|(verb, args)| server(verb, args)),
+        Some(("move", sub)) => sub.subcommand().and_then(|(what, args)| movement(what, args)),
+        Some(("share", args)) => Some(Intent::Share {
+            service: name(args, "service"),
+            customer: name(args, "customer"),
+            share: *one(args, "share"),
+        }),
+        Some(("clear", args)) => Some(Intent::Clear { print: *one(args, "print") }),
+        _ => None,
+    };
+    Ok(intent)
+}
+
+/// Returns the intent that a stored plan was made for, if it is still understood.
+pub fn of_plan(plan: &Plan) -> Option<Intent> {
+    let words = split(&plan.intent);
+    if words.starts_with(&["service".into(), "declare".into()]) {
+        return plan::declared(plan).map(|service| Intent::Declare(Box::new(service.clone())));
+    }
+    let line = std::iter::once("whinspring".to_string()).chain(words);
+    let matches = command::command().try_get_matches_from(line).ok()?;
+    parse(&matches).ok().flatten()
+}
+
+/// Reads the file of a service.
+fn read(path: &Path) -> Result<Service, Error> {
+    let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
+    declaration::parse(&text).or_else(|faults| BadFileSnafu { path, faults }.fail())
+}
+
+/// Returns the intent of a command on a server.
+fn server(verb: &str, args: &ArgMatches) -> Option<Intent> {
+    let service = name(args, "service");
+    let server = name(args, "server");
+    match verb {
+        "add" => Some(Intent::Add { service, server: declared(args) }),
+        "drain" => Some(Intent::Want { service, server, state: ServerState::Draining }),
+        "return" => Some(Intent::Want { service, server, state: ServerState::Active }),
+        "replace" => Some(Intent::Replace { service, old: name(args, "old"), new: declared(args) }),
+        "fence" => Some(Intent::Fence { service, server, fenced: *one(args, "fenced") }),
+        _ => None,
+    }
+}
+
+/// Returns the server that the options declare.
+fn declared(args: &ArgMatches) -> Server {
+    Server {
+        name: name(args, "server"),
+        addr: *one(args, "addr"),
+        domain: name(args, "domain"),
+        fenced: *one(args, "fenced"),
+        slots: *one(args, "slots"),
+        conns: *one(args, "conns"),
+        state: ServerState::Active,
+    }
+}
+
+/// Returns the intent of a move.
+fn movement(what: &str, args: &ArgMatches) -> Option<Intent> {
+    let service = name(args, "service");
+    let to = name(args, "to");
+    match what {
+        "slice" => {
+            let slices = many::<u32>(args, "slices").map(Slice).collect();
+            Some(Intent::MoveSlices { service, slices, to })
+        }
+        "key" => Some(Intent::MoveKeys { service, keys: many(args, "keys").collect(), to }),
+        _ => None,
+    }
+}
+
+/// Returns the value of a required argument.
+///
+/// # Panics
+///
+/// Panics if the command does not define the argument as required.
+pub fn one<'a, T: Clone + Send + Sync + 'static>(args: &'a ArgMatches, id: &str) -> &'a T {
+    args.get_one(id).expect("the argument is required")
+}
+
+/// Returns the name that a required argument holds.
+pub fn name(args: &ArgMatches, id: &str) -> Name {
+    one::<Name>(args, id).clone()
+}
+
+/// Returns the values of an argument.
+fn many<'a, T: Clone + Send + Sync + 'static>(
+    args: &'a ArgMatches,
+    id: &str,
+) -> impl Iterator<Item = T> + 'a {
+    args.get_many(id).into_iter().flatten().cloned()
+}
+
+/// Splits a command as a shell does: at spaces outside single quotes.
+fn split(text: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    let mut word = None;
+    let mut quoted = false;
+    let mut chars = text.chars();
+    while let Some(c) = chars.next() {
+        match c {
+            '\'' => {
+                quoted = !quoted;
+                word.get_or_insert_with(String::new);
+            }
+            ' ' if !quoted => words.extend(word.take()),
+            '\\' if !quoted => word.get_or_insert_with(String::new).extend(chars.next()),
+            c => word.get_or_insert_with(String::new).push(c),
+        }
+    }
+    words.extend(word);
+    words
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/main.rs
@@ -0,0 +1,9 @@
+//! `whinspring`: the operators' client.
+
+use std::process::ExitCode;
+
+/// Runs one command.
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    whinspring_cli::run(std::env::args_os()).await.into()
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/plans.rs
@@ -0,0 +1,207 @@
+//! Plans: stored, confirmed, followed and aborted.
+
+use {
+    crate::{
+        error::Error,
+        intent,
+        store::{self, Outcome, Store},
+    },
+    std::time::Duration,
+    tokio::time::{Instant, sleep, timeout_at},
+    uuid::Uuid,
+    whinspring::{
+        model::{Plan, PlanState},
+        name::Name,
+        plan::{self, Intent, Proposal},
+        record::{Key, Kind, Record, Value},
+    },
+};
+
+/// Wait between two looks at a plan that is followed.
+pub const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Wait for the controller to take up a plan that was confirmed.
+pub const TAKEN_UP: Duration = Duration::from_secs(5);
+
+/// Longest time for which a plan is followed.
+pub const FOLLOW: Duration = Duration::from_secs(3_600);
+
+/// A stored plan and its version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredPlan {
+    /// The plan.
+    pub plan: Plan,
+    /// Version of its record.
+    pub version: u64,
+}
+
+/// Computes a plan and stores it as proposed; nothing else changes.
+pub async fn propose(store: &impl Store, intent: &Intent) -> Result<Proposal, Error> {
+    let records = store.list().await?;
+    loop {
+        let proposal = plan::propose(&records, intent, draw_id())?;
+        let value = Value::Plan(proposal.plan.clone());
+        match store::write(store, &key(&proposal.plan.id), 0, &value).await? {
+            Outcome::Written(_) => return Ok(proposal),
+            Outcome::Conflict | Outcome::Unclear => {}
+        }
+    }
+}
+
+/// Marks a plan as confirmed, if all that it depends on is unchanged.
+pub async fn confirm(store: &impl Store, id: &Name) -> Result<StoredPlan, Error> {
+    let records = store.list().await?;
+    let found = records.get(&key(id)).cloned().and_then(stored);
+    let found = found.ok_or(plan::Error::NoPlan { id: id.clone() })?;
+    expect_state(&found.plan, PlanState::Proposed)?;
+    if let Some(conflict) = plan::conflict(&found.plan, |key| plan::version(&records, key)) {
+        return Err(plan::Error::from(conflict).into());
+    }
+    set_state(store, found, PlanState::Confirmed).await
+}
+
+/// Marks a plan as aborted; the controller starts no further step of it.
+pub async fn abort(store: &impl Store, id: &Name) -> Result<StoredPlan, Error> {
+    loop {
+        let found = get(store, id).await?;
+        if !is_open(found.plan.state) {
+            return Err(plan::Error::WrongState { id: id.clone(), state: found.plan.state }.into());
+        }
+        match set_state(store, found, PlanState::Aborted).await {
+            Err(Error::Refused { source: plan::Error::WrongState { state, .. } })
+                if is_open(state) => {}
+            result => return result,
+        }
+    }
+}
+
+/// Makes a fresh plan for the intent of an old one, if it still makes sense.
+pub async fn renew(store: &impl Store, id: &Name) -> Result<Option<Proposal>, Error> {
+    let old = get(store, id).await?;
+    let Some(intent) = intent::of_plan(&old.plan) else {
+        return Ok(None);
+    };
+    match propose(store, &intent).await {
+        Ok(proposal) => Ok(Some(proposal)),
+        Err(Error::Refused { .. }) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// Follows a plan until `enough` says so or `limit` is over, and reports each change.
+///
+/// While the platform does not answer, the plan is looked at again and again.
+pub async fn follow(
+    store: &impl Store,
+    id: &Name,
+    limit: Duration,
+    enough: impl Fn(&Plan) -> bool,
+    mut report: impl FnMut(&Plan),
+) -> Result<StoredPlan, Error> {
+    let end = Instant::now() + limit;
+    let mut last = get(store, id).await?;
+    report(&last.plan);
+    while !enough(&last.plan) && Instant::now() < end {
+        sleep(LOOK_EVERY).await;
+        let Ok(look) = timeout_at(end, get(store, id)).await else { break };
+        match look {
+            Ok(found) if found != last => {
+                report(&found.plan);
+                last = found;
+            }
+            Ok(_) | Err(Error::Platform { .. }) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(last)
+}
+
+/// Returns whether a plan has not ended.
+pub fn is_open(state: PlanState) -> bool {
+    matches!(state, PlanState::Proposed | PlanState::Confirmed)
+}
+
+/// Returns why a plan lost against another change, if it did.
+pub fn lost_reason(plan: &Plan) -> Option<&str> {
+    let failed = plan.state == PlanState::Failed;
+    plan.reason.strip_prefix(&format!("{CONFLICT} ")).filter(|_| failed)
+}
+
+/// Number of the error that another change came first.
+pub const CONFLICT: u16 = 720;
+
+/// Returns a stored plan.
+pub async fn get(store: &impl Store, id: &Name) -> Result<StoredPlan, Error> {
+    let found = store.get(&key(id)).await?.and_then(stored);
+    Ok(found.ok_or(plan::Error::NoPlan { id: id.clone() })?)
+}
+
+/// Returns the key of a plan's record.
+pub fn key(id: &Name) -> Key {
+    Key::new(Kind::Plan, id.clone())
+}
+
+/// Returns the plan that a record holds.
+fn stored(record: Record) -> Option<StoredPlan> {
+    match record.value {
+        Some(Value::Plan(plan)) => Some(StoredPlan { plan, version: record.version }),
+        _ => None,
+    }
+}
+
+/// Fails unless a plan is in `state`.
+fn expect_state(plan: &Plan, state: PlanState) -> Result<(), Error> {
+    if plan.state == state {
+        return Ok(());
+    }
+    Err(plan::Error::WrongState { id: plan.id.clone(), state: plan.state }.into())
+}
+
+/// Writes a plan with another state, at the version at which it was read.
+///
+/// If the reply was lost and the plan has been written since, its state tells whether the write
+/// took effect: no other write leads there.
+async fn set_state(
+    store: &impl Store,
+    found: StoredPlan,
+    state: PlanState,
+) -> Result<StoredPlan, Error> {
+    let plan = Plan { state, ..found.plan };
+    let value = Value::Plan(plan.clone());
+    let outcome = store::write(store, &key(&plan.id), found.version, &value).await?;
+    if let Outcome::Written(version) = outcome {
+        return Ok(StoredPlan { plan, version });
+    }
+    let now = get(store, &plan.id).await?;
+    if outcome == Outcome::Unclear && follows(now.plan.state, state) {
+        return Ok(now);
+    }
+    Err(plan::Error::WrongState { id: plan.id, state: now.plan.state }.into())
+}
+
+/// Returns whether a plan in state `now` has been in state `then`.
+fn follows(now: PlanState, then: PlanState) -> bool {
+    match then {
+        PlanState::Confirmed => {
+            matches!(now, PlanState::Confirmed | PlanState::Finished | PlanState::Failed)
+        }
+        then => now == then,
+    }
+}
+
+/// Characters of a plan's id: none that look alike.
+const ID_CHARS: &[u8] = b"23456789abcdefghjkmnpqrstuvwxyz";
+
+/// Characters drawn for a plan's id.
+const ID_LENGTH: usize = 6;
+
+/// Draws the id of a plan.
+fn draw_id() -> Name {
+    let mut random = Uuid::new_v4().as_u64_pair().1;
+    let mut id = Name::from("p");
+    for _ in 0..ID_LENGTH {
+        id.push(char::from(ID_CHARS[(random % ID_CHARS.len() as u64) as usize]));
+        random /= ID_CHARS.len() as u64;
+    }
+    id
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/query.rs
@@ -0,0 +1,69 @@
+//! Queries on the records: what is, who owns what, and what is wrong.
+
+mod doctor;
+mod owners;
+mod status;
+
+pub use {
+    doctor::{Finding, Harm, diagnose},
+    owners::{OwnerRow, owners},
+    status::{NodeRow, ServerRow, ServiceRow, status},
+};
+
+use whinspring::{
+    model::{Holders, Node, NodeState, Plan, Segment, Suspect},
+    name::Name,
+    plan::Records,
+    record::{Key, Kind, Record, Value},
+};
+
+/// Returns the existing records of a kind.
+fn of_kind(records: &Records, kind: Kind) -> impl Iterator<Item = &Record> {
+    records.values().filter(move |record| record.key.kind == kind && record.value.is_some())
+}
+
+/// Returns every plan.
+pub fn plans(records: &Records) -> impl Iterator<Item = &Plan> {
+    of_kind(records, Kind::Plan).filter_map(|record| match &record.value {
+        Some(Value::Plan(plan)) => Some(plan),
+        _ => None,
+    })
+}
+
+/// Returns every node.
+fn nodes(records: &Records) -> impl Iterator<Item = &Node> {
+    of_kind(records, Kind::Node).filter_map(|record| match &record.value {
+        Some(Value::Node(node)) => Some(node),
+        _ => None,
+    })
+}
+
+/// Returns every suspected request that no operator cleared.
+fn suspects(records: &Records) -> impl Iterator<Item = &Suspect> {
+    of_kind(records, Kind::Suspect).filter_map(|record| match &record.value {
+        Some(Value::Suspect(suspect)) if !suspect.cleared => Some(suspect),
+        _ => None,
+    })
+}
+
+/// Returns the holders of a service.
+fn holders<'a>(records: &'a Records, service: &str) -> Option<&'a Holders> {
+    match &records.get(&Key::new(Kind::Holders, service))?.value {
+        Some(Value::Holders(holders)) => Some(holders),
+        _ => None,
+    }
+}
+
+/// Returns the segment `index` of a service.
+fn segment<'a>(records: &'a Records, service: &str, index: u32) -> Option<&'a Segment> {
+    match &records.get(&Key::segment(service, index))?.value {
+        Some(Value::Segment(segment)) => Some(segment),
+        _ => None,
+    }
+}
+
+/// Returns whether the node is there and takes part.
+fn is_live(records: &Records, name: &Name, incarnation: u64) -> bool {
+    let node = nodes(records).find(|node| node.name == *name);
+    node.is_some_and(|node| node.incarnation == incarnation && node.state != NodeState::Gone)
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/query/doctor.rs
@@ -0,0 +1,187 @@
+//! What is wrong now, in order of harm, with what mends it.
+
+use {
+    super::{holders, is_live, nodes, plans, status::Counts, suspects},
+    crate::view::Diagnosis,
+    serde::Serialize,
+    std::{
+        collections::BTreeSet,
+        fmt::{self, Display, Formatter},
+    },
+    whinspring::{
+        model::{NodeState, PlanState, ServerState, Service},
+        plan::{self, Records},
+        record::{Key, Kind, Value},
+    },
+};
+
+/// Something that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Finding {
+    /// What it does to callers.
+    pub harm: Harm,
+    /// What is wrong.
+    pub text: String,
+    /// What mends it.
+    pub mend: String,
+}
+
+/// What a finding does to callers, the worst first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Harm {
+    /// Callers are refused now.
+    Refused,
+    /// A further loss would have callers refused.
+    AtRisk,
+    /// Something waits for an operator.
+    Waiting,
+}
+
+impl Display for Harm {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused => "callers are refused now",
+            Self::AtRisk => "a further loss would harm callers",
+            Self::Waiting => "waiting for an operator",
+        })
+    }
+}
+
+/// Returns what is wrong, the worst first.
+pub fn diagnose(records: &Records) -> Diagnosis {
+    let mut findings = Vec::new();
+    check_controller(records, &mut findings);
+    check_nodes(records, &mut findings);
+    for service in plan::services(records) {
+        check_owners(records, service, &mut findings);
+        check_holders(records, service, &mut findings);
+        check_servers(service, &mut findings);
+    }
+    check_suspects(records, &mut findings);
+    check_plans(records, &mut findings);
+    findings.sort();
+    Diagnosis { findings }
+}
+
+/// Adds a finding.
+fn add(findings: &mut Vec<Finding>, harm: Harm, text: String, mend: &str) {
+    findings.push(Finding { harm, text, mend: mend.into() });
+}
+
+/// Checks that a live node plans assignments.
+fn check_controller(records: &Records, findings: &mut Vec<Finding>) {
+    let record = records.get(&Key::new(Kind::Controller, "controller"));
+    let live = match record.and_then(|record| record.value.as_ref()) {
+        Some(Value::Controller(term)) => is_live(records, &term.node, term.incarnation),
+        _ => false,
+    };
+    if !live {
+        let mend = "a live node takes the term by itself; if it lasts, check the nodes' logs";
+        add(findings, Harm::AtRisk, "no live node is the controller".into(), mend);
+    }
+}
+
+/// Checks that enough nodes take part.
+fn check_nodes(records: &Records, findings: &mut Vec<Finding>) {
+    let live: Vec<_> = nodes(records).filter(|node| node.state == NodeState::Live).collect();
+    let domains: BTreeSet<_> = live.iter().map(|node| &node.domain).collect();
+    if live.is_empty() {
+        let mend = "start whinspringd on the entry VMs";
+        add(findings, Harm::Refused, "no node is live".into(), mend);
+    } else if domains.len() == 1 {
+        let text = "all live nodes are in one failure domain".into();
+        add(findings, Harm::AtRisk, text, "start whinspringd on VMs of other domains");
+    }
+    let named: BTreeSet<_> = live.iter().map(|node| &node.name).collect();
+    for node in &live {
+        let lessors = node.lessors.iter().filter(|lessor| named.contains(lessor)).count();
+        if lessors < 2 && named.len() > 3 {
+            let text = format!("node {} has {lessors} live lessors of 3", node.name);
+            let mend = "it names others by itself; if it lasts, check that it reaches the platform";
+            add(findings, Harm::AtRisk, text, mend);
+        }
+    }
+}
+
+/// Checks that every slice has an owner that serves.
+fn check_owners(records: &Records, service: &Service, findings: &mut Vec<Finding>) {
+    let counts = Counts::of(records, service);
+    let owned: u32 = counts.slices.values().sum();
+    let name = &service.name;
+    if owned < service.slices {
+        let text = format!(
+            "{name}: {} of {} slices have no owner",
+            service.slices - owned,
+            service.slices
+        );
+        let mend = "the controller assigns them; if it lasts, check that a server is active";
+        add(findings, Harm::Refused, text, mend);
+    }
+    for (id, slices) in &counts.slices {
+        let state = service.servers.get(id).map(|server| server.state);
+        if state.is_none_or(|state| state == ServerState::Lost) {
+            let text = format!("{name}: {slices} slices belong to the lost server {id}");
+            let mend = "the controller gives them to others; if it lasts, check its node";
+            add(findings, Harm::Refused, text, mend);
+        }
+    }
+}
+
+/// Checks that a live node holds every active server.
+fn check_holders(records: &Records, service: &Service, findings: &mut Vec<Finding>) {
+    let holders = holders(records, &service.name);
+    for (id, server) in &service.servers {
+        if server.state != ServerState::Active {
+            continue;
+        }
+        let holder = holders.and_then(|holders| holders.terms.get(id));
+        let held = holder.is_some_and(|holder| is_live(records, &holder.node, holder.incarnation));
+        if !held {
+            let text = format!("{}: no live node holds {id} {}", service.name, server.name);
+            let mend = "the controller names one; if it lasts, check that nodes are live";
+            add(findings, Harm::Refused, text, mend);
+        }
+    }
+}
+
+/// Checks that enough servers are active.
+fn check_servers(service: &Service, findings: &mut Vec<Finding>) {
+    let name = &service.name;
+    let active: Vec<_> =
+        service.servers.values().filter(|server| server.state == ServerState::Active).collect();
+    let domains: BTreeSet<_> = active.iter().map(|server| &server.domain).collect();
+    if active.is_empty() {
+        let mend = format!("whinspring server return {name} SERVER, or server add");
+        add(findings, Harm::Refused, format!("{name}: no server is active"), &mend);
+    } else if domains.len() == 1 && service.servers.len() > 1 {
+        let mend = format!("whinspring server add {name} ... in another domain");
+        add(findings, Harm::AtRisk, format!("{name}: active servers in one domain only"), &mend);
+    }
+    for (id, server) in &service.servers {
+        if server.state == ServerState::Lost {
+            let mend =
+                format!("restart it, or whinspring server replace {name} {} ...", server.name);
+            add(findings, Harm::AtRisk, format!("{name}: {id} {} is lost", server.name), &mend);
+        }
+    }
+}
+
+/// Checks for requests that crash servers.
+fn check_suspects(records: &Records, findings: &mut Vec<Finding>) {
+    for suspect in suspects(records) {
+        let print = format!("{:016x}", suspect.print);
+        let text = format!("request {print} is suspected of {} crashes", suspect.deaths);
+        let mend = format!("mend the server, then whinspring clear {print}");
+        add(findings, Harm::Waiting, text, &mend);
+    }
+}
+
+/// Checks for plans that failed.
+fn check_plans(records: &Records, findings: &mut Vec<Finding>) {
+    for plan in plans(records).filter(|plan| plan.state == PlanState::Failed) {
+        let text = format!("plan {} failed: {}", plan.id, plan.reason);
+        let mend = format!("whinspring {} makes a fresh one", plan.intent);
+        add(findings, Harm::Waiting, text, &mend);
+    }
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/query/status.rs
@@ -0,0 +1,176 @@
+//! The state of a deployment, as its records tell it.
+
+use {
+    super::{doctor, holders, nodes, of_kind, plans, segment},
+    crate::{
+        plans::is_open,
+        view::{Plans, Status},
+    },
+    serde::Serialize,
+    std::collections::BTreeMap,
+    whinspring::{
+        model::{NodeState, SEGMENT_SLICES, Service},
+        name::ServerId,
+        plan::{self, Records},
+        record::{Key, Kind, Value},
+    },
+};
+
+/// Returns the state of a deployment.
+pub fn status(records: &Records) -> Status {
+    let open = plans(records).filter(|plan| is_open(plan.state));
+    Status {
+        wrong: doctor::diagnose(records).findings.len(),
+        controller: controller(records),
+        nodes: nodes(records)
+            .map(|node| NodeRow {
+                name: node.name.to_string(),
+                domain: node.domain.to_string(),
+                state: node_state(node.state),
+                addr: node.addr.to_string(),
+                holds: held(records, &node.name),
+            })
+            .collect(),
+        services: plan::services(records).map(|service| service_row(records, service)).collect(),
+        plans: Plans::new(open),
+    }
+}
+
+/// A node in the state of a deployment.
+#[derive(Debug, Serialize)]
+pub struct NodeRow {
+    /// Name of its VM.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether it takes part.
+    pub state: &'static str,
+    /// Address for other nodes.
+    pub addr: String,
+    /// Servers that it holds.
+    pub holds: usize,
+}
+
+/// A service in the state of a deployment.
+#[derive(Debug, Serialize)]
+pub struct ServiceRow {
+    /// Its name.
+    pub name: String,
+    /// Path prefix of its requests.
+    pub prefix: String,
+    /// Version of its declaration.
+    pub version: u64,
+    /// Slices; zero for an unkeyed service.
+    pub slices: u32,
+    /// Slices that have an owner.
+    pub owned: u32,
+    /// Its servers.
+    pub servers: Vec<ServerRow>,
+}
+
+/// A backend server in the state of a deployment.
+#[derive(Debug, Serialize)]
+pub struct ServerRow {
+    /// Its number.
+    pub id: u32,
+    /// Name of its VM.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// What is wanted of it.
+    pub state: &'static str,
+    /// Whether it checks fencing terms.
+    pub fenced: bool,
+    /// Node that holds it; empty if none.
+    pub holder: String,
+    /// Fencing term of the holder.
+    pub term: u64,
+    /// Slices that it owns.
+    pub slices: u32,
+    /// Single keys that it owns.
+    pub keys: u32,
+}
+
+/// Returns the controller and its term.
+fn controller(records: &Records) -> String {
+    let record = records.get(&Key::new(Kind::Controller, "controller"));
+    match record.and_then(|record| record.value.as_ref()) {
+        Some(Value::Controller(controller)) => {
+            format!("{} term {}", controller.node, controller.term)
+        }
+        _ => "none".into(),
+    }
+}
+
+/// Returns a node's state as operators read it.
+pub(super) fn node_state(state: NodeState) -> &'static str {
+    match state {
+        NodeState::Live => "live",
+        NodeState::Leaving => "leaving",
+        NodeState::Gone => "gone",
+    }
+}
+
+/// Returns the number of servers that a node holds.
+fn held(records: &Records, node: &str) -> usize {
+    let all = of_kind(records, Kind::Holders).filter_map(|record| match &record.value {
+        Some(Value::Holders(holders)) => Some(holders),
+        _ => None,
+    });
+    all.flat_map(|holders| holders.terms.values()).filter(|holder| holder.node == node).count()
+}
+
+/// Returns the state of a service.
+fn service_row(records: &Records, service: &Service) -> ServiceRow {
+    let counts = Counts::of(records, service);
+    let holders = holders(records, &service.name);
+    let key = Key::new(Kind::Service, service.name.clone());
+    let servers = service.servers.iter().map(|(id, server)| {
+        let holder = holders.and_then(|holders| holders.terms.get(id));
+        ServerRow {
+            id: id.0,
+            name: server.name.to_string(),
+            domain: server.domain.to_string(),
+            state: server.state.as_str(),
+            fenced: server.fenced,
+            holder: holder.map(|holder| holder.node.to_string()).unwrap_or_default(),
+            term: holder.map_or(0, |holder| holder.term),
+            slices: counts.slices.get(id).copied().unwrap_or_default(),
+            keys: counts.keys.get(id).copied().unwrap_or_default(),
+        }
+    });
+    ServiceRow {
+        name: service.name.to_string(),
+        prefix: service.prefix.to_string(),
+        version: plan::version(records, &key),
+        slices: service.slices,
+        owned: counts.slices.values().sum(),
+        servers: servers.collect(),
+    }
+}
+
+/// What each server of a service owns.
+#[derive(Debug, Default)]
+pub(super) struct Counts {
+    /// Slices by server.
+    pub slices: BTreeMap<ServerId, u32>,
+    /// Single keys by server.
+    pub keys: BTreeMap<ServerId, u32>,
+}
+
+impl Counts {
+    /// Counts what the servers of a service own.
+    pub fn of(records: &Records, service: &Service) -> Self {
+        let mut counts = Self::default();
+        for index in 0..service.slices.div_ceil(SEGMENT_SLICES) {
+            let Some(segment) = segment(records, &service.name, index) else { continue };
+            for owner in &segment.owners {
+                *counts.slices.entry(owner.server).or_default() += 1;
+            }
+            for owner in segment.keys.values() {
+                *counts.keys.entry(owner.server).or_default() += 1;
+            }
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/run.rs
@@ -0,0 +1,286 @@
+//! From a command line to its printed result.
+
+use {
+    crate::{
+        command::command,
+        error::{Error, UnwritableSnafu},
+        exit::Exit,
+        intent::{self, name},
+        node::{self, escape},
+        options::Options,
+        plans, query,
+        store::Store,
+        view::{Changes, Explanation, Form, Lost, Plans, Progress, Proposed, View},
+    },
+    clap::{ArgMatches, Command},
+    snafu::ResultExt,
+    std::{
+        ffi::OsString,
+        fs,
+        io::Write,
+        path::{Path, PathBuf},
+    },
+    whinspring::{
+        model::{Plan, PlanState},
+        name::Name,
+        plan::Intent,
+    },
+    whinspring_platform::Platform,
+};
+
+/// Runs one command with the environment of this process and prints its result.
+pub async fn run(line: impl IntoIterator<Item = OsString>) -> Exit {
+    let matches = match command().try_get_matches_from(line) {
+        Ok(matches) => matches,
+        Err(error) => {
+            error.print().ok();
+            return if error.use_stderr() { Exit::Usage } else { Exit::Done };
+        }
+    };
+    let form = if matches.get_flag("json") { Form::Json } else { Form::Text };
+    let mut out = Output { form, sink: std::io::stdout() };
+    match start(&matches, &mut out).await {
+        Ok(exit) => exit,
+        Err(error) => {
+            report(&error, form);
+            error.exit()
+        }
+    }
+}
+
+/// Prints an error: JSON for programs goes where results go.
+fn report(error: &Error, form: Form) {
+    let text = form.render_error(error);
+    match form {
+        Form::Text => eprint!("{text}"),
+        Form::Json => print!("{text}"),
+    }
+}
+
+/// Where results go.
+#[derive(Debug)]
+pub struct Output<W> {
+    /// How they are printed.
+    pub form: Form,
+    /// Where they are written.
+    pub sink: W,
+}
+
+impl<W: Write> Output<W> {
+    /// Prints a result; a reader that went away is no error.
+    fn print(&mut self, view: &impl View) {
+        self.write(&self.form.render(view));
+    }
+
+    /// Prints text as it stands.
+    fn write(&mut self, text: &str) {
+        self.sink.write_all(text.as_bytes()).and_then(|()| self.sink.flush()).ok();
+    }
+}
+
+/// Runs a command of this process.
+async fn start<W: Write>(matches: &ArgMatches, out: &mut Output<W>) -> Result<Exit, Error> {
+    match matches.subcommand() {
+        Some(("completions", args)) => {
+            let shell: clap_complete::Shell = *intent::one(args, "shell");
+            clap_complete::generate(shell, &mut command(), "whinspring", &mut out.sink);
+            Ok(Exit::Done)
+        }
+        Some(("man", args)) => manual(args, out),
+        _ => {
+            let options = Options::read(matches, |variable| std::env::var(variable).ok())?;
+            match matches.subcommand() {
+                Some(("explain", args)) => explain(args, &options, out).await,
+                Some(("history", args)) => history(args, &options, out).await,
+                _ => dispatch(matches, &Platform::new(options.platform()?), out).await,
+            }
+        }
+    }
+}
+
+/// Runs a command on the records of `store`.
+pub async fn dispatch<W: Write>(
+    matches: &ArgMatches,
+    store: &impl Store,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    if let Some(intent) = intent::parse(matches)? {
+        return propose(&intent, store, out).await;
+    }
+    match matches.subcommand() {
+        Some(("confirm", args)) => {
+            confirm(&name(args, "plan"), args.get_flag("wait"), store, out).await
+        }
+        Some(("watch", args)) => watch(&name(args, "plan"), store, out).await,
+        Some(("abort", args)) => {
+            out.print(&Progress::from(&plans::abort(store, &name(args, "plan")).await?.plan));
+            Ok(Exit::Done)
+        }
+        Some(("plans", args)) => {
+            let all = args.get_flag("all");
+            let records = store.list().await?;
+            let ended = |plan: &&Plan| all || is_news(plan);
+            out.print(&Plans::new(query::plans(&records).filter(ended)));
+            Ok(Exit::Done)
+        }
+        Some(("owners", args)) => {
+            let service = args.get_one::<Name>("service").map(Name::as_str);
+            let records = store.list().await?;
+            out.print(&query::owners(&records, &name(args, "key"), service)?);
+            Ok(Exit::Done)
+        }
+        Some(("doctor", _)) => {
+            let diagnosis = query::diagnose(&store.list().await?);
+            out.print(&diagnosis);
+            Ok(if diagnosis.findings.is_empty() { Exit::Done } else { Exit::Wrong })
+        }
+        _ => {
+            out.print(&query::status(&store.list().await?));
+            Ok(Exit::Done)
+        }
+    }
+}
+
+/// Returns whether a plan is listed without being asked for.
+fn is_news(plan: &Plan) -> bool {
+    plans::is_open(plan.state) || plan.state == PlanState::Failed
+}
+
+/// Makes and prints a plan.
+async fn propose<W: Write>(
+    intent: &Intent,
+    store: &impl Store,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    let proposal = plans::propose(store, intent).await?;
+    out.print(&Proposed::from(&proposal));
+    Ok(Exit::Done)
+}
+
+/// Confirms a plan, and follows it until the controller took it up or to its end.
+async fn confirm<W: Write>(
+    id: &Name,
+    wait: bool,
+    store: &impl Store,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    match plans::confirm(store, id).await {
+        Ok(_) => {}
+        Err(error) if error.number() == Some(plans::CONFLICT) => {
+            return renew(id, &error.to_string(), store, out).await;
+        }
+        Err(error) => return Err(error),
+    }
+    if wait {
+        return watch(id, store, out).await;
+    }
+    let taken_up = |plan: &Plan| plan.state != PlanState::Confirmed || plan.done > 0;
+    let last = plans::follow(store, id, plans::TAKEN_UP, taken_up, |_| {}).await?;
+    out.print(&Progress::from(&last.plan));
+    conclude(&last.plan, Exit::Done, store, out).await
+}
+
+/// Follows a plan to its end and prints each change.
+async fn watch<W: Write>(
+    id: &Name,
+    store: &impl Store,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    let ended = |plan: &Plan| !plans::is_open(plan.state);
+    let report = |plan: &Plan| out.print(&Progress::from(plan));
+    let last = plans::follow(store, id, plans::FOLLOW, ended, report).await?;
+    conclude(&last.plan, Exit::StillRunning, store, out).await
+}
+
+/// Returns the exit code for a plan that was followed; makes a fresh one if it lost a race.
+async fn conclude<W: Write>(
+    plan: &Plan,
+    open: Exit,
+    store: &impl Store,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    if let Some(reason) = plans::lost_reason(plan) {
+        return renew(&plan.id, reason, store, out).await;
+    }
+    Ok(match plan.state {
+        PlanState::Finished => Exit::Done,
+        PlanState::Aborted | PlanState::Failed => Exit::Wrong,
+        PlanState::Proposed | PlanState::Confirmed => open,
+    })
+}
+
+/// Tells why a plan lost and prints a fresh one in its place.
+async fn renew<W: Write>(
+    id: &Name,
+    reason: &str,
+    store: &impl Store,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    let fresh = plans::renew(store, id).await?;
+    out.print(&Lost {
+        plan: id.to_string(),
+        number: plans::CONFLICT,
+        error: reason.into(),
+        fresh: fresh.as_ref().map(Proposed::from),
+    });
+    Ok(Exit::Conflict)
+}
+
+/// Prints what happened to a request.
+async fn explain<W: Write>(
+    args: &ArgMatches,
+    options: &Options,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    let id = name(args, "id");
+    let path = format!("/explain?id={}", escape(&id));
+    let explanation = Explanation::new(&id, node::ask(options.nodes()?, &path).await?);
+    if explanation.events.is_empty() {
+        let hint = "ask every node with --node; nodes forget after a while";
+        return Err(Error::Unknown { what: format!("request {id}"), hint });
+    }
+    out.print(&explanation);
+    Ok(Exit::Done)
+}
+
+/// Prints who owned a key when.
+async fn history<W: Write>(
+    args: &ArgMatches,
+    options: &Options,
+    out: &mut Output<W>,
+) -> Result<Exit, Error> {
+    let key = name(args, "key");
+    let service = args.get_one::<Name>("service").map(Name::as_str);
+    let path = format!("/history?key={}", escape(&key));
+    let changes = Changes::new(&key, service, node::ask(options.nodes()?, &path).await?);
+    if changes.changes.is_empty() {
+        let hint = "ask every node with --node; nodes remember since their start";
+        return Err(Error::Unknown { what: format!("a past of key {key}"), hint });
+    }
+    out.print(&changes);
+    Ok(Exit::Done)
+}
+
+/// Prints the main man page, or writes one page a command into a folder.
+fn manual<W: Write>(args: &ArgMatches, out: &mut Output<W>) -> Result<Exit, Error> {
+    match args.get_one::<PathBuf>("folder") {
+        Some(folder) => write_pages(folder)?,
+        None => {
+            let mut page = Vec::new();
+            render(command(), &mut page);
+            out.write(&String::from_utf8_lossy(&page));
+        }
+    }
+    Ok(Exit::Done)
+}
+
+/// Renders a man page.
+fn render(command: Command, page: &mut Vec<u8>) {
+    clap_mangen::Man::new(command).render(page).expect("memory takes every write");
+}
+
+/// Writes one page a command.
+fn write_pages(folder: &Path) -> Result<(), Error> {
+    fs::create_dir_all(folder).context(UnwritableSnafu { path: folder })?;
+    clap_mangen::generate_to(command(), folder).context(UnwritableSnafu { path: folder })
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/store.rs
@@ -0,0 +1,109 @@
+//! The records that the client reads and writes.
+
+use {
+    crate::error::{BadRecordSnafu, Error},
+    snafu::ResultExt,
+    std::{future::Future, time::Duration},
+    uuid::Uuid,
+    whinspring::{
+        control::Stored,
+        plan::Records,
+        record::{Key, Record, Value},
+    },
+    whinspring_platform::{Object, Platform},
+    whinspring_wire::record,
+};
+
+/// Where records are kept.
+pub trait Store {
+    /// Returns every record.
+    fn list(&self) -> impl Future<Output = Result<Records, Error>>;
+
+    /// Returns a record, if it exists.
+    fn get(&self, key: &Key) -> impl Future<Output = Result<Option<Record>, Error>>;
+
+    /// Writes a record if it is at version `expect`; zero means that it must not exist.
+    fn put(
+        &self,
+        key: &Key,
+        expect: u64,
+        mark: u64,
+        value: &Value,
+    ) -> impl Future<Output = Result<Stored, Error>>;
+}
+
+impl Store for Platform {
+    async fn list(&self) -> Result<Records, Error> {
+        let listing = Platform::list(self).await?;
+        let mut records = Records::new();
+        for object in listing.objects {
+            let record = decode(object)?;
+            records.insert(record.key.clone(), record);
+        }
+        Ok(records)
+    }
+
+    async fn get(&self, key: &Key) -> Result<Option<Record>, Error> {
+        Platform::get(self, key).await?.map(decode).transpose()
+    }
+
+    async fn put(&self, key: &Key, expect: u64, mark: u64, value: &Value) -> Result<Stored, Error> {
+        Ok(Platform::put(self, key, expect, mark, record::encode(value)).await?)
+    }
+}
+
+/// Decodes an object of the platform.
+fn decode(object: Object) -> Result<Record, Error> {
+    let value = object.value.map(|bytes| record::decode(object.key.kind, &bytes)).transpose();
+    let value = value.context(BadRecordSnafu { key: object.key.to_string() })?;
+    Ok(Record { key: object.key, version: object.version, mark: object.mark, value })
+}
+
+/// Times that a write without a reply is sent again.
+const RETRIES: u32 = 4;
+
+/// Wait before the first of them; each further wait is twice as long.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+
+/// How a write ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Written at this version.
+    Written(u64),
+    /// Another write came first.
+    Conflict,
+    /// Another write came, before this one or after it had taken effect: its reply was lost.
+    Unclear,
+}
+
+/// Writes a record if it is at version `expect`, and settles a lost reply.
+///
+/// A write without a reply is sent again unchanged: if it had taken effect, the conflict that
+/// follows shows its own mark, unless the record has been written yet again.
+///
+/// # Errors
+///
+/// Fails with [`Error::Unsettled`] if the platform gives no reply to any sending.
+pub async fn write(
+    store: &impl Store,
+    key: &Key,
+    expect: u64,
+    value: &Value,
+) -> Result<Outcome, Error> {
+    let mark = Uuid::new_v4().as_u64_pair().0;
+    let mut wait = RETRY_WAIT;
+    for attempt in 0..=RETRIES {
+        match store.put(key, expect, mark, value).await? {
+            Stored::Written(version) => return Ok(Outcome::Written(version)),
+            Stored::Conflict { version, mark: found } if found == mark => {
+                return Ok(Outcome::Written(version));
+            }
+            Stored::Conflict { .. } if attempt > 0 => return Ok(Outcome::Unclear),
+            Stored::Conflict { .. } => return Ok(Outcome::Conflict),
+            Stored::Unknown if attempt < RETRIES => tokio::time::sleep(wait).await,
+            Stored::Unknown => {}
+        }
+        wait *= 2;
+    }
+    Err(Error::Unsettled)
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/view.rs
@@ -0,0 +1,82 @@
+//! Results as people or programs read them.
+
+mod plan;
+mod status;
+mod trail;
+
+use {crate::error::Error, serde::Serialize, std::fmt::Display};
+
+pub use {
+    plan::{Lost, Plans, Progress, Proposed},
+    status::{Diagnosis, Owners, Status},
+    trail::{Changes, Explanation, Step},
+};
+
+/// A result that can be printed for people and for programs.
+pub trait View: Serialize + Display {}
+
+impl<T: Serialize + Display> View for T {}
+
+/// How results are printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// For people.
+    Text,
+    /// One JSON value a line.
+    Json,
+}
+
+impl Form {
+    /// Returns a result as it is printed, with its line end.
+    pub fn render(self, view: &impl View) -> String {
+        match self {
+            Self::Text => view.to_string(),
+            Self::Json => format!("{}\n", json(view)),
+        }
+    }
+
+    /// Returns an error as it is printed, with its line end.
+    pub fn render_error(self, error: &Error) -> String {
+        match self {
+            Self::Text => error_text(error),
+            Self::Json => format!("{}\n", json(&ErrorBody::from(error))),
+        }
+    }
+}
+
+/// Returns a value as JSON.
+fn json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_else(|error| format!("{{\"error\":\"{error}\"}}"))
+}
+
+/// An error as programs read it.
+#[derive(Debug, Serialize)]
+struct ErrorBody {
+    error: String,
+    number: Option<u16>,
+    faults: Vec<String>,
+}
+
+impl From<&Error> for ErrorBody {
+    fn from(error: &Error) -> Self {
+        Self { error: error.to_string(), number: error.number(), faults: faults(error) }
+    }
+}
+
+/// Returns an error as people read it.
+fn error_text(error: &Error) -> String {
+    let number = error.number().map(|number| format!(" {number}")).unwrap_or_default();
+    let mut text = crate::text::wrap(&format!("error{number}: "), "  ", &error.to_string());
+    for fault in faults(error) {
+        text.push_str(&crate::text::wrap("  ", "    ", &fault));
+    }
+    text
+}
+
+/// Returns the faults that an error lists.
+fn faults(error: &Error) -> Vec<String> {
+    match error {
+        Error::BadFile { faults, .. } => faults.iter().map(ToString::to_string).collect(),
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/view/status.rs
@@ -0,0 +1,147 @@
+//! State, owners and findings as they are printed.
+
+use {
+    super::Plans,
+    crate::{
+        query::{Finding, NodeRow, OwnerRow, ServerRow, ServiceRow},
+        text::{table, wrap},
+    },
+    serde::Serialize,
+    std::fmt::{self, Display, Formatter},
+};
+
+/// The state of a deployment.
+#[derive(Debug, Serialize)]
+pub struct Status {
+    /// Number of things that are wrong.
+    pub wrong: usize,
+    /// The controller and its term.
+    pub controller: String,
+    /// The nodes.
+    pub nodes: Vec<NodeRow>,
+    /// The services.
+    pub services: Vec<ServiceRow>,
+    /// Plans that have not ended.
+    pub plans: Plans,
+}
+
+impl Display for Status {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self.wrong {
+            0 => f.write_str("nothing is wrong\n")?,
+            1 => f.write_str("1 thing is wrong: see `whinspring doctor`\n")?,
+            wrong => writeln!(f, "{wrong} things are wrong: see `whinspring doctor`")?,
+        }
+        if !self.plans.plans.is_empty() {
+            write!(f, "\nopen plans\n{}", self.plans)?;
+        }
+        for service in &self.services {
+            write_service(f, service)?;
+        }
+        writeln!(f, "\nnodes, controller {}", self.controller)?;
+        f.write_str(&table(&self.nodes.iter().map(node_cells).collect::<Vec<_>>()))
+    }
+}
+
+/// Writes a service and its servers.
+fn write_service(f: &mut Formatter<'_>, service: &ServiceRow) -> fmt::Result {
+    let ServiceRow { name, prefix, version, slices, owned, .. } = service;
+    let keys = match slices {
+        0 => "unkeyed".into(),
+        slices => format!("{owned} of {slices} slices owned"),
+    };
+    f.write_str("\n")?;
+    let line = format!("at {prefix}, version {version}, {keys}");
+    f.write_str(&wrap(&format!("service {name} "), "  ", &line))?;
+    let heads = ["server", "domain", "state", "holder", "slices", "keys", "fenced"];
+    let mut rows = vec![heads.map(String::from).to_vec()];
+    rows.extend(service.servers.iter().map(server_cells));
+    f.write_str(&table(&rows))
+}
+
+/// Returns the cells of a server.
+fn server_cells(server: &ServerRow) -> Vec<String> {
+    let holder = if server.holder.is_empty() { "none" } else { &server.holder };
+    vec![
+        format!("s{} {}", server.id, server.name),
+        server.domain.clone(),
+        server.state.into(),
+        format!("{holder}/{}", server.term),
+        server.slices.to_string(),
+        server.keys.to_string(),
+        if server.fenced { "yes".into() } else { "no".into() },
+    ]
+}
+
+/// Returns the cells of a node.
+fn node_cells(node: &NodeRow) -> Vec<String> {
+    vec![
+        node.name.clone(),
+        node.domain.clone(),
+        node.state.into(),
+        node.addr.clone(),
+        format!("holds {}", node.holds),
+    ]
+}
+
+/// The owners of a key.
+#[derive(Debug, Serialize)]
+pub struct Owners {
+    /// The key.
+    pub key: String,
+    /// Its owner in each service.
+    pub owners: Vec<OwnerRow>,
+}
+
+impl Display for Owners {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&wrap("key ", "  ", &self.key))?;
+        if self.owners.is_empty() {
+            f.write_str("  no keyed service is declared\n")?;
+        }
+        for owner in &self.owners {
+            f.write_str(&wrap("  ", "    ", &owner_line(owner)))?;
+        }
+        Ok(())
+    }
+}
+
+/// Describes the owner of a key in one service.
+fn owner_line(owner: &OwnerRow) -> String {
+    let own = if owner.single { ", an owner of its own" } else { "" };
+    let place = format!("{}: slice {}{own}", owner.service, owner.slice);
+    if owner.server.is_empty() {
+        return format!("{place}: NO OWNER");
+    }
+    let holder = if owner.holder.is_empty() { "NOBODY" } else { &owner.holder };
+    let next = match owner.next.as_str() {
+        "" => String::new(),
+        next => format!(", moving to {next}"),
+    };
+    format!("{place}: {}, epoch {}, held by {holder}{next}", owner.server, owner.epoch)
+}
+
+/// What is wrong.
+#[derive(Debug, Serialize)]
+pub struct Diagnosis {
+    /// The findings, the worst first.
+    pub findings: Vec<Finding>,
+}
+
+impl Display for Diagnosis {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        if self.findings.is_empty() {
+            return f.write_str("nothing is wrong\n");
+        }
+        let mut last = None;
+        for finding in &self.findings {
+            if last != Some(finding.harm) {
+                writeln!(f, "{}", finding.harm)?;
+            }
+            last = Some(finding.harm);
+            f.write_str(&wrap("  ! ", "    ", &finding.text))?;
+            f.write_str(&wrap("    -> ", "       ", &finding.mend))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/whinspring-cli/src/view/trail.rs
@@ -0,0 +1,134 @@
+//! What nodes remember, as it is printed.
+
+use {
+    crate::{
+        node::{Event, Ownership, Past, Trail},
+        text::wrap,
+    },
+    serde::Serialize,
+    std::fmt::{self, Display, Formatter},
+    whinspring::code::Code,
+};
+
+/// What happened to a request, hop by hop.
+#[derive(Debug, Serialize)]
+pub struct Explanation {
+    /// Id of the request.
+    pub id: String,
+    /// What happened, in order of time.
+    pub events: Vec<Step>,
+}
+
+/// One thing that happened to a request.
+#[derive(Debug, Serialize)]
+pub struct Step {
+    /// Node that tells it.
+    pub node: String,
+    /// What happened.
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+impl Explanation {
+    /// Joins what nodes remember of a request.
+    pub fn new(id: &str, trails: Vec<Trail>) -> Self {
+        let mut events = Vec::new();
+        for trail in trails {
+            let node = trail.node;
+            events.extend(trail.events.into_iter().map(|event| Step { node: node.clone(), event }));
+        }
+        events.sort_by(|a, b| (a.event.at_ms, &a.node).cmp(&(b.event.at_ms, &b.node)));
+        Self { id: id.into(), events }
+    }
+}
+
+impl Display for Explanation {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&wrap("request ", "  ", &self.id))?;
+        let start = self.events.first().map_or(0, |step| step.event.at_ms);
+        for step in &self.events {
+            let Step { node, event } = step;
+            let code = event.code.map(code_text).unwrap_or_default();
+            let first = format!("  +{} ms {} {node}: ", event.at_ms - start, event.hop);
+            f.write_str(&wrap(&first, "    ", &format!("{}{code}", event.text)))?;
+        }
+        Ok(())
+    }
+}
+
+/// Returns a result code with its meaning.
+fn code_text(number: u16) -> String {
+    match Code::from_number(number) {
+        Some(code) => format!(" ({number}, {}: {})", code.class().as_str(), code.text()),
+        None => format!(" ({number})"),
+    }
+}
+
+/// Who owned a key when.
+#[derive(Debug, Serialize)]
+pub struct Changes {
+    /// The key.
+    pub key: String,
+    /// The changes, the latest first.
+    pub changes: Vec<Ownership>,
+}
+
+impl Changes {
+    /// Joins what nodes remember of a key; of each change the earliest news counts.
+    pub fn new(key: &str, service: Option<&str>, pasts: Vec<Past>) -> Self {
+        let mut changes: Vec<_> = pasts.into_iter().flat_map(|past| past.changes).collect();
+        changes.retain(|change| service.is_none_or(|name| change.service == name));
+        changes.sort();
+        changes.dedup_by(|a, b| (&a.service, a.version) == (&b.service, b.version));
+        changes.sort_by_key(|change| std::cmp::Reverse(change.version));
+        Self { key: key.into(), changes }
+    }
+}
+
+impl Display for Changes {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&wrap("key ", "  ", &self.key))?;
+        for change in &self.changes {
+            let Ownership { service, version, at_ms, server, epoch, cause } = change;
+            let line = format!("s{server}, epoch {epoch}, version {version}, {cause}");
+            f.write_str(&wrap(&format!("  {} {service}: ", calendar(*at_ms)), "    ", &line))?;
+        }
+        Ok(())
+    }
+}
+
+/// Milliseconds of a day.
+const DAY_MS: u64 = 86_400_000;
+
+/// Returns a calendar time in UTC, such as `2026-12-03 20:41:07`.
+fn calendar(at_ms: u64) -> String {
+    let (year, month, day) = date(at_ms / DAY_MS);
+    let second = at_ms % DAY_MS / 1_000;
+    let (hour, minute, second) = (second / 3_600, second / 60 % 60, second % 60);
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}")
+}
+
+/// Returns year, month and day of a day counted from 1970-01-01.
+fn date(mut day: u64) -> (u64, u64, u64) {
+    let mut year = 1970;
+    while day >= year_days(year) {
+        day -= year_days(year);
+        year += 1;
+    }
+    let february = year_days(year) - 337;
+    let mut month = 1;
+    for days in [31, february, 31, 30, 31, 30, 31, 31, 30, 31, 30, 31] {
+        if day < days {
+            break;
+        }
+        day -= days;
+        month += 1;
+    }
+    (year, month, day + 1)
+}
+
+/// Returns the days of a year.
+fn year_days(year: u64) -> u64 {
+    let leap = year.is_multiple_of(4) && !year.is_multiple_of(100) || year.is_multiple_of(400);
+    if leap { 366 } else { 365 }
+}
--- /dev/null
+++ b/crates/whinspring-cli/tests/commands.rs
@@ -0,0 +1,245 @@
+//! What the commands print, and that only confirmed plans change anything.
+
+#[path = "support/fake.rs"]
+mod fake;
+
+use {
+    fake::{Fake, run},
+    std::collections::BTreeMap,
+    whinspring::{
+        declaration,
+        model::{
+            Controller, Holder, Holders, Node, NodeState, Owner, PlanState, Segment, ServerState,
+            Suspect,
+        },
+        name::ServerId,
+        record::{Key, Kind, Value},
+    },
+    whinspring_cli::{command, exit::Exit, intent, text::WIDTH, view::Form},
+};
+
+const DECLARATION: &str = include_str!("../../../docs/reservations.ini");
+
+/// A deployment of two nodes and one service of six slices.
+fn deployment() -> Fake {
+    let fake = Fake::default();
+    let mut service = declaration::parse(DECLARATION).unwrap();
+    service.slices = 6;
+    fake.set(Key::new(Kind::Service, "reservations"), Value::Service(service));
+
+    let owner = |index: u32| Owner { server: ServerId(index), epoch: 2, next: None };
+    let owners = (0..6).map(|index| owner(index / 2)).collect();
+    let keys = BTreeMap::from([("bay 7".into(), owner(2))]);
+    let segment = Segment { first: 0, owners, keys };
+    fake.set(Key::segment("reservations", 0), Value::Segment(segment));
+
+    for (name, domain) in [("entry-1", "dar-a"), ("entry-2", "dar-b")] {
+        let addr = "10.0.0.4:7000".parse().unwrap();
+        let (incarnation, state, lessors) = (1, NodeState::Live, Vec::new());
+        let (name, domain) = (name.into(), domain.into());
+        let node = Node { name, incarnation, addr, domain, state, lessors };
+        fake.set(Key::new(Kind::Node, node.name.clone()), Value::Node(node));
+    }
+    let holder = |id: u32| {
+        let node = if id == 0 { "entry-1" } else { "entry-2" };
+        Holder { node: node.into(), incarnation: 1, term: 3, next: None }
+    };
+    let terms = (0..3).map(|id| (ServerId(id), holder(id))).collect();
+    fake.set(Key::new(Kind::Holders, "reservations"), Value::Holders(Holders { terms }));
+    let term = Controller { node: "entry-1".into(), incarnation: 1, term: 1 };
+    fake.set(Key::new(Kind::Controller, "controller"), Value::Controller(term));
+    fake
+}
+
+/// Runs a command that succeeds.
+async fn done(fake: &Fake, line: &[&str]) -> String {
+    let (exit, text) = run(fake, line, Form::Text).await;
+    assert_eq!(exit, Exit::Done, "{text}");
+    assert!(text.lines().all(|line| line.chars().count() <= WIDTH), "{text}");
+    text
+}
+
+/// Returns the file of the example's service.
+fn example() -> String {
+    format!("{}/../../docs/reservations.ini", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[tokio::test]
+async fn declaration_prints_a_plan_and_changes_nothing() {
+    let fake = Fake::default();
+    insta::assert_snapshot!(done(&fake, &["service", "declare", &example()]).await);
+    let states: Vec<_> = fake.plans().iter().map(|plan| plan.state).collect();
+    assert_eq!(states, [PlanState::Proposed]);
+    assert!(run(&fake, &["status"], Form::Text).await.1.contains("PLAN1"));
+}
+
+#[tokio::test]
+async fn drain_prints_a_plan() {
+    let fake = deployment();
+    insta::assert_snapshot!(done(&fake, &["server", "drain", "reservations", "bay-3"]).await);
+}
+
+#[tokio::test]
+async fn plan_as_json() {
+    let fake = deployment();
+    let line = ["move", "key", "reservations", "bay 7", "bay 8", "--to", "bay-1"];
+    let (exit, text) = run(&fake, &line, Form::Json).await;
+    assert_eq!(exit, Exit::Done);
+    insta::assert_snapshot!(text);
+}
+
+#[tokio::test]
+async fn every_intent_reads_back_from_its_plan() {
+    let fake = deployment();
+    let suspect = Suspect { print: 0xabc, deaths: 2, last_ms: 1, cleared: false };
+    fake.set(Key::new(Kind::Suspect, "0000000000000abc"), Value::Suspect(suspect));
+    let file = example();
+    let server = ["--addr", "10.0.9.9:1", "--domain", "dar-d", "--fenced", "yes"];
+    let lines: [&[&str]; 10] = [
+        &["server", "drain", "reservations", "bay-1"],
+        &["server", "fence", "reservations", "bay-1", "no"],
+        &[&["server", "add", "reservations", "bay-9"][..], &server].concat(),
+        &[&["server", "replace", "reservations", "bay-1", "bay-9"][..], &server].concat(),
+        &["move", "slice", "reservations", "0", "1", "--to", "bay-3"],
+        &["move", "key", "reservations", "--to", "bay-1", "--", "it's bay 7", "--x", "\\"],
+        &["share", "reservations", "3", "--", "a 'big' one"],
+        &["clear", "abc"],
+        &["server", "return", "reservations", "bay-2"],
+        &["service", "declare", &file],
+    ];
+    for line in lines {
+        if line[1] == "return" {
+            let mut service = declaration::parse(DECLARATION).unwrap();
+            service.servers.get_mut(&ServerId(1)).unwrap().state = ServerState::Draining;
+            service.deadline_ms += 1;
+            fake.set(Key::new(Kind::Service, "reservations"), Value::Service(service));
+        }
+        done(&fake, line).await;
+        let plan = fake.plans().pop().unwrap();
+        let intent = intent::of_plan(&plan).unwrap_or_else(|| panic!("{}", plan.intent));
+        assert_eq!(intent.to_string(), plan.intent.as_str());
+    }
+}
+
+#[tokio::test]
+async fn refusals_have_numbers() {
+    let fake = deployment();
+    let lines: [&[&str]; 4] = [
+        &["server", "drain", "nothing", "bay-1"],
+        &["server", "drain", "reservations", "bay-7"],
+        &["move", "slice", "reservations", "9", "--to", "bay-1"],
+        &["confirm", "pxxxxxx"],
+    ];
+    let mut texts = String::new();
+    for line in lines {
+        let (exit, text) = run(&fake, line, Form::Text).await;
+        assert_eq!(exit, Exit::Refused);
+        texts.push_str(&text);
+    }
+    let (_, text) = run(&fake, &["confirm", "pxxxxxx"], Form::Json).await;
+    texts.push_str(&text);
+    insta::assert_snapshot!(texts);
+}
+
+#[tokio::test]
+async fn faults_of_a_file_are_all_printed() {
+    let path = format!("{}/bad.ini", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, "[service]\nname = a b\nkey = none\n[server x]\naddr = y\n").unwrap();
+    let (exit, text) = run(&Fake::default(), &["service", "declare", &path], Form::Text).await;
+    assert_eq!(exit, Exit::Usage);
+    insta::assert_snapshot!(text.split_once('\n').unwrap().1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn confirmed_plan_is_followed_to_its_end() {
+    let fake = deployment();
+    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    fake.control();
+    let id = fake.plans()[0].id.clone();
+    insta::assert_snapshot!(done(&fake, &["confirm", &id, "--wait"]).await);
+
+    let (exit, text) = run(&fake, &["confirm", &id], Form::Text).await;
+    assert_eq!(exit, Exit::Conflict);
+    assert!(text.starts_with("error 721: plan PLAN1 is finished"), "{text}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn plan_without_a_controller_goes_on() {
+    let fake = deployment();
+    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    let id = fake.plans()[0].id.clone();
+    assert!(done(&fake, &["confirm", &id]).await.contains("confirmed, 0 of 1"));
+    let (exit, _) = run(&fake, &["watch", &id], Form::Text).await;
+    assert_eq!(exit, Exit::StillRunning);
+}
+
+#[tokio::test]
+async fn aborted_plan_cannot_be_confirmed() {
+    let fake = deployment();
+    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    let id = fake.plans()[0].id.clone();
+    insta::assert_snapshot!(done(&fake, &["abort", &id]).await);
+    assert_eq!(run(&fake, &["confirm", &id], Form::Text).await.0, Exit::Conflict);
+    assert_eq!(run(&fake, &["abort", &id], Form::Text).await.0, Exit::Conflict);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_replies_are_settled() {
+    let fake = deployment();
+    fake.lose(2);
+    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    assert_eq!(fake.plans().len(), 1);
+    fake.lose(1);
+    fake.control();
+    let id = fake.plans()[0].id.clone();
+    done(&fake, &["confirm", &id, "--wait"]).await;
+}
+
+#[tokio::test]
+async fn status_owners_and_plans() {
+    let fake = deployment();
+    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    let mut texts = done(&fake, &["status"]).await;
+    texts.push_str(&done(&fake, &["owners", "bay 7"]).await);
+    texts.push_str(&done(&fake, &["owners", "bay 1", "--service", "reservations"]).await);
+    texts.push_str(&done(&fake, &["plans"]).await);
+    insta::assert_snapshot!(texts);
+}
+
+#[tokio::test]
+async fn doctor_names_the_worst_first() {
+    let fake = deployment();
+    assert_eq!(done(&fake, &["doctor"]).await, "nothing is wrong\n");
+
+    let suspect = Suspect { print: 0xabc, deaths: 2, last_ms: 1, cleared: false };
+    fake.set(Key::new(Kind::Suspect, "0000000000000abc"), Value::Suspect(suspect));
+    let mut service = declaration::parse(DECLARATION).unwrap();
+    service.slices = 8;
+    service.servers.get_mut(&ServerId(1)).unwrap().state = ServerState::Lost;
+    service.servers.get_mut(&ServerId(2)).unwrap().state = ServerState::Draining;
+    fake.set(Key::new(Kind::Service, "reservations"), Value::Service(service));
+    let term = Controller { node: "entry-9".into(), incarnation: 1, term: 2 };
+    fake.set(Key::new(Kind::Controller, "controller"), Value::Controller(term));
+    let (exit, text) = run(&fake, &["doctor"], Form::Text).await;
+    assert_eq!(exit, Exit::Wrong);
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn help_fits_a_narrow_screen() {
+    let mut commands = vec![command::command()];
+    while let Some(mut command) = commands.pop() {
+        let help = command.render_long_help().to_string();
+        assert!(help.lines().all(|line| line.chars().count() <= WIDTH), "{help}");
+        commands.extend(command.get_subcommands().cloned());
+    }
+}
+
+#[test]
+fn exit_codes_are_as_documented() {
+    let page = include_str!("../../../docs/RESULTS.md");
+    for (exit, meaning) in Exit::TABLE {
+        let row = format!("| {} | {meaning} |", *exit as u8);
+        assert!(page.contains(&row), "{row}");
+    }
+}
--- /dev/null
+++ b/crates/whinspring-cli/tests/support/fake.rs
@@ -0,0 +1,158 @@
+//! A store in memory with a controller that carries out what it is told to.
+
+use {
+    std::cell::RefCell,
+    whinspring::{
+        control::Stored,
+        model::{Plan, PlanState, Step},
+        plan::{self, Records},
+        record::{Key, Kind, Record, Value},
+    },
+    whinspring_cli::{
+        Output, command, dispatch, error::Error, exit::Exit, store::Store, view::Form,
+    },
+};
+
+/// A store in memory.
+#[derive(Debug, Default)]
+pub struct Fake {
+    state: RefCell<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    records: Records,
+    revision: u64,
+    /// Replies still to be lost after their write took effect.
+    lost: u32,
+    /// Whether the controller runs before each look at a record.
+    controlled: bool,
+}
+
+impl Fake {
+    /// Writes a record unconditionally.
+    pub fn set(&self, key: Key, value: Value) {
+        self.state.borrow_mut().write(key, 0, value);
+    }
+
+    /// Loses the replies of the next writes.
+    pub fn lose(&self, replies: u32) {
+        self.state.borrow_mut().lost = replies;
+    }
+
+    /// Lets the controller run from now on.
+    pub fn control(&self) {
+        self.state.borrow_mut().controlled = true;
+    }
+
+    /// Returns every plan in the order of its last write.
+    pub fn plans(&self) -> Vec<Plan> {
+        let state = self.state.borrow();
+        let mut records: Vec<_> =
+            state.records.values().filter(|r| r.key.kind == Kind::Plan).collect();
+        records.sort_by_key(|record| record.version);
+        records.into_iter().map(|record| plan_of(record).unwrap().clone()).collect()
+    }
+}
+
+impl State {
+    fn write(&mut self, key: Key, mark: u64, value: Value) -> u64 {
+        self.revision += 1;
+        let record = Record { key: key.clone(), version: self.revision, mark, value: Some(value) };
+        self.records.insert(key, record);
+        self.revision
+    }
+
+    /// Carries out the confirmed plan of the lowest version, if there is one.
+    fn carry_out(&mut self) -> bool {
+        let confirmed = |record: &&Record| {
+            plan_of(record).is_some_and(|plan| plan.state == PlanState::Confirmed)
+        };
+        let Some(record) =
+            self.records.values().filter(confirmed).min_by_key(|record| record.version)
+        else {
+            return false;
+        };
+        let key = record.key.clone();
+        let mut plan = plan_of(record).unwrap().clone();
+        match plan::conflict(&plan, |key| plan::version(&self.records, key)) {
+            Some(conflict) => {
+                plan.state = PlanState::Failed;
+                plan.reason = conflict.to_string().into();
+            }
+            None => {
+                plan.steps.iter().for_each(|step| self.step(step));
+                plan.state = PlanState::Finished;
+                plan.done = plan.steps.len() as u32;
+            }
+        }
+        self.write(key, 0, Value::Plan(plan));
+        true
+    }
+
+    fn step(&mut self, step: &Step) {
+        let mut after = match step {
+            Step::Declare(service) => service.as_ref().clone(),
+            Step::Want { service, .. } => plan::service(&self.records, service).unwrap().clone(),
+            _ => return,
+        };
+        if let Step::Want { server, state, .. } = step {
+            after.servers.get_mut(server).unwrap().state = *state;
+        }
+        self.write(Key::new(Kind::Service, after.name.clone()), 0, Value::Service(after));
+    }
+}
+
+fn plan_of(record: &Record) -> Option<&Plan> {
+    match &record.value {
+        Some(Value::Plan(plan)) => Some(plan),
+        _ => None,
+    }
+}
+
+impl Store for Fake {
+    async fn list(&self) -> Result<Records, Error> {
+        Ok(self.state.borrow().records.clone())
+    }
+
+    async fn get(&self, key: &Key) -> Result<Option<Record>, Error> {
+        let mut state = self.state.borrow_mut();
+        while state.controlled && state.carry_out() {}
+        Ok(state.records.get(key).cloned())
+    }
+
+    async fn put(&self, key: &Key, expect: u64, mark: u64, value: &Value) -> Result<Stored, Error> {
+        let mut state = self.state.borrow_mut();
+        while state.controlled && state.carry_out() {}
+        let (version, found) =
+            state.records.get(key).map_or((0, 0), |record| (record.version, record.mark));
+        if version != expect {
+            return Ok(Stored::Conflict { version, mark: found });
+        }
+        let version = state.write(key.clone(), mark, value.clone());
+        if state.lost > 0 {
+            state.lost -= 1;
+            return Ok(Stored::Unknown);
+        }
+        Ok(Stored::Written(version))
+    }
+}
+
+/// Runs a command and returns what it prints with its exit code.
+///
+/// Ids of plans are replaced by their place in the order of last writes.
+pub async fn run(fake: &Fake, line: &[&str], form: Form) -> (Exit, String) {
+    let line = ["whinspring"].iter().chain(line);
+    let matches = command::command().try_get_matches_from(line).unwrap();
+    let mut out = Output { form, sink: Vec::new() };
+    let ended = dispatch(&matches, fake, &mut out).await;
+    let mut text = String::from_utf8(out.sink).unwrap();
+    let exit = ended.unwrap_or_else(|error| {
+        text.push_str(&form.render_error(&error));
+        error.exit()
+    });
+    for (index, plan) in fake.plans().iter().enumerate() {
+        text = text.replace(plan.id.as_str(), &format!("PLAN{}", index + 1));
+    }
+    (exit, text)
+}
--- a/crates/whinspring/src/plan/error.rs
+++ b/crates/whinspring/src/plan/error.rs
@@ -95,7 +95,7 @@
     /// A record changed after the plan was computed.
     #[snafu(display(
         "{key} changed after the plan was made (version {base}, now {now}); \
-         look at the fresh plan and confirm that"
+         look at a fresh plan and confirm that"
     ))]
     Conflict {
         /// The record, as `kind/name`.
