Print a plan's id alone on its line

Cause: the id stood before a colon, so a script that took the second word of the line got an id that no plan has. Change: the intent has a line of its own.

--- a/crates/whinspring-cli/src/view/plan.rs
+++ b/crates/whinspring-cli/src/view/plan.rs
@@ -58,8 +58,8 @@
 
 impl Display for Proposed {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        f.write_str(&wrap(&format!("plan {}: ", self.plan), "  ", &self.intent))?;
-        f.write_str("nothing has changed yet\n")?;
+        writeln!(f, "plan {} (nothing has changed yet)", self.plan)?;
+        f.write_str(&wrap("  ", "    ", &self.intent))?;
         if !self.risks.is_empty() {
             f.write_str("\nwhat could go wrong\n")?;
         }
