Keep only those limits that the daemon has

Cause: conns, body_kb, answer_kb, window_kb and stall_ms were accepted and did nothing: the daemon has these as constants. Change: they are gone; a file that names them is refused.

--- a/crates/whinspring/src/settings.rs
+++ b/crates/whinspring/src/settings.rs
@@ -103,7 +103,7 @@
 pub enum Secret {
     /// In the settings.
     Key(Key),
-    /// In a file of hexadecimal text, which is read again when it changes.
+    /// In a file with one key a line.
     File(PathBuf),
 }
 
@@ -236,20 +236,10 @@
 /// Bounds on what a node takes in.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
-    /// Requests that the node works on at once, as an entry.
+    /// Requests of callers in progress at once.
     pub in_flight: u32,
-    /// Connections of callers at once.
-    pub conns: u32,
-    /// Longest request body that is read whole before it is forwarded, in KiB.
-    pub body_kb: u32,
-    /// Longest answer that is recorded for resends, in KiB.
-    pub answer_kb: u32,
-    /// Bytes in flight of one stream between nodes, in KiB.
-    pub window_kb: u32,
     /// Time for which an idle connection of a caller is kept, in milliseconds.
     pub idle_ms: u32,
-    /// Time after which a body without progress is given up, in milliseconds.
-    pub stall_ms: u32,
     /// Time between the notice of a planned stop and the closing of the callers' port, in
     /// milliseconds: the balancer lets go meanwhile.
     pub notice_ms: u32,
@@ -261,24 +251,14 @@
     /// Reads the section `limits`.
     fn read(section: &Section, faults: &mut Vec<Fault>) -> Option<Self> {
         let mut reader = Reader::new(section, faults);
-        let in_flight = reader.number("in_flight", 1..=1_000_000, 20_000);
-        let conns = reader.number("conns", 1..=1_000_000, 20_000);
-        let body_kb = reader.number("body_kb", 1..=4_096, 64);
-        let answer_kb = reader.number("answer_kb", 1..=1_024, 64);
-        let window_kb = reader.number("window_kb", 16..=16_384, 256);
+        let in_flight = reader.number("in_flight", 1..=1_000_000, 16_384);
         let idle_ms = reader.number("idle_ms", 1_000..=3_600_000, 75_000);
-        let stall_ms = reader.number("stall_ms", 1_000..=600_000, 30_000);
         let notice_ms = reader.number("notice_ms", 0..=60_000, 5_000);
         let drain_ms = reader.number("drain_ms", 1_000..=3_600_000, 900_000);
         reader.close();
         Some(Self {
             in_flight: in_flight?,
-            conns: conns?,
-            body_kb: body_kb?,
-            answer_kb: answer_kb?,
-            window_kb: window_kb?,
             idle_ms: idle_ms?,
-            stall_ms: stall_ms?,
             notice_ms: notice_ms?,
             drain_ms: drain_ms?,
         })
