--- a/crates/whinspring-cli/src/query.rs
+++ b/crates/whinspring-cli/src/query.rs
@@ -38,10 +38,15 @@
     })
 }
 
-/// Returns every suspected request that no operator cleared.
+/// Deaths from which a request is refused.
+const CONVICTED: u32 = 2;
+
+/// Returns every request that is refused for crashing servers.
 fn suspects(records: &Records) -> impl Iterator<Item = &Suspect> {
     of_kind(records, Kind::Suspect).filter_map(|record| match &record.value {
-        Some(Value::Suspect(suspect)) if !suspect.cleared => Some(suspect),
+        Some(Value::Suspect(suspect)) if !suspect.cleared && suspect.deaths >= CONVICTED => {
+            Some(suspect)
+        }
         _ => None,
     })
 }
--- a/crates/whinspring-cli/src/query/doctor.rs
+++ b/crates/whinspring-cli/src/query/doctor.rs
@@ -171,7 +171,7 @@
 fn check_suspects(records: &Records, findings: &mut Vec<Finding>) {
     for suspect in suspects(records) {
         let print = format!("{:016x}", suspect.print);
-        let text = format!("request {print} is suspected of {} crashes", suspect.deaths);
+        let text = format!("request {print} is refused: {} servers died of it", suspect.deaths);
         let mend = format!("mend the server, then whinspring clear {print}");
         add(findings, Harm::Waiting, text, &mend);
     }
--- a/crates/whinspring-cli/tests/commands.rs
+++ b/crates/whinspring-cli/tests/commands.rs
@@ -243,3 +243,31 @@
         assert!(page.contains(&row), "{row}");
     }
 }
+
+#[test]
+fn commands_named_in_the_docs_exist() {
+    let pages = [
+        include_str!("../../../README.md"),
+        include_str!("../../../docs/OPERATING.md"),
+        include_str!("../../../docs/CONFIG.md"),
+        include_str!("../../../docs/RESULTS.md"),
+    ];
+    let command = command::command();
+    let mut named = 0;
+    for page in pages {
+        for rest in page.split("whinspring ").skip(1) {
+            let words: Vec<_> = rest.split(|c: char| !c.is_ascii_lowercase()).take(2).collect();
+            let written = page.contains(&format!("`whinspring {}", words[0]))
+                || page.contains(&format!("    whinspring {}", words[0]));
+            if !written {
+                continue;
+            }
+            let found = command.find_subcommand(words[0]).unwrap_or_else(|| panic!("{words:?}"));
+            if found.has_subcommands() {
+                assert!(found.find_subcommand(words[1]).is_some(), "{words:?}");
+            }
+            named += 1;
+        }
+    }
+    assert!(named > 20, "{named}");
+}
