--- /dev/null
+++ b/crates/whinspring-daemon/src/clock.rs
@@ -0,0 +1,42 @@
+//! The clocks of the process.
+//!
+//! Leases are judged by the boot-time clock: unlike the monotonic clock it also counts the time
+//! that the VM was suspended, so a node that wakes sees that its lease has lapsed.
+
+use {
+    rustix::time::{ClockId, clock_gettime},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
+    whinspring::time::{Tick, Wall},
+};
+
+/// Reads boot time and calendar time.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    /// Boot time at the start of the process.
+    start: Duration,
+}
+
+impl Clock {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        Self { start: boot_time() }
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Tick {
+        let span = boot_time().saturating_sub(self.start);
+        Tick(span.as_micros() as u64)
+    }
+
+    /// Returns the calendar time.
+    pub fn wall(&self) -> Wall {
+        let span = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Wall(span.as_millis() as u64)
+    }
+}
+
+/// Returns the time since the VM booted, including time suspended.
+fn boot_time() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec.unsigned_abs(), now.tv_nsec.unsigned_abs() as u32)
+}
