--- a/crates/whinspring-daemon/src/control.rs
+++ b/crates/whinspring-daemon/src/control.rs
@@ -5,14 +5,9 @@
 //! the control links, to the platform client and to the tables shared with the request path.
 
 use {
-    crate::{
-        clock::Clock,
-        link::ControlLinks,
-        metrics::Metrics,
-        shared::Shared,
-    },
+    crate::{clock::Clock, link::ControlLinks, metrics::Metrics, shared::Shared},
     log::info,
-    platform::Platform,
+    platform::Calls,
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
@@ -24,7 +19,7 @@
         model::Suspect,
         record::Key,
     },
-    whinspring_platform::Client,
+    whinspring_platform::Platform,
 };
 
 mod platform;
@@ -47,7 +42,7 @@
     /// Links to other nodes.
     pub links: ControlLinks,
     /// Client of the platform's object API.
-    pub client: Client,
+    pub platform: Platform,
     /// Tables shared with the request path.
     pub shared: Arc<Shared>,
     /// Counters.
@@ -59,11 +54,10 @@
 /// Runs the control state machine until the process ends.
 pub async fn run(setup: Setup, clock: Clock, inputs: Inputs, outputs: Outputs) {
     let (events, answers) = mpsc::unbounded_channel();
-    let platform = Platform::new(outputs.client.clone(), events);
+    let calls = Calls::new(outputs.platform.clone(), events, outputs.metrics.clone());
     let control = Control::new(clock.now(), setup);
-    tokio::spawn(suspects::run(outputs.client.clone(), inputs.suspects));
-    let mut driver = Driver { control, clock, platform, outputs, actions: Vec::new() };
-    driver.publish();
+    tokio::spawn(suspects::run(outputs.platform.clone(), inputs.suspects));
+    let mut driver = Driver { control, clock, calls, outputs, actions: Vec::new() };
     driver.run(inputs.inbox, inputs.reports, inputs.retire, answers).await;
 }
 
@@ -74,7 +68,7 @@
     /// Clock of the process.
     clock: Clock,
     /// Calls to the platform in the background.
-    platform: Platform,
+    calls: Calls,
     /// Everything else that is acted on.
     outputs: Outputs,
     /// Actions not yet carried out; kept to reuse its memory.
@@ -128,11 +122,11 @@
         match action {
             Action::Send(peer, message) => self.outputs.links.send(&peer, message),
             Action::Put { op, key, expect, mark, value } => {
-                self.platform.put(op, key, expect, mark, value);
+                self.calls.put(op, key, expect, mark, value);
             }
-            Action::List => self.platform.list(),
-            Action::Watch(after) => self.platform.watch(after),
-            Action::ListVms => self.platform.vms(),
+            Action::List => self.calls.list(),
+            Action::Watch(after) => self.calls.watch(after),
+            Action::ListVms => self.calls.vms(),
             Action::Changed(keys) => self.changed(&keys),
             Action::Log(line) => info!("{line}"),
             Action::Count(name) => self.outputs.metrics.count(name),
@@ -142,12 +136,7 @@
     /// Brings the request path up to date with changed records.
     fn changed(&self, keys: &[Key]) {
         let replica = self.control.replica();
-        let view = self.outputs.shared.view();
-        self.outputs.shared.update(view.updated(replica, keys));
-    }
-
-    /// Publishes the first lease and view.
-    fn publish(&self) {
-        self.outputs.shared.set_lease(self.control.lease_until());
+        let records = keys.iter().filter_map(|key| replica.get(key));
+        self.outputs.shared.apply(records);
     }
 }
--- a/crates/whinspring-daemon/src/control/platform.rs
+++ b/crates/whinspring-daemon/src/control/platform.rs
@@ -4,104 +4,125 @@
 //! holds up the control loop.
 
 use {
-    std::time::Duration,
+    crate::metrics::Metrics,
+    std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
     whinspring::{
         control::{Event, Stored},
-        record::{Key, Value},
+        record::{Key, Record, Value},
     },
-    whinspring_platform::{Client, Error},
+    whinspring_platform::{Error, Listing, Object, Platform, VmState},
+    whinspring_wire::record,
 };
 
-/// Longest wait of one watch call, in milliseconds.
-const WATCH_WAIT_MS: u64 = 10_000;
+/// Longest wait of one watch call.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// Pause before a failed read is reported, in milliseconds.
-const READ_PAUSE_MS: u64 = 100;
+/// Pause before a failed read is reported.
+const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// Starts calls and sends their answers to the control loop.
-pub struct Platform {
+#[derive(Clone)]
+pub struct Calls {
     /// Client of the object API.
-    client: Client,
+    client: Platform,
     /// Where answers go.
     events: mpsc::UnboundedSender<Event>,
+    /// Counters.
+    metrics: Arc<Metrics>,
 }
 
-impl Platform {
+impl Calls {
     /// Creates a caller of `client` that answers on `events`.
-    pub fn new(client: Client, events: mpsc::UnboundedSender<Event>) -> Self {
-        Self { client, events }
+    pub fn new(
+        client: Platform,
+        events: mpsc::UnboundedSender<Event>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self { client, events, metrics }
     }
 
     /// Writes a record.
     pub fn put(&self, op: u64, key: Key, expect: u64, mark: u64, value: Option<Value>) {
-        let Self { client, events } = self.cloned();
+        let calls = self.clone();
+        calls.metrics.count("platform_writes");
         tokio::spawn(async move {
-            let outcome = write(&client, &key, expect, mark, value.as_ref()).await;
-            let _ = events.send(Event::Stored { op, outcome });
+            let outcome = calls.write(&key, expect, mark, value.as_ref()).await;
+            let _ = calls.events.send(Event::Stored { op, outcome });
         });
     }
 
     /// Reads every record.
     pub fn list(&self) {
-        let Self { client, events } = self.cloned();
+        let calls = self.clone();
+        calls.metrics.count("platform_reads");
         tokio::spawn(async move {
-            let event = match client.list().await {
-                Ok(listing) => {
-                    Event::Read { whole: true, revision: listing.revision, records: listing.records }
-                }
+            let event = match calls.client.list().await {
+                Ok(listing) => calls.read(true, listing),
                 Err(_) => failed(false).await,
             };
-            let _ = events.send(event);
+            let _ = calls.events.send(event);
         });
     }
 
     /// Waits for changes after a revision.
     pub fn watch(&self, after: u64) {
-        let Self { client, events } = self.cloned();
+        let calls = self.clone();
+        calls.metrics.count("platform_reads");
         tokio::spawn(async move {
-            let event = match client.watch(after, WATCH_WAIT_MS).await {
-                Ok(listing) => {
-                    Event::Read { whole: false, revision: listing.revision, records: listing.records }
-                }
-                Err(error) => failed(matches!(error, Error::TooOld { .. })).await,
+            let event = match calls.client.watch(after, WATCH_WAIT).await {
+                Ok(listing) => calls.read(false, listing),
+                Err(error) => failed(matches!(error, Error::Gone { .. })).await,
             };
-            let _ = events.send(event);
+            let _ = calls.events.send(event);
         });
     }
 
     /// Reads the list of VMs; a failure is left out, as the list only lags a little more.
     pub fn vms(&self) {
-        let Self { client, events } = self.cloned();
+        let calls = self.clone();
+        calls.metrics.count("platform_reads");
         tokio::spawn(async move {
-            let Ok(vms) = client.vms().await else { return };
-            let vms = vms.into_iter().map(|vm| (vm.name, vm.leaving)).collect();
-            let _ = events.send(Event::Vms(vms));
+            let Ok(vms) = calls.client.vms().await else { return };
+            let vms = vms.into_iter().map(|vm| (vm.name, vm.state != VmState::Live)).collect();
+            let _ = calls.events.send(Event::Vms(vms));
         });
     }
 
-    /// Returns a copy for a task.
-    fn cloned(&self) -> Self {
-        Self { client: self.client.clone(), events: self.events.clone() }
+    /// Writes or deletes a record.
+    async fn write(&self, key: &Key, expect: u64, mark: u64, value: Option<&Value>) -> Stored {
+        let stored = match value {
+            Some(value) => self.client.put(key, expect, mark, record::encode(value)).await,
+            None => self.client.delete(key, expect, mark).await,
+        };
+        stored.unwrap_or_else(|_| {
+            self.metrics.count("platform_writes_refused");
+            Stored::Unknown
+        })
+    }
+
+    /// Returns the event of a listing.
+    fn read(&self, whole: bool, listing: Listing) -> Event {
+        let records = listing.objects.into_iter().filter_map(|object| self.decode(object)).collect();
+        Event::Read { whole, revision: listing.revision, records }
     }
-}
 
-/// Writes or deletes a record.
-async fn write(
-    client: &Client,
-    key: &Key,
-    expect: u64,
-    mark: u64,
-    value: Option<&Value>,
-) -> Stored {
-    match value {
-        Some(value) => client.put(key, expect, mark, value).await,
-        None => client.delete(key, expect, mark).await,
+    /// Returns the record of an object; counts and leaves out one that is not understood.
+    fn decode(&self, object: Object) -> Option<Record> {
+        let Object { key, version, mark, value } = object;
+        let value = match value.map(|bytes| record::decode(key.kind, &bytes)).transpose() {
+            Ok(value) => value,
+            Err(_) => {
+                self.metrics.count("records_not_understood");
+                return None;
+            }
+        };
+        Some(Record { key, version, mark, value })
     }
 }
 
 /// Returns the event of a failed read after a pause, so that a dead platform is not hammered.
 async fn failed(gone: bool) -> Event {
-    sleep(Duration::from_millis(READ_PAUSE_MS)).await;
+    sleep(READ_PAUSE).await;
     Event::ReadFailed { gone }
 }
--- a/crates/whinspring-daemon/src/control/suspects.rs
+++ b/crates/whinspring-daemon/src/control/suspects.rs
@@ -15,7 +15,8 @@
         model::Suspect,
         record::{Key, Kind, Value},
     },
-    whinspring_platform::Client,
+    whinspring_platform::Platform,
+    whinspring_wire::record,
 };
 
 /// Pause between attempts, in milliseconds.
@@ -25,7 +26,7 @@
 const PENDING_MAX: usize = 1_024;
 
 /// Stores each suspicion that arrives, until the channel closes.
-pub async fn run(client: Client, mut arrivals: mpsc::UnboundedReceiver<Suspect>) {
+pub async fn run(client: Platform, mut arrivals: mpsc::UnboundedReceiver<Suspect>) {
     let mut pending: HashMap<u64, Suspect> = HashMap::new();
     loop {
         let pause = Duration::from_millis(if pending.is_empty() { 3_600_000 } else { RETRY_MS });
@@ -48,7 +49,7 @@
 }
 
 /// Tries to store everything pending.
-async fn flush(client: &Client, pending: &mut HashMap<u64, Suspect>) {
+async fn flush(client: &Platform, pending: &mut HashMap<u64, Suspect>) {
     let prints: Vec<u64> = pending.keys().copied().collect();
     for print in prints {
         let Some(suspect) = pending.get(&print) else { continue };
@@ -61,33 +62,40 @@
 }
 
 /// Stores one suspicion; returns whether it is on the platform.
-async fn store(client: &Client, suspect: Suspect) -> bool {
+async fn store(client: &Platform, suspect: Suspect) -> bool {
     let key = Key::new(Kind::Suspect, format!("{:016x}", suspect.print));
-    let Ok(record) = client.get(&key).await else { return false };
-    let expect = record.as_ref().map_or(0, |record| record.version);
-    let known = record.and_then(|record| match record.value {
-        Some(Value::Suspect(known)) => Some(known),
-        _ => None,
-    });
+    let Ok(object) = client.get(&key).await else { return false };
+    let expect = object.as_ref().map_or(0, |object| object.version);
+    let known = object.and_then(|object| object.value).and_then(|bytes| decode(&bytes));
     if known.as_ref().is_some_and(|known| covers(known, &suspect)) {
         return true;
     }
-    let value = Value::Suspect(merged(known, suspect));
-    matches!(client.put(&key, expect, random(), &value).await, Stored::Written(_))
+    let value = record::encode(&Value::Suspect(merged(known, suspect)));
+    matches!(client.put(&key, expect, random(), value).await, Ok(Stored::Written(_)))
+}
+
+/// Returns the suspicion that `bytes` encode, if they are understood.
+fn decode(bytes: &[u8]) -> Option<Suspect> {
+    match record::decode(Kind::Suspect, bytes) {
+        Ok(Value::Suspect(known)) => Some(known),
+        _ => None,
+    }
 }
 
-/// Returns whether `known` already says at least what `found` says.
+/// Returns whether `known` already says what `found` says.
 fn covers(known: &Suspect, found: &Suspect) -> bool {
-    known.deaths >= found.deaths && known.last_ms >= found.last_ms
+    merged(Some(known.clone()), found.clone()) == *known
 }
 
-/// Returns the worse of two suspicions of the same request.
+/// Returns what is known of a request after `found`.
+///
+/// A finding without deaths says that the request completed: it clears what was known before.
 fn merged(known: Option<Suspect>, found: Suspect) -> Suspect {
     let Some(known) = known else { return found };
-    Suspect {
-        print: found.print,
-        deaths: known.deaths.max(found.deaths),
-        last_ms: known.last_ms.max(found.last_ms),
-        cleared: found.cleared,
+    if found.last_ms < known.last_ms {
+        return known;
     }
+    let deaths = if found.deaths == 0 { 0 } else { known.deaths.max(found.deaths) };
+    let cleared = known.cleared && known.last_ms == found.last_ms;
+    Suspect { print: found.print, deaths, last_ms: found.last_ms, cleared }
 }
