--- a/crates/whinspring-daemon/src/control.rs
+++ b/crates/whinspring-daemon/src/control.rs
@@ -137,6 +137,7 @@
     fn changed(&self, keys: &[Key]) {
         let replica = self.control.replica();
         let records = keys.iter().filter_map(|key| replica.get(key));
-        self.outputs.shared.apply(records);
+        let view = self.outputs.shared.view().updated(records);
+        self.outputs.shared.update(view);
     }
 }
--- a/crates/whinspring-daemon/src/control/platform.rs
+++ b/crates/whinspring-daemon/src/control/platform.rs
@@ -9,10 +9,9 @@
     tokio::{sync::mpsc, time::sleep},
     whinspring::{
         control::{Event, Stored},
-        record::{Key, Record, Value},
+        record::{Key, Value},
     },
-    whinspring_platform::{Error, Listing, Object, Platform, VmState},
-    whinspring_wire::record,
+    whinspring_platform::{Error, Platform, Reading, VmState},
 };
 
 /// Longest wait of one watch call.
@@ -57,8 +56,8 @@
         let calls = self.clone();
         calls.metrics.count("platform_reads");
         tokio::spawn(async move {
-            let event = match calls.client.list().await {
-                Ok(listing) => calls.read(true, listing),
+            let event = match calls.client.read_all().await {
+                Ok(reading) => calls.read(true, reading),
                 Err(_) => failed(false).await,
             };
             let _ = calls.events.send(event);
@@ -70,8 +69,8 @@
         let calls = self.clone();
         calls.metrics.count("platform_reads");
         tokio::spawn(async move {
-            let event = match calls.client.watch(after, WATCH_WAIT).await {
-                Ok(listing) => calls.read(false, listing),
+            let event = match calls.client.read_changes(after, WATCH_WAIT).await {
+                Ok(reading) => calls.read(false, reading),
                 Err(error) => failed(matches!(error, Error::Gone { .. })).await,
             };
             let _ = calls.events.send(event);
@@ -91,33 +90,19 @@
 
     /// Writes or deletes a record.
     async fn write(&self, key: &Key, expect: u64, mark: u64, value: Option<&Value>) -> Stored {
-        let stored = match value {
-            Some(value) => self.client.put(key, expect, mark, record::encode(value)).await,
-            None => self.client.delete(key, expect, mark).await,
-        };
+        let stored = self.client.store_record(key, expect, mark, value).await;
         stored.unwrap_or_else(|_| {
             self.metrics.count("platform_writes_refused");
             Stored::Unknown
         })
     }
 
-    /// Returns the event of a listing.
-    fn read(&self, whole: bool, listing: Listing) -> Event {
-        let records = listing.objects.into_iter().filter_map(|object| self.decode(object)).collect();
-        Event::Read { whole, revision: listing.revision, records }
-    }
-
-    /// Returns the record of an object; counts and leaves out one that is not understood.
-    fn decode(&self, object: Object) -> Option<Record> {
-        let Object { key, version, mark, value } = object;
-        let value = match value.map(|bytes| record::decode(key.kind, &bytes)).transpose() {
-            Ok(value) => value,
-            Err(_) => {
-                self.metrics.count("records_not_understood");
-                return None;
-            }
-        };
-        Some(Record { key, version, mark, value })
+    /// Returns the event of a reading; counts records that are not understood.
+    fn read(&self, whole: bool, reading: Reading) -> Event {
+        for _ in &reading.faults {
+            self.metrics.count("records_not_understood");
+        }
+        Event::Read { whole, revision: reading.revision, records: reading.records }
     }
 }
 
