--- a/crates/whinspring-daemon/src/control.rs
+++ b/crates/whinspring-daemon/src/control.rs
@@ -107,7 +107,7 @@
     fn handle(&mut self, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.control.handle(self.clock.now(), self.clock.wall(), event, &mut actions);
-        self.outputs.shared.set_lease(self.control.lease_until());
+        self.publish();
         for action in actions.drain(..) {
             self.act(action);
         }
@@ -133,11 +133,21 @@
         }
     }
 
+    /// Publishes the incarnation and the lease.
+    fn publish(&self) {
+        let shared = &self.outputs.shared;
+        if shared.incarnation() != self.control.incarnation() {
+            shared.set_incarnation(self.control.incarnation());
+        }
+        shared.set_lease(self.control.lease_until());
+    }
+
     /// Brings the request path up to date with changed records.
     fn changed(&self, keys: &[Key]) {
         let replica = self.control.replica();
         let records = keys.iter().filter_map(|key| replica.get(key));
         let view = self.outputs.shared.view().updated(records);
         self.outputs.shared.update(view);
+        self.outputs.shared.set_known();
     }
 }
--- a/crates/whinspring-daemon/src/control/platform.rs
+++ b/crates/whinspring-daemon/src/control/platform.rs
@@ -8,10 +8,10 @@
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
     whinspring::{
-        control::{Event, Stored},
+        control::{Event, Stored, VmState},
         record::{Key, Value},
     },
-    whinspring_platform::{Error, Platform, Reading, VmState},
+    whinspring_platform::{self as api, Error, Platform, Reading},
 };
 
 /// Longest wait of one watch call.
@@ -83,7 +83,7 @@
         calls.metrics.count("platform_reads");
         tokio::spawn(async move {
             let Ok(vms) = calls.client.vms().await else { return };
-            let vms = vms.into_iter().map(|vm| (vm.name, vm.state != VmState::Live)).collect();
+            let vms = vms.into_iter().map(|vm| (vm.name, state(vm.state))).collect();
             let _ = calls.events.send(Event::Vms(vms));
         });
     }
@@ -111,3 +111,12 @@
     sleep(READ_PAUSE).await;
     Event::ReadFailed { gone }
 }
+
+/// Returns what the platform says of a VM.
+fn state(state: api::VmState) -> VmState {
+    match state {
+        api::VmState::Live => VmState::Live,
+        api::VmState::Leaving => VmState::Leaving,
+        api::VmState::Gone => VmState::Gone,
+    }
+}
--- a/crates/whinspring-daemon/src/daemon.rs
+++ b/crates/whinspring-daemon/src/daemon.rs
@@ -6,32 +6,36 @@
 
 use {
     crate::{
+        admin::Admin,
+        caller::{self, Callers},
         clock::Clock,
         control::{self, Inputs, Outputs},
+        keys,
         link::{ControlLinks, DataLinks, Listener, Local},
         logging,
         metrics::Metrics,
         shared::{Reports, Shared, run_ticks},
     },
-    log::info,
+    log::{info, warn},
     rand::random,
     snafu::{ResultExt, Snafu},
     std::{
-        fs, io,
-        net::SocketAddr,
-        path::{Path, PathBuf},
+        io,
+        net::{self, SocketAddr},
         sync::Arc,
         thread::available_parallelism,
+        time::Duration,
     },
     tokio::{
         net::TcpListener,
         runtime::{Builder, Runtime},
         signal::unix::{SignalKind, signal},
         sync::{mpsc, watch},
+        time::timeout,
     },
     whinspring::{
         control::Setup,
-        settings::{Key, Secret, Settings},
+        settings::{Limits, Settings},
     },
     whinspring_platform::Platform,
 };
@@ -59,19 +63,11 @@
         /// The system's error.
         source: io::Error,
     },
-    /// The file of the deployment's key cannot be read.
-    #[snafu(display("cannot read {}: {source}; check `key_file`", file.display()))]
-    ReadKey {
-        /// The file.
-        file: PathBuf,
-        /// The system's error.
-        source: io::Error,
-    },
-    /// The file of the deployment's key does not hold a key.
-    #[snafu(display("{} holds no key; write at least 32 hexadecimal digits", file.display()))]
-    BadKey {
-        /// The file.
-        file: PathBuf,
+    /// The deployment's key is missing.
+    #[snafu(display("{source}"))]
+    Keys {
+        /// Why.
+        source: keys::Error,
     },
     /// Signals cannot be received.
     #[snafu(display("cannot receive signals: {source}"))]
@@ -87,12 +83,15 @@
 ///
 /// Returns an error if the node cannot be started.
 pub fn run(settings: Settings) -> Result<(), Error> {
-    logging::start(settings.log.level, settings.log.format);
+    logging::start(&settings.log);
     let control = runtime("control", 1)?;
-    let threads = available_parallelism().map_or(1, usize::from).min(DATA_THREADS);
-    let data = runtime("data", threads)?;
-    let node = data.block_on(start(&settings, &control, &data))?;
-    data.block_on(node.serve())?;
+    let data = runtime("data", threads())?;
+    data.block_on(async {
+        let node = start(&settings, &control, &data).await?;
+        stop_signal().await?;
+        node.close().await;
+        Ok(())
+    })?;
     control.shutdown_background();
     data.shutdown_background();
     Ok(())
@@ -107,3 +106,143 @@
         .build()
         .context(ThreadsSnafu)
 }
+
+/// A running node.
+struct Node {
+    /// Serves callers.
+    callers: Callers,
+    /// Serves operators' tools.
+    admin: Admin,
+    /// Accepts links of other nodes.
+    listener: Listener,
+    /// Links for requests to other nodes.
+    links: DataLinks,
+    /// Links for control messages to other nodes.
+    control: ControlLinks,
+    /// Starts the graceful stop of the control loop.
+    retire: watch::Sender<bool>,
+    /// Turns true once the control loop has stopped gracefully.
+    retired: watch::Receiver<bool>,
+    /// Longest wait for requests in flight.
+    drain: Duration,
+}
+
+impl Node {
+    /// Stops gracefully: hands over what is held while callers' requests run to their end.
+    async fn close(mut self) {
+        info!("stopping gracefully");
+        self.retire.send_replace(true);
+        let quiet = async {
+            self.callers.close().await;
+            let _ = self.retired.wait_for(|retired| *retired).await;
+        };
+        if timeout(self.drain, quiet).await.is_err() {
+            warn!("requests were still in flight at the end of drain_ms");
+        }
+        self.listener.close();
+        self.links.close();
+        self.control.close();
+        self.admin.close().await;
+        info!("stopped");
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stop_signal() -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Starts the parts of a node.
+async fn start(settings: &Settings, control: &Runtime, data: &Runtime) -> Result<Node, Error> {
+    let node = &settings.node;
+    let clock = Clock::start();
+    let metrics = Arc::new(Metrics::new());
+    let incarnation = random();
+    let local = Arc::new(Local {
+        deployment: node.deployment.clone(),
+        keys: keys::read(&node.secret).context(KeysSnafu)?,
+        node: node.name.clone(),
+        incarnation,
+        addr: node.peer,
+        clock,
+        metrics: metrics.clone(),
+        control: control.handle().clone(),
+        data: data.handle().clone(),
+    });
+    let (messages, reports) = mpsc::unbounded_channel();
+    let (found, suspects) = mpsc::unbounded_channel();
+    let shared = Shared::new(
+        node.name.clone(),
+        incarnation,
+        clock,
+        metrics.clone(),
+        data.handle().clone(),
+        Reports { messages, suspects: found },
+    );
+    let links = DataLinks::new(local.clone());
+    shared.set_links(links.clone());
+    tokio::spawn(run_ticks(shared.clone()));
+
+    let (inbox_in, inbox) = mpsc::channel(INBOX);
+    let socket = listen(node.peer).await?;
+    let listener = Listener::start(local.clone(), socket, inbox_in, shared.clone());
+    let (retire, retiring) = watch::channel(false);
+    let (retired_in, retired) = watch::channel(false);
+    let setup = Setup {
+        name: node.name.clone(),
+        addr: node.peer,
+        domain: node.domain.clone(),
+        incarnation,
+        seed: random(),
+        peers: node.peers.clone(),
+    };
+    let inputs = Inputs { inbox, reports, suspects, retire: retiring };
+    let control_links = ControlLinks::new(local);
+    let outputs = Outputs {
+        links: control_links.clone(),
+        platform: Platform::new(node.platform),
+        shared: shared.clone(),
+        metrics,
+        retired: retired_in,
+    };
+    control.spawn(control::run(setup, clock, inputs, outputs));
+
+    let admin = listen_std(node.admin)?;
+    let admin = Admin::start(shared.clone(), admin).context(ListenSnafu { addr: node.admin })?;
+    let callers = listen_std(node.caller)?;
+    let callers = Callers::start(shared, callers, callers_setup(&settings.limits))
+        .context(ListenSnafu { addr: node.caller })?;
+    info!("node {} started in {}", node.name, node.domain);
+    let drain = Duration::from_millis(settings.limits.drain_ms.into());
+    Ok(Node { callers, admin, listener, links, control: control_links, retire, retired, drain })
+}
+
+/// Returns how callers are served.
+fn callers_setup(limits: &Limits) -> caller::Setup {
+    caller::Setup {
+        workers: threads(),
+        idle: Duration::from_millis(limits.idle_ms.into()),
+        drain: Duration::from_millis(limits.notice_ms.into()),
+    }
+}
+
+/// Returns the number of threads that carry requests.
+fn threads() -> usize {
+    available_parallelism().map_or(1, usize::from).min(DATA_THREADS)
+}
+
+/// Listens on an address for a server that brings its own threads.
+fn listen_std(addr: SocketAddr) -> Result<net::TcpListener, Error> {
+    net::TcpListener::bind(addr).context(ListenSnafu { addr })
+}
+
+/// Listens on an address.
+async fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.context(ListenSnafu { addr })
+}
--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -4,7 +4,11 @@
 //! order under the lock, and none of them blocks.
 
 use {
-    crate::{backend::Backend, exchange::{Call, Flow, Reply}, shared::Shared},
+    crate::{
+        backend::Backend,
+        exchange::{Call, Flow, Reply},
+        shared::Shared,
+    },
     log::info,
     parking_lot::{Mutex, MutexGuard},
     std::{
--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -2,10 +2,14 @@
 
 pub mod backend;
 pub mod clock;
+pub mod control;
+pub mod daemon;
 pub mod exchange;
 mod headers;
 pub mod held;
+pub mod keys;
 pub mod link;
+pub mod logging;
 pub mod metrics;
 pub mod shared;
 mod trace;
--- a/crates/whinspring-daemon/src/link/data.rs
+++ b/crates/whinspring-daemon/src/link/data.rs
@@ -36,12 +36,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the node cannot be reached, or runs as another incarnation than the target names.
+    /// Fails if the node cannot be reached, or another node answers at its address. Whether the
+    /// node still runs as the incarnation that the target names is for the node itself to judge.
     pub async fn open(&self, peer: &Peer, open: Box<Open>) -> Result<Answer, Unreachable> {
         let (sender, receiver) = oneshot::channel();
         self.pool.get(peer, sender);
         let conn = receiver.await.ok().flatten().ok_or(Unreachable)?;
-        if conn.hello.incarnation != open.target.incarnation {
+        if conn.hello.node != open.target.node {
             return Err(Unreachable);
         }
         conn.receiver.open(&conn.line, open).map_err(|_| Unreachable)
--- a/crates/whinspring-daemon/src/logging.rs
+++ b/crates/whinspring-daemon/src/logging.rs
@@ -7,37 +7,31 @@
     logforth::{
         append::Stderr,
         layout::{JsonLayout, TextLayout},
-        record::{Level, LevelFilter},
+        record::{Level as Severity, LevelFilter},
     },
+    whinspring::settings::{Format, Level, Log},
 };
 
-/// The shape of log lines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Format {
-    /// One JSON object a line.
-    Json,
-    /// Text for people.
-    Text,
-}
-
-/// Sends the process's log lines of `level` and above to standard error.
-pub fn start(level: Level, format: Format) {
-    let stderr = match format {
+/// Sends the process's log lines to standard error as the settings ask.
+pub fn start(settings: &Log) {
+    let stderr = match settings.format {
         Format::Json => Stderr::default().with_layout(JsonLayout::default()),
         Format::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
     };
+    let (severity, max) = levels(settings.level);
+    let filter = LevelFilter::MoreSevereEqual(severity);
     logforth::starter_log::builder()
-        .dispatch(|dispatch| dispatch.filter(LevelFilter::MoreSevereEqual(level)).append(stderr))
+        .dispatch(|dispatch| dispatch.filter(filter).append(stderr))
         .apply();
-    set_max_level(max(level));
+    set_max_level(max);
 }
 
-/// Returns the level of the `log` crate for `level`.
-fn max(level: Level) -> Max {
+/// Returns a level as the logger and as the log macros know it.
+fn levels(level: Level) -> (Severity, Max) {
     match level {
-        Level::Error => Max::Error,
-        Level::Warn => Max::Warn,
-        Level::Info => Max::Info,
-        _ => Max::Debug,
+        Level::Error => (Severity::Error, Max::Error),
+        Level::Warn => (Severity::Warn, Max::Warn),
+        Level::Info => (Severity::Info, Max::Info),
+        Level::Debug => (Severity::Debug, Max::Debug),
     }
 }
--- a/crates/whinspring-daemon/src/shared.rs
+++ b/crates/whinspring-daemon/src/shared.rs
@@ -54,8 +54,6 @@
 pub struct Shared {
     /// Name of this node.
     pub node: Name,
-    /// Incarnation of this node.
-    pub incarnation: u64,
     /// Clock of the process.
     pub clock: Clock,
     /// Counters.
@@ -70,12 +68,16 @@
     view: ArcSwap<View>,
     /// Rises with each change of the view.
     changes: watch::Sender<u64>,
+    /// Present incarnation of this node.
+    incarnation: AtomicU64,
     /// Point until which the node's lease holds.
     lease: AtomicU64,
     /// Held servers.
     held: ArcSwap<HashMap<HeldKey, Arc<Held>>>,
     /// Links for requests to other nodes.
     links: OnceLock<DataLinks>,
+    /// Whether the node has learned the records.
+    known: AtomicBool,
     /// Whether the node takes no new requests.
     leaving: AtomicBool,
     /// These tables, for the tasks of held servers.
@@ -95,7 +97,7 @@
         Arc::new_cyclic(|me| Self {
             view: ArcSwap::from_pointee(View::new(node.clone(), incarnation)),
             node,
-            incarnation,
+            incarnation: AtomicU64::new(incarnation),
             clock,
             metrics,
             runtime,
@@ -105,6 +107,7 @@
             lease: AtomicU64::new(0),
             held: ArcSwap::default(),
             links: OnceLock::new(),
+            known: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             me: me.clone(),
         })
@@ -120,6 +123,11 @@
         self.changes.subscribe()
     }
 
+    /// Returns the present incarnation of this node.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Acquire)
+    }
+
     /// Returns the point until which the lease holds.
     pub fn lease(&self) -> Tick {
         Tick(self.lease.load(Ordering::Acquire))
@@ -142,7 +150,7 @@
 
     /// Returns whether the node can answer requests.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && !self.view.load().is_empty()
+        !self.is_leaving() && self.known.load(Ordering::Relaxed)
     }
 
     /// Returns a held server.
@@ -160,6 +168,19 @@
         let _ = self.links.set(links);
     }
 
+    /// Notes that the node has learned the records.
+    pub fn set_known(&self) {
+        self.known.store(true, Ordering::Relaxed);
+    }
+
+    /// Goes on as another incarnation: what the former one held is given up.
+    ///
+    /// Called by the control loop only.
+    pub fn set_incarnation(&self, incarnation: u64) {
+        self.incarnation.store(incarnation, Ordering::Release);
+        self.update(self.view().reincarnated(incarnation));
+    }
+
     /// Notes that the node takes no new requests.
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -212,7 +233,7 @@
 impl Serve for Shared {
     fn serve(&self, call: Call) {
         let target = &call.open.target;
-        let mine = target.node == self.node && target.incarnation == self.incarnation;
+        let mine = target.node == self.node && target.incarnation == self.incarnation();
         let held = self.held(&call.open.meta.service, target.server);
         match held.filter(|held| mine && held.is_under(target.term)) {
             Some(held) => held.arrive(call),
--- a/crates/whinspring/src/view.rs
+++ b/crates/whinspring/src/view.rs
@@ -61,6 +61,11 @@
         view
     }
 
+    /// Returns this view for another incarnation of its node.
+    pub fn reincarnated(&self, incarnation: u64) -> Self {
+        Self { incarnation, ..self.clone() }
+    }
+
     /// Returns whether no service is known yet.
     pub fn is_empty(&self) -> bool {
         self.prefixes.is_empty()
