Serve callers, drive flights and serve the operators' port

Ruled out: xitca-web's HttpServer for callers (it hides when the caller goes away, and its graceful wait cuts after 30 s); the App of xitca-web serves the operators' port. Change: a socket of ours under xitca's HTTP/1 service sees the caller close and whether a connection is at rest; Callers::close drains without a fixed end.

--- a/crates/whinspring-daemon/src/backend.rs
+++ b/crates/whinspring-daemon/src/backend.rs
@@ -4,11 +4,7 @@
 //! has just looked at the clock, and a connection that was closed while it was idle is seen
 //! before it is used again.
 
-pub use self::{
-    conn::Conn,
-    fault::Fault,
-    upstream::Upstream,
-};
+pub use self::{conn::Conn, fault::Fault, upstream::Upstream};
 
 use {
     crate::clock::Clock,
--- a/crates/whinspring-daemon/src/backend/conn.rs
+++ b/crates/whinspring-daemon/src/backend/conn.rs
@@ -62,9 +62,9 @@
             io::ErrorKind::ConnectionRefused => Fault::Refused,
             _ => Fault::Unreachable,
         })?;
-        let tuned = socket.set_nodelay(true).and_then(|()| {
-            SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
-        });
+        let tuned = socket
+            .set_nodelay(true)
+            .and_then(|()| SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKED_TIMEOUT)));
         tuned.map_err(|_| Fault::Unreachable)?;
         let gate = Gate::new(clock);
         let guard = Guard::new(socket, gate.clone());
--- /dev/null
+++ b/crates/whinspring-daemon/src/caller/answer.rs
@@ -0,0 +1,158 @@
+//! Answers to callers.
+
+use {
+    super::conn::{Busy, Conn},
+    crate::{
+        exchange::{Answer, Part},
+        headers::{CLASS, CODE, RETRY_MS},
+    },
+    bytes::Bytes,
+    fastrace::Span,
+    http::{
+        HeaderValue, Response, StatusCode,
+        header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
+    },
+    serde::Serialize,
+    std::{
+        io,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll, ready},
+    },
+    whinspring::{code::Code, request::Refusal},
+    whinspring_wire::link::Head,
+    xitca_http::body::{self, Frame, SizeHint},
+};
+
+/// Body of an answer that whinspring itself gives.
+#[derive(Debug, Serialize)]
+struct RefusalBody {
+    /// Number of the result.
+    code: u16,
+    /// Its class.
+    class: &'static str,
+    /// A short description.
+    text: &'static str,
+}
+
+/// Builds the server's answer.
+pub fn answer(head: Head, rest: Answer, span: Span, conn: Rc<Conn>) -> Response<Body> {
+    let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let size = match head.length {
+        _ if bodiless => SizeHint::None,
+        Some(length) => SizeHint::Exact(length),
+        None => SizeHint::Unknown,
+    };
+    let rest = (!head.whole).then(|| Rest { answer: rest, conn, _span: span });
+    let first = (!head.body.is_empty()).then_some(head.body);
+    let mut response = Response::new(Body { first, rest, size, busy: None });
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    response
+}
+
+/// Builds an answer of whinspring's own.
+pub fn refuse(refusal: Refusal) -> Response<Body> {
+    let Refusal { code, retry_ms } = refusal;
+    let body = RefusalBody { code: code as u16, class: code.class().as_str(), text: code.text() };
+    let body = serde_json::to_vec(&body).expect("numbers and strings are valid JSON");
+    let size = SizeHint::Exact(body.len() as u64);
+    let mut response =
+        Response::new(Body { first: Some(body.into()), rest: None, size, busy: None });
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if retry_ms > 0 {
+        headers.insert(RETRY_AFTER, retry_ms.div_ceil(1_000).into());
+        headers.insert(RETRY_MS, retry_ms.into());
+    }
+    response
+}
+
+/// Puts the result on an answer; a node that is leaving asks for the connection to be closed.
+pub fn stamp(response: &mut Response<Body>, code: Code, leaving: bool) {
+    let headers = response.headers_mut();
+    headers.insert(CODE, (code as u16).into());
+    headers.insert(CLASS, HeaderValue::from_static(code.class().as_str()));
+    if leaving {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
+/// The body of an answer.
+pub struct Body {
+    /// Bytes that have arrived already.
+    first: Option<Bytes>,
+    /// What is still to come.
+    rest: Option<Rest>,
+    /// Length of the whole body, if it is known.
+    size: SizeHint,
+    /// Keeps the connection from being closed as idle.
+    busy: Option<Busy>,
+}
+
+/// The rest of a body that is still to come.
+struct Rest {
+    /// Where it comes from.
+    answer: Answer,
+    /// Connection of the caller.
+    conn: Rc<Conn>,
+    /// The entry's span, open until the body is complete.
+    _span: Span,
+}
+
+impl Body {
+    /// Holds the connection busy until the body has been sent.
+    pub fn hold(&mut self, busy: Busy) {
+        self.busy = Some(busy);
+    }
+}
+
+impl body::Body for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::Data(first))));
+        }
+        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+        match ready!(rest.poll_next(cx)) {
+            Ok((bytes, last)) => {
+                if last {
+                    self.rest = None;
+                }
+                if last && bytes.is_empty() {
+                    return Poll::Ready(None);
+                }
+                Poll::Ready(Some(Ok(Frame::Data(bytes))))
+            }
+            Err(error) => {
+                self.rest = None;
+                Poll::Ready(Some(Err(error)))
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.size
+    }
+}
+
+impl Rest {
+    /// Polls for the next bytes and whether they are the last.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<(Bytes, bool)>> {
+        match self.answer.poll_next(cx) {
+            Poll::Ready(Part::Data { bytes, last }) => Poll::Ready(Ok((bytes, last))),
+            Poll::Ready(_) => Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
+            Poll::Pending => {
+                ready!(self.conn.poll_gone(cx));
+                Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/caller/conn.rs
@@ -0,0 +1,166 @@
+//! One connection of a caller: whether the caller is still there, and whether it is at rest.
+
+use {
+    futures_util::FutureExt,
+    std::{
+        cell::Cell,
+        future::poll_fn,
+        io,
+        os::fd::AsFd,
+        rc::Rc,
+        task::{Context, Poll, ready},
+    },
+    tokio::{io::Interest, net::TcpStream, sync::Notify, task_local},
+    xitca_io::{
+        io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut},
+        net,
+    },
+};
+
+task_local! {
+    /// The connection that the present task serves.
+    static CURRENT: Rc<Conn>;
+}
+
+/// A connection of a caller.
+#[derive(Debug)]
+pub struct Conn {
+    /// A second handle of the socket, to see when the caller goes away.
+    watch: TcpStream,
+    /// Requests in progress.
+    busy: Cell<usize>,
+    /// Whether the next request is awaited.
+    reading: Cell<bool>,
+    /// Whether bytes of the next request have arrived.
+    begun: Cell<bool>,
+    /// Wakes whoever waits for the connection to rest.
+    rest: Notify,
+}
+
+/// A request in progress on a connection.
+#[derive(Debug)]
+pub struct Busy(Rc<Conn>);
+
+impl Conn {
+    /// Takes note of a new connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has no room for another handle.
+    pub fn new(stream: &net::TcpStream) -> io::Result<Rc<Self>> {
+        let socket = std::net::TcpStream::from(stream.as_fd().try_clone_to_owned()?);
+        let watch = TcpStream::from_std(socket)?;
+        Ok(Rc::new(Self {
+            watch,
+            busy: Cell::new(0),
+            reading: Cell::new(false),
+            begun: Cell::new(false),
+            rest: Notify::new(),
+        }))
+    }
+
+    /// Returns the connection that the present task serves.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of [`Conn::scope`].
+    pub fn current() -> Rc<Self> {
+        CURRENT.with(Rc::clone)
+    }
+
+    /// Serves the connection in `work`.
+    pub async fn scope<F: Future>(self: Rc<Self>, work: F) -> F::Output {
+        CURRENT.scope(self, work).await
+    }
+
+    /// Notes that a request is in progress, until the result is dropped.
+    pub fn begin(self: &Rc<Self>) -> Busy {
+        self.busy.set(self.busy.get() + 1);
+        Busy(self.clone())
+    }
+
+    /// Waits until the caller has closed its end.
+    pub async fn gone(&self) {
+        poll_fn(|cx| self.poll_gone(cx)).await;
+    }
+
+    /// Polls for the end of the caller's side.
+    pub fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if ready!(self.watch.poll_read_ready(cx)).is_err() || self.is_gone() {
+                return Poll::Ready(());
+            }
+            let _ = self
+                .watch
+                .try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+        }
+    }
+
+    /// Returns whether the caller has closed its end.
+    pub fn is_gone(&self) -> bool {
+        let state = self.watch.ready(Interest::READABLE).now_or_never();
+        match state {
+            Some(Ok(state)) => state.is_read_closed(),
+            Some(Err(_)) => true,
+            None => false,
+        }
+    }
+
+    /// Waits until no request is in progress and no byte of the next one has arrived.
+    pub async fn rested(&self) {
+        while !self.is_at_rest() {
+            self.rest.notified().await;
+        }
+    }
+
+    /// Returns whether no request is in progress and no byte of the next one has arrived.
+    pub fn is_at_rest(&self) -> bool {
+        self.busy.get() == 0 && self.reading.get() && !self.begun.get()
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let conn = &self.0;
+        conn.busy.set(conn.busy.get() - 1);
+        conn.begun.set(false);
+    }
+}
+
+/// A caller's socket that notes when the next request is awaited.
+pub struct Socket {
+    /// The socket.
+    stream: net::TcpStream,
+    /// Its connection.
+    conn: Rc<Conn>,
+}
+
+impl Socket {
+    /// Takes the socket of a connection.
+    pub fn new(stream: net::TcpStream, conn: Rc<Conn>) -> Self {
+        Self { stream, conn }
+    }
+}
+
+impl AsyncBufRead for Socket {
+    async fn read<B: BoundedBufMut>(&self, buf: B) -> (io::Result<usize>, B) {
+        self.conn.reading.set(true);
+        self.conn.rest.notify_one();
+        let (read, buf) = self.stream.read(buf).await;
+        self.conn.reading.set(false);
+        if matches!(read, Ok(bytes) if bytes > 0) {
+            self.conn.begun.set(true);
+        }
+        (read, buf)
+    }
+}
+
+impl AsyncBufWrite for Socket {
+    fn write<B: BoundedBuf>(&self, buf: B) -> impl Future<Output = (io::Result<usize>, B)> {
+        self.stream.write(buf)
+    }
+
+    fn shutdown(self, direction: std::net::Shutdown) -> impl Future<Output = io::Result<()>> {
+        self.stream.shutdown(direction)
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/caller/door.rs
@@ -0,0 +1,155 @@
+//! Where callers' connections come in, and how they are closed without a cut.
+
+use {
+    super::conn::{Conn, Socket},
+    crate::metrics::Metrics,
+    socket2::SockRef,
+    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{sync::watch, time::sleep},
+    tokio_util::sync::CancellationToken,
+    xitca_io::net::TcpStream,
+    xitca_service::{Service, ready::ReadyService},
+};
+
+/// Time after which unacknowledged bytes end a caller's connection.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time that a connection at rest is given to prove that it is.
+const REST_TIME: Duration = Duration::from_millis(50);
+
+/// Open connections of callers.
+#[derive(Debug)]
+pub struct Doors {
+    /// Cancelled when connections at rest are to be closed.
+    closing: CancellationToken,
+    /// Number of open connections.
+    open: watch::Sender<usize>,
+    /// Counters.
+    metrics: Arc<Metrics>,
+}
+
+impl Doors {
+    /// Creates doors without connections.
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self { closing: CancellationToken::new(), open: watch::Sender::new(0), metrics }
+    }
+
+    /// Closes connections at rest, and waits for the others to end.
+    pub async fn close(&self) {
+        self.closing.cancel();
+        let mut open = self.open.subscribe();
+        let _ = open.wait_for(|count| *count == 0).await;
+    }
+
+    /// Counts a connection until the result is dropped.
+    fn enter(self: &Arc<Self>) -> Entered {
+        self.open.send_modify(|count| *count += 1);
+        self.metrics.callers.inc();
+        Entered(self.clone())
+    }
+
+    /// Waits until a connection is to be closed.
+    async fn closed(&self, conn: &Conn) {
+        self.closing.cancelled().await;
+        loop {
+            conn.rested().await;
+            sleep(REST_TIME).await;
+            if conn.is_at_rest() {
+                return;
+            }
+        }
+    }
+}
+
+/// A connection that is counted.
+struct Entered(Arc<Doors>);
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.metrics.callers.dec();
+        self.0.open.send_modify(|count| *count -= 1);
+    }
+}
+
+/// Builds the service of a thread; `F` builds what speaks HTTP.
+pub struct Watch<F> {
+    /// Builds what speaks HTTP.
+    inner: F,
+    /// Open connections.
+    doors: Arc<Doors>,
+}
+
+impl<F> Watch<F> {
+    /// Puts doors before what `inner` builds.
+    pub fn new(inner: F, doors: Arc<Doors>) -> Self {
+        Self { inner, doors }
+    }
+}
+
+impl<F: Service> Service for Watch<F> {
+    type Response = Watched<F::Response>;
+    type Error = F::Error;
+
+    async fn call(&self, (): ()) -> Result<Self::Response, F::Error> {
+        let inner = self.inner.call(()).await?;
+        Ok(Watched { inner, doors: self.doors.clone() })
+    }
+}
+
+/// Serves the connections of one thread.
+pub struct Watched<S> {
+    /// Speaks HTTP.
+    inner: S,
+    /// Open connections.
+    doors: Arc<Doors>,
+}
+
+impl<S> Service<(TcpStream, SocketAddr)> for Watched<S>
+where
+    S: Service<(TcpStream, SocketAddr)>,
+{
+    type Response = ();
+    type Error = io::Error;
+
+    async fn call(&self, (stream, addr): (TcpStream, SocketAddr)) -> io::Result<()> {
+        let entered = self.doors.enter();
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+        let conn = Conn::new(&stream)?;
+        tokio::select! {
+            _ = conn.clone().scope(self.inner.call((stream, addr))) => {}
+            () = self.doors.closed(&conn) => {}
+        }
+        drop(entered);
+        Ok(())
+    }
+}
+
+impl<S: ReadyService> ReadyService for Watched<S> {
+    type Ready = S::Ready;
+
+    async fn ready(&self) -> S::Ready {
+        self.inner.ready().await
+    }
+}
+
+/// Puts a [`Socket`] before what speaks HTTP.
+pub struct Acceptor;
+
+impl Service for Acceptor {
+    type Response = Acceptor;
+    type Error = Infallible;
+
+    async fn call(&self, (): ()) -> Result<Acceptor, Infallible> {
+        Ok(Acceptor)
+    }
+}
+
+impl Service<TcpStream> for Acceptor {
+    type Response = Socket;
+    type Error = Infallible;
+
+    async fn call(&self, stream: TcpStream) -> Result<Socket, Infallible> {
+        Ok(Socket::new(stream, Conn::current()))
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/caller/request.rs
@@ -0,0 +1,256 @@
+//! What a caller's request is about, and whether it is well formed.
+
+use {
+    crate::{
+        headers::{
+            ATTEMPT, DEADLINE, OWN_SEGMENT, REPEATABLE, REQUEST_ID, strip_hop, strip_orders,
+        },
+        shared::Shared,
+    },
+    http::{
+        HeaderMap, HeaderName, Method, Version,
+        header::{EXPECT, HOST, UPGRADE},
+        request::Parts,
+    },
+    std::{borrow::Cow, hash::Hasher, time::Duration},
+    twox_hash::XxHash3_64,
+    uuid::Uuid,
+    whinspring::{
+        code::Code,
+        model::{KeyPlace, Service},
+        name::{Name, slice_of},
+        request::{Meta, Place},
+        time::{Tick, Wall},
+    },
+};
+
+/// Longest request id, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// Longest key, in bytes.
+const MAX_KEY_BYTES: usize = 512;
+
+/// Longest customer name, in bytes.
+const MAX_CUSTOMER_BYTES: usize = 128;
+
+/// Time after which a caller of a node without records may come back, in milliseconds.
+const NOT_READY_RETRY_MS: u32 = 500;
+
+/// Part of a deadline that the last answer may take to reach the caller.
+const REACH_SHARE: u32 = 20;
+
+/// Longest time that the last answer may take to reach the caller.
+const REACH_MOST: Duration = Duration::from_millis(5);
+
+/// A request that is well formed.
+#[derive(Debug)]
+pub struct Checked {
+    /// What it is about.
+    pub meta: Meta,
+    /// When the caller must have an answer.
+    pub deadline: Tick,
+    /// Path and query.
+    pub path: Name,
+}
+
+/// Why a request is refused: its service if known, the result, and when to come back.
+type Fault = (Name, Code, u32);
+
+/// Checks the head of a request.
+pub fn check(shared: &Shared, parts: &Parts) -> Result<Checked, Fault> {
+    let unknown = |code| (Name::new(), code, 0);
+    let path = check_form(parts).map_err(unknown)?;
+    let view = shared.view();
+    if view.is_empty() {
+        return Err((Name::new(), Code::NotReady, NOT_READY_RETRY_MS));
+    }
+    let service = view.service_for(path).ok_or(Code::NoService).map_err(unknown)?.service();
+    let fault = |code| (service.name.clone(), code, 0);
+    let meta = check_meta(service, parts, path).map_err(fault)?;
+    let span = check_deadline(service, &parts.headers).map_err(fault)?;
+    let reach = REACH_MOST.min(span / REACH_SHARE);
+    let deadline = shared.clock.now() + (span - reach);
+    Ok(Checked { meta, deadline, path: Name::from(path) })
+}
+
+/// Returns the fingerprint of a request.
+pub fn fingerprint(service: &str, method: &Method, path: &str, body: &[u8]) -> u64 {
+    let mut hasher = XxHash3_64::new();
+    for part in [service.as_bytes(), method.as_str().as_bytes(), path.as_bytes(), body] {
+        hasher.write(&(part.len() as u64).to_le_bytes());
+        hasher.write(part);
+    }
+    hasher.finish()
+}
+
+/// Removes headers that are not passed on to the server.
+pub fn clean(headers: &mut HeaderMap) {
+    strip_hop(headers);
+    strip_orders(headers);
+    headers.remove(EXPECT);
+}
+
+/// Checks what does not depend on the service; returns path and query.
+fn check_form(parts: &Parts) -> Result<&str, Code> {
+    let method = &parts.method;
+    if method == Method::CONNECT || method == Method::TRACE || parts.headers.contains_key(UPGRADE) {
+        return Err(Code::BadRequest);
+    }
+    let hosts = parts.headers.get_all(HOST).iter().count();
+    if hosts > 1 || (hosts == 0 && parts.version == Version::HTTP_11) {
+        return Err(Code::BadRequest);
+    }
+    let path = parts.uri.path_and_query().ok_or(Code::BadRequest)?.as_str();
+    if !path.starts_with('/') {
+        return Err(Code::BadRequest);
+    }
+    for segment in parts.uri.path().split('/') {
+        let segment = decode(segment).ok_or(Code::BadRequest)?;
+        match &*segment {
+            "." | ".." => return Err(Code::BadRequest),
+            OWN_SEGMENT => return Err(Code::NoService),
+            _ => {}
+        }
+    }
+    Ok(path)
+}
+
+/// Works out what a request is about, but for its fingerprint.
+fn check_meta(service: &Service, parts: &Parts, path: &str) -> Result<Meta, Code> {
+    let headers = &parts.headers;
+    let id = check_id(headers)?;
+    let repeatable = check_repeatable(&parts.method, headers)?;
+    if !repeatable && id.is_empty() {
+        return Err(Code::NoId);
+    }
+    Ok(Meta {
+        service: service.name.clone(),
+        place: check_place(service, headers, path)?,
+        customer: check_customer(service, headers)?,
+        issued: issued(&id),
+        id,
+        first: check_first(headers)?,
+        repeatable,
+        print: 0,
+        deaths: 0,
+    })
+}
+
+/// Finds the key of a request to a keyed service.
+fn check_place(service: &Service, headers: &HeaderMap, path: &str) -> Result<Option<Place>, Code> {
+    let key = match &service.key {
+        None => return Ok(None),
+        Some(KeyPlace::Header(name)) => single(headers, name).map_err(|_| Code::NoKey)?,
+        Some(KeyPlace::PathPart(index)) => path_part(service, path, *index),
+    };
+    let key = key.filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES);
+    let key = Name::from(&*key.ok_or(Code::NoKey)?);
+    let slice = slice_of(&key, service.slices.max(1));
+    Ok(Some(Place { key, slice }))
+}
+
+/// Returns a part of the path after the service's prefix.
+fn path_part<'a>(service: &Service, path: &'a str, index: u32) -> Option<Cow<'a, str>> {
+    let path = path.split('?').next()?;
+    let rest = path.strip_prefix(service.prefix.trim_end_matches('/'))?;
+    let part = rest.trim_start_matches('/').split('/').nth(index as usize)?;
+    decode(part)
+}
+
+/// Reads the customer of the caller.
+fn check_customer(service: &Service, headers: &HeaderMap) -> Result<Name, Code> {
+    if service.customer.is_empty() {
+        return Ok(Name::new());
+    }
+    let customer = single(headers, &service.customer)?.unwrap_or_default();
+    if customer.len() > MAX_CUSTOMER_BYTES {
+        return Err(Code::BadRequest);
+    }
+    Ok(Name::from(&*customer))
+}
+
+/// Reads the request id.
+fn check_id(headers: &HeaderMap) -> Result<Name, Code> {
+    let mut values = headers.get_all(REQUEST_ID).iter();
+    let Some(value) = values.next() else { return Ok(Name::new()) };
+    let visible = value.as_bytes().iter().all(u8::is_ascii_graphic);
+    let fits = (1..=MAX_ID_BYTES).contains(&value.len());
+    if values.next().is_some() || !visible || !fits {
+        return Err(Code::BadId);
+    }
+    let text = value.to_str().map_err(|_| Code::BadId)?;
+    Ok(Name::from(text))
+}
+
+/// Returns when an id was issued, if it is a UUIDv7.
+fn issued(id: &str) -> Option<Wall> {
+    let uuid = Uuid::try_parse(id).ok()?;
+    if uuid.get_version_num() != 7 {
+        return None;
+    }
+    let (seconds, nanos) = uuid.get_timestamp()?.to_unix();
+    Some(Wall(seconds * 1_000 + u64::from(nanos / 1_000_000)))
+}
+
+/// Returns whether the caller marked the first sending of the id.
+fn check_first(headers: &HeaderMap) -> Result<bool, Code> {
+    let Some(attempt) = single(headers, ATTEMPT.as_str())? else { return Ok(false) };
+    let attempt: u32 = attempt.parse().map_err(|_| Code::BadRequest)?;
+    if attempt == 0 { Err(Code::BadRequest) } else { Ok(attempt == 1) }
+}
+
+/// Returns whether the request may run twice.
+fn check_repeatable(method: &Method, headers: &HeaderMap) -> Result<bool, Code> {
+    let safe = matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS);
+    match single(headers, REPEATABLE.as_str())?.as_deref() {
+        None => Ok(safe),
+        Some("yes") => Ok(true),
+        Some("no") => Ok(false),
+        Some(_) => Err(Code::BadRequest),
+    }
+}
+
+/// Returns the time that the caller gives.
+fn check_deadline(service: &Service, headers: &HeaderMap) -> Result<Duration, Code> {
+    let value = single(headers, DEADLINE.as_str()).map_err(|_| Code::BadDeadline)?;
+    let Some(value) = value else {
+        return Ok(Duration::from_millis(service.deadline_ms.into()));
+    };
+    let ms: u32 = value.parse().map_err(|_| Code::BadDeadline)?;
+    if ms == 0 || ms > service.cap_ms || value.starts_with('+') {
+        return Err(Code::BadDeadline);
+    }
+    Ok(Duration::from_millis(ms.into()))
+}
+
+/// Returns the value of a header that may be there once.
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<Cow<'a, str>>, Code> {
+    let Ok(name) = HeaderName::try_from(name) else { return Ok(None) };
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(Code::BadRequest);
+    }
+    let text = std::str::from_utf8(value.as_bytes()).map_err(|_| Code::BadRequest)?;
+    Ok(Some(Cow::Borrowed(text.trim())))
+}
+
+/// Decodes a percent-encoded part of a path; `None` if it is malformed.
+fn decode(part: &str) -> Option<Cow<'_, str>> {
+    if !part.contains('%') {
+        return Some(Cow::Borrowed(part));
+    }
+    let mut bytes = Vec::with_capacity(part.len());
+    let mut rest = part.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        if *first != b'%' {
+            bytes.push(*first);
+            rest = tail;
+            continue;
+        }
+        let digits = std::str::from_utf8(tail.get(..2)?).ok()?;
+        bytes.push(u8::from_str_radix(digits, 16).ok()?);
+        rest = &tail[2..];
+    }
+    String::from_utf8(bytes).ok().map(Cow::Owned)
+}
--- a/crates/whinspring-daemon/src/exchange.rs
+++ b/crates/whinspring-daemon/src/exchange.rs
@@ -4,7 +4,13 @@
 //! [`Answer`], the holder a [`Call`]. Bodies flow in both directions under a credit that the
 //! reading end grants, so that a slow reader holds up its own stream only.
 
-pub use self::{answer::Answer, call::Call, flow::Flow, reply::Reply, upload::Upload};
+pub use self::{
+    answer::{Answer, Uplink},
+    call::Call,
+    flow::Flow,
+    reply::Reply,
+    upload::Upload,
+};
 
 use {
     bytes::Bytes,
--- a/crates/whinspring-daemon/src/exchange/answer.rs
+++ b/crates/whinspring-daemon/src/exchange/answer.rs
@@ -53,7 +53,12 @@
 #[derive(Debug)]
 enum To {
     /// To this process.
-    Local(mpsc::UnboundedSender<Chunk>),
+    Local {
+        /// Takes the request's body.
+        chunks: mpsc::UnboundedSender<Chunk>,
+        /// Credit for the answer's body.
+        down: Arc<Flow>,
+    },
     /// To a link.
     Remote(Arc<Asked>),
 }
@@ -77,7 +82,9 @@
     /// Returns the sender of the request's body.
     pub fn uplink(&self) -> Uplink {
         let to = match &self.peer {
-            Peer::Local { chunks, .. } => To::Local(chunks.clone()),
+            Peer::Local { chunks, down } => {
+                To::Local { chunks: chunks.clone(), down: down.clone() }
+            }
             Peer::Remote(asked) => To::Remote(asked.clone()),
         };
         Uplink { up: self.up.clone(), to }
@@ -125,6 +132,30 @@
 }
 
 impl Uplink {
+    /// Waits until the holder asks for the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails once the stream has ended.
+    pub async fn asked(&self) -> Result<(), Gone> {
+        self.up.take(1).await?;
+        self.up.give(1);
+        Ok(())
+    }
+
+    /// Waits until the stream has ended.
+    pub async fn closed(&self) {
+        self.up.gone().await;
+    }
+
+    /// Gives the stream up: the body broke off.
+    pub fn abandon(&self) {
+        match &self.to {
+            To::Local { down, .. } => down.shut(),
+            To::Remote(asked) => asked.abandon(),
+        }
+    }
+
     /// Waits for credit and sends bytes of the body.
     ///
     /// # Errors
@@ -136,7 +167,7 @@
             self.up.take(piece.len()).await?;
             let last = last && bytes.is_empty();
             match &self.to {
-                To::Local(chunks) => {
+                To::Local { chunks, .. } => {
                     chunks.send(Chunk { bytes: piece, last }).map_err(|_| Gone)?;
                 }
                 To::Remote(asked) => asked.send(piece, last)?,
--- a/crates/whinspring-daemon/src/headers.rs
+++ b/crates/whinspring-daemon/src/headers.rs
@@ -37,8 +37,8 @@
 pub const PROBE_PATH: &str = "/_whinspring/probe";
 /// Path of a server's grants.
 pub const GRANT_PATH: &str = "/_whinspring/grant";
-/// Start of the paths that a server keeps for its holder.
-pub const OWN_PREFIX: &str = "/_whinspring";
+/// First segment of the paths that a server keeps for its holder.
+pub const OWN_SEGMENT: &str = "_whinspring";
 
 /// Headers that belong to one connection and are not passed on.
 const HOP_BY_HOP: [HeaderName; 11] = [
--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -4,7 +4,11 @@
 //! order under the lock, and none of them blocks.
 
 use {
-    crate::{backend::Backend, exchange::{Call, Flow, Reply}, shared::Shared},
+    crate::{
+        backend::Backend,
+        exchange::{Call, Flow, Reply},
+        shared::Shared,
+    },
     log::info,
     parking_lot::{Mutex, MutexGuard},
     std::{
@@ -153,6 +157,11 @@
         self.term.load(Ordering::Acquire) == term
     }
 
+    /// Returns the term under which the server is held.
+    pub fn term(&self) -> u64 {
+        self.term.load(Ordering::Acquire)
+    }
+
     /// Returns how many requests run and how many wait.
     pub fn load(&self) -> (u32, u32) {
         (self.running.load(Ordering::Relaxed), self.queued.load(Ordering::Relaxed))
--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -24,12 +24,7 @@
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::timeout},
     tokio_util::sync::CancellationToken,
-    whinspring::{
-        code::Code,
-        holder::Input,
-        request::Refusal,
-        time::Tick,
-    },
+    whinspring::{code::Code, holder::Input, request::Refusal, time::Tick},
     whinspring_wire::link::{Head, Open, Reason},
 };
 
@@ -158,11 +153,7 @@
     }
 
     /// Passes the server's answer on.
-    async fn answer(
-        &mut self,
-        mut conn: Conn,
-        answer: Response<Incoming>,
-    ) -> Result<End, Stopped> {
+    async fn answer(&mut self, mut conn: Conn, answer: Response<Incoming>) -> Result<End, Stopped> {
         let (parts, mut body) = answer.into_parts();
         if let Some(reason) = parts.headers.get(NOT_RUN) {
             let end = refusal(reason, &parts.headers);
--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -1,11 +1,14 @@
 //! The parts of `whinspringd`: HTTP in and out, links between nodes, and the control loop.
 
+pub mod admin;
 pub mod backend;
+pub mod caller;
 pub mod clock;
 pub mod exchange;
 mod headers;
 pub mod held;
 pub mod link;
 pub mod metrics;
+pub mod serve;
 pub mod shared;
 mod trace;
--- a/crates/whinspring-daemon/src/link/asked.rs
+++ b/crates/whinspring-daemon/src/link/asked.rs
@@ -185,6 +185,15 @@
         self.line.send(Frame::Window { stream: self.stream, bytes: owed as u32 });
     }
 
+    /// Gives the stream up, and tells its reader that it broke off.
+    pub fn abandon(&self) {
+        let entry = self.streams.table.lock().open.remove(&self.stream);
+        if let Some(entry) = entry {
+            self.line.send(Frame::Cancel(self.stream));
+            let _ = entry.parts.send(Part::Broken);
+        }
+    }
+
     /// Gives the stream up.
     pub fn cancel(&self) {
         let entry = self.streams.table.lock().open.remove(&self.stream);
--- /dev/null
+++ b/crates/whinspring-daemon/src/serve.rs
@@ -0,0 +1,183 @@
+//! The way of one request through this entry.
+//!
+//! Drives a [`Flight`]: forwards the request to the holder that it names, locally or over a link,
+//! and returns the start of the answer or the result that the caller gets instead.
+
+use {
+    crate::{
+        exchange::{Answer, Part, Serve, Uplink, local},
+        shared::Shared,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Method},
+    std::{sync::Arc, time::Duration},
+    tokio::time::{sleep, timeout},
+    whinspring::{
+        code::Code,
+        control::Peer,
+        entry::{Flight, Outcome, Step},
+        name::Name,
+        request::{Meta, Refusal, Target},
+        time::Tick,
+    },
+    whinspring_wire::link::{Head, Open, Reason},
+};
+
+/// Part of the time left that a holder's answer may take to get here, at most.
+const MARGIN_SHARE: u32 = 10;
+
+/// Longest time that a holder's answer may take to get here.
+const MARGIN_MOST: Duration = Duration::from_millis(10);
+
+/// A request of a caller.
+#[derive(Debug)]
+pub struct Inquiry {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: Name,
+    /// Headers passed on to the server.
+    pub headers: HeaderMap,
+    /// What the request is about.
+    pub meta: Meta,
+    /// When the caller must have an answer.
+    pub deadline: Tick,
+    /// First bytes of the body.
+    pub body: Bytes,
+    /// Whether the body is complete.
+    pub whole: bool,
+    /// Length of the whole body, if it is known.
+    pub length: Option<u64>,
+}
+
+/// The rest of a request's body.
+pub trait Source {
+    /// Starts to send the rest of the body once the holder asks for it.
+    fn begin(&self, uplink: Uplink);
+
+    /// Returns whether bytes of the rest have been sent, so that they cannot be sent again.
+    fn is_used(&self) -> bool;
+}
+
+/// Forwards a request until it is answered.
+///
+/// # Errors
+///
+/// Fails with the result that the caller gets in place of the server's answer.
+pub async fn fly<S: Source>(
+    shared: &Arc<Shared>,
+    inquiry: Inquiry,
+    source: &S,
+) -> Result<(Box<Head>, Answer), Refusal> {
+    let now = shared.clock.now();
+    let mut flight = Flight::new(inquiry.meta.clone(), now, inquiry.deadline, fastrand::u64(..));
+    let mut changes = shared.changes();
+    loop {
+        changes.mark_unchanged();
+        let view = shared.view();
+        let step = flight.next(shared.clock.now(), &view, &mut shared.budget.lock());
+        let target = match step {
+            Step::Forward(target) => target,
+            Step::Answer(refusal) => return Err(refusal),
+            Step::Wait(until) => {
+                let span = until.since(shared.clock.now());
+                let _ = timeout(span, changes.changed()).await;
+                continue;
+            }
+        };
+        drop(view);
+        let outcome = match attempt(shared, &inquiry, flight.meta(), target, source).await {
+            Ok(answer) => return Ok(answer),
+            Err(outcome) => outcome,
+        };
+        if let Some(refusal) = last(shared, &inquiry, outcome, source) {
+            return Err(refusal);
+        }
+        flight.failed(shared.clock.now(), outcome);
+    }
+}
+
+/// Forwards a request once.
+async fn attempt<S: Source>(
+    shared: &Arc<Shared>,
+    inquiry: &Inquiry,
+    meta: &Meta,
+    target: Target,
+    source: &S,
+) -> Result<(Box<Head>, Answer), Outcome> {
+    let left = inquiry.deadline.since(shared.clock.now());
+    let open = Box::new(open(inquiry, meta, target, left));
+    let mut answer = send(shared, open).await?;
+    if !inquiry.whole {
+        source.begin(answer.uplink());
+    }
+    let left = inquiry.deadline.since(shared.clock.now());
+    let part = tokio::select! {
+        biased;
+        part = answer.next() => part,
+        () = sleep(left) => return Err(Outcome::Refused(Refusal { code: Code::Deadline, retry_ms: 0 })),
+    };
+    match part {
+        Part::Head(head) => Ok((head, answer)),
+        Part::Refuse(Reason::Misrouted) => Err(Outcome::Misrouted),
+        Part::Refuse(Reason::Refused(refusal)) => Err(Outcome::Refused(refusal)),
+        Part::Data { .. } | Part::Broken => Err(Outcome::Broken),
+    }
+}
+
+/// Hands a request to its holder.
+async fn send(shared: &Arc<Shared>, open: Box<Open>) -> Result<Answer, Outcome> {
+    let target = &open.target;
+    if target.node == shared.node {
+        let (answer, call) = local(open.clone(), shared.clock.now() + open.left);
+        shared.serve(call);
+        return Ok(answer);
+    }
+    let addr = shared.view().addr(&target.node).ok_or(Outcome::Unreachable)?;
+    let links = shared.links().ok_or(Outcome::Unreachable)?;
+    let peer = Peer { name: target.node.clone(), addr };
+    let left = open.left;
+    let answer = timeout(left, links.open(&peer, open)).await;
+    answer.ok().and_then(Result::ok).ok_or(Outcome::Unreachable)
+}
+
+/// Builds the message to the holder.
+fn open(inquiry: &Inquiry, meta: &Meta, target: Target, left: Duration) -> Open {
+    let margin = MARGIN_MOST.min(left / MARGIN_SHARE);
+    Open {
+        stream: 0,
+        method: inquiry.method.clone(),
+        path: inquiry.path.clone(),
+        headers: inquiry.headers.clone(),
+        meta: meta.clone(),
+        target,
+        left: left - margin,
+        body: inquiry.body.clone(),
+        whole: inquiry.whole,
+        length: inquiry.length,
+    }
+}
+
+/// Returns the caller's result if the request cannot be forwarded again.
+fn last<S: Source>(
+    shared: &Shared,
+    inquiry: &Inquiry,
+    outcome: Outcome,
+    source: &S,
+) -> Option<Refusal> {
+    if shared.clock.now() >= inquiry.deadline
+        && let Outcome::Refused(refusal) = outcome
+    {
+        return Some(refusal);
+    }
+    if !source.is_used() {
+        return None;
+    }
+    let code = match outcome {
+        Outcome::Refused(refusal) => return Some(refusal),
+        Outcome::Misrouted | Outcome::Unreachable => Code::NoHolder,
+        Outcome::Broken => Code::HolderLost,
+        Outcome::Cut => Code::Cut,
+    };
+    Some(Refusal { code, retry_ms: 0 })
+}
