--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -1,6 +1,8 @@
 //! The parts of `whinspringd`: HTTP in and out, links between nodes, and the control loop.
 
+pub mod admin;
 pub mod backend;
+pub mod caller;
 pub mod clock;
 pub mod control;
 pub mod daemon;
@@ -11,5 +13,6 @@
 pub mod link;
 pub mod logging;
 pub mod metrics;
+pub mod serve;
 pub mod shared;
 mod trace;
