--- a/crates/whinspring-daemon/src/held/probe.rs
+++ b/crates/whinspring-daemon/src/held/probe.rs
@@ -86,12 +86,19 @@
     /// Sends a probe or grant and returns what it showed.
     async fn ask(&self, request: http::Result<Request<Upstream>>, grant: u64) -> Input {
         let request = request.expect("the parts are valid");
-        match timeout(PROBE_TIMEOUT, self.ask_steps(request)).await {
+        let input = match timeout(PROBE_TIMEOUT, self.ask_steps(request)).await {
             Ok(Ok((StatusCode::OK, body))) => sign(&body, grant),
             Ok(Ok((StatusCode::CONFLICT, _))) if grant > 0 => Input::Outranked,
             Ok(Ok(_)) | Err(_) => Input::Down { refused: false },
             Ok(Err(fault)) => Input::Down { refused: fault == Fault::Refused },
-        }
+        };
+        let event = match input {
+            Input::Up { .. } => "server_answered",
+            Input::Outranked => "server_outranked",
+            _ => "server_unanswered",
+        };
+        self.shared.metrics.count(event);
+        input
     }
 
     /// Sends a request and reads the whole answer.
--- /dev/null
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/whinspring-daemon/tests/data/main.rs
@@ -0,0 +1,7 @@
+//! The data plane: links, entries, holders and callers, in one process over loopback.
+
+mod callers;
+mod links;
+mod path;
+mod rig;
+mod stop;
--- /dev/null
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -0,0 +1,245 @@
+//! Nodes and backend servers in one process, wired by hand-made records.
+
+use {
+    std::{
+        collections::BTreeMap,
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{runtime::Handle, sync::mpsc},
+    whinspring::{
+        control::Peer,
+        message::Message,
+        model::{
+            Holder, Holders, KeyPlace, Node, NodeState, Owner, Segment, Server, ServerState,
+            Service,
+        },
+        name::{Name, ServerId},
+        record::{Key, Kind, Record, Value},
+        time::Tick,
+        view::View,
+    },
+    whinspring_daemon::{
+        caller::{Callers, Setup},
+        clock::Clock,
+        exchange::Serve,
+        link::{ControlLinks, DataLinks, Listener, Local},
+        metrics::Metrics,
+        shared::{Reports, Shared, run_ticks},
+    },
+    whinspring_standin::{
+        http::Running,
+        server::{self, Options},
+    },
+};
+
+/// Key of the deployment in tests.
+pub const KEY: &[u8] = b"a key of the deployment for tests";
+
+/// Slices of the keyed service.
+pub const SLICES: u32 = 8;
+
+/// Shortest deadline that a test relies on being kept, in milliseconds.
+pub const LONG_MS: u32 = 20_000;
+
+/// Link settings of a node.
+pub fn local(name: &str, addr: SocketAddr, key: &[u8]) -> Arc<Local> {
+    Arc::new(Local {
+        deployment: "test".into(),
+        keys: vec![key.to_vec()],
+        node: name.into(),
+        incarnation: 1,
+        addr,
+        clock: Clock::start(),
+        metrics: Arc::new(Metrics::new()),
+        control: Handle::current(),
+        data: Handle::current(),
+    })
+}
+
+/// A bound socket on loopback and its address.
+pub async fn bind() -> (tokio::net::TcpListener, SocketAddr) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let addr = listener.local_addr().expect("it is bound");
+    (listener, addr)
+}
+
+/// A node that accepts links only.
+pub struct Peered {
+    /// Its link settings.
+    pub local: Arc<Local>,
+    /// How others name it.
+    pub peer: Peer,
+    /// Control messages that it got.
+    pub inbox: mpsc::Receiver<(Peer, Message)>,
+    /// Its listener.
+    pub listener: Listener,
+}
+
+/// Starts a node that accepts links only and hands requests to `server`.
+pub async fn peered<S: Serve>(name: &str, key: &[u8], server: Arc<S>) -> Peered {
+    let (socket, addr) = bind().await;
+    let local = local(name, addr, key);
+    let (sender, inbox) = mpsc::channel(64);
+    let listener = Listener::start(local.clone(), socket, sender, server);
+    Peered { local, peer: Peer { name: name.into(), addr }, inbox, listener }
+}
+
+/// A node with every part of the data plane.
+pub struct Daemon {
+    /// Name of the node.
+    pub name: Name,
+    /// Address for other nodes, as the records tell it.
+    pub addr: SocketAddr,
+    /// Address for callers.
+    pub callers_addr: SocketAddr,
+    /// Its tables.
+    pub shared: Arc<Shared>,
+    /// Its port for callers.
+    pub callers: Callers,
+    /// Its control links.
+    pub control: ControlLinks,
+    /// Keeps the reports' channels open.
+    _reports:
+        (mpsc::UnboundedReceiver<Message>, mpsc::UnboundedReceiver<whinspring::model::Suspect>),
+    /// Keeps the inbox open.
+    _inbox: mpsc::Receiver<(Peer, Message)>,
+}
+
+/// Starts a node without records.
+pub async fn daemon(name: &str) -> Daemon {
+    let (socket, addr) = bind().await;
+    let local = local(name, addr, KEY);
+    let (messages, reports) = mpsc::unbounded_channel();
+    let (found, suspects) = mpsc::unbounded_channel();
+    let shared = Shared::new(
+        name.into(),
+        1,
+        local.clock,
+        local.metrics.clone(),
+        Handle::current(),
+        Reports { messages, suspects: found },
+    );
+    shared.set_links(DataLinks::new(local.clone()));
+    tokio::spawn(run_ticks(shared.clone()));
+    let (sender, inbox) = mpsc::channel(64);
+    let _ = Listener::start(local.clone(), socket, sender, shared.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let callers_addr = listener.local_addr().expect("it is bound");
+    let setup =
+        Setup { workers: 2, idle: Duration::from_secs(60), drain: Duration::from_millis(100) };
+    let callers = Callers::start(shared.clone(), listener, setup).expect("the port starts");
+    Daemon {
+        name: name.into(),
+        addr,
+        callers_addr,
+        shared,
+        callers,
+        control: ControlLinks::new(local),
+        _reports: (reports, suspects),
+        _inbox: inbox,
+    }
+}
+
+/// Starts a backend server stand-in.
+pub async fn server(options: Options) -> Running {
+    server::start(options).await.expect("loopback")
+}
+
+/// A backend server as the records tell it: its address and the node that holds it.
+pub struct Placed {
+    /// Address of the server.
+    pub addr: SocketAddr,
+    /// Name of its holder.
+    pub holder: Name,
+}
+
+/// Gives every node the records of a keyed service `checks` below `/checks`, whose key is in the
+/// header `x-key`, and of an unkeyed service `bundles` below `/bundles`.
+pub async fn publish(daemons: &[&Daemon], checks: &[Placed], bundles: &[Placed]) {
+    let mut records: Vec<Record> = daemons.iter().map(|daemon| node(daemon)).collect();
+    records.extend(service("checks", checks, true));
+    records.extend(service("bundles", bundles, false));
+    for daemon in daemons {
+        let view = View::new(daemon.name.clone(), 1).updated(records.iter());
+        daemon.shared.set_lease(Tick(u64::MAX / 2));
+        daemon.shared.update(view);
+    }
+    for daemon in daemons {
+        until_up(daemon).await;
+    }
+}
+
+/// Waits until the servers that a node holds have answered.
+async fn until_up(daemon: &Daemon) {
+    let held = daemon.shared.all_held().len() as u64;
+    while daemon.shared.metrics.counted("server_answered") < held {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The record of a node.
+fn node(daemon: &Daemon) -> Record {
+    let node = Node {
+        name: daemon.name.clone(),
+        incarnation: 1,
+        addr: daemon.addr,
+        domain: "a".into(),
+        state: NodeState::Live,
+        lessors: Vec::new(),
+    };
+    record(Kind::Node, &daemon.name, Value::Node(node))
+}
+
+/// The records of a service.
+fn service(name: &str, servers: &[Placed], keyed: bool) -> Vec<Record> {
+    let declared = servers.iter().zip(0..).map(|(placed, id)| {
+        let server = Server {
+            name: format!("{name}-{id}").into(),
+            addr: placed.addr,
+            domain: "a".into(),
+            fenced: true,
+            slots: 2,
+            conns: 100,
+            state: ServerState::Active,
+        };
+        (ServerId(id), server)
+    });
+    let slices = if keyed { SLICES } else { 0 };
+    let service = Service {
+        name: name.into(),
+        prefix: format!("/{name}").into(),
+        key: keyed.then(|| KeyPlace::Header("x-key".into())),
+        slices,
+        deadline_ms: LONG_MS,
+        cap_ms: 60_000,
+        customer: "x-customer".into(),
+        shares: BTreeMap::new(),
+        servers: declared.collect(),
+    };
+    let terms = servers.iter().zip(0..).map(|(placed, id)| {
+        let holder = Holder { node: placed.holder.clone(), incarnation: 1, term: 1, next: None };
+        (ServerId(id), holder)
+    });
+    let holders = Holders { terms: terms.collect() };
+    let owners = (0..slices).map(|slice| Owner {
+        server: ServerId(slice % servers.len() as u32),
+        epoch: 1,
+        next: None,
+    });
+    let segment = Segment { first: 0, owners: owners.collect(), keys: BTreeMap::new() };
+    let mut records = vec![
+        record(Kind::Service, name, Value::Service(service)),
+        record(Kind::Holders, name, Value::Holders(holders)),
+    ];
+    if keyed {
+        records.push(record(Kind::Segment, &format!("{name}.0"), Value::Segment(segment)));
+    }
+    records
+}
+
+/// A record at version 1.
+fn record(kind: Kind, name: &str, value: Value) -> Record {
+    Record { key: Key::new(kind, name), version: 1, mark: 0, value: Some(value) }
+}
