Test callers, links and the graceful stop

Cause: each mechanism needs a test that causes its failure. Change: bad input table, caller going away, cut answers and bodies, deadlines; strangers, garbage, crossed and late replies, back-pressure, silent links; a stop under a download. The end of a chunked body is now told from a cut one by a look at the socket itself, as a cached readiness may lag behind.

--- a/crates/whinspring-daemon/src/caller/conn.rs
+++ b/crates/whinspring-daemon/src/caller/conn.rs
@@ -2,10 +2,12 @@
 
 use {
     futures_util::FutureExt,
+    socket2::SockRef,
     std::{
         cell::Cell,
         future::poll_fn,
         io,
+        mem::MaybeUninit,
         os::fd::AsFd,
         rc::Rc,
         task::{Context, Poll, ready},
@@ -106,6 +108,12 @@
         }
     }
 
+    /// Returns whether all bytes have been read and the caller has closed its end.
+    pub fn is_at_end(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&self.watch).peek(&mut byte), Ok(0))
+    }
+
     /// Waits until no request is in progress and no byte of the next one has arrived.
     pub async fn rested(&self) {
         while !self.is_at_rest() {
--- a/crates/whinspring-daemon/src/caller/intake.rs
+++ b/crates/whinspring-daemon/src/caller/intake.rs
@@ -160,7 +160,7 @@
     fn is_complete(&self) -> bool {
         match self.left.get() {
             Some(left) => left == 0,
-            None => !self.conn.is_gone(),
+            None => !self.conn.is_at_end(),
         }
     }
 }
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -1,1 +1,218 @@
-//! Placeholder.
+//! Callers: bad input, going away, slow bodies, cut answers, deadlines.
+
+use {
+    crate::{
+        path::{Pair, fenced, pair},
+        rig::{Daemon, Fake, Placed, daemon, publish},
+    },
+    hyper::Method,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::sleep,
+    },
+    whinspring_standin::{
+        caller::{Call, Caller, End},
+        runs::{self, Event},
+        server::Options,
+    },
+};
+
+/// Work that outlasts every test.
+const ENDLESS: Duration = Duration::from_secs(600);
+
+/// Sends bytes and reads until the connection closes.
+async fn exchange(addr: SocketAddr, request: &[u8]) -> String {
+    let mut socket = TcpStream::connect(addr).await.expect("the port is open");
+    socket.write_all(request).await.expect("the socket takes bytes");
+    let mut answer = Vec::new();
+    let _ = socket.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Waits until `condition` holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Returns how many requests run on the servers that a node holds.
+fn running(daemon: &Daemon) -> u32 {
+    daemon.shared.all_held().iter().map(|held| held.load().0).sum()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bad_input_is_answered_at_once_with_its_code() {
+    let pair = pair("a", fenced()).await;
+    let long_id = "i".repeat(129);
+    let cases: &[(&str, &str, u16, u16)] = &[
+        ("GET /nowhere", "", 404, 400),
+        ("GET /_whinspring/grant", "x-key: k\r\n", 404, 400),
+        ("GET /checks/%5fwhinspring/grant", "x-key: k\r\n", 404, 400),
+        ("GET /checks/../_whinspring/grant", "x-key: k\r\n", 400, 405),
+        ("GET /checks/%2e%2e/x", "x-key: k\r\n", 400, 405),
+        ("GET /checks/%zz", "x-key: k\r\n", 400, 405),
+        ("GET /checks/x", "", 400, 401),
+        ("GET /checks/x", "x-key:\r\n", 400, 401),
+        ("GET /checks/x", "x-key: a\r\nx-key: b\r\n", 400, 401),
+        ("GET /checks/x", "x-key: k\r\nwhinspring-deadline-ms: soon\r\n", 400, 402),
+        ("GET /checks/x", "x-key: k\r\nwhinspring-deadline-ms: 0\r\n", 400, 402),
+        ("GET /checks/x", "x-key: k\r\nwhinspring-deadline-ms: -5\r\n", 400, 402),
+        ("GET /checks/x", "x-key: k\r\nwhinspring-deadline-ms: 60001\r\n", 400, 402),
+        ("GET /checks/x", "x-key: k\r\nwhinspring-deadline-ms: 99999999999\r\n", 400, 402),
+        ("POST /checks/x", "x-key: k\r\n", 400, 403),
+        ("POST /checks/x", "x-key: k\r\nwhinspring-request-id: a b\r\n", 400, 404),
+        ("POST /checks/x", &format!("x-key: k\r\nwhinspring-request-id: {long_id}\r\n"), 400, 404),
+        ("GET /checks/x", "x-key: k\r\nwhinspring-repeatable: maybe\r\n", 400, 405),
+        ("GET /checks/x", "x-key: k\r\nwhinspring-attempt: first\r\n", 400, 405),
+        ("GET /checks/x", "x-key: k\r\nconnection: upgrade\r\nupgrade: x\r\n", 400, 405),
+        ("TRACE /checks/x", "x-key: k\r\n", 400, 405),
+    ];
+    for (line, headers, status, code) in cases {
+        let request = format!("{line} HTTP/1.1\r\nhost: t\r\nconnection: close\r\n{headers}\r\n");
+        let answer = exchange(pair.a.callers_addr, request.as_bytes()).await;
+        let first = format!("HTTP/1.1 {status} ");
+        assert!(answer.starts_with(&first), "{line} {headers}: {answer}");
+        assert!(answer.contains(&format!("whinspring-code: {code}\r\n")), "{line}: {answer}");
+        assert!(answer.contains("whinspring-class: not-run\r\n"), "{line}: {answer}");
+        assert!(answer.contains(&format!("{{\"code\":{code},")), "{line}: {answer}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn missing_host_garbage_and_oversized_heads_are_refused_and_the_daemon_goes_on() {
+    let pair = pair("a", fenced()).await;
+    let addr = pair.a.callers_addr;
+    let no_host = exchange(addr, b"GET /checks/x HTTP/1.1\r\nconnection: close\r\n\r\n").await;
+    assert!(no_host.contains("whinspring-code: 405\r\n"), "{no_host}");
+    let garbage = exchange(addr, b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n").await;
+    assert!(garbage.starts_with("HTTP/1.1 400 "), "{garbage}");
+    let large = format!("GET /checks/x HTTP/1.1\r\nhost: t\r\nx: {}\r\n\r\n", "y".repeat(100_000));
+    let oversized = exchange(addr, large.as_bytes()).await;
+    assert!(oversized.is_empty() || oversized.starts_with("HTTP/1.1 431 "), "{oversized}");
+    let call = Call::new(addr, Method::GET, "/checks/x").header("x-key", "k");
+    assert!(Caller::new().send(&call).await.is_right());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn caller_that_goes_away_cancels_repeatable_work() {
+    for holder in ["a", "b"] {
+        let logs = tempfile::tempdir().expect("a folder");
+        let log = logs.path().join("runs");
+        let options = Options { work: ENDLESS, run_log: Some(log.clone()), ..fenced() };
+        let Pair { a, b, .. } = &pair(holder, options).await;
+        let mut socket = TcpStream::connect(a.callers_addr).await.expect("the port is open");
+        let request = b"GET /checks/x HTTP/1.1\r\nhost: t\r\nx-key: k\r\n\r\n";
+        socket.write_all(request).await.expect("the socket takes bytes");
+        until(|| running(a) + running(b) == 1).await;
+        drop(socket);
+        until(|| running(a) + running(b) == 0).await;
+        let cancelled = || {
+            let lines = runs::read(&log).expect("the log is there");
+            lines.iter().any(|line| line.event == Event::Cancel)
+        };
+        until(cancelled).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn caller_that_goes_away_does_not_stop_unrepeatable_work() {
+    let options = Options { work: Duration::from_millis(300), ..fenced() };
+    let pair = pair("b", options).await;
+    let mut socket = TcpStream::connect(pair.a.callers_addr).await.expect("the port is open");
+    let request = b"POST /checks/x HTTP/1.1\r\nhost: t\r\nx-key: k\r\ncontent-length: 0\r\n\
+        whinspring-request-id: one\r\nwhinspring-attempt: 1\r\n\r\n";
+    socket.write_all(request).await.expect("the socket takes bytes");
+    until(|| running(&pair.b) == 1).await;
+    drop(socket);
+    until(|| running(&pair.b) == 0).await;
+    let again = Call::new(pair.a.callers_addr, Method::POST, "/checks/x")
+        .header("x-key", "k")
+        .header("whinspring-request-id", "one")
+        .header("whinspring-attempt", "2");
+    let reply = Caller::new().send(&again).await;
+    assert_eq!(reply.code, Some(101), "{reply:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_cut_by_the_server_is_seen_as_cut() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\nhello",
+    ];
+    for holder in ["a", "b"] {
+        for head in heads {
+            let (a, b) = (daemon("a").await, daemon("b").await);
+            let fake = Fake::start(head.as_bytes().to_vec()).await;
+            let placed = Placed { addr: fake.addr, holder: holder.into() };
+            publish(&[&a, &b], &[], &[placed]).await;
+            let call = Call::new(a.callers_addr, Method::GET, "/bundles/x");
+            let reply = Caller::new().send(&call).await;
+            assert_eq!((reply.end, reply.status), (End::Cut, 200), "{head} {reply:?}");
+            let request = b"GET /bundles/x HTTP/1.1\r\nhost: t\r\n\r\n";
+            let raw = exchange(a.callers_addr, request).await;
+            assert!(!raw.ends_with("0\r\n\r\n"), "{raw}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn small_answer_cut_by_the_server_is_told_as_unknown() {
+    let (a, b) = (daemon("a").await, daemon("b").await);
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhello";
+    let fake = Fake::start(head.as_bytes().to_vec()).await;
+    let placed = Placed { addr: fake.addr, holder: "b".into() };
+    publish(&[&a, &b], &[], &[placed]).await;
+    let call = Call::new(a.callers_addr, Method::POST, "/bundles/x")
+        .header("whinspring-request-id", "one")
+        .header("whinspring-attempt", "1");
+    let reply = Caller::new().send(&call).await;
+    assert_eq!((reply.end, reply.status, reply.code), (End::Whole, 502, Some(600)), "{reply:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn deadline_of_running_work_is_told_as_unknown() {
+    for holder in ["a", "b"] {
+        let (a, b) = (daemon("a").await, daemon("b").await);
+        let fake = Fake::silent().await;
+        publish(&[&a, &b], &[], &[Placed { addr: fake.addr, holder: holder.into() }]).await;
+        let call = Call::new(a.callers_addr, Method::POST, "/bundles/x")
+            .header("whinspring-deadline-ms", "300")
+            .header("whinspring-request-id", "one")
+            .header("whinspring-attempt", "1");
+        let reply = Caller::new().send(&call).await;
+        assert_eq!((reply.status, reply.code), (504, Some(602)), "{reply:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn body_that_stalls_is_answered_by_the_deadline() {
+    let pair = pair("a", fenced()).await;
+    let request = b"PUT /bundles/x HTTP/1.1\r\nhost: t\r\nwhinspring-repeatable: yes\r\n\
+        whinspring-deadline-ms: 200\r\ncontent-length: 100\r\n\r\nhalf of it";
+    let answer = exchange(pair.a.callers_addr, request).await;
+    assert!(answer.contains("whinspring-code: 501\r\n"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn body_cut_by_the_caller_is_never_run_as_whole() {
+    let logs = tempfile::tempdir().expect("a folder");
+    let log = logs.path().join("runs");
+    let options = Options { run_log: Some(log.clone()), ..fenced() };
+    let pair = pair("a", options).await;
+    let bodies =
+        ["content-length: 100\r\n\r\nhalf", "transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n"];
+    for body in bodies {
+        let mut socket = TcpStream::connect(pair.a.callers_addr).await.expect("the port is open");
+        let head = "POST /checks/x HTTP/1.1\r\nhost: t\r\nx-key: k\r\nwhinspring-attempt: 1\r\n\
+            whinspring-request-id: cut\r\n";
+        let request = format!("{head}{body}");
+        socket.write_all(request.as_bytes()).await.expect("the socket takes bytes");
+        drop(socket);
+    }
+    until(|| pair.a.shared.metrics.callers.get() == 0).await;
+    let lines = runs::read(&log).expect("the log is there");
+    assert!(lines.is_empty(), "{lines:?}");
+}
--- a/crates/whinspring-daemon/tests/data/links.rs
+++ b/crates/whinspring-daemon/tests/data/links.rs
@@ -1,1 +1,317 @@
-//! Placeholder.
+//! Links: trust, control messages, streams, back-pressure, silence.
+
+use {
+    crate::{
+        callers::until,
+        peer::RawPeer,
+        rig::{KEY, bind, local, peered},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, Method, StatusCode},
+    parking_lot::Mutex,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{io::AsyncWriteExt, net::TcpStream},
+    whinspring::{
+        code::Code,
+        control::Peer,
+        message::Message,
+        name::ServerId,
+        request::{Meta, Target},
+    },
+    whinspring_daemon::{
+        exchange::{Answer, Call, Part, Serve, WINDOW_BYTES},
+        link::{ControlLinks, DataLinks, Local},
+    },
+    whinspring_standin::relay::Relay,
+    whinspring_wire::{
+        frame::MAX_FRAME_BYTES,
+        link::{Frame, Head, Open},
+    },
+};
+
+/// Keeps the calls that arrive.
+#[derive(Default)]
+struct Keep(Mutex<Vec<Call>>);
+
+impl Serve for Keep {
+    fn serve(&self, call: Call) {
+        self.0.lock().push(call);
+    }
+}
+
+impl Keep {
+    /// Waits for a call of `path` and takes it.
+    async fn take(&self, path: &str) -> Call {
+        loop {
+            let found = {
+                let mut calls = self.0.lock();
+                let index = calls.iter().position(|call| call.open.path == path);
+                index.map(|index| calls.remove(index))
+            };
+            if let Some(call) = found {
+                return call;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+/// A request for `path` to the node `b`.
+pub fn open(path: &str) -> Box<Open> {
+    let meta = Meta {
+        service: "checks".into(),
+        place: None,
+        customer: "".into(),
+        id: "".into(),
+        issued: None,
+        first: true,
+        repeatable: true,
+        print: 0,
+        deaths: 0,
+    };
+    let target =
+        Target { node: "b".into(), incarnation: 1, server: ServerId(0), term: 1, epoch: 1 };
+    Box::new(Open {
+        stream: 0,
+        method: Method::GET,
+        path: path.into(),
+        headers: HeaderMap::new(),
+        meta,
+        target,
+        left: Duration::from_secs(60),
+        body: Bytes::new(),
+        whole: true,
+        length: Some(0),
+    })
+}
+
+/// The start of an answer whose body is `text`.
+pub fn head(stream: u64, text: &'static str, whole: bool) -> Head {
+    Head {
+        stream,
+        status: StatusCode::OK,
+        code: Code::Done,
+        headers: HeaderMap::new(),
+        body: text.into(),
+        whole,
+        length: None,
+    }
+}
+
+/// Waits for the head of an answer and returns its body.
+async fn body(answer: &mut Answer) -> Bytes {
+    match answer.next().await {
+        Part::Head(head) => head.body,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Links of the node `a`.
+fn node_a() -> Arc<Local> {
+    local("a", ([127, 0, 0, 1], 1).into(), KEY)
+}
+
+/// A message of `bytes` bytes or more.
+fn message(bytes: usize) -> Message {
+    let keys = (0..bytes / 100).map(|number| (format!("{number:0100}").into(), 1)).collect();
+    let (service, slices) = ("checks".into(), Vec::new());
+    Message::Load { service, server: ServerId(1), busy: 0, slices, keys }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn control_messages_of_any_size_arrive_in_order_and_name_their_sender() {
+    let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
+    let links = ControlLinks::new(node_a());
+    let sent = [message(100), message(3 << 20), message(200)];
+    for message in &sent {
+        links.send(&b.peer, message.clone());
+    }
+    for message in &sent {
+        let (peer, got) = b.inbox.recv().await.expect("the listener runs");
+        assert_eq!((peer.name.as_str(), &got), ("a", message));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn control_link_that_falls_silent_is_replaced() {
+    let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
+    let relay = Relay::start(([127, 0, 0, 1], 0).into(), b.peer.addr).await.expect("loopback");
+    let peer = Peer { name: "b".into(), addr: relay.addr };
+    let links = ControlLinks::new(node_a());
+    links.send(&peer, message(100));
+    assert!(b.inbox.recv().await.is_some());
+    relay.stall();
+    let got = async {
+        loop {
+            links.send(&peer, message(100));
+            let pause = Duration::from_millis(20);
+            if tokio::time::timeout(pause, b.inbox.recv()).await.is_ok() {
+                return;
+            }
+        }
+    };
+    got.await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn strangers_are_refused_and_counted() {
+    let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
+    let counted = |event| b.local.metrics.counted(event);
+    let addr = ([127, 0, 0, 1], 1).into();
+    ControlLinks::new(local("x", addr, b"another key")).send(&b.peer, message(100));
+    until(|| counted("link_stranger") == 1).await;
+    let other = Local { deployment: "other".into(), ..take(node_a()) };
+    ControlLinks::new(Arc::new(other)).send(&b.peer, message(100));
+    until(|| counted("link_stranger") == 2).await;
+    ControlLinks::new(node_a()).send(&b.peer, message(100));
+    let (peer, _) = b.inbox.recv().await.expect("the listener runs");
+    assert_eq!(peer.name, "a");
+    assert!(b.inbox.try_recv().is_err());
+}
+
+/// Takes link settings out of their shared place.
+fn take(local: Arc<Local>) -> Local {
+    Arc::into_inner(local).expect("nothing else has it")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn garbage_oversized_frames_and_other_versions_are_refused_and_counted() {
+    let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
+    let counted = |event| b.local.metrics.counted(event);
+    let mut socket = TcpStream::connect(b.peer.addr).await.expect("the port is open");
+    socket.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("the socket takes bytes");
+    until(|| counted("link_garbage") == 1).await;
+    let mut socket = TcpStream::connect(b.peer.addr).await.expect("the port is open");
+    let length = (MAX_FRAME_BYTES as u32 + 1).to_be_bytes();
+    socket.write_all(&length).await.expect("the socket takes bytes");
+    until(|| counted("link_garbage") == 2).await;
+    RawPeer::say_hello(b.peer.addr, 99).await;
+    until(|| counted("link_version_mismatch") == 1).await;
+    let silent = TcpStream::connect(b.peer.addr).await.expect("the port is open");
+    until(|| counted("link_handshake_timeout") == 1).await;
+    drop(silent);
+    ControlLinks::new(node_a()).send(&b.peer, message(100));
+    assert!(b.inbox.recv().await.is_some());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crossed_late_and_duplicate_replies_never_reach_another_stream() {
+    let (listener, addr) = bind().await;
+    let a = node_a();
+    let links = DataLinks::new(a.clone());
+    let peer = Peer { name: "b".into(), addr };
+    let accept = tokio::spawn(RawPeer::accept(listener));
+    let mut first = links.open(&peer, open("/first")).await.expect("the peer accepts");
+    let mut raw = accept.await.expect("the handshake succeeds");
+    let mut second = links.open(&peer, open("/second")).await.expect("the peer accepts");
+    let one = raw.expect_open("/first").await;
+    let two = raw.expect_open("/second").await;
+    raw.send(Frame::Head(Box::new(head(two, "second", true)))).await;
+    raw.send(Frame::Head(Box::new(head(two, "second again", true)))).await;
+    raw.send(Frame::Data { stream: two, bytes: "late".into(), last: true }).await;
+    raw.send(Frame::Head(Box::new(head(one + two + 7, "of nobody", true)))).await;
+    raw.send(Frame::Head(Box::new(head(one, "fi", false)))).await;
+    raw.send(Frame::Data { stream: one, bytes: "rst".into(), last: true }).await;
+    raw.send(Frame::Data { stream: one, bytes: "late".into(), last: true }).await;
+    assert_eq!(body(&mut second).await, "second");
+    assert_eq!(body(&mut first).await, "fi");
+    let Part::Data { bytes, last: true } = first.next().await else { panic!("a last piece") };
+    assert_eq!(bytes, "rst");
+    let mut third = links.open(&peer, open("/third")).await.expect("the link is open");
+    let three = raw.expect_open("/third").await;
+    assert!(three > two, "numbers are never used twice");
+    raw.send(Frame::Head(Box::new(head(three, "third", true)))).await;
+    assert_eq!(body(&mut third).await, "third");
+    assert_eq!(a.metrics.counted("link_late_frame"), 4);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_reader_holds_up_its_own_stream_only() {
+    let keep = Arc::new(Keep::default());
+    let b = peered("b", KEY, keep.clone()).await;
+    let links = DataLinks::new(node_a());
+    let mut slow = links.open(&b.peer, open("/slow")).await.expect("b accepts");
+    let mut call = keep.take("/slow").await;
+    call.reply.head(head(0, "", false));
+    let total = 8 * WINDOW_BYTES;
+    let sending = tokio::spawn(async move {
+        let mut sent = 0;
+        while sent < total {
+            let piece = Bytes::from(vec![7; 10_000]);
+            let last = sent + piece.len() >= total;
+            let done = call.reply.data(piece.clone(), last);
+            if tokio::time::timeout(Duration::from_millis(500), done).await.is_err() {
+                return sent;
+            }
+            sent += piece.len();
+        }
+        sent
+    });
+    let mut quick = links.open(&b.peer, open("/quick")).await.expect("b accepts");
+    keep.take("/quick").await.reply.head(head(0, "quick", true));
+    assert_eq!(body(&mut quick).await, "quick");
+    let sent = sending.await.expect("the sender ends");
+    assert!((WINDOW_BYTES - 10_000..=WINDOW_BYTES).contains(&sent), "sent {sent} unread bytes");
+    assert_eq!(body(&mut slow).await, "");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_data_link_is_condemned_alone() {
+    let keep = Arc::new(Keep::default());
+    let b = peered("b", KEY, keep.clone()).await;
+    let relay = Relay::start(([127, 0, 0, 1], 0).into(), b.peer.addr).await.expect("loopback");
+    let peer = Peer { name: "b".into(), addr: relay.addr };
+    let a = node_a();
+    let links = DataLinks::new(a.clone());
+    let mut lost = links.open(&peer, open("/lost")).await.expect("b accepts");
+    let call = keep.take("/lost").await;
+    relay.stall();
+    assert!(matches!(lost.next().await, Part::Broken));
+    assert_eq!(a.metrics.counted("link_condemned"), 1);
+    let mut new = links.open(&peer, open("/new")).await.expect("b accepts");
+    keep.take("/new").await.reply.head(head(0, "new", true));
+    assert_eq!(body(&mut new).await, "new");
+    call.reply.flow().gone().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn quiet_work_keeps_its_link_as_long_as_the_peer_lives() {
+    let keep = Arc::new(Keep::default());
+    let b = peered("b", KEY, keep.clone()).await;
+    let a = node_a();
+    let links = DataLinks::new(a.clone());
+    let mut quiet = links.open(&b.peer, open("/quiet")).await.expect("b accepts");
+    let mut call = keep.take("/quiet").await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    call.reply.head(head(0, "at last", true));
+    assert_eq!(body(&mut quiet).await, "at last");
+    assert_eq!(a.metrics.counted("link_condemned"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dropped_answer_cancels_the_request_at_its_holder() {
+    let keep = Arc::new(Keep::default());
+    let b = peered("b", KEY, keep.clone()).await;
+    let links = DataLinks::new(node_a());
+    let answer = links.open(&b.peer, open("/dropped")).await.expect("b accepts");
+    let call = keep.take("/dropped").await;
+    drop(answer);
+    call.reply.flow().gone().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_out_of_reach_is_told_before_anything_is_sent() {
+    let (listener, addr): (_, SocketAddr) = bind().await;
+    drop(listener);
+    let links = DataLinks::new(node_a());
+    let peer = Peer { name: "b".into(), addr };
+    assert!(links.open(&peer, open("/x")).await.is_err());
+    let keep = Arc::new(Keep::default());
+    let b = peered("b", KEY, keep.clone()).await;
+    let mut restarted = open("/x");
+    restarted.target.incarnation = 2;
+    assert!(links.open(&b.peer, restarted).await.is_err());
+    let wrong = Peer { name: "c".into(), addr: b.peer.addr };
+    assert!(DataLinks::new(node_a()).open(&wrong, open("/x")).await.is_err());
+    assert!(keep.0.lock().is_empty());
+}
--- a/crates/whinspring-daemon/tests/data/main.rs
+++ b/crates/whinspring-daemon/tests/data/main.rs
@@ -3,5 +3,6 @@
 mod callers;
 mod links;
 mod path;
+mod peer;
 mod rig;
 mod stop;
--- a/crates/whinspring-daemon/tests/data/path.rs
+++ b/crates/whinspring-daemon/tests/data/path.rs
@@ -1,10 +1,9 @@
 //! The way of a request: entry, holder, server and back.
 
 use {
-    crate::rig::{Daemon, KEY, LONG_MS, Placed, SLICES, daemon, publish, server},
+    crate::rig::{Daemon, Placed, daemon, publish, server},
     hyper::Method,
-    std::time::Duration,
-    whinspring::name::slice_of,
+    std::{net::SocketAddr, time::Duration},
     whinspring_standin::{
         caller::{Call, Caller, Class, End, Payload},
         http::Running,
@@ -23,8 +22,10 @@
     pub b: Daemon,
     /// Server of the keyed service.
     pub checks: Running,
+    /// Address of the entry for callers.
+    pub a_callers: SocketAddr,
     /// Server of the unkeyed service.
-    pub bundles: Running,
+    _bundles: Running,
 }
 
 /// Starts two nodes and a server of each service, held by `holder`.
@@ -34,7 +35,7 @@
     let bundles = server(Options::default()).await;
     let placed = |running: &Running| Placed { addr: running.addr, holder: holder.into() };
     publish(&[&a, &b], &[placed(&checks)], &[placed(&bundles)]).await;
-    Pair { a, b, checks, bundles }
+    Pair { a_callers: a.callers_addr, a, b, checks, _bundles: bundles }
 }
 
 /// A server that checks fences.
@@ -114,14 +115,6 @@
     assert_eq!(first.echo, second.echo);
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn connection_to_the_holder_that_falls_silent_is_condemned_alone() {
-    let pair = pair("b", fenced()).await;
-    let caller = Caller::new();
-    assert!(caller.send(&lookup(&pair.a, "k")).await.is_right());
-    assert!(!KEY.is_empty() && slice_of("k", SLICES).0 < SLICES && LONG_MS > 0);
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn lost_server_is_told_at_once() {
     let pair = pair("b", Options { work: Duration::from_secs(30), ..fenced() }).await;
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -7,7 +7,12 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{runtime::Handle, sync::mpsc},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        runtime::Handle,
+        sync::mpsc,
+    },
     whinspring::{
         control::Peer,
         message::Message,
@@ -24,7 +29,7 @@
         caller::{Callers, Setup},
         clock::Clock,
         exchange::Serve,
-        link::{ControlLinks, DataLinks, Listener, Local},
+        link::{DataLinks, Listener, Local},
         metrics::Metrics,
         shared::{Reports, Shared, run_ticks},
     },
@@ -98,8 +103,6 @@
     pub shared: Arc<Shared>,
     /// Its port for callers.
     pub callers: Callers,
-    /// Its control links.
-    pub control: ControlLinks,
     /// Keeps the reports' channels open.
     _reports:
         (mpsc::UnboundedReceiver<Message>, mpsc::UnboundedReceiver<whinspring::model::Suspect>),
@@ -136,7 +139,6 @@
         callers_addr,
         shared,
         callers,
-        control: ControlLinks::new(local),
         _reports: (reports, suspects),
         _inbox: inbox,
     }
@@ -159,7 +161,9 @@
 /// header `x-key`, and of an unkeyed service `bundles` below `/bundles`.
 pub async fn publish(daemons: &[&Daemon], checks: &[Placed], bundles: &[Placed]) {
     let mut records: Vec<Record> = daemons.iter().map(|daemon| node(daemon)).collect();
-    records.extend(service("checks", checks, true));
+    if !checks.is_empty() {
+        records.extend(service("checks", checks, true));
+    }
     records.extend(service("bundles", bundles, false));
     for daemon in daemons {
         let view = View::new(daemon.name.clone(), 1).updated(records.iter());
@@ -243,3 +247,55 @@
 fn record(kind: Kind, name: &str, value: Value) -> Record {
     Record { key: Key::new(kind, name), version: 1, mark: 0, value: Some(value) }
 }
+
+/// A backend server that answers probes and grants, and every other request with a script, after
+/// which it closes the connection.
+pub struct Fake {
+    /// Its address.
+    pub addr: SocketAddr,
+}
+
+impl Fake {
+    /// Starts a server that never answers any other request.
+    pub async fn silent() -> Self {
+        Self::run(None).await
+    }
+
+    /// Starts a server with this script.
+    pub async fn start(script: Vec<u8>) -> Self {
+        Self::run(Some(script)).await
+    }
+
+    /// Starts a server.
+    async fn run(script: Option<Vec<u8>>) -> Self {
+        let (listener, addr) = bind().await;
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(fake(socket, script.clone()));
+            }
+        });
+        Self { addr }
+    }
+}
+
+/// Answers the requests of one connection of a [`Fake`].
+async fn fake(mut socket: TcpStream, script: Option<Vec<u8>>) {
+    let sign = "{\"boot\":1,\"term\":1,\"state\":\"ready\"}";
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{sign}", sign.len());
+    let mut buffer = Vec::new();
+    while socket.read_buf(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {
+        let text = String::from_utf8_lossy(&buffer);
+        let whole = text.contains("\r\n\r\n") && (text.starts_with("GET") || text.ends_with('}'));
+        let own = text.contains(" /_whinspring/");
+        if own && !whole {
+            continue;
+        }
+        if own {
+            let _ = socket.write_all(answer.as_bytes()).await;
+            buffer.clear();
+        } else if let Some(script) = script {
+            let _ = socket.write_all(&script).await;
+            return;
+        }
+    }
+}
--- a/crates/whinspring-daemon/tests/data/stop.rs
+++ b/crates/whinspring-daemon/tests/data/stop.rs
@@ -1,1 +1,64 @@
-//! Placeholder.
+//! The graceful stop of a node's port for callers.
+
+use {
+    crate::{
+        callers::until,
+        path::{fenced, lookup, pair},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::oneshot,
+    },
+    whinspring_standin::caller::{Caller, End},
+};
+
+/// Bytes of a download that is under way when the stop begins.
+const DOWNLOAD: usize = 16 << 20;
+
+/// Reads a whole answer from a socket that closes after it; returns the bytes of its body.
+async fn read_rest(socket: &mut TcpStream, mut bytes: Vec<u8>) -> usize {
+    socket.read_to_end(&mut bytes).await.expect("the socket is not reset");
+    let end = bytes.windows(4).position(|part| part == b"\r\n\r\n").expect("a head");
+    bytes.len() - end - 4
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stop_cuts_no_download_and_closes_idle_connections() {
+    let pair = pair("b", fenced()).await;
+    let (a, addr) = (pair.a, pair.a_callers);
+    let caller = Caller::new();
+    let call = lookup(&a, "k");
+    assert!(caller.send(&call).await.is_right());
+
+    let mut idle = TcpStream::connect(addr).await.expect("the port is open");
+    let mut download = TcpStream::connect(addr).await.expect("the port is open");
+    let request = format!("GET /bundles/x?bytes={DOWNLOAD} HTTP/1.1\r\nhost: t\r\n\r\n");
+    download.write_all(request.as_bytes()).await.expect("the socket takes bytes");
+    let mut start = vec![0; 1_000];
+    download.read_exact(&mut start).await.expect("the answer starts");
+
+    let (end, mut ended) = oneshot::channel();
+    let shared = a.shared.clone();
+    let callers = a.callers;
+    tokio::spawn(async move {
+        callers.close().await;
+        let _ = end.send(());
+    });
+    until(|| shared.is_leaving()).await;
+    let reply = Caller::new().send(&call).await;
+    assert!(reply.is_right(), "served until the balancer has let go: {reply:?}");
+
+    let mut rest = Vec::new();
+    assert_eq!(idle.read_to_end(&mut rest).await.expect("it is closed"), 0);
+    let late = loop {
+        let reply = Caller::new().send(&call).await;
+        if !reply.is_right() {
+            break reply;
+        }
+    };
+    assert_eq!(late.end, End::Unreachable, "{late:?}");
+    assert!(ended.try_recv().is_err(), "the download is still under way");
+    assert_eq!(read_rest(&mut download, start).await, DOWNLOAD);
+    ended.await.expect("the stop ends");
+}
