Replace the deployment's key without a restart

Cause: a node read its key file only at its start.

Change: the keys are shared and replaced at once; the file is read again every two seconds; one that is not valid is counted, told once, and changes nothing. Open links stay.

--- a/crates/whinspring-daemon/src/daemon.rs
+++ b/crates/whinspring-daemon/src/daemon.rs
@@ -10,7 +10,7 @@
         caller::{self, Callers},
         clock::Clock,
         control::{self, Inputs, Outputs},
-        keys,
+        keys::{self, Keys},
         link::{ControlLinks, DataLinks, Listener, Local},
         logging,
         metrics::Metrics,
@@ -164,9 +164,11 @@
     let clock = Clock::start();
     let metrics = Arc::new(Metrics::new());
     let incarnation = random();
+    let keys = Arc::new(Keys::new(keys::read(&node.secret).context(KeysSnafu)?));
+    control.spawn(keys::watch(node.secret.clone(), keys.clone(), metrics.clone()));
     let local = Arc::new(Local {
         deployment: node.deployment.clone(),
-        keys: keys::read(&node.secret).context(KeysSnafu)?,
+        keys,
         node: node.name.clone(),
         incarnation,
         addr: node.peer,
--- a/crates/whinspring-daemon/src/keys.rs
+++ b/crates/whinspring-daemon/src/keys.rs
@@ -1,14 +1,92 @@
 //! The deployment's keys.
 //!
 //! A key file holds one key a line. The first is the one that this node proves to have; the
-//! others are accepted too, so that a key can be replaced node by node.
+//! others are accepted too, so that a key can be replaced node by node. The file is read again
+//! while the node runs; a file that is not valid leaves the keys as they are.
 
 use {
+    crate::metrics::Metrics,
+    arc_swap::ArcSwap,
+    log::{info, warn},
     snafu::{OptionExt, ResultExt, Snafu},
-    std::{fs, io, path::PathBuf},
+    std::{
+        fmt::{self, Debug, Formatter},
+        fs, io,
+        path::PathBuf,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::{MissedTickBehavior, interval},
     whinspring::settings::{Key, Secret},
 };
 
+/// Time between two readings of the key file.
+const READ_EVERY: Duration = Duration::from_secs(2);
+
+/// The keys of the deployment, the one to use first.
+pub struct Keys(ArcSwap<Vec<Vec<u8>>>);
+
+impl Keys {
+    /// Starts with these keys.
+    pub fn new(keys: Vec<Vec<u8>>) -> Self {
+        Self(ArcSwap::from_pointee(keys))
+    }
+
+    /// Returns the present keys.
+    pub fn current(&self) -> Arc<Vec<Vec<u8>>> {
+        self.0.load_full()
+    }
+
+    /// Uses other keys from now on; returns whether they differ.
+    pub fn replace(&self, keys: Vec<Vec<u8>>) -> bool {
+        let differs = *self.current() != keys;
+        if differs {
+            self.0.store(Arc::new(keys));
+        }
+        differs
+    }
+}
+
+impl Debug for Keys {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str("Keys(..)")
+    }
+}
+
+/// Reads the keys again and again, until the process ends; ends at once without a key file.
+pub async fn watch(secret: Secret, keys: Arc<Keys>, metrics: Arc<Metrics>) {
+    if !matches!(secret, Secret::File(_)) {
+        return;
+    }
+    let mut ticks = interval(READ_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut valid = true;
+    loop {
+        ticks.tick().await;
+        valid = refresh(&secret, &keys, &metrics, valid);
+    }
+}
+
+/// Reads the keys again; returns whether they are valid.
+pub fn refresh(secret: &Secret, keys: &Keys, metrics: &Metrics, was_valid: bool) -> bool {
+    match read(secret) {
+        Ok(fresh) => {
+            if keys.replace(fresh) {
+                metrics.count("keys_replaced");
+                info!("deployment keys replaced");
+            }
+            true
+        }
+        Err(error) => {
+            metrics.count("keys_invalid");
+            if was_valid {
+                warn!("deployment keys stay as they are: {error}");
+            }
+            false
+        }
+    }
+}
+
 /// Why there is no key.
 #[derive(Debug, Snafu)]
 pub enum Error {
--- a/crates/whinspring-daemon/src/link.rs
+++ b/crates/whinspring-daemon/src/link.rs
@@ -14,7 +14,7 @@
 };
 
 use {
-    crate::{clock::Clock, metrics::Metrics},
+    crate::{clock::Clock, keys::Keys, metrics::Metrics},
     std::{net::SocketAddr, sync::Arc},
     tokio::runtime::Handle,
     whinspring::name::Name,
@@ -37,7 +37,7 @@
     /// Name of the deployment.
     pub deployment: Name,
     /// Keys of the deployment: the first is used, the others are accepted too.
-    pub keys: Vec<Vec<u8>>,
+    pub keys: Arc<Keys>,
     /// Name of this node's VM.
     pub node: Name,
     /// Incarnation of this node.
--- a/crates/whinspring-daemon/src/link/handshake.rs
+++ b/crates/whinspring-daemon/src/link/handshake.rs
@@ -78,11 +78,12 @@
     send(stream, Frame::Hello(mine.clone())).await?;
     let theirs = receive_hello(local, stream).await?;
     ensure!(theirs.purpose == purpose, UnexpectedSnafu);
-    let key = local.keys.first().context(NoKeySnafu)?;
+    let keys = local.keys.current();
+    let key = keys.first().context(NoKeySnafu)?;
     let proof = mac(key, Role::Dial, &mine, &theirs).finalize().into_bytes();
     send(stream, Frame::Proof(Bytes::copy_from_slice(&proof))).await?;
     let proof = receive_proof(stream).await?;
-    check(local, &proof, Role::Accept, &mine, &theirs)?;
+    check(&keys, &proof, Role::Accept, &mine, &theirs)?;
     Ok(theirs)
 }
 
@@ -92,7 +93,8 @@
     let mine = hello(local, theirs.purpose);
     send(stream, Frame::Hello(mine.clone())).await?;
     let proof = receive_proof(stream).await?;
-    let key = check(local, &proof, Role::Dial, &theirs, &mine)?;
+    let keys = local.keys.current();
+    let key = check(&keys, &proof, Role::Dial, &theirs, &mine)?;
     let proof = mac(key, Role::Accept, &theirs, &mine).finalize().into_bytes();
     send(stream, Frame::Proof(Bytes::copy_from_slice(&proof))).await?;
     Ok(theirs)
@@ -143,14 +145,14 @@
 
 /// Checks a proof; returns the key that it was made with.
 fn check<'a>(
-    local: &'a Local,
+    keys: &'a [Vec<u8>],
     proof: &[u8],
     role: Role,
     dialler: &Hello,
     acceptor: &Hello,
 ) -> Result<&'a [u8], HandshakeError> {
     let fits = |key: &&Vec<u8>| mac(key, role, dialler, acceptor).verify_slice(proof).is_ok();
-    let key = local.keys.iter().find(fits).context(StrangerSnafu)?;
+    let key = keys.iter().find(fits).context(StrangerSnafu)?;
     Ok(key)
 }
 
--- a/crates/whinspring-daemon/tests/data/links.rs
+++ b/crates/whinspring-daemon/tests/data/links.rs
@@ -169,6 +169,28 @@
     assert!(b.inbox.try_recv().is_err());
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn key_is_replaced_node_by_node_without_cutting_a_link() {
+    let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
+    let a = node_a();
+    let open_before = ControlLinks::new(a.clone());
+    open_before.send(&b.peer, message(1));
+    b.inbox.recv().await.expect("the listener runs");
+
+    let [old, new] = [KEY.to_vec(), b"the next key of the deployment".to_vec()];
+    b.local.keys.replace(vec![old.clone(), new.clone()]);
+    a.keys.replace(vec![new.clone(), old]);
+    ControlLinks::new(a.clone()).send(&b.peer, message(2));
+    b.inbox.recv().await.expect("the new key is accepted beside the old one");
+
+    b.local.keys.replace(vec![new]);
+    ControlLinks::new(node_a()).send(&b.peer, message(3));
+    until(|| b.local.metrics.counted("link_stranger") == 1).await;
+    open_before.send(&b.peer, message(4));
+    let (peer, _) = b.inbox.recv().await.expect("the open link stays");
+    assert_eq!(peer.name, "a");
+}
+
 /// Takes link settings out of their shared place.
 fn take(local: Arc<Local>) -> Local {
     Arc::into_inner(local).expect("nothing else has it")
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -29,6 +29,7 @@
         caller::{Callers, Setup},
         clock::Clock,
         exchange::Serve,
+        keys::Keys,
         link::{DataLinks, Listener, Local},
         metrics::Metrics,
         shared::{Reports, Shared, run_ticks},
@@ -52,7 +53,7 @@
 pub fn local(name: &str, addr: SocketAddr, key: &[u8]) -> Arc<Local> {
     Arc::new(Local {
         deployment: "test".into(),
-        keys: vec![key.to_vec()],
+        keys: Arc::new(Keys::new(vec![key.to_vec()])),
         node: name.into(),
         incarnation: 1,
         addr,
