Make the tests of going away and cut bodies see their mechanism

Cause: both passed with the mechanism taken out: the first by the deadline, the second by looking at the run log too early. Change: the first asserts that the caller's leave was seen; the second looks after all work has ended.

--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -323,7 +323,7 @@
         let stop = CancellationToken::new();
         let entry = Entry::Running { refuse, stop: stop.clone() };
         state.jobs.insert(order.job, entry);
-        let run = run::Run::new(self.clone(), order, call, refused, stop);
+        let run = run::Run::new(self.clone(), order, *call, refused, stop);
         self.shared.runtime.spawn(run.run());
     }
 
--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -81,11 +81,11 @@
     pub(super) fn new(
         held: Arc<Held>,
         order: Order,
-        call: Box<Call>,
+        call: Call,
         refused: mpsc::UnboundedReceiver<Refusal>,
         stop: CancellationToken,
     ) -> Self {
-        let Call { open, deadline, upload, reply } = *call;
+        let Call { open, deadline, upload, reply } = call;
         let flow = reply.flow();
         Self {
             held,
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -104,11 +104,13 @@
         let options = Options { work: ENDLESS, run_log: Some(log.clone()), ..fenced() };
         let Pair { a, b, .. } = &pair(holder, options).await;
         let mut socket = TcpStream::connect(a.callers_addr).await.expect("the port is open");
-        let request = b"GET /checks/x HTTP/1.1\r\nhost: t\r\nx-key: k\r\n\r\n";
+        let request = b"GET /checks/x HTTP/1.1\r\nhost: t\r\nx-key: k\r\n\
+            whinspring-deadline-ms: 5000\r\n\r\n";
         socket.write_all(request).await.expect("the socket takes bytes");
         until(|| running(a) + running(b) == 1).await;
         drop(socket);
         until(|| running(a) + running(b) == 0).await;
+        assert_eq!(a.shared.metrics.counted("caller_gone"), 1);
         let cancelled = || {
             let lines = runs::read(&log).expect("the log is there");
             lines.iter().any(|line| line.event == Event::Cancel)
@@ -212,7 +214,10 @@
         socket.write_all(request.as_bytes()).await.expect("the socket takes bytes");
         drop(socket);
     }
-    until(|| pair.a.shared.metrics.callers.get() == 0).await;
+    let metrics = &pair.a.shared.metrics;
+    until(|| metrics.callers.get() == 0 && metrics.jobs.get() == 0).await;
+    let whole = Call::new(pair.a.callers_addr, Method::GET, "/checks/whole").header("x-key", "k");
+    assert!(Caller::new().send(&whole).await.is_right());
     let lines = runs::read(&log).expect("the log is there");
-    assert!(lines.is_empty(), "{lines:?}");
+    assert!(lines.iter().all(|line| line.path == "/checks/whole"), "{lines:?}");
 }
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -79,7 +79,7 @@
     /// Control messages that it got.
     pub inbox: mpsc::Receiver<(Peer, Message)>,
     /// Its listener.
-    pub listener: Listener,
+    _listener: Listener,
 }
 
 /// Starts a node that accepts links only and hands requests to `server`.
@@ -88,7 +88,7 @@
     let local = local(name, addr, key);
     let (sender, inbox) = mpsc::channel(64);
     let listener = Listener::start(local.clone(), socket, sender, server);
-    Peered { local, peer: Peer { name: name.into(), addr }, inbox, listener }
+    Peered { local, peer: Peer { name: name.into(), addr }, inbox, _listener: listener }
 }
 
 /// A node with every part of the data plane.
