Hand a holder's memory over, and tell entries the load of unkeyed servers

Cause: without the former holder's memory, a resend after a move is answered as unknown; without load, two random choices are blind. Change: released memory goes over a data link, in parts, to the holder of the next owner, and is staged there until the records name it; a lost hand-over only means more unknown answers. Each answer's head tells running and queued requests. Tests: recorded answers move with a server and with a slice; a lease that lapses before the first byte stops the request; an idle connection closed by its server is not used again.

--- a/crates/whinspring-daemon/src/exchange.rs
+++ b/crates/whinspring-daemon/src/exchange.rs
@@ -17,7 +17,7 @@
     std::sync::Arc,
     tokio::sync::mpsc,
     whinspring::time::Tick,
-    whinspring_wire::link::{Head, Open, Reason},
+    whinspring_wire::link::{HandOver, Head, Open, Reason},
 };
 
 mod answer;
@@ -63,10 +63,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Gone;
 
-/// Takes requests for the servers that this node holds.
+/// Takes what other nodes send to the servers that this node holds.
 pub trait Serve: Send + Sync + 'static {
     /// Takes a request; its reply comes later.
     fn serve(&self, call: Call);
+
+    /// Takes what a former holder remembers.
+    fn remember(&self, hand: HandOver);
 }
 
 /// Opens a stream within the process.
--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -26,7 +26,7 @@
         name::{Name, ServerId},
         request::{Job, JobId, Refusal},
     },
-    whinspring_wire::link::Reason,
+    whinspring_wire::link::{Head, Reason},
 };
 
 pub use whinspring::view::Held as Record;
@@ -303,7 +303,9 @@
                 Output::Suspect(suspect) => {
                     let _ = self.shared.reports.suspects.send(suspect);
                 }
-                Output::HandOver(_) => self.shared.metrics.count("memory_not_sent"),
+                Output::HandOver(memories) => {
+                    self.shared.hand_over(&self.service, self.server, memories);
+                }
                 Output::Count(event) => self.shared.metrics.count(event),
                 Output::Log(line) => {
                     info!(service = self.service.as_str(), server = self.server.0; "{line}");
@@ -347,7 +349,10 @@
     fn replay(&self, state: &mut State, job: JobId, record: &[u8]) {
         let Some(mut call) = self.take_waiting(state, job) else { return };
         match answer::replay(record) {
-            Some(head) => call.reply.head(head),
+            Some(head) => {
+                let (running, queued) = self.load();
+                call.reply.head(Head { running, queued, ..head });
+            }
             None => {
                 let refusal = Refusal { code: Code::MaybeRan, retry_ms: 0 };
                 call.reply.refuse(Reason::Refused(refusal));
--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -171,6 +171,7 @@
         if let Some(declared) = declared.filter(|_| self.open.method == http::Method::HEAD) {
             headers.insert(http::header::CONTENT_LENGTH, declared);
         }
+        let (running, queued) = self.held.load();
         let head = Head {
             stream: 0,
             status: parts.status,
@@ -179,6 +180,8 @@
             body: Bytes::new(),
             whole: false,
             length,
+            running,
+            queued,
         };
         if length.is_some_and(|length| length <= WHOLE_BYTES) {
             return self.whole(conn, head, body).await;
--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod clock;
 pub mod exchange;
+mod handover;
 mod headers;
 pub mod held;
 pub mod link;
--- a/crates/whinspring-daemon/src/link.rs
+++ b/crates/whinspring-daemon/src/link.rs
@@ -27,6 +27,7 @@
 mod data;
 mod handshake;
 mod line;
+mod parts;
 mod pool;
 mod served;
 mod socket;
--- a/crates/whinspring-daemon/src/link/accept.rs
+++ b/crates/whinspring-daemon/src/link/accept.rs
@@ -5,11 +5,11 @@
         Local,
         handshake::{self, Stream},
         line::{Line, Patience, Receive, start},
+        parts::{Joined, Joiner},
         served::Serving,
         socket::tune,
     },
     crate::{exchange::Serve, metrics::Metrics},
-    bytes::BytesMut,
     parking_lot::Mutex,
     std::{io, sync::Arc, time::Duration},
     tokio::{
@@ -151,7 +151,7 @@
     /// Takes whole messages.
     inbox: mpsc::Sender<(Peer, Message)>,
     /// Parts of a message whose end has not arrived.
-    parts: Mutex<BytesMut>,
+    parts: Mutex<Joiner>,
     /// Counters.
     metrics: Arc<Metrics>,
 }
@@ -183,19 +183,12 @@
 impl Receive for Inbox {
     fn receive(&self, _: &Arc<Line>, frame: Frame) -> bool {
         let Frame::Control { part, more } = frame else { return false };
-        let mut parts = self.parts.lock();
-        if !more && parts.is_empty() {
-            return self.deliver(&part);
+        let joined = self.parts.lock().join(part, more, MAX_MESSAGE_BYTES);
+        match joined {
+            Joined::Partial => true,
+            Joined::Whole(message) => self.deliver(&message),
+            Joined::TooLong => false,
         }
-        if parts.len() + part.len() > MAX_MESSAGE_BYTES {
-            return false;
-        }
-        parts.extend_from_slice(&part);
-        if more {
-            return true;
-        }
-        let message = std::mem::take(&mut *parts);
-        self.deliver(&message)
     }
 
     fn is_busy(&self, _: &Line) -> bool {
--- a/crates/whinspring-daemon/src/link/control.rs
+++ b/crates/whinspring-daemon/src/link/control.rs
@@ -4,6 +4,7 @@
     super::{
         Local,
         line::{Line, Patience, Receive},
+        parts::parts,
         pool::{Conn, Kind, Pool},
     },
     crate::metrics::Metrics,
@@ -16,9 +17,6 @@
     },
 };
 
-/// Largest part of a control message in one frame, in bytes.
-const PART_BYTES: usize = 128 << 10;
-
 /// Frames that may wait to be written to one peer.
 const MAX_BACKLOG: usize = 1_024;
 
@@ -77,18 +75,13 @@
         conn.line.backlog()
     }
 
-    fn ready(&self, conn: &Arc<Conn<Self>>, mut message: Bytes) {
+    fn ready(&self, conn: &Arc<Conn<Self>>, message: Bytes) {
         if conn.line.backlog() > MAX_BACKLOG {
             self.metrics.count("control_dropped");
             return;
         }
-        loop {
-            let part = message.split_to(message.len().min(PART_BYTES));
-            let more = !message.is_empty();
+        for (part, more) in parts(message) {
             conn.line.send(Frame::Control { part, more });
-            if !more {
-                break;
-            }
         }
         conn.line.wake();
     }
--- a/crates/whinspring-daemon/src/link/data.rs
+++ b/crates/whinspring-daemon/src/link/data.rs
@@ -5,13 +5,14 @@
         Local,
         asked::Asking,
         line::Patience,
+        parts::parts,
         pool::{Conn, Kind, Pool},
     },
     crate::{exchange::Answer, metrics::Metrics},
     std::{sync::Arc, time::Duration},
     tokio::sync::oneshot,
     whinspring::control::Peer,
-    whinspring_wire::link::{Hello, Open, Purpose},
+    whinspring_wire::link::{Frame, HandOver, Hello, Open, Purpose},
 };
 
 /// Opens streams to other nodes.
@@ -38,15 +39,33 @@
     ///
     /// Fails if the node cannot be reached, or runs as another incarnation than the target names.
     pub async fn open(&self, peer: &Peer, open: Box<Open>) -> Result<Answer, Unreachable> {
-        let (sender, receiver) = oneshot::channel();
-        self.pool.get(peer, sender);
-        let conn = receiver.await.ok().flatten().ok_or(Unreachable)?;
+        let conn = self.conn(peer).await?;
         if conn.hello.incarnation != open.target.incarnation {
             return Err(Unreachable);
         }
         conn.receiver.open(&conn.line, open).map_err(|_| Unreachable)
     }
 
+    /// Sends a node what a former holder remembers; it may be lost on the way.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the node cannot be reached.
+    pub async fn hand_over(&self, peer: &Peer, hand: HandOver) -> Result<(), Unreachable> {
+        let conn = self.conn(peer).await?;
+        for (part, more) in parts(hand.encode()) {
+            conn.line.send(Frame::Memory { part, more });
+        }
+        Ok(())
+    }
+
+    /// Returns an open connection.
+    async fn conn(&self, peer: &Peer) -> Result<Arc<Conn<DataKind>>, Unreachable> {
+        let (sender, receiver) = oneshot::channel();
+        self.pool.get(peer, sender);
+        receiver.await.ok().flatten().ok_or(Unreachable)
+    }
+
     /// Ends every connection.
     pub fn close(self) {
         self.pool.close();
--- a/crates/whinspring-daemon/src/link/served.rs
+++ b/crates/whinspring-daemon/src/link/served.rs
@@ -4,15 +4,20 @@
     super::{
         Local,
         line::{Line, Receive},
+        parts::{Joined, Joiner},
     },
     crate::exchange::{Call, Chunk, Flow, Part, Reply, Serve, Upload, WINDOW_BYTES},
+    bytes::Bytes,
     parking_lot::Mutex,
     std::{collections::HashMap, sync::Arc},
     tokio::sync::mpsc,
     whinspring::{code::Code, request::Refusal},
-    whinspring_wire::link::{Frame, Open, Reason},
+    whinspring_wire::link::{Frame, HandOver, Open, Reason},
 };
 
+/// Largest hand-over accepted, in bytes.
+const MAX_MEMORY_BYTES: usize = 32 << 20;
+
 /// The serving end of one connection.
 pub struct Serving<S> {
     /// What the node's links share.
@@ -21,6 +26,8 @@
     server: Arc<S>,
     /// Open streams.
     streams: Arc<Mutex<Table>>,
+    /// Parts of a hand-over whose end has not arrived.
+    parts: Mutex<Joiner>,
 }
 
 /// Open streams.
@@ -58,7 +65,7 @@
     /// Creates the serving end of a new connection.
     pub fn new(local: Arc<Local>, server: Arc<S>) -> Self {
         local.metrics.links.inc();
-        Self { local, server, streams: Arc::default() }
+        Self { local, server, streams: Arc::default(), parts: Mutex::default() }
     }
 
     /// Takes a request.
@@ -88,6 +95,24 @@
     }
 }
 
+impl<S: Serve> Serving<S> {
+    /// Takes a part of a hand-over; `false` if it is none.
+    fn remember(&self, part: Bytes, more: bool) -> bool {
+        let joined = self.parts.lock().join(part, more, MAX_MEMORY_BYTES);
+        match joined {
+            Joined::Partial => true,
+            Joined::TooLong => false,
+            Joined::Whole(message) => match HandOver::decode(message) {
+                Ok(hand) => {
+                    self.server.remember(hand);
+                    true
+                }
+                Err(_) => false,
+            },
+        }
+    }
+}
+
 impl<S: Serve> Receive for Serving<S> {
     fn receive(&self, line: &Arc<Line>, frame: Frame) -> bool {
         match frame {
@@ -107,6 +132,7 @@
                     entry.down.shut();
                 }
             }
+            Frame::Memory { part, more } => return self.remember(part, more),
             _ => return false,
         }
         true
--- a/crates/whinspring-daemon/src/serve.rs
+++ b/crates/whinspring-daemon/src/serve.rs
@@ -16,7 +16,7 @@
         code::Code,
         control::Peer,
         entry::{Flight, Outcome, Step},
-        name::Name,
+        name::{Name, ServerId},
         request::{Meta, Refusal, Target},
         time::Tick,
     },
@@ -106,6 +106,7 @@
     source: &S,
 ) -> Result<(Box<Head>, Answer), Outcome> {
     let left = inquiry.deadline.since(shared.clock.now());
+    let server = target.server;
     let open = Box::new(open(inquiry, meta, target, left));
     let mut answer = send(shared, open).await?;
     if !inquiry.whole {
@@ -118,13 +119,25 @@
         () = sleep(left) => return Err(Outcome::Refused(Refusal { code: Code::Deadline, retry_ms: 0 })),
     };
     match part {
-        Part::Head(head) => Ok((head, answer)),
+        Part::Head(head) => {
+            if meta.place.is_none() {
+                learn(shared, meta, server, &head);
+            }
+            Ok((head, answer))
+        }
         Part::Refuse(Reason::Misrouted) => Err(Outcome::Misrouted),
         Part::Refuse(Reason::Refused(refusal)) => Err(Outcome::Refused(refusal)),
         Part::Data { .. } | Part::Broken => Err(Outcome::Broken),
     }
 }
 
+/// Takes in what the holder of an unkeyed service's server says of its load.
+fn learn(shared: &Shared, meta: &Meta, server: ServerId, head: &Head) {
+    let now = shared.clock.now();
+    let mut budget = shared.budget.lock();
+    budget.outstanding.learn(now, &meta.service, server, head.running, head.queued);
+}
+
 /// Hands a request to its holder.
 async fn send(shared: &Arc<Shared>, open: Box<Open>) -> Result<Answer, Outcome> {
     let target = &open.target;
--- a/crates/whinspring-daemon/src/shared.rs
+++ b/crates/whinspring-daemon/src/shared.rs
@@ -4,6 +4,7 @@
     crate::{
         clock::Clock,
         exchange::{Call, Serve},
+        handover::Staged,
         held::{self, Held},
         link::DataLinks,
         metrics::Metrics,
@@ -32,7 +33,7 @@
         time::Tick,
         view::View,
     },
-    whinspring_wire::link::Reason,
+    whinspring_wire::link::{HandOver, Reason},
 };
 
 /// Time between two looks at the held servers' deadlines.
@@ -74,6 +75,8 @@
     lease: AtomicU64,
     /// Held servers.
     held: ArcSwap<HashMap<HeldKey, Arc<Held>>>,
+    /// Memory of servers that this node does not hold yet.
+    pub(crate) staged: Staged,
     /// Links for requests to other nodes.
     links: OnceLock<DataLinks>,
     /// Whether the node takes no new requests.
@@ -104,6 +107,7 @@
             changes: watch::Sender::new(0),
             lease: AtomicU64::new(0),
             held: ArcSwap::default(),
+            staged: Staged::default(),
             links: OnceLock::new(),
             leaving: AtomicBool::new(false),
             me: me.clone(),
@@ -204,7 +208,15 @@
         }
         let gone = before.iter().filter(|(key, _)| !after.contains_key(key));
         let gone: Vec<Arc<Held>> = gone.map(|(_, held)| held.clone()).collect();
+        let new: Vec<HeldKey> =
+            after.keys().filter(|key| !before.contains_key(*key)).cloned().collect();
         self.held.store(Arc::new(after));
+        for (service, server) in new {
+            let memories = self.staged.take(&(service.clone(), server));
+            if let (Some(held), Some(memories)) = (self.held(&service, server), memories) {
+                held.feed(Input::Memory(memories));
+            }
+        }
         gone.iter().for_each(|held| held.close());
     }
 }
@@ -222,6 +234,10 @@
             }
         }
     }
+
+    fn remember(&self, hand: HandOver) {
+        Shared::remember(self, hand);
+    }
 }
 
 /// Tells the held servers that time passes, until the process ends.
--- a/crates/whinspring-daemon/tests/data/links.rs
+++ b/crates/whinspring-daemon/tests/data/links.rs
@@ -25,7 +25,7 @@
     whinspring_standin::relay::Relay,
     whinspring_wire::{
         frame::MAX_FRAME_BYTES,
-        link::{Frame, Head, Open},
+        link::{Frame, HandOver, Head, Open},
     },
 };
 
@@ -37,6 +37,8 @@
     fn serve(&self, call: Call) {
         self.0.lock().push(call);
     }
+
+    fn remember(&self, _: HandOver) {}
 }
 
 impl Keep {
@@ -95,6 +97,8 @@
         body: text.into(),
         whole,
         length: None,
+        running: 0,
+        queued: 0,
     }
 }
 
--- a/crates/whinspring-daemon/tests/data/path.rs
+++ b/crates/whinspring-daemon/tests/data/path.rs
@@ -1,12 +1,24 @@
 //! The way of a request: entry, holder, server and back.
 
 use {
-    crate::rig::{Daemon, Placed, daemon, publish, server},
-    hyper::Method,
+    crate::{
+        callers::until,
+        rig::{
+            Daemon, Placed, SLICES, change, daemon, holder, holders, owner, publish, segment,
+            server,
+        },
+    },
+    hyper::{Method, Request},
     std::{net::SocketAddr, time::Duration},
+    whinspring::name::slice_of,
+    whinspring_daemon::{
+        backend::{Backend, Fault, Upstream},
+        clock::Clock,
+    },
     whinspring_standin::{
         caller::{Call, Caller, Class, End, Payload},
         http::Running,
+        runs::{self, Event},
         server::Options,
     },
 };
@@ -115,6 +127,89 @@
     assert_eq!(first.echo, second.echo);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn recorded_answer_moves_with_the_server() {
+    let pair = pair("a", fenced()).await;
+    let (caller, both) = (Caller::new(), [&pair.a, &pair.b]);
+    let lodge = |attempt: &str| {
+        Call::new(pair.a.callers_addr, Method::POST, "/checks/lodge")
+            .header("x-key", "k")
+            .header("whinspring-request-id", "only-once")
+            .header("whinspring-attempt", attempt)
+    };
+    let first = caller.send(&lodge("1")).await;
+    assert!(first.is_right(), "{first:?}");
+    change(&both, &holders("checks", 2, vec![holder("a", 1, Some("b"))]));
+    until(|| pair.b.shared.metrics.counted("memory_received") == 1).await;
+    change(&both, &holders("checks", 3, vec![holder("b", 2, None)]));
+    let second = caller.send(&lodge("2")).await;
+    assert_eq!(second.code, Some(101), "{second:?}");
+    assert_eq!(first.echo, second.echo);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn recorded_answer_moves_with_the_slice() {
+    let (a, b) = (daemon("a").await, daemon("b").await);
+    let (first, second) = (server(fenced()).await, server(fenced()).await);
+    let bundles = server(Options::default()).await;
+    let placed =
+        |running: &Running, holder: &str| Placed { addr: running.addr, holder: holder.into() };
+    let checks = [placed(&first, "a"), placed(&second, "b")];
+    publish(&[&a, &b], &checks, &[placed(&bundles, "a")]).await;
+    let key = (0..).map(|number| format!("k{number}")).find(|key| slice_of(key, SLICES).0 == 0);
+    let key = key.expect("some key is in the first slice");
+    let lodge = |attempt: &str| {
+        Call::new(a.callers_addr, Method::POST, "/checks/lodge")
+            .header("x-key", &key)
+            .header("whinspring-request-id", "only-once")
+            .header("whinspring-attempt", attempt)
+    };
+    let caller = Caller::new();
+    let one = caller.send(&lodge("1")).await;
+    assert!(one.is_right(), "{one:?}");
+    change(&[&a, &b], &segment("checks", 2, 2, Some((0, owner(0, 1, Some(1))))));
+    until(|| b.shared.metrics.counted("memory_received") == 1).await;
+    change(&[&a, &b], &segment("checks", 3, 2, Some((0, owner(1, 2, None)))));
+    let two = caller.send(&lodge("2")).await;
+    assert_eq!(two.code, Some(101), "{two:?}");
+    assert_eq!(one.echo, two.echo);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lease_that_lapses_before_the_first_byte_stops_the_request() {
+    let logs = tempfile::tempdir().expect("a folder");
+    let log = logs.path().join("runs");
+    let server = server(Options { run_log: Some(log.clone()), ..Options::default() }).await;
+    let clock = Clock::start();
+    let backend = Backend::new(server.addr, clock);
+    let request = || Request::post("/x").header("host", "t").body(Upstream::empty());
+    let mut conn = backend.take(true).await.expect("the server accepts");
+    let lapsed = conn.send(request().expect("it is valid"), clock.now()).await;
+    assert_eq!(lapsed.err(), Some(Fault::Unsent));
+    let mut conn = backend.take(true).await.expect("the server accepts");
+    let until = clock.now() + Duration::from_secs(60);
+    assert!(conn.send(request().expect("it is valid"), until).await.is_ok());
+    let lines = runs::read(&log).expect("the log is there");
+    let starts = lines.iter().filter(|line| line.event == Event::Start);
+    assert_eq!(starts.count(), 1, "{lines:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn idle_connection_closed_by_the_server_is_not_used_again() {
+    let pair = pair("b", fenced()).await;
+    let caller = Caller::new();
+    assert!(caller.send(&lookup(&pair.a, "k")).await.is_right());
+    let addr = pair.checks.addr;
+    pair.checks.close().await;
+    let _again = server(Options { listen: addr, ..fenced() }).await;
+    let once = Call::new(pair.a.callers_addr, Method::POST, "/checks/lodge")
+        .header("x-key", "k")
+        .header("whinspring-request-id", "one")
+        .header("whinspring-attempt", "1");
+    let reply = caller.send(&once).await;
+    assert!(reply.is_right() || reply.class == Some(Class::NotRun), "{reply:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn lost_server_is_told_at_once() {
     let pair = pair("b", Options { work: Duration::from_secs(30), ..fenced() }).await;
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -222,27 +222,51 @@
         shares: BTreeMap::new(),
         servers: declared.collect(),
     };
-    let terms = servers.iter().zip(0..).map(|(placed, id)| {
-        let holder = Holder { node: placed.holder.clone(), incarnation: 1, term: 1, next: None };
-        (ServerId(id), holder)
-    });
-    let holders = Holders { terms: terms.collect() };
-    let owners = (0..slices).map(|slice| Owner {
-        server: ServerId(slice % servers.len() as u32),
-        epoch: 1,
-        next: None,
-    });
-    let segment = Segment { first: 0, owners: owners.collect(), keys: BTreeMap::new() };
-    let mut records = vec![
-        record(Kind::Service, name, Value::Service(service)),
-        record(Kind::Holders, name, Value::Holders(holders)),
-    ];
+    let terms = servers.iter().map(|placed| holder(&placed.holder, 1, None)).collect();
+    let mut records =
+        vec![record(Kind::Service, name, Value::Service(service)), holders(name, 1, terms)];
     if keyed {
-        records.push(record(Kind::Segment, &format!("{name}.0"), Value::Segment(segment)));
+        records.push(segment(name, 1, servers.len() as u32, None));
     }
     records
 }
 
+/// A node that holds a server.
+pub fn holder(node: &str, term: u64, next: Option<&str>) -> Holder {
+    Holder { node: node.into(), incarnation: 1, term, next: next.map(Name::from) }
+}
+
+/// The owner of a slice.
+pub fn owner(server: u32, epoch: u64, next: Option<u32>) -> Owner {
+    Owner { server: ServerId(server), epoch, next: next.map(ServerId) }
+}
+
+/// The record of a service's slices, divided among its servers but for one slice.
+pub fn segment(service: &str, version: u64, servers: u32, other: Option<(u32, Owner)>) -> Record {
+    let mut owners: Vec<Owner> = (0..SLICES).map(|slice| owner(slice % servers, 1, None)).collect();
+    if let Some((slice, owner)) = other {
+        owners[slice as usize] = owner;
+    }
+    let segment = Segment { first: 0, owners, keys: BTreeMap::new() };
+    let record = record(Kind::Segment, &format!("{service}.0"), Value::Segment(segment));
+    Record { version, ..record }
+}
+
+/// The record of a service's holders, in the order of the servers' numbers.
+pub fn holders(service: &str, version: u64, terms: Vec<Holder>) -> Record {
+    let terms = (0..).map(ServerId).zip(terms).collect();
+    let record = record(Kind::Holders, service, Value::Holders(Holders { terms }));
+    Record { version, ..record }
+}
+
+/// Gives every node a changed record.
+pub fn change(daemons: &[&Daemon], record: &Record) {
+    for daemon in daemons {
+        let view = daemon.shared.view().updated([record].into_iter());
+        daemon.shared.update(view);
+    }
+}
+
 /// A record at version 1.
 fn record(kind: Kind, name: &str, value: Value) -> Record {
     Record { key: Key::new(kind, name), version: 1, mark: 0, value: Some(value) }
--- a/crates/whinspring-wire/src/link.rs
+++ b/crates/whinspring-wire/src/link.rs
@@ -8,16 +8,19 @@
 use {
     bytes::Bytes,
     http::{HeaderMap, Method, StatusCode},
-    snafu::Snafu,
+    prost::Message,
+    snafu::{OptionExt, Snafu},
     std::{net::SocketAddr, time::Duration},
     whinspring::{
         code::Code,
-        name::Name,
+        holder::Memory,
+        name::{Name, ServerId},
         request::{Meta, Refusal, Target},
     },
 };
 
 mod convert;
+mod memory;
 
 /// Version of the protocol between nodes.
 pub const PROTOCOL: u32 = 1;
@@ -72,6 +75,13 @@
         /// Why.
         reason: Reason,
     },
+    /// A part of an encoded [`HandOver`].
+    Memory {
+        /// Bytes of this part.
+        part: Bytes,
+        /// Whether more parts of the hand-over follow.
+        more: bool,
+    },
 }
 
 /// Who is at the other end of a connection, and what it carries.
@@ -144,6 +154,10 @@
     pub whole: bool,
     /// Length of the whole body, if it is known.
     pub length: Option<u64>,
+    /// Requests that run on the server.
+    pub running: u32,
+    /// Requests that wait for the server.
+    pub queued: u32,
 }
 
 /// Why a stream ended without a whole answer.
@@ -155,6 +169,34 @@
     Refused(Refusal),
 }
 
+/// What a former holder remembers, for the holder of the next owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HandOver {
+    /// Service of the requests.
+    pub service: Name,
+    /// Server that owns the units from now on.
+    pub server: ServerId,
+    /// Memory of each released unit.
+    pub memories: Vec<Memory>,
+}
+
+impl HandOver {
+    /// Encodes a hand-over, to be sent in parts.
+    pub fn encode(self) -> Bytes {
+        wire::HandOver::from(self).encode_to_vec().into()
+    }
+
+    /// Decodes a hand-over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no valid hand-over.
+    pub fn decode(bytes: Bytes) -> Result<Self, BadFrame> {
+        let message = wire::HandOver::decode(bytes).ok();
+        message.context(BadFrameSnafu { field: "hand-over" })?.try_into()
+    }
+}
+
 /// A frame that breaks the protocol.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
--- a/crates/whinspring-wire/src/link/convert.rs
+++ b/crates/whinspring-wire/src/link/convert.rs
@@ -31,6 +31,7 @@
             Frame::Window { stream, bytes } => Kind::Window(wire::Window { stream, bytes }),
             Frame::Cancel(stream) => Kind::Cancel(wire::Cancel { stream }),
             Frame::Refuse { stream, reason } => Kind::Refuse(refuse(stream, reason)),
+            Frame::Memory { part, more } => Kind::Memory(wire::Memory { part, more }),
         };
         Self { kind: Some(kind) }
     }
@@ -56,6 +57,7 @@
             Kind::Refuse(refuse) => {
                 Self::Refuse { stream: refuse.stream, reason: reason(&refuse)? }
             }
+            Kind::Memory(memory) => Self::Memory { part: memory.part, more: memory.more },
         };
         Ok(frame)
     }
@@ -150,6 +152,8 @@
             body: head.body,
             whole: head.whole,
             length: head.length,
+            running: head.running,
+            queued: head.queued,
         }
     }
 }
@@ -168,6 +172,8 @@
             body: head.body,
             whole: head.whole,
             length: head.length,
+            running: head.running,
+            queued: head.queued,
         })
     }
 }
