Test the frames of links

Change: every frame and a hand-over survive encoding; invalid methods, headers, codes, nonces and addresses, oversized frames and garbage are refused.

--- /dev/null
+++ b/crates/whinspring-wire/tests/link.rs
@@ -0,0 +1,185 @@
+//! Frames of links: round trips, and what is refused.
+
+use {
+    bytes::{Bytes, BytesMut},
+    http::{HeaderMap, HeaderValue, Method, StatusCode},
+    prost::Message,
+    std::time::Duration,
+    tokio_util::codec::{Decoder, Encoder},
+    whinspring::{
+        code::Code,
+        holder::{Memory, Remembered, RequestId, Unit},
+        name::{ServerId, Slice},
+        request::{Meta, Place, Refusal, Target},
+        time::Wall,
+    },
+    whinspring_wire::{
+        frame::{FrameCodec, FrameError, MAX_FRAME_BYTES},
+        link::{Frame, HandOver, Head, Hello, NONCE_BYTES, Open, Purpose, Reason, wire},
+    },
+};
+
+/// Headers with a repeated name and a value that is not text.
+fn headers() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.append("accept", HeaderValue::from_static("a"));
+    headers.append("accept", HeaderValue::from_static("b"));
+    headers.insert("x-bytes", HeaderValue::from_bytes(b"\xff\xfe").expect("opaque bytes"));
+    headers
+}
+
+/// A request with every field set.
+fn open() -> Open {
+    Open {
+        stream: 7,
+        method: Method::PATCH,
+        path: "/checks/x?y=z".into(),
+        headers: headers(),
+        meta: Meta {
+            service: "checks".into(),
+            place: Some(Place { key: "".into(), slice: Slice(3) }),
+            customer: "c".into(),
+            id: "i".into(),
+            issued: Some(Wall(5)),
+            first: true,
+            repeatable: false,
+            print: 9,
+            deaths: 1,
+        },
+        target: Target { node: "n".into(), incarnation: 1, server: ServerId(2), term: 3, epoch: 4 },
+        left: Duration::from_micros(1_500),
+        body: Bytes::from_static(b"body"),
+        whole: false,
+        length: Some(100),
+    }
+}
+
+/// The start of an answer with every field set.
+fn head() -> Head {
+    Head {
+        stream: 7,
+        status: StatusCode::IM_A_TEAPOT,
+        code: Code::Recorded,
+        headers: headers(),
+        body: Bytes::from_static(b"body"),
+        whole: true,
+        length: None,
+        running: 1,
+        queued: 2,
+    }
+}
+
+/// The first frame of a connection.
+fn hello() -> Hello {
+    Hello {
+        version: 1,
+        deployment: "d".into(),
+        node: "n".into(),
+        incarnation: 2,
+        addr: ([127, 0, 0, 1], 3).into(),
+        purpose: Purpose::Data,
+        nonce: Bytes::from_static(&[4; NONCE_BYTES]),
+    }
+}
+
+/// Sends a frame through the codec.
+fn pass(frame: Frame) -> Frame {
+    let mut codec = FrameCodec::<wire::Frame>::default();
+    let mut bytes = BytesMut::new();
+    codec.encode(&wire::Frame::from(frame), &mut bytes).expect("it fits");
+    let frame = codec.decode(&mut bytes).expect("it is a frame").expect("it is whole");
+    assert!(bytes.is_empty());
+    frame.try_into().expect("it is valid")
+}
+
+#[test]
+fn every_frame_survives_the_way() {
+    let refusal = Refusal { code: Code::Overloaded, retry_ms: 5 };
+    let frames = [
+        Frame::Hello(hello()),
+        Frame::Proof(Bytes::from_static(b"proof")),
+        Frame::Ping(1),
+        Frame::Pong(2),
+        Frame::Control { part: Bytes::from_static(b"part"), more: true },
+        Frame::Open(Box::new(open())),
+        Frame::Head(Box::new(head())),
+        Frame::Data { stream: 1, bytes: Bytes::from_static(b"data"), last: true },
+        Frame::Window { stream: 1, bytes: 2 },
+        Frame::Cancel(3),
+        Frame::Refuse { stream: 1, reason: Reason::Misrouted },
+        Frame::Refuse { stream: 1, reason: Reason::Refused(refusal) },
+        Frame::Memory { part: Bytes::from_static(b"part"), more: false },
+    ];
+    for frame in frames {
+        let before = format!("{frame:?}");
+        assert_eq!(format!("{:?}", pass(frame)), before);
+    }
+}
+
+#[test]
+fn hand_over_survives_the_way() {
+    let id = RequestId { key: "k".into(), customer: "c".into(), id: "i".into() };
+    let known = Remembered { id, print: 1, at: Wall(2), answer: Some(Bytes::new()) };
+    let unknown = Remembered { answer: None, ..known.clone() };
+    let slice = Memory {
+        unit: Unit::Slice(Slice(0)),
+        epoch: 1,
+        term: 2,
+        since: Wall(3),
+        entries: vec![known, unknown],
+    };
+    let key = Memory { unit: Unit::Key("k".into()), entries: Vec::new(), ..slice.clone() };
+    let hand = HandOver { service: "s".into(), server: ServerId(1), memories: vec![slice, key] };
+    assert_eq!(HandOver::decode(hand.clone().encode()).expect("it is valid"), hand);
+    assert!(HandOver::decode(Bytes::from_static(b"\xff")).is_err());
+}
+
+#[test]
+fn invalid_fields_are_refused() {
+    let frame = |kind| Frame::try_from(wire::Frame { kind: Some(kind) });
+    let bad_open = |change: fn(&mut wire::Open)| {
+        let mut open = wire::Open::from(open());
+        change(&mut open);
+        frame(wire::frame::Kind::Open(open)).is_err()
+    };
+    assert!(bad_open(|open| open.method = "not a method".into()));
+    assert!(bad_open(|open| open.meta = None));
+    assert!(bad_open(|open| open.target = None));
+    assert!(bad_open(|open| open.headers[0].name = Bytes::from_static(b"a\r\nb")));
+    assert!(bad_open(|open| open.headers[0].value = Bytes::from_static(b"a\r\nb: c")));
+    let bad_head = |change: fn(&mut wire::Head)| {
+        let mut head = wire::Head::from(head());
+        change(&mut head);
+        frame(wire::frame::Kind::Head(head)).is_err()
+    };
+    assert!(bad_head(|head| head.status = 65_536 + 200));
+    assert!(bad_head(|head| head.status = 42));
+    assert!(bad_head(|head| head.code = 99));
+    let bad_hello = |change: fn(&mut wire::Hello)| {
+        let mut hello = wire::Hello::from(hello());
+        change(&mut hello);
+        frame(wire::frame::Kind::Hello(hello)).is_err()
+    };
+    assert!(bad_hello(|hello| hello.nonce = Bytes::from_static(b"short")));
+    assert!(bad_hello(|hello| hello.addr = "here".into()));
+    assert!(bad_hello(|hello| hello.node.clear()));
+    assert!(bad_hello(|hello| hello.r#use = 9));
+    assert!(Frame::try_from(wire::Frame { kind: None }).is_err());
+}
+
+#[test]
+fn oversized_frames_and_garbage_are_refused() {
+    let mut codec = FrameCodec::<wire::Frame>::default();
+    let large = Bytes::from(vec![0; MAX_FRAME_BYTES]);
+    let frame = wire::Frame::from(Frame::Proof(large));
+    let mut bytes = BytesMut::new();
+    assert!(matches!(codec.encode(&frame, &mut bytes), Err(FrameError::TooLong { .. })));
+    assert!(bytes.is_empty());
+    let mut long = BytesMut::from(&(MAX_FRAME_BYTES as u32 + 1).to_be_bytes()[..]);
+    assert!(codec.decode(&mut long).is_err());
+    let mut codec = FrameCodec::<wire::Frame>::default();
+    let mut garbage = BytesMut::from(&b"\x00\x00\x00\x02\xff\xff"[..]);
+    assert!(matches!(codec.decode(&mut garbage), Err(FrameError::Garbage { .. })));
+    let mut half = BytesMut::from(&frame.encode_length_delimited_to_vec()[..2]);
+    assert!(matches!(FrameCodec::<wire::Frame>::default().decode(&mut half), Ok(None)));
+}
