--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -81,11 +81,11 @@
     pub(super) fn new(
         held: Arc<Held>,
         order: Order,
-        call: Box<Call>,
+        call: Call,
         refused: mpsc::UnboundedReceiver<Refusal>,
         stop: CancellationToken,
     ) -> Self {
-        let Call { open, deadline, upload, reply } = *call;
+        let Call { open, deadline, upload, reply } = call;
         let flow = reply.flow();
         Self {
             held,
@@ -171,6 +171,7 @@
         if let Some(declared) = declared.filter(|_| self.open.method == http::Method::HEAD) {
             headers.insert(http::header::CONTENT_LENGTH, declared);
         }
+        let (running, queued) = self.held.load();
         let head = Head {
             stream: 0,
             status: parts.status,
@@ -179,6 +180,8 @@
             body: Bytes::new(),
             whole: false,
             length,
+            running,
+            queued,
         };
         if length.is_some_and(|length| length <= WHOLE_BYTES) {
             return self.whole(conn, head, body).await;
