--- a/crates/whinspring/tests/holder/sessions.rs
+++ b/crates/whinspring/tests/holder/sessions.rs
@@ -4,7 +4,7 @@
     super::world::{EPOCH_MS, World, get, post, update},
     insta::assert_snapshot,
     whinspring::{
-        holder::{Input, Policy, Update},
+        holder::{Input, Memory, Policy, Update},
         model::{Owner, ServerState, Suspect},
         name::{ServerId, Slice, slice_of},
         request::Meta,
@@ -138,12 +138,22 @@
     assert_eq!((next.answer(1), next.answer(2)), ("MaybeRan", "replayed answer to x"));
 
     let mut second = World::new(update(1, 2));
-    second.lose_holder(2, 2);
+    second.lose_holder(update(2, 2));
     second.run(30);
     second.input(Input::Memory(handed.clone()));
     second.arrive(1, Meta { first: false, ..post("a", "x") }, 300);
     assert_eq!(second.answer(1), "MaybeRan", "the first holder of the epoch may have run it");
 
+    let server = handed.iter().cloned().map(|memory| Memory { last: false, ..memory });
+    let server: Vec<Memory> = server.collect();
+    let expected = ["replayed answer to x", "MaybeRan", "MaybeRan"];
+    for ((term, epoch), expected) in [(2, 1), (3, 1), (3, 2)].into_iter().zip(expected) {
+        let mut taken = World::new(update(term, epoch));
+        taken.input(Input::Memory(server.clone()));
+        taken.arrive(1, Meta { first: false, ..post("a", "x") }, 300);
+        assert_eq!(taken.answer(1), expected, "another holder may have run it since");
+    }
+
     let mut later = World::new(update(1, 3));
     later.input(Input::Memory(handed));
     later.arrive(1, Meta { first: false, ..post("a", "x") }, 300);
@@ -202,6 +212,20 @@
     assert_snapshot!(world.trace);
 }
 
+#[test]
+fn death_beside_others_is_no_second_one() {
+    let mut world = World::new(update(1, 1));
+    world.fake.deadly.insert(666);
+    world.arrive(1, Meta { print: 666, ..get("a") }, 1_000);
+    world.arrive(2, Meta { print: 7, ..get("b") }, 1_000);
+    let elsewhere = Suspect { print: 7, deaths: 1, last_ms: EPOCH_MS, cleared: false };
+    let next = Update { suspects: vec![elsewhere], ..update(1, 1) };
+    world.input(Input::Update(Box::new(next)));
+    world.run(100);
+    let deaths = world.suspects.iter().map(|suspect| (suspect.print, suspect.deaths));
+    assert_eq!(deaths.collect::<Vec<_>>(), [(666, 1), (7, 1)]);
+}
+
 #[test]
 fn suspicion_of_other_holders_counts() {
     let suspect = |deaths| Suspect { print: 5, deaths, last_ms: EPOCH_MS, cleared: false };
