--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -6,15 +6,20 @@
 
 pub mod code;
 pub mod control;
+pub mod declaration;
 pub mod entry;
 pub mod holder;
+pub mod ini;
 pub mod lease;
 pub mod message;
 pub mod model;
 pub mod name;
+pub mod plan;
 pub mod planner;
 pub mod record;
 pub mod replica;
 pub mod request;
+pub mod settings;
+pub mod sketch;
 pub mod time;
 pub mod view;
