Control: operators' plans, renewal of slices, records that are over

Confirmed plans are admitted in the order of their confirmation, if the records they were computed from are unchanged and no admitted plan concerns them; the admission is written, so the next controller goes on. Steps that differ from the records in nothing write nothing (seen first: a plan that waited for a release rewrote its segment 200 times a second).

The holder of a lost server gives its slices up for good; ServerBack makes the controller write the next epoch for those that have not moved. A server that announces its stop is drained. Old gone nodes, ended plans and suspects are deleted a few at a time; a heartbeat for a deleted node record is refused.

--- a/crates/whinspring/src/control.rs
+++ b/crates/whinspring/src/control.rs
@@ -173,6 +173,8 @@
     rng: ChaCha8Rng,
     /// Time of the event being handled.
     now: Tick,
+    /// Calendar time of the event being handled.
+    wall: Wall,
     /// When the process last came back from a pause.
     awake: Tick,
     /// Until when the lease was last seen to be valid.
@@ -231,6 +233,7 @@
             incarnation: setup.incarnation,
             rng: ChaCha8Rng::seed_from_u64(setup.seed),
             now,
+            wall: Wall::default(),
             awake: now,
             leased: now,
             replica: Replica::default(),
@@ -250,7 +253,8 @@
     }
 
     /// Handles one event and appends what the daemon has to do to `out`.
-    pub fn handle(&mut self, now: Tick, _wall: Wall, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Tick, wall: Wall, event: Event, out: &mut Vec<Action>) {
+        self.wall = wall;
         self.enter(now);
         match event {
             Event::Tick => {}
@@ -357,7 +361,7 @@
 
     /// Takes a report of this node's own holders.
     fn local(&mut self, message: Message, out: &mut Vec<Action>) {
-        if let Some(message) = self.reports.add(message) {
+        if let Some(message) = self.reports.add(message, &self.replica) {
             self.send_report(message, out);
         }
     }
--- a/crates/whinspring/src/control/controller.rs
+++ b/crates/whinspring/src/control/controller.rs
@@ -5,7 +5,7 @@
     crate::{
         message::Message,
         name::{Name, ServerId},
-        planner::{self, Memory, holders, segments},
+        planner::{self, Memory, holders, plans, retention, segments},
         record::{Key, Kind},
         replica::Replica,
         time::Tick,
@@ -23,9 +23,18 @@
 /// Time after which everything is looked at again without a cause.
 const REVIEW: Duration = Duration::from_millis(1_000);
 
+/// Shortest time between two looks at everything.
+const PLAN_GAP: Duration = Duration::from_millis(5);
+
 /// Time for which a server that came back gets no slices; doubles with each loss.
 const BAR_MIN: Duration = Duration::from_millis(2_000);
 
+/// Shortest time between two renewals of what a server owns.
+const RENEW_GAP: Duration = Duration::from_millis(2_000);
+
+/// Time for which a server's word that it leaves holds unless repeated.
+const PARTING: Duration = Duration::from_millis(5_000);
+
 /// Longest such time.
 const BAR_MAX: Duration = Duration::from_millis(300_000);
 
@@ -43,6 +52,8 @@
     reviewed: Option<Tick>,
     /// What the holders reported.
     memory: Memory,
+    /// When each server was last made to own its slices anew.
+    renewed: BTreeMap<(Name, ServerId), Tick>,
     /// Losses of each server: how many, and when the last one was.
     losses: BTreeMap<(Name, ServerId), (u32, Tick)>,
 }
@@ -60,6 +71,7 @@
             listened: false,
             reviewed: None,
             memory: Memory::default(),
+            renewed: BTreeMap::new(),
             losses: BTreeMap::new(),
         };
         let term = self.term.get_or_insert_with(fresh);
@@ -68,6 +80,9 @@
         if !self.dirty && !due && listened == term.listened {
             return;
         }
+        if term.reviewed.is_some_and(|reviewed| now.since(reviewed) < PLAN_GAP) {
+            return;
+        }
         term.listened = listened;
         self.dirty = false;
         term.reviewed = Some(now);
@@ -97,6 +112,11 @@
             {
                 term.back(now, (service, server));
             }
+            Message::ServerLeaving { service, server, term: number }
+                if held(&service, server, number) =>
+            {
+                term.memory.parting.insert((service, server), now);
+            }
             Message::ServerReleased { service, server, term: number } => {
                 term.memory.servers.insert((service, server), number);
             }
@@ -125,26 +145,24 @@
     /// Writes what differs from the decisions.
     fn plan(&mut self, listened: bool, out: &mut Vec<Action>) {
         let Some(term) = &mut self.term else { return };
-        term.prune(&self.replica);
+        term.prune(self.now, &self.replica);
         let mut counts = holders::counts(&self.replica);
-        let mut writes = Vec::new();
+        let mut writes = plans::advance(&self.replica, &term.memory);
+        writes.extend(retention::plan(&self.replica, self.wall));
         for service in planner::services(&self.replica) {
             writes.extend(holders::plan(&self.replica, &term.memory, service, &mut counts));
             if listened {
                 writes.extend(segments::plan(&self.replica, &term.memory, self.now, service));
             }
         }
+        if listened {
+            term.memory.renew.clear();
+        }
         for write in writes {
             if self.writes.free(&self.replica, &write.key) {
                 let expect = self.replica.version(&write.key);
                 let mark = self.rng.random();
-                out.push(self.writes.put(
-                    Purpose::Plan,
-                    write.key,
-                    expect,
-                    Some(write.value),
-                    mark,
-                ));
+                out.push(self.writes.put(Purpose::Plan, write.key, expect, write.value, mark));
             } else {
                 self.dirty = true;
             }
@@ -165,6 +183,12 @@
 
     /// Notes the return of a server.
     fn back(&mut self, now: Tick, id: (Name, ServerId)) {
+        self.memory.parting.remove(&id);
+        let renewed = self.renewed.get(&id).is_some_and(|last| now.since(*last) < RENEW_GAP);
+        if !renewed {
+            self.renewed.insert(id.clone(), now);
+            self.memory.renew.insert(id.clone());
+        }
         if self.memory.lost.remove(&id).is_none() {
             return;
         }
@@ -174,7 +198,8 @@
     }
 
     /// Forgets reports that the records have overtaken.
-    fn prune(&mut self, replica: &Replica) {
+    fn prune(&mut self, now: Tick, replica: &Replica) {
+        self.memory.parting.retain(|_, said| now.since(*said) < PARTING);
         let term_of = |id: &(Name, ServerId)| {
             let holders = planner::holders_of(replica, &id.0);
             holders.and_then(|holders| holders.terms.get(&id.1)).map_or(0, |holder| holder.term)
--- a/crates/whinspring/src/control/lessor.rs
+++ b/crates/whinspring/src/control/lessor.rs
@@ -125,7 +125,9 @@
 
     /// Returns whether the records show a heartbeat's sender as lost or replaced.
     fn replaced(&self, name: &Name, incarnation: u64, version: u64) -> bool {
-        let Some((known, node)) = roster::node(&self.replica, name) else { return false };
+        let Some((known, node)) = roster::node(&self.replica, name) else {
+            return version <= self.replica.seen();
+        };
         match node.incarnation == incarnation {
             true => node.state == NodeState::Gone,
             false => known > version,
--- a/crates/whinspring/src/control/membership.rs
+++ b/crates/whinspring/src/control/membership.rs
@@ -133,7 +133,8 @@
         let own = roster::node(&self.replica, &self.setup.name).map(|(_, node)| node.clone());
         match own {
             Some(node) if node.incarnation == self.incarnation => self.tend_present(node, out),
-            _ if self.own.present => self.supersede(out),
+            Some(_) if self.own.present => self.supersede(out),
+            None if self.own.present => self.rejoin(out),
             _ if self.own.retiring => self.own.retired = true,
             _ => {
                 let lessors = self.choose(&[], None);
--- a/crates/whinspring/src/control/reports.rs
+++ b/crates/whinspring/src/control/reports.rs
@@ -25,8 +25,8 @@
     Health(Name, ServerId),
     /// That a server was released.
     Server(Name, ServerId),
-    /// That slices and keys were released, with a number that keeps the reports apart.
-    Slices(Name, ServerId, u64),
+    /// That slices and keys were released.
+    Slices(Name, ServerId),
 }
 
 /// A report that may have to be repeated.
@@ -45,13 +45,11 @@
 pub(super) struct Reports {
     /// Reports by subject.
     open: BTreeMap<Subject, Report>,
-    /// Number of the last report of released slices.
-    last: u64,
 }
 
 impl Reports {
     /// Takes a report of a holder; returns it if it is to be sent once and forgotten.
-    pub fn add(&mut self, message: Message) -> Option<Message> {
+    pub fn add(&mut self, mut message: Message, replica: &Replica) -> Option<Message> {
         let subject = match &message {
             Message::ServerLost { service, server, .. }
             | Message::ServerBack { service, server, .. } => {
@@ -61,11 +59,13 @@
                 Subject::Server(service.clone(), *server)
             }
             Message::SlicesReleased { service, server, .. } => {
-                self.last += 1;
-                Subject::Slices(service.clone(), *server, self.last)
+                Subject::Slices(service.clone(), *server)
             }
             _ => return Some(message),
         };
+        if let Some(former) = self.open.remove(&subject) {
+            join(&mut message, former.message, replica);
+        }
         self.open.insert(subject, Report { message, sent: None, count: 0 });
         None
     }
@@ -113,6 +113,23 @@
     }
 }
 
+/// Adds to a report of releases what the `former` one said and the records do not show yet.
+fn join(message: &mut Message, former: Message, replica: &Replica) {
+    let Message::SlicesReleased { service, server, term, slices, keys } = message else { return };
+    let Message::SlicesReleased { term: before, slices: more, keys: others, .. } = former else {
+        return;
+    };
+    if before != *term {
+        return;
+    }
+    slices.extend(more.into_iter().filter(|slice| still_owned(replica, service, *server, slice)));
+    slices.sort_unstable();
+    slices.dedup();
+    keys.extend(others.into_iter().filter(|key| still_keyed(replica, service, *server, key)));
+    keys.sort_unstable();
+    keys.dedup();
+}
+
 /// Returns the term under which a server is held, zero if it is not.
 fn term_of(replica: &Replica, service: &Name, server: ServerId) -> u64 {
     let record = replica.get(&Key::new(Kind::Holders, service.clone()));
--- a/crates/whinspring/src/planner.rs
+++ b/crates/whinspring/src/planner.rs
@@ -18,6 +18,8 @@
 };
 
 pub mod holders;
+pub mod plans;
+pub mod retention;
 pub mod segments;
 
 /// What the controller knows beside the records; a new controller learns it from repeated reports.
@@ -35,6 +37,10 @@
     pub keys: BTreeMap<Name, BTreeSet<(Name, u64)>>,
     /// VMs that the platform says are leaving or gone.
     pub leaving: BTreeSet<Name>,
+    /// Servers that announced their own stop, with when that was last said.
+    pub parting: BTreeMap<(Name, ServerId), Tick>,
+    /// Servers that answer again and have given up the slices that they still own.
+    pub renew: BTreeSet<(Name, ServerId)>,
 }
 
 /// A record to be written at the version known to the replica.
@@ -42,8 +48,8 @@
 pub struct Write {
     /// Record to write.
     pub key: Key,
-    /// Its content.
-    pub value: Value,
+    /// Its content; `None` deletes.
+    pub value: Option<Value>,
 }
 
 /// Returns every service.
@@ -54,6 +60,14 @@
     })
 }
 
+/// Returns the service of this name.
+pub fn service_of<'a>(replica: &'a Replica, name: &Name) -> Option<&'a Service> {
+    match &replica.get(&Key::new(Kind::Service, name.clone()))?.value {
+        Some(Value::Service(service)) => Some(service),
+        _ => None,
+    }
+}
+
 /// Returns the holders of a service's servers.
 pub fn holders_of<'a>(replica: &'a Replica, service: &Name) -> Option<&'a Holders> {
     match &replica.get(&Key::new(Kind::Holders, service.clone()))?.value {
--- a/crates/whinspring/src/planner/holders.rs
+++ b/crates/whinspring/src/planner/holders.rs
@@ -61,7 +61,7 @@
     balance(replica, service, &mut holders, counts);
     (holders != before).then(|| Write {
         key: Key::new(Kind::Holders, service.name.clone()),
-        value: Value::Holders(holders),
+        value: Some(Value::Holders(holders)),
     })
 }
 
--- a/crates/whinspring/src/planner/segments.rs
+++ b/crates/whinspring/src/planner/segments.rs
@@ -24,6 +24,8 @@
     lost: BTreeSet<ServerId>,
     /// Servers whose slices go elsewhere in batches.
     draining: BTreeSet<ServerId>,
+    /// Servers that are to own their slices at the next epoch.
+    renewed: BTreeSet<ServerId>,
     /// Slices owned, or about to be owned, by each server.
     counts: BTreeMap<ServerId, usize>,
     /// Slices of each draining server that wait for their release.
@@ -53,7 +55,7 @@
             None => servers.create(service, index),
         };
         let key = segment_key(&service.name, index);
-        writes.extend(value.map(|segment| Write { key, value: Value::Segment(segment) }));
+        writes.extend(value.map(|segment| Write { key, value: Some(Value::Segment(segment)) }));
     }
     writes
 }
@@ -69,7 +71,9 @@
         let mut usable = BTreeMap::new();
         let mut draining = BTreeSet::new();
         for (server, declared) in &service.servers {
-            let leaves = !active(server) || memory.leaving.contains(&declared.name);
+            let leaves = !active(server)
+                || memory.leaving.contains(&declared.name)
+                || memory.parting.contains_key(&id(*server));
             let barred = memory.barred.get(&id(*server)).is_some_and(|until| now < *until);
             if leaves {
                 draining.insert(*server);
@@ -80,8 +84,16 @@
         let total = service.servers.keys().filter(|id| active(id)).count();
         let lost_active = reported.iter().filter(|id| active(id)).count();
         let lost = if lost_active * 2 > total { BTreeSet::new() } else { reported };
-        let mut servers =
-            Self { usable, lost, draining, counts: BTreeMap::new(), waiting: BTreeMap::new() };
+        let renewed =
+            service.servers.keys().copied().filter(|s| memory.renew.contains(&id(*s))).collect();
+        let mut servers = Self {
+            renewed,
+            usable,
+            lost,
+            draining,
+            counts: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        };
         for index in 0..segment_count(service) {
             let Some(segment) = segment_of(replica, &service.name, index) else { continue };
             servers.count(segment);
@@ -148,7 +160,8 @@
             return released.then(|| Owner { server: next, epoch: owner.epoch + 1, next: None });
         }
         if !self.must_leave(owner.server) {
-            return None;
+            let renewed = self.renewed.contains(&owner.server);
+            return renewed.then(|| Owner { epoch: owner.epoch + 1, ..owner.clone() });
         }
         let next = self.take()?;
         if let Some(count) = self.counts.get_mut(&owner.server) {
--- a/crates/whinspring/tests/control/fake.rs
+++ b/crates/whinspring/tests/control/fake.rs
@@ -21,6 +21,9 @@
 /// Longest wait of a watch, in microseconds.
 const WATCH_US: u64 = 5_000_000;
 
+/// Time between two looks of the holders at what they have to report, in microseconds.
+const REVIEW_US: u64 = 500_000;
+
 /// What happens at a point in time.
 enum Due {
     /// A node handles an event.
@@ -29,6 +32,8 @@
     Call(Action),
     /// A node's holders release what they are asked to.
     Release,
+    /// The same, at regular intervals.
+    Review,
 }
 
 /// One node.
@@ -79,6 +84,8 @@
     pub vms: BTreeMap<Name, VmState>,
     /// Servers that do not answer.
     pub down: BTreeSet<(Name, ServerId)>,
+    /// Whether a server was ever lost.
+    pub losses: bool,
     pub counts: Counts,
     pub trace: Vec<String>,
     pub tracing: bool,
@@ -105,6 +112,7 @@
             cut_off: BTreeSet::new(),
             vms: BTreeMap::new(),
             down: BTreeSet::new(),
+            losses: false,
             counts: Counts::default(),
             trace: Vec::new(),
             tracing: false,
@@ -146,6 +154,7 @@
         };
         self.procs.insert(name.clone(), proc);
         self.push(self.now, &name, Due::Handle(Event::Tick));
+        self.push(self.now + REVIEW_US, &name, Due::Review);
     }
 
     /// Ends a process at once.
@@ -177,6 +186,7 @@
     /// Makes a server fail, or answer again, as its holder sees it.
     pub fn set_server(&mut self, service: &str, server: ServerId, up: bool) {
         let id = (Name::from(service), server);
+        self.losses |= !up;
         if up {
             self.down.remove(&id)
         } else {
@@ -185,6 +195,9 @@
         for name in self.procs.keys().cloned().collect::<Vec<_>>() {
             let term = self.held(&name).get(&(service.into(), server)).copied();
             let Some(term) = term else { continue };
+            if !up {
+                self.give_up(&name, service, server);
+            }
             let (service, at) = (Name::from(service), self.now);
             let message = match up {
                 true => Message::ServerBack { service, server, term },
@@ -194,6 +207,17 @@
         }
     }
 
+    /// Gives up all slices of a lost server, as its holder does.
+    fn give_up(&mut self, name: &Name, service: &str, server: ServerId) {
+        let mut slices = Vec::new();
+        self.owners(name, |of, slice, owner| {
+            if of == service && owner.server == server {
+                slices.push((of.clone(), server, slice, owner.epoch));
+            }
+        });
+        self.procs.get_mut(name).unwrap().slices.extend(slices);
+    }
+
     /// Runs for `ms` milliseconds; panics where single ownership is violated.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms * 1_000;
@@ -271,6 +295,10 @@
             due if self.now < paused => self.push(paused, &name, due),
             Due::Handle(event) => self.handle(&name, event),
             Due::Release => self.release(&name),
+            Due::Review => {
+                self.push(self.now + REVIEW_US, &name, Due::Review);
+                self.release(&name);
+            }
         }
     }
 
@@ -405,8 +433,13 @@
         self.procs.get_mut(name).unwrap().releasing = false;
         let held = self.held(name);
         let mut slices: BTreeMap<(Name, ServerId), Vec<(Slice, u64)>> = BTreeMap::new();
+        let mut given = BTreeSet::new();
         self.owners(name, |service, slice, owner| {
             let id = (service.clone(), owner.server);
+            let unit = (service.clone(), owner.server, slice, owner.epoch);
+            if owner.next.is_none() && self.procs[name].slices.contains(&unit) {
+                given.insert(id.clone());
+            }
             if owner.next.is_some() && held.contains_key(&id) {
                 slices.entry(id).or_default().push((slice, owner.epoch));
             }
@@ -420,19 +453,26 @@
                 continue;
             };
             let slices = slices.remove(&(service.clone(), server)).unwrap_or_default();
-            let proc = self.procs.get_mut(name).unwrap();
+            let keys = self.leaving_keys(name, &service, server);
             for (slice, epoch) in &slices {
+                let proc = self.procs.get_mut(name).unwrap();
                 proc.slices.insert((service.clone(), server, *slice, *epoch));
             }
-            if !slices.is_empty() {
-                let (service, keys) = (service.clone(), Vec::new());
+            if !slices.is_empty() || !keys.is_empty() {
+                let service = service.clone();
                 reports.push(Message::SlicesReleased { service, server, term, slices, keys });
             }
-            if self.down.contains(&(service.clone(), server)) {
-                reports.push(Message::ServerLost { service: service.clone(), server, term });
+            let id = (service.clone(), server);
+            if self.down.contains(&id) {
+                self.give_up(name, &service, server);
+                let service = service.clone();
+                reports.push(Message::ServerLost { service, server, term });
+            } else if given.contains(&id) {
+                let service = service.clone();
+                reports.push(Message::ServerBack { service, server, term });
             }
             if holders.terms[&server].next.is_some() {
-                proc.servers.insert(term_of);
+                self.procs.get_mut(name).unwrap().servers.insert(term_of);
                 reports.push(Message::ServerReleased { service, server, term });
             }
         }
@@ -441,6 +481,19 @@
         }
     }
 
+    /// Returns the single keys that are to leave a server.
+    fn leaving_keys(&self, name: &Name, service: &Name, server: ServerId) -> Vec<(Name, u64)> {
+        let mut keys = Vec::new();
+        for record in self.procs[name].control.replica().iter(Kind::Segment) {
+            let Some(Value::Segment(segment)) = &record.value else { continue };
+            let mine = record.key.name.starts_with(&format!("{service}."));
+            let leaving = |owner: &Owner| mine && owner.server == server && owner.next.is_some();
+            let leaving = segment.keys.iter().filter(|(_, owner)| leaving(owner));
+            keys.extend(leaving.map(|(key, owner)| (key.clone(), owner.epoch)));
+        }
+        keys
+    }
+
     /// Panics if another node believes to hold or own what this one does.
     fn check(&self, name: &Name) {
         let held = self.held(name);
@@ -499,6 +552,11 @@
             counts.iter().map(show).collect::<Vec<_>>().join(", ")
         }
         Some(Value::Plan(plan)) => format!("{:?}, {} done {}", plan.state, plan.done, plan.reason),
+        Some(Value::Service(service)) => {
+            let show =
+                |(id, s): (&ServerId, &whinspring::model::Server)| format!("{id} {:?}", s.state);
+            service.servers.iter().map(show).collect::<Vec<_>>().join(", ")
+        }
         Some(other) => format!("{other:?}"),
     }
 }
--- a/crates/whinspring/tests/control/seeds.rs
+++ b/crates/whinspring/tests/control/seeds.rs
@@ -6,13 +6,14 @@
 use {
     crate::{
         fake::World,
-        sessions::{declare, service},
+        sessions::{confirm, declare, service},
     },
     rand::Rng,
     std::env,
     whinspring::{
         control::Event,
-        name::{Name, ServerId},
+        model::{PlanState, Step},
+        name::{Name, ServerId, Slice},
         record::{Key, Kind, Value},
     },
 };
@@ -138,6 +139,40 @@
     });
 }
 
+#[test]
+fn confirmed_plan_survives_faults() {
+    each_seed(|seed| {
+        let nodes = 3 + seed as usize % 4;
+        let mut world = settled(seed, nodes);
+        let slices = [1, 5, 9].map(Slice);
+        let step = |slice| Step::MoveSlice { service: "checks".into(), slice, to: ServerId(2) };
+        confirm(&mut world, "p1", slices.map(step).into());
+        confirm(&mut world, "p2", slices.map(step).into());
+        for _ in 0..8 {
+            let ms = world.rng.random_range(1..60);
+            world.run(ms);
+            fault(&mut world, nodes);
+        }
+        heal(&mut world, nodes);
+        world.run(20_000);
+        assert_whole(&world);
+        assert_eq!(plan(&world, "p2"), PlanState::Failed);
+        match plan(&world, "p1") {
+            PlanState::Finished => {}
+            PlanState::Failed => assert!(world.losses, "failed without a loss of the target"),
+            state => panic!("plan is {state:?}"),
+        }
+    });
+}
+
+/// Returns the state of a plan.
+fn plan(world: &World, id: &str) -> PlanState {
+    match &world.objects[&Key::new(Kind::Plan, id)].value {
+        Some(Value::Plan(plan)) => plan.state,
+        _ => panic!("plan {id} is gone"),
+    }
+}
+
 #[test]
 fn loss_of_one_node_is_mended_within_a_second() {
     each_seed(|seed| {
--- a/crates/whinspring/tests/control/sessions.rs
+++ b/crates/whinspring/tests/control/sessions.rs
@@ -5,8 +5,8 @@
     std::collections::BTreeMap,
     whinspring::{
         control::Event,
-        model::{KeyPlace, Server, ServerState, Service},
-        name::ServerId,
+        model::{KeyPlace, Plan, PlanState, Server, ServerState, Service, Step},
+        name::{Name, ServerId, Slice},
         record::{Key, Kind, Value},
     },
 };
@@ -130,3 +130,49 @@
     assert!(world.procs["a"].control.retired());
     assert_eq!(world.held(&"b".into()).len() + world.held(&"c".into()).len(), 6);
 }
+
+/// Writes a plan as confirmed, computed from the present version of the service.
+pub fn confirm(world: &mut World, id: &str, steps: Vec<Step>) {
+    let base =
+        [(Name::from("service/checks"), world.objects[&Key::new(Kind::Service, "checks")].version)];
+    let plan = Plan {
+        id: id.into(),
+        intent: "test".into(),
+        base: base.into(),
+        steps,
+        state: PlanState::Confirmed,
+        done: 0,
+        reason: Name::new(),
+    };
+    world.write(Key::new(Kind::Plan, id), Value::Plan(plan));
+}
+
+#[test]
+fn plan_moves_slices_and_a_key() {
+    let mut world = settled();
+    world.tracing = true;
+    let service = Name::from("checks");
+    let to = ServerId(3);
+    let mut steps: Vec<Step> = [0, 1, 2]
+        .map(|slice| Step::MoveSlice { service: service.clone(), slice: Slice(slice), to })
+        .into();
+    steps.push(Step::MoveKey { service, key: "supplier".into(), to });
+    confirm(&mut world, "p1", steps);
+    world.run(2_000);
+    insta::assert_snapshot!(world.trace.join("\n"));
+}
+
+#[test]
+fn two_plans_conflict() {
+    let mut world = settled();
+    world.tracing = true;
+    let want = |server: u32| Step::Want {
+        service: "checks".into(),
+        server: ServerId(server),
+        state: ServerState::Draining,
+    };
+    confirm(&mut world, "p2", vec![want(2)]);
+    confirm(&mut world, "p1", vec![want(1)]);
+    world.run(2_000);
+    insta::assert_snapshot!(world.trace.join("\n"));
+}
