--- a/crates/whinspring/tests/control/load.rs
+++ b/crates/whinspring/tests/control/load.rs
@@ -18,6 +18,9 @@
 /// Slices of the service.
 const SLICES: u32 = 256;
 
+/// The slices and keys of one server with their loads.
+type Load = (Vec<(Slice, u64)>, Vec<(Name, u64)>);
+
 /// Returns the load of a slice in microseconds a second, without its hot key.
 fn load_of(slice: Slice) -> u64 {
     1_000 + u64::from(slice.0 % 7) * 2_000
@@ -32,11 +35,8 @@
 }
 
 /// Returns the slices and keys of each server with their loads.
-fn loads(
-    segment: &Segment,
-    hot: &[(Name, u64)],
-) -> BTreeMap<ServerId, (Vec<(Slice, u64)>, Vec<(Name, u64)>)> {
-    let mut loads: BTreeMap<ServerId, (Vec<(Slice, u64)>, Vec<(Name, u64)>)> = BTreeMap::new();
+fn loads(segment: &Segment, hot: &[(Name, u64)]) -> BTreeMap<ServerId, Load> {
+    let mut loads: BTreeMap<ServerId, Load> = BTreeMap::new();
     for (offset, owner) in segment.owners.iter().enumerate() {
         let slice = Slice(offset as u32);
         loads.entry(owner.server).or_default().0.push((slice, load_of(slice)));
