Control: cost per event free of the number of nodes; stale views of node records

Cause: at 300 nodes a machine spent 0.4% of a core, growing with the nodes (it looked through all of them at each event). The roster is now worked out at most every 20 ms, and a full set of lessors is not chosen anew. Lessors that keep more than six leases lose some of their lessees, a few at a time.

A node without a lease now writes its record anew at growing intervals, since lessors that promised take up only a later record.

--- a/crates/whinspring/src/control.rs
+++ b/crates/whinspring/src/control.rs
@@ -184,6 +184,10 @@
     replica: Replica,
     /// What is worked out from the node records.
     roster: Roster,
+    /// Whether node records changed since.
+    roster_due: bool,
+    /// When the roster may be worked out anew.
+    roster_next: Tick,
     /// Lease of this node.
     lease: Lease,
     /// Leases that this node keeps for others.
@@ -241,6 +245,8 @@
             leased: now,
             replica: Replica::default(),
             roster: Roster::default(),
+            roster_due: false,
+            roster_next: now,
             lease: Lease::default(),
             ledger: Ledger::new(now),
             inquiries: BTreeMap::new(),
@@ -332,6 +338,7 @@
 
     /// Does what the time and the changed state call for.
     fn tend(&mut self, out: &mut Vec<Action>) {
+        self.tend_roster();
         let named = self.named() && self.lease_valid();
         self.writes.retry(self.now, |purpose| purpose != Purpose::Plan || named, out);
         self.tend_membership(out);
--- a/crates/whinspring/src/control/lessor.rs
+++ b/crates/whinspring/src/control/lessor.rs
@@ -137,7 +137,11 @@
     /// Returns whether a lessee has been silent for so long that its lease may have lapsed.
     fn silent(&self, name: &Name) -> bool {
         let Some((_, node)) = roster::node(&self.replica, name) else { return false };
-        let known = self.roster.known.get(name).map_or(self.now, |known| known.1);
+        if !node.lessors.contains(&self.setup.name) {
+            return false;
+        }
+        let known = self.roster.known.get(name).filter(|known| known.0 == node.incarnation);
+        let known = known.map_or(self.now, |known| known.1);
         let acked = self.ledger.acked(name, node.incarnation).is_some();
         let grace = acked || self.now.since(known) > FIRST_BEAT;
         grace && self.ledger.silence(self.now, name, node.incarnation) > LEASE + DRIFT
--- a/crates/whinspring/src/control/membership.rs
+++ b/crates/whinspring/src/control/membership.rs
@@ -29,9 +29,18 @@
 /// Time without a lease before desperate changes of lessors.
 const LEASELESS: Duration = Duration::from_millis(1_500);
 
+/// Longest wait between such changes.
+const STUCK_MAX: Duration = Duration::from_millis(30_000);
+
 /// Largest number of other nodes that a node without lessors may disregard.
 const SOLO_OTHERS: usize = 2;
 
+/// Leases that a lessor keeps before some of its lessees look for another.
+const MAX_LEASES: usize = 6;
+
+/// Longest time between two looks at the leases that the lessors keep.
+const EVEN: Duration = Duration::from_millis(10_000);
+
 /// Time between two rounds of questions to possible lessors.
 const PROBE: Duration = Duration::from_millis(300);
 
@@ -67,10 +76,14 @@
     renewed: Tick,
     /// Next round of heartbeats.
     next_beat: Tick,
-    /// Next desperate change of lessors.
+    /// Next desperate write of the own record.
     next_change: Tick,
+    /// Wait after it.
+    stuck_wait: Duration,
     /// Next round of questions to possible lessors.
     next_probe: Tick,
+    /// Next look at the leases that the lessors keep.
+    next_even: Tick,
     /// Next look at the list of VMs.
     next_vms: Tick,
 }
@@ -159,11 +172,29 @@
         }
         let lessors = self.wanted_lessors(&node);
         let renew = lessors.is_empty() && self.now.since(self.own.renewed) >= SOLO_RENEW;
+        let renew = renew || self.is_stuck();
         if state != node.state || lessors != node.lessors || renew {
             self.settle(&node, state, lessors, out);
         }
     }
 
+    /// Returns, at growing intervals, whether a node without a lease should write its record anew.
+    ///
+    /// Lessors that promised to acknowledge no more take up a later record.
+    fn is_stuck(&mut self) -> bool {
+        if self.lease_valid() {
+            self.own.stuck_wait = LEASELESS;
+            return false;
+        }
+        if self.now.since(self.leased) < LEASELESS || self.now < self.own.next_change {
+            return false;
+        }
+        let wait = self.own.stuck_wait.max(LEASELESS);
+        self.own.stuck_wait = (wait * 2).min(STUCK_MAX);
+        self.own.next_change = self.now + self.jitter(wait);
+        true
+    }
+
     /// Writes the node record once its new lessors have acknowledged, so that the lease goes on.
     fn settle(&mut self, node: &Node, state: NodeState, lessors: Vec<Name>, out: &mut Vec<Action>) {
         let new = lessors.iter().any(|name| !node.lessors.contains(name));
@@ -256,6 +287,9 @@
         }
         let now = self.now;
         self.own.shunned.retain(|_, since| now.since(*since) < SHUN);
+        if good.len() == LESSORS {
+            return self.evened(good);
+        }
         let leaseless = now.since(self.leased) >= LEASELESS;
         if !good.is_empty() || own.lessors.is_empty() {
             let fresh = (good.len() == own.lessors.len()).then_some(FRESH);
@@ -265,13 +299,32 @@
         if others.len() <= 1 || (others.len() <= SOLO_OTHERS && leaseless) {
             return Vec::new();
         }
+        let heard = self.choose(&[], Some(FRESH));
+        if !heard.is_empty() {
+            return heard;
+        }
         if !leaseless || now < self.own.next_change {
             return own.lessors.clone();
         }
-        self.own.next_change = now + self.jitter(LEASELESS * 2);
         self.choose(&[], None)
     }
 
+    /// Replaces, once in a while, a lessor that keeps far more leases than others.
+    fn evened(&mut self, mut lessors: Vec<Name>) -> Vec<Name> {
+        if self.now < self.own.next_even {
+            return lessors;
+        }
+        self.own.next_even = self.now + self.jitter(EVEN);
+        let crowded = |name: &Name| self.roster.load(name) > MAX_LEASES;
+        let Some(place) = lessors.iter().position(crowded) else { return lessors };
+        if self.rng.random_bool(0.5) {
+            return lessors;
+        }
+        let crowded = lessors.remove(place);
+        self.own.shunned.insert(crowded, self.now);
+        self.choose(&lessors, None)
+    }
+
     /// Returns whether a lessor is the process that was chosen, stays, and answers.
     fn good(&self, name: &Name) -> bool {
         let Some((_, node)) = roster::node(&self.replica, name) else { return false };
--- a/crates/whinspring/src/control/spread.rs
+++ b/crates/whinspring/src/control/spread.rs
@@ -36,6 +36,9 @@
 /// Time after which a node that was not heard from is forgotten as a neighbour.
 const FORGET: Duration = Duration::from_millis(10_000);
 
+/// Shortest time between two looks at all node records.
+const ROSTER_GAP: Duration = Duration::from_millis(20);
+
 /// Shortest time between two rounds of news to the neighbours.
 const NOTIFY_GAP: Duration = Duration::from_millis(10);
 
@@ -195,8 +198,8 @@
             return;
         }
         if changed.iter().any(|key| key.kind == Kind::Node) {
-            self.roster.update(self.now, &self.replica, &self.setup.name);
-            self.forget_gone();
+            self.roster_due = true;
+            self.tend_roster();
         }
         if changed.iter().any(|key| key.kind == Kind::Controller) {
             self.reports.repeat();
@@ -205,6 +208,17 @@
         out.push(Action::Changed(changed));
     }
 
+    /// Works the roster out anew if node records changed, but not for every single change.
+    pub(super) fn tend_roster(&mut self) {
+        if !self.roster_due || self.now < self.roster_next {
+            return;
+        }
+        self.roster_due = false;
+        self.roster_next = self.now + ROSTER_GAP;
+        self.roster.update(self.now, &self.replica, &self.setup.name);
+        self.forget_gone();
+    }
+
     /// Forgets the leases of nodes that are gone.
     fn forget_gone(&mut self) {
         for (_, node) in roster::nodes(&self.replica).filter(|(_, n)| n.state == NodeState::Gone) {
--- a/crates/whinspring/tests/control.rs
+++ b/crates/whinspring/tests/control.rs
@@ -4,6 +4,8 @@
 mod fake;
 #[path = "control/load.rs"]
 mod load;
+#[path = "control/scaling.rs"]
+mod scaling;
 #[path = "control/seeds.rs"]
 mod seeds;
 #[path = "control/sessions.rs"]
--- a/crates/whinspring/tests/control/fake.rs
+++ b/crates/whinspring/tests/control/fake.rs
@@ -59,6 +59,9 @@
 #[derive(Debug, Default)]
 pub struct Counts {
     pub messages: u64,
+    pub bytes: u64,
+    /// Time spent in the control machines, in nanoseconds.
+    pub busy: u128,
     pub puts: u64,
     pub reads: u64,
 }
@@ -93,6 +96,11 @@
     waiting: Vec<(Name, u64, u64)>,
     /// Address of each VM: a restarted process keeps it.
     addrs: BTreeMap<Name, SocketAddr>,
+    names: BTreeMap<SocketAddr, Name>,
+    /// Returns the size of a message, where sizes are counted.
+    pub size: Option<fn(&Message) -> usize>,
+    /// Whether single ownership is checked.
+    pub checking: bool,
     last: u64,
 }
 
@@ -119,6 +127,9 @@
             queue: BTreeMap::new(),
             waiting: Vec::new(),
             addrs: BTreeMap::new(),
+            names: BTreeMap::new(),
+            size: None,
+            checking: true,
             last: 0,
         }
     }
@@ -129,6 +140,7 @@
         self.last += 1;
         let port = 1_000 + self.addrs.len() as u16;
         let addr = *self.addrs.entry(name.clone()).or_insert(([127, 0, 0, 1], port).into());
+        self.names.insert(addr, name.clone());
         let peers = self.addrs.values().copied().filter(|other| *other != addr).collect();
         let setup = Setup {
             name: name.clone(),
@@ -310,12 +322,14 @@
         let mut out = Vec::new();
         let control = &mut self.procs.get_mut(name).unwrap().control;
         let held = control.lease_until() > tick;
+        let start = std::time::Instant::now();
         control.handle(tick, wall, event, &mut out);
+        self.counts.busy += start.elapsed().as_nanos();
         let grows = !held || out.iter().any(|action| matches!(action, Action::Changed(_)));
         for action in out {
             self.act(name, action);
         }
-        if grows {
+        if grows && self.checking {
             self.check(name);
         }
     }
@@ -339,8 +353,8 @@
 
     fn send(&mut self, name: &Name, peer: Peer, message: Message) {
         self.counts.messages += 1;
-        let target =
-            self.procs.iter().find(|(_, proc)| proc.addr == peer.addr).map(|(n, _)| n.clone());
+        self.counts.bytes += self.size.map_or(0, |size| size(&message)) as u64;
+        let target = self.names.get(&peer.addr).filter(|n| self.procs.contains_key(*n)).cloned();
         let Some(target) = target else { return };
         let pair = (name.clone().min(target.clone()), name.clone().max(target.clone()));
         if self.cuts.contains(&pair) || self.rng.random_range(0..1_000) < self.drop {
