--- /dev/null
+++ b/crates/whinspring-daemon/src/logging.rs
@@ -0,0 +1,37 @@
+//! Structured logs.
+//!
+//! Counters tell what happens all the time; a log line is written only when a state changes.
+
+use {
+    log::{LevelFilter as Max, set_max_level},
+    logforth::{
+        append::Stderr,
+        layout::{JsonLayout, TextLayout},
+        record::{Level as Severity, LevelFilter},
+    },
+    whinspring::settings::{Format, Level, Log},
+};
+
+/// Sends the process's log lines to standard error as the settings ask.
+pub fn start(settings: &Log) {
+    let stderr = match settings.format {
+        Format::Json => Stderr::default().with_layout(JsonLayout::default()),
+        Format::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+    };
+    let (severity, max) = levels(settings.level);
+    let filter = LevelFilter::MoreSevereEqual(severity);
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(stderr))
+        .apply();
+    set_max_level(max);
+}
+
+/// Returns a level as the logger and as the log macros know it.
+fn levels(level: Level) -> (Severity, Max) {
+    match level {
+        Level::Error => (Severity::Error, Max::Error),
+        Level::Warn => (Severity::Warn, Max::Warn),
+        Level::Info => (Severity::Info, Max::Info),
+        Level::Debug => (Severity::Debug, Max::Debug),
+    }
+}
