--- a/crates/whinspring/src/control/membership.rs
+++ b/crates/whinspring/src/control/membership.rs
@@ -17,6 +17,9 @@
 /// Time without acknowledgement after which a lessor is replaced.
 const LESSOR_SILENT: Duration = Duration::from_millis(400);
 
+/// Time that future lessors have to acknowledge.
+const COURT: Duration = Duration::from_millis(300);
+
 /// Time for which a silent node is not chosen again, unless there is no other.
 const SHUN: Duration = Duration::from_millis(5_000);
 
@@ -26,9 +29,18 @@
 /// Time without a lease before desperate changes of lessors.
 const LEASELESS: Duration = Duration::from_millis(1_500);
 
+/// Longest wait between such changes.
+const STUCK_MAX: Duration = Duration::from_millis(30_000);
+
 /// Largest number of other nodes that a node without lessors may disregard.
 const SOLO_OTHERS: usize = 2;
 
+/// Leases that a lessor keeps before some of its lessees look for another.
+const MAX_LEASES: usize = 6;
+
+/// Longest time between two looks at the leases that the lessors keep.
+const EVEN: Duration = Duration::from_millis(10_000);
+
 /// Time between two rounds of questions to possible lessors.
 const PROBE: Duration = Duration::from_millis(300);
 
@@ -58,14 +70,20 @@
     shunned: BTreeMap<Name, Tick>,
     /// State and lessors in the write under way.
     proposed: Option<(NodeState, Vec<Name>)>,
+    /// When future lessors were first asked.
+    courted: Tick,
     /// When the last write of the own record without lessors was sent.
     renewed: Tick,
     /// Next round of heartbeats.
     next_beat: Tick,
-    /// Next desperate change of lessors.
+    /// Next desperate write of the own record.
     next_change: Tick,
+    /// Wait after it.
+    stuck_wait: Duration,
     /// Next round of questions to possible lessors.
     next_probe: Tick,
+    /// Next look at the leases that the lessors keep.
+    next_even: Tick,
     /// Next look at the list of VMs.
     next_vms: Tick,
 }
@@ -128,7 +146,8 @@
         let own = roster::node(&self.replica, &self.setup.name).map(|(_, node)| node.clone());
         match own {
             Some(node) if node.incarnation == self.incarnation => self.tend_present(node, out),
-            _ if self.own.present => self.supersede(out),
+            Some(_) if self.own.present => self.supersede(out),
+            None if self.own.present => self.rejoin(out),
             _ if self.own.retiring => self.own.retired = true,
             _ => {
                 let lessors = self.choose(&[], None);
@@ -148,11 +167,67 @@
             return;
         }
         let state = if self.own.retiring { NodeState::Leaving } else { NodeState::Live };
+        if self.tend_courted(state, out) {
+            return;
+        }
         let lessors = self.wanted_lessors(&node);
         let renew = lessors.is_empty() && self.now.since(self.own.renewed) >= SOLO_RENEW;
+        let renew = renew || self.is_stuck();
         if state != node.state || lessors != node.lessors || renew {
+            self.settle(&node, state, lessors, out);
+        }
+    }
+
+    /// Returns, at growing intervals, whether a node without a lease should write its record anew.
+    ///
+    /// Lessors that promised to acknowledge no more take up a later record.
+    fn is_stuck(&mut self) -> bool {
+        if self.lease_valid() {
+            self.own.stuck_wait = LEASELESS;
+            return false;
+        }
+        if self.now.since(self.leased) < LEASELESS || self.now < self.own.next_change {
+            return false;
+        }
+        let wait = self.own.stuck_wait.max(LEASELESS);
+        self.own.stuck_wait = (wait * 2).min(STUCK_MAX);
+        self.own.next_change = self.now + self.jitter(wait);
+        true
+    }
+
+    /// Writes the node record once its new lessors have acknowledged, so that the lease goes on.
+    fn settle(&mut self, node: &Node, state: NodeState, lessors: Vec<Name>, out: &mut Vec<Action>) {
+        let new = lessors.iter().any(|name| !node.lessors.contains(name));
+        if !new || !self.lease_valid() {
             self.write_own(state, lessors, out);
+            return;
         }
+        self.lease.court(&lessors, self.replica.seen() + 1);
+        self.own.courted = self.now;
+        self.own.next_beat = self.now;
+    }
+
+    /// Goes on with lessors that were asked, and returns whether their answers are awaited.
+    fn tend_courted(&mut self, state: NodeState, out: &mut Vec<Action>) -> bool {
+        let courted = self.lease.courted().to_vec();
+        if courted.is_empty() {
+            return false;
+        }
+        if self.lease.accepted(self.now) {
+            self.write_own(state, courted, out);
+            return true;
+        }
+        if self.now.since(self.own.courted) < COURT {
+            return true;
+        }
+        let since = self.own.courted;
+        for name in courted {
+            if self.lease.acked(&name).is_none_or(|acked| acked < since) {
+                self.own.shunned.insert(name, self.now);
+            }
+        }
+        self.lease.court(&[], 0);
+        false
     }
 
     /// Starts over as a new incarnation after this one was declared lost.
@@ -206,11 +281,15 @@
     /// Returns the lessors that this node's record should name.
     fn wanted_lessors(&mut self, own: &Node) -> Vec<Name> {
         let good: Vec<Name> = own.lessors.iter().filter(|name| self.good(name)).cloned().collect();
-        for name in own.lessors.iter().filter(|name| !good.contains(name)) {
-            self.own.shunned.insert(name.clone(), self.now);
+        let mute = own.lessors.iter().filter(|name| self.mute(name)).cloned();
+        for name in mute.collect::<Vec<_>>() {
+            self.own.shunned.insert(name, self.now);
         }
         let now = self.now;
         self.own.shunned.retain(|_, since| now.since(*since) < SHUN);
+        if good.len() == LESSORS {
+            return self.evened(good);
+        }
         let leaseless = now.since(self.leased) >= LEASELESS;
         if !good.is_empty() || own.lessors.is_empty() {
             let fresh = (good.len() == own.lessors.len()).then_some(FRESH);
@@ -220,22 +299,44 @@
         if others.len() <= 1 || (others.len() <= SOLO_OTHERS && leaseless) {
             return Vec::new();
         }
+        let heard = self.choose(&[], Some(FRESH));
+        if !heard.is_empty() {
+            return heard;
+        }
         if !leaseless || now < self.own.next_change {
             return own.lessors.clone();
         }
-        self.own.next_change = now + self.jitter(LEASELESS * 2);
         self.choose(&[], None)
     }
 
+    /// Replaces, once in a while, a lessor that keeps far more leases than others.
+    fn evened(&mut self, mut lessors: Vec<Name>) -> Vec<Name> {
+        if self.now < self.own.next_even {
+            return lessors;
+        }
+        self.own.next_even = self.now + self.jitter(EVEN);
+        let crowded = |name: &Name| self.roster.load(name) > MAX_LEASES;
+        let Some(place) = lessors.iter().position(crowded) else { return lessors };
+        if self.rng.random_bool(0.5) {
+            return lessors;
+        }
+        let crowded = lessors.remove(place);
+        self.own.shunned.insert(crowded, self.now);
+        self.choose(&lessors, None)
+    }
+
     /// Returns whether a lessor is the process that was chosen, stays, and answers.
     fn good(&self, name: &Name) -> bool {
         let Some((_, node)) = roster::node(&self.replica, name) else { return false };
-        let Some((incarnation, since)) = self.own.chosen.get(name) else { return false };
+        let chosen = self.own.chosen.get(name).map(|chosen| chosen.0);
+        node.state == NodeState::Live && chosen == Some(node.incarnation) && !self.mute(name)
+    }
+
+    /// Returns whether a lessor has not acknowledged for long.
+    fn mute(&self, name: &Name) -> bool {
+        let since = self.own.chosen.get(name).map(|chosen| chosen.1).unwrap_or_default();
         let acked = self.lease.acked(name).unwrap_or_default();
-        let since = acked.max(*since).max(self.awake);
-        node.state == NodeState::Live
-            && node.incarnation == *incarnation
-            && self.now.since(since) < LESSOR_SILENT
+        self.now.since(acked.max(since).max(self.awake)) >= LESSOR_SILENT
     }
 
     /// Adds lessors to `kept`: other failure domains first, few leases, then a fixed random order.
