Add the experiment path and the load generator

Cause: throughput, added latency and memory of the whole path are to be measured over real processes with one and nine daemons. Change: a load generator (closed, or at a rate with late requests counted from when they were due), 8 bodies of 200 MB at once, half to slow readers, and the direct call at the same rate and concurrency in the same run.

--- /dev/null
+++ b/crates/whinspring-bench/src/generator.rs
@@ -0,0 +1,151 @@
+//! Load of small requests: as many as go through, or at a rate.
+//!
+//! Each worker has one request under way at a time. At a rate, a request that is due while the
+//! worker still waits for the one before counts its latency from when it was due.
+
+use {
+    crate::driver::{Ending, Request, Sending},
+    hdrhistogram::Histogram,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time::sleep_until},
+    whinspring_standin::caller::Caller,
+};
+
+/// Largest latency recorded, in microseconds.
+const MAX_US: u64 = 60_000_000;
+
+/// Significant digits of recorded latencies.
+const DIGITS: u8 = 3;
+
+/// A load to put on some entries.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// Entries, used by the workers in turn.
+    pub entries: Vec<SocketAddr>,
+    /// Requests under way at once.
+    pub workers: usize,
+    /// Requests a second over all workers; `None` sends as many as go through.
+    pub rate: Option<f64>,
+    /// Time before anything is recorded.
+    pub warmup: Duration,
+    /// Time over which replies are recorded.
+    pub time: Duration,
+    /// Seed of the requests.
+    pub seed: u64,
+}
+
+/// What came back.
+#[derive(Debug, Clone)]
+pub struct Tally {
+    /// Latencies of answered requests, in microseconds.
+    pub latencies: Histogram<u64>,
+    /// Requests with their own whole answer.
+    pub done: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Requests without a final answer, or with another's.
+    pub lost: u64,
+    /// Time over which these were counted.
+    pub time: Duration,
+}
+
+impl Tally {
+    /// Returns an empty tally over `time`.
+    fn new(time: Duration) -> Self {
+        let mut latencies = Histogram::new(DIGITS).expect("the digits are in range");
+        latencies.auto(true);
+        Self { latencies, done: 0, refused: 0, unknown: 0, lost: 0, time }
+    }
+
+    /// Returns the answered requests a second.
+    pub fn rate(&self) -> f64 {
+        self.done as f64 / self.time.as_secs_f64()
+    }
+
+    /// Returns a percentile of the latencies, in microseconds.
+    pub fn percentile(&self, percent: f64) -> u64 {
+        self.latencies.value_at_percentile(percent)
+    }
+
+    /// Counts a sending.
+    fn record(&mut self, sending: &Sending, latency: Duration) {
+        match sending.ending() {
+            Ending::Done => {
+                self.done += 1;
+                let us = (latency.as_micros() as u64).min(MAX_US);
+                self.latencies.saturating_record(us);
+            }
+            Ending::NotRun => self.refused += 1,
+            Ending::Unknown => self.unknown += 1,
+            Ending::Lost | Ending::Silent | Ending::Wrong => self.lost += 1,
+        }
+    }
+
+    /// Adds another tally of the same time.
+    fn add(&mut self, other: &Self) {
+        self.latencies += &other.latencies;
+        self.done += other.done;
+        self.refused += other.refused;
+        self.unknown += other.unknown;
+        self.lost += other.lost;
+    }
+}
+
+/// Runs a load of requests that `make` draws; nothing is resent.
+pub async fn run<F>(load: &Load, make: F) -> Tally
+where
+    F: Fn(&mut ChaCha8Rng) -> Request + Send + Sync + 'static,
+{
+    let make = Arc::new(make);
+    let start = Instant::now();
+    let mut workers = JoinSet::new();
+    for index in 0..load.workers {
+        workers.spawn(work(load.clone(), index, start, make.clone()));
+    }
+    let mut tally = Tally::new(load.time);
+    for other in workers.join_all().await {
+        tally.add(&other);
+    }
+    tally
+}
+
+/// Sends the requests of one worker.
+async fn work<F>(load: Load, index: usize, start: Instant, make: Arc<F>) -> Tally
+where
+    F: Fn(&mut ChaCha8Rng) -> Request,
+{
+    let caller = Caller::new();
+    let entry = load.entries[index % load.entries.len()];
+    let mut random = ChaCha8Rng::seed_from_u64(load.seed.wrapping_add(index as u64));
+    let mut tally = Tally::new(load.time);
+    let recorded = start + load.warmup;
+    let end = recorded + load.time;
+    let gap = load.rate.map(|rate| Duration::from_secs_f64(load.workers as f64 / rate));
+    let share = index as f64 / load.workers as f64;
+    let mut due = start + gap.unwrap_or_default().mul_f64(share);
+    loop {
+        let is_late = Instant::now() > due;
+        if gap.is_some() && !is_late {
+            sleep_until(due.into()).await;
+        }
+        let sent = Instant::now();
+        if sent >= end {
+            return tally;
+        }
+        let from = if gap.is_some() && is_late { due } else { sent };
+        let request = make(&mut random);
+        let reply = caller.send(&request.call(entry, 1)).await;
+        if sent >= recorded {
+            tally.record(&Sending { entry, reply }, from.elapsed());
+        }
+        due += gap.unwrap_or_default();
+    }
+}
--- a/crates/whinspring-bench/src/main.rs
+++ b/crates/whinspring-bench/src/main.rs
@@ -3,7 +3,7 @@
 use {
     clap::{Arg, ArgMatches, Command, value_parser},
     std::{path::PathBuf, process::ExitCode},
-    whinspring_bench::demo,
+    whinspring_bench::{demo, path},
 };
 
 fn main() -> ExitCode {
@@ -38,6 +38,7 @@
         .about("Experiments over real processes")
         .subcommand_required(true)
         .subcommand(experiment("demo", "From nothing to a lost server and a lost daemon"))
+        .subcommand(experiment("path", "Throughput, added latency and memory of the whole path"))
 }
 
 /// Runs an experiment; returns whether it passed.
@@ -49,6 +50,7 @@
     let keep = matches.get_one::<PathBuf>("keep").map(PathBuf::as_path);
     let result = match name {
         "demo" => demo::run(seed, keep).await,
+        "path" => path::run(seed, keep).await,
         _ => Ok(false),
     };
     result.unwrap_or_else(|error| {
--- /dev/null
+++ b/crates/whinspring-bench/src/path.rs
@@ -0,0 +1,139 @@
+//! The whole path: throughput, added latency and memory of one daemon and of nine.
+//!
+//! The servers do no work and have many slots, so that they are not the limit. The same requests go
+//! to a server directly in the same run, at the same concurrency and rate.
+
+mod bodies;
+mod report;
+
+use {
+    crate::{
+        driver::Request,
+        fleet::{Error, Fleet, KeyShape, ServerShape, ServiceShape, Shape},
+        generator::{self, Load, Tally},
+    },
+    hyper::Method,
+    rand::Rng,
+    rand_chacha::ChaCha8Rng,
+    report::{Stage, Summary},
+    std::{net::SocketAddr, path::Path, time::Duration},
+    whinspring_standin::runs::doubled,
+};
+
+/// Requests under way at once, towards one daemon or one server.
+const WORKERS: usize = 64;
+
+/// Requests a second at which latency is compared: half of the aim for one daemon.
+const PACED_RATE: f64 = 7_500.0;
+
+/// Time before anything is recorded.
+const WARMUP: Duration = Duration::from_secs(2);
+
+/// Time over which replies are recorded.
+const TIME: Duration = Duration::from_secs(6);
+
+/// Servers of the keyed service.
+const SERVERS: usize = 4;
+
+/// Keys that are asked for.
+const KEYS: u32 = 100_000;
+
+/// One request in so many may not be repeated.
+const WRITE_SHARE: u32 = 10;
+
+/// Runs the experiment and prints its figures; returns whether nothing was lost or doubled.
+pub async fn run(seed: u64, keep: Option<&Path>) -> Result<bool, Error> {
+    let one = measure(1, seed, keep).await?;
+    let nine = measure(9, seed, keep).await?;
+    let summary = Summary::new(&one, &nine);
+    println!("{}", summary.to_json());
+    Ok(summary.lost == 0 && summary.doubled == 0)
+}
+
+/// Measures a fleet of so many daemons.
+async fn measure(daemons: usize, seed: u64, keep: Option<&Path>) -> Result<Stage, Error> {
+    let keep = keep.map(|dir| dir.join(format!("daemons-{daemons}")));
+    let shape = shape(daemons, keep);
+    let mut fleet = Fleet::start(&shape).await?;
+    let stage = stages(&mut fleet, &shape, seed).await;
+    fleet.close().await;
+    let stage = stage?;
+    println!("{}", stage.to_json());
+    Ok(stage)
+}
+
+/// One keyed service for small requests and one unkeyed service for bodies.
+fn shape(daemons: usize, keep: Option<std::path::PathBuf>) -> Shape {
+    let server = ServerShape { slots: 64, conns: 200, ..ServerShape::default() };
+    let bundles = ServerShape { slots: 8, ..ServerShape::default() };
+    Shape {
+        deployment: "path".into(),
+        daemons,
+        domains: daemons.min(3),
+        services: vec![
+            ServiceShape::new("checks", KeyShape::Header, SERVERS, server),
+            ServiceShape::new("bundles", KeyShape::None, 2, bundles),
+        ],
+        limits: Vec::new(),
+        keep,
+    }
+}
+
+/// Declares the services and runs each stage.
+async fn stages(fleet: &mut Fleet, shape: &Shape, seed: u64) -> Result<Stage, Error> {
+    for service in &shape.services {
+        fleet.declare(service).await?;
+    }
+    for service in &shape.services {
+        fleet.serving(service).await?;
+    }
+    let entries: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.caller).collect();
+    let full = generator::run(&load(&entries, None, seed), request).await;
+    let paced = generator::run(&load(&entries, Some(PACED_RATE), seed), request).await;
+    let direct = direct(seed).await?;
+    let bodies = bodies::run(&entries).await;
+    let mut doubled_ids = 0;
+    for server in fleet.servers_of("checks") {
+        let mut runs = server.runs()?;
+        runs.retain(|line| line.method != "GET");
+        doubled_ids += doubled(&runs).len() as u64;
+    }
+    let peaks = fleet.daemons.iter().filter_map(|daemon| daemon.process.usage());
+    let peak_kb = peaks.map(|usage| usage.peak_kb).max().unwrap_or_default();
+    let daemons = fleet.daemons.len();
+    Ok(Stage::new(daemons, &full, &paced, &direct, &bodies, peak_kb, doubled_ids))
+}
+
+/// Sends the same requests to a server that checks nothing, without a daemon between.
+async fn direct(seed: u64) -> Result<Tally, Error> {
+    let server = ServerShape { fenced: false, slots: 64, conns: 200, args: Vec::new() };
+    let shape = Shape {
+        deployment: "direct".into(),
+        daemons: 0,
+        domains: 1,
+        services: vec![ServiceShape::new("checks", KeyShape::Header, SERVERS, server)],
+        limits: Vec::new(),
+        keep: None,
+    };
+    let fleet = Fleet::start(&shape).await?;
+    let addrs: Vec<_> = fleet.servers.iter().map(|server| server.addr).collect();
+    let tally = generator::run(&load(&addrs, Some(PACED_RATE), seed), request).await;
+    fleet.close().await;
+    Ok(tally)
+}
+
+/// Returns a load of small requests on some entries.
+fn load(entries: &[SocketAddr], rate: Option<f64>, seed: u64) -> Load {
+    let entries = entries.to_vec();
+    Load { entries, workers: WORKERS, rate, warmup: WARMUP, time: TIME, seed }
+}
+
+/// Draws a small keyed request.
+fn request(random: &mut ChaCha8Rng) -> Request {
+    let key = random.random_range(0..KEYS);
+    let write = random.random_ratio(1, WRITE_SHARE);
+    let method = if write { Method::POST } else { Method::GET };
+    let mut request = Request::new(method, "/checks/standing");
+    request.key = format!("supplier-{key}");
+    request
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/path/report.rs
@@ -0,0 +1,105 @@
+//! Figures of the experiment as JSON lines.
+
+use {super::bodies::Bodies, crate::generator::Tally, serde::Serialize};
+
+/// Figures of a fleet of one size.
+#[derive(Debug, Serialize)]
+pub(super) struct Stage {
+    daemons: usize,
+    requests_per_s: f64,
+    full_p50_us: u64,
+    full_p99_us: u64,
+    paced_per_s: f64,
+    paced_p50_us: u64,
+    paced_p99_us: u64,
+    direct_per_s: f64,
+    direct_p50_us: u64,
+    direct_p99_us: u64,
+    added_p99_us: i64,
+    bodies_whole: u64,
+    bodies_ms: u128,
+    rss_mb: f64,
+    refused: u64,
+    unknown: u64,
+    lost: u64,
+    doubled: u64,
+}
+
+/// Figures of the whole run.
+#[derive(Debug, Serialize)]
+pub(super) struct Summary {
+    /// Small keyed requests a second of one daemon.
+    requests_per_s: f64,
+    /// Median latency at half of the aim, through one daemon.
+    p50_us: u64,
+    /// 99th percentile of latency at half of the aim, through one daemon.
+    p99_us: u64,
+    /// What the daemon adds to the 99th percentile of the direct call.
+    added_p99_us: i64,
+    /// Largest resident memory of any daemon of the run.
+    rss_mb: f64,
+    /// Requests and bodies without their own whole answer, over the whole run.
+    pub(super) lost: u64,
+    /// Unrepeatable requests that ran more than once, over the whole run.
+    pub(super) doubled: u64,
+}
+
+impl Stage {
+    /// Puts the figures of one fleet together.
+    pub(super) fn new(
+        daemons: usize,
+        full: &Tally,
+        paced: &Tally,
+        direct: &Tally,
+        bodies: &Bodies,
+        peak_kb: u64,
+        doubled: u64,
+    ) -> Self {
+        let p99 = |tally: &Tally| tally.percentile(99.0);
+        Self {
+            daemons,
+            requests_per_s: full.rate().round(),
+            full_p50_us: full.percentile(50.0),
+            full_p99_us: p99(full),
+            paced_per_s: paced.rate().round(),
+            paced_p50_us: paced.percentile(50.0),
+            paced_p99_us: p99(paced),
+            direct_per_s: direct.rate().round(),
+            direct_p50_us: direct.percentile(50.0),
+            direct_p99_us: p99(direct),
+            added_p99_us: p99(paced) as i64 - p99(direct) as i64,
+            bodies_whole: bodies.whole,
+            bodies_ms: bodies.time.as_millis(),
+            rss_mb: (peak_kb as f64 / 102.4).round() / 10.0,
+            refused: full.refused + paced.refused,
+            unknown: full.unknown + paced.unknown,
+            lost: full.lost + paced.lost + bodies.lost,
+            doubled,
+        }
+    }
+
+    /// Returns the figures as one line.
+    pub(super) fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+impl Summary {
+    /// Puts the figures of one and of nine daemons together.
+    pub(super) fn new(one: &Stage, nine: &Stage) -> Self {
+        Self {
+            requests_per_s: one.requests_per_s,
+            p50_us: one.paced_p50_us,
+            p99_us: one.paced_p99_us,
+            added_p99_us: one.added_p99_us,
+            rss_mb: one.rss_mb.max(nine.rss_mb),
+            lost: one.lost + nine.lost,
+            doubled: one.doubled + nine.doubled,
+        }
+    }
+
+    /// Returns the figures as one line.
+    pub(super) fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
--- a/crates/whinspring-standin/src/caller.rs
+++ b/crates/whinspring-standin/src/caller.rs
@@ -49,6 +49,8 @@
     pub payload: Payload,
     /// Longest wait for the whole answer.
     pub timeout: Duration,
+    /// Fastest reading of the answer's body, in bytes a second; `None` reads as fast as it comes.
+    pub pace: Option<u64>,
 }
 
 /// Body of a request.
@@ -141,6 +143,7 @@
             headers: HeaderMap::new(),
             payload: Payload::Whole(Bytes::new()),
             timeout: Duration::from_secs(30),
+            pace: None,
         }
     }
 
@@ -167,6 +170,12 @@
         self
     }
 
+    /// Sets the fastest reading of the body, in bytes a second.
+    pub fn pace(mut self, pace: u64) -> Self {
+        self.pace = Some(pace);
+        self
+    }
+
     /// Returns the number of bytes asked for by the query.
     fn asked(&self) -> Option<u64> {
         let (_, query) = self.path.split_once('?')?;
@@ -307,6 +316,7 @@
 async fn read(mut body: Incoming, call: &Call, bytes: &mut u64) -> Content {
     let source = call.asked().map(|_| Source::new(&call.path));
     let mut content = Content { matches: true, ..Content::default() };
+    let start = tokio::time::Instant::now();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
             return content;
@@ -320,6 +330,10 @@
             None => {}
         }
         *bytes += data.len() as u64;
+        if let Some(pace) = call.pace {
+            let due = Duration::from_secs_f64(*bytes as f64 / pace.max(1) as f64);
+            tokio::time::sleep_until(start + due).await;
+        }
     }
     content.whole = true;
     content
