--- a/crates/whinspring-bench/src/fleet/operator.rs
+++ b/crates/whinspring-bench/src/fleet/operator.rs
@@ -45,7 +45,7 @@
             let Said { command, output } = planned;
             return OperatorSnafu { command, output }.fail();
         };
-        let confirmed = self.run(["confirm", plan].map(OsStr::new)).await?;
+        let confirmed = self.run(["confirm", plan, "--wait"].map(OsStr::new)).await?;
         Ok(vec![planned, confirmed])
     }
 
@@ -76,5 +76,5 @@
 /// Finds the plan's id in the output of a command that made a plan.
 fn plan_id(output: &str) -> Option<&str> {
     let line = output.lines().find_map(|line| line.trim().strip_prefix("plan "))?;
-    line.split_whitespace().next()
+    line.split_whitespace().next().map(|id| id.trim_end_matches(':'))
 }
