--- a/crates/whinspring-daemon/src/admin.rs
+++ b/crates/whinspring-daemon/src/admin.rs
@@ -127,7 +127,7 @@
     let view = shared.view();
     let status = Status {
         node: shared.node.to_string(),
-        incarnation: shared.incarnation,
+        incarnation: shared.incarnation(),
         ready: shared.is_ready(),
         leaving: shared.is_leaving(),
         leased: shared.is_leased(),
--- a/crates/whinspring/src/holder/start.rs
+++ b/crates/whinspring/src/holder/start.rs
@@ -55,7 +55,7 @@
         let suspect = |print| self.suspicion.trust(cx.wall, print) == Trust::Suspected;
         let id = self.queue.next(|job| {
             let print = job.meta.print;
-            !(reserve && self.estimate.is_long(print)) && !(doubt && suspect(print))
+            !(reserve && self.estimate.is_long(print) || doubt && suspect(print))
         })?;
         let print = self.queue.get(id)?.job.meta.print;
         if !suspect(print) {
