--- a/crates/whinspring-bench/src/main.rs
+++ b/crates/whinspring-bench/src/main.rs
@@ -3,6 +3,7 @@
 use {
     clap::{Arg, ArgMatches, Command, value_parser},
     std::{path::PathBuf, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
     whinspring_bench::{demo, path},
 };
 
@@ -15,7 +16,19 @@
             return ExitCode::FAILURE;
         }
     };
-    if runtime.block_on(run(&matches)) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if runtime.block_on(run_or_stop(&matches)) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Runs an experiment until its end or a signal to stop; its processes end with it.
+async fn run_or_stop(matches: &ArgMatches) -> bool {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return run(matches).await;
+    };
+    tokio::select! {
+        passed = run(matches) => passed,
+        _ = terminate.recv() => false,
+        _ = tokio::signal::ctrl_c() => false,
+    }
 }
 
 /// Returns the command line.
