--- a/crates/whinspring-bench/src/generator.rs
+++ b/crates/whinspring-bench/src/generator.rs
@@ -60,8 +60,7 @@
 impl Tally {
     /// Returns an empty tally over `time`.
     fn new(time: Duration) -> Self {
-        let mut latencies = Histogram::new(DIGITS).expect("the digits are in range");
-        latencies.auto(true);
+        let latencies = Histogram::new_with_bounds(1, MAX_US, DIGITS).expect("bounds are in range");
         Self { latencies, done: 0, refused: 0, unknown: 0, lost: 0, time }
     }
 
--- a/crates/whinspring-bench/src/main.rs
+++ b/crates/whinspring-bench/src/main.rs
@@ -44,6 +44,11 @@
         .value_name("DIR")
         .value_parser(value_parser!(PathBuf))
         .help("Directory to keep settings and logs in");
+    let daemons = Arg::new("daemons")
+        .long("daemons")
+        .value_name("N")
+        .value_parser(value_parser!(usize))
+        .help("Measure only this number of daemons");
     let experiment = |name: &'static str, about: &'static str| {
         Command::new(name).about(about).arg(seed.clone()).arg(keep.clone())
     };
@@ -51,7 +56,10 @@
         .about("Experiments over real processes")
         .subcommand_required(true)
         .subcommand(experiment("demo", "From nothing to a lost server and a lost daemon"))
-        .subcommand(experiment("path", "Throughput, added latency and memory of the whole path"))
+        .subcommand(
+            experiment("path", "Throughput, added latency and memory of the whole path")
+                .arg(daemons),
+        )
 }
 
 /// Runs an experiment; returns whether it passed.
@@ -63,7 +71,7 @@
     let keep = matches.get_one::<PathBuf>("keep").map(PathBuf::as_path);
     let result = match name {
         "demo" => demo::run(seed, keep).await,
-        "path" => path::run(seed, keep).await,
+        "path" => path::run(seed, keep, matches.get_one("daemons").copied()).await,
         _ => Ok(false),
     };
     result.unwrap_or_else(|error| {
--- a/crates/whinspring-bench/src/path.rs
+++ b/crates/whinspring-bench/src/path.rs
@@ -42,10 +42,15 @@
 const WRITE_SHARE: u32 = 10;
 
 /// Runs the experiment and prints its figures; returns whether nothing was lost or doubled.
-pub async fn run(seed: u64, keep: Option<&Path>) -> Result<bool, Error> {
-    let one = measure(1, seed, keep).await?;
-    let nine = measure(9, seed, keep).await?;
-    let summary = Summary::new(&one, &nine);
+///
+/// Without a number of daemons, it measures one and then nine.
+pub async fn run(seed: u64, keep: Option<&Path>, daemons: Option<usize>) -> Result<bool, Error> {
+    let sizes = daemons.map_or(vec![1, 9], |daemons| vec![daemons]);
+    let mut stages = Vec::new();
+    for daemons in sizes {
+        stages.push(measure(daemons, seed, keep).await?);
+    }
+    let summary = Summary::new(&stages);
     println!("{}", summary.to_json());
     Ok(summary.lost == 0 && summary.doubled == 0)
 }
@@ -135,5 +140,8 @@
     let method = if write { Method::POST } else { Method::GET };
     let mut request = Request::new(method, "/checks/standing");
     request.key = format!("supplier-{key}");
+    if write {
+        request.body = format!(r#"{{"supplier":{key},"kind":"verification"}}"#).into();
+    }
     request
 }
--- a/crates/whinspring-bench/src/path/report.rs
+++ b/crates/whinspring-bench/src/path/report.rs
@@ -85,16 +85,17 @@
 }
 
 impl Summary {
-    /// Puts the figures of one and of nine daemons together.
-    pub(super) fn new(one: &Stage, nine: &Stage) -> Self {
+    /// Puts the figures of all fleets together; rate and latency are those of the first.
+    pub(super) fn new(stages: &[Stage]) -> Self {
+        let first = &stages[0];
         Self {
-            requests_per_s: one.requests_per_s,
-            p50_us: one.paced_p50_us,
-            p99_us: one.paced_p99_us,
-            added_p99_us: one.added_p99_us,
-            rss_mb: one.rss_mb.max(nine.rss_mb),
-            lost: one.lost + nine.lost,
-            doubled: one.doubled + nine.doubled,
+            requests_per_s: first.requests_per_s,
+            p50_us: first.paced_p50_us,
+            p99_us: first.paced_p99_us,
+            added_p99_us: first.added_p99_us,
+            rss_mb: stages.iter().map(|stage| stage.rss_mb).fold(0.0, f64::max),
+            lost: stages.iter().map(|stage| stage.lost).sum(),
+            doubled: stages.iter().map(|stage| stage.doubled).sum(),
         }
     }
 
