--- /dev/null
+++ b/crates/whinspring-daemon/tests/data/path.rs
@@ -0,0 +1,229 @@
+//! The way of a request: entry, holder, server and back.
+
+use {
+    crate::{
+        callers::until,
+        rig::{
+            Daemon, Placed, SLICES, change, daemon, holder, holders, owner, publish, segment,
+            server,
+        },
+    },
+    hyper::{Method, Request},
+    std::{net::SocketAddr, time::Duration},
+    whinspring::name::slice_of,
+    whinspring_daemon::{
+        backend::{Backend, Fault, Upstream},
+        clock::Clock,
+    },
+    whinspring_standin::{
+        caller::{Call, Caller, Class, End, Payload},
+        http::Running,
+        runs::{self, Event},
+        server::Options,
+    },
+};
+
+/// Bytes of a large body: many credit windows.
+const LARGE: u64 = 8 << 20;
+
+/// Two nodes: `a` is the entry, `b` holds the servers.
+pub struct Pair {
+    /// The entry.
+    pub a: Daemon,
+    /// The holder.
+    pub b: Daemon,
+    /// Server of the keyed service.
+    pub checks: Running,
+    /// Address of the entry for callers.
+    pub a_callers: SocketAddr,
+    /// Server of the unkeyed service.
+    _bundles: Running,
+}
+
+/// Starts two nodes and a server of each service, held by `holder`.
+pub async fn pair(holder: &str, checks: Options) -> Pair {
+    let (a, b) = (daemon("a").await, daemon("b").await);
+    let checks = server(checks).await;
+    let bundles = server(Options::default()).await;
+    let placed = |running: &Running| Placed { addr: running.addr, holder: holder.into() };
+    publish(&[&a, &b], &[placed(&checks)], &[placed(&bundles)]).await;
+    Pair { a_callers: a.callers_addr, a, b, checks, _bundles: bundles }
+}
+
+/// A server that checks fences.
+pub fn fenced() -> Options {
+    Options { fenced: true, ..Options::default() }
+}
+
+/// A lookup of `key`.
+pub fn lookup(daemon: &Daemon, key: &str) -> Call {
+    Call::new(daemon.callers_addr, Method::GET, "/checks/lookup").header("x-key", key)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keyed_requests_pass_locally_and_over_a_link() {
+    for holder in ["a", "b"] {
+        let pair = pair(holder, fenced()).await;
+        let caller = Caller::new();
+        for number in 0..50 {
+            let reply = caller.send(&lookup(&pair.a, &format!("key-{number}"))).await;
+            assert!(reply.is_right(), "held by {holder}: {reply:?}");
+            assert_eq!((reply.code, reply.class), (Some(100), Some(Class::Done)));
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn concurrent_answers_are_never_crossed() {
+    let pair = pair("b", Options { work: Duration::from_millis(2), ..fenced() }).await;
+    let caller = Caller::new();
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..200 {
+        let body = Payload::Whole(format!("body of {number}").into());
+        let path = format!("/checks/lodge/{number}");
+        let call = Call::new(pair.a.callers_addr, Method::POST, path)
+            .header("x-key", &format!("key-{number}"))
+            .header("whinspring-request-id", &format!("id-{number}"))
+            .header("whinspring-attempt", "1")
+            .payload(body);
+        let caller = caller.clone();
+        tasks.spawn(async move { caller.send(&call).await });
+    }
+    for reply in tasks.join_all().await {
+        assert!(reply.is_right(), "{reply:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_bodies_stream_both_ways() {
+    for holder in ["a", "b"] {
+        let pair = pair(holder, fenced()).await;
+        let caller = Caller::new();
+        let down = Call::new(pair.a.callers_addr, Method::GET, format!("/bundles/x?bytes={LARGE}"));
+        let reply = caller.send(&down).await;
+        assert!(reply.is_right(), "held by {holder}: {reply:?}");
+        let up = Call::new(pair.a.callers_addr, Method::PUT, "/bundles/x")
+            .header("whinspring-repeatable", "yes")
+            .payload(Payload::Pattern(LARGE));
+        let reply = caller.send(&up).await;
+        assert!(reply.is_right(), "held by {holder}: {reply:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn resent_unrepeatable_request_gets_the_recorded_answer() {
+    let pair = pair("b", fenced()).await;
+    let caller = Caller::new();
+    let lodge = |daemon: &Daemon, attempt: &str| {
+        Call::new(daemon.callers_addr, Method::POST, "/checks/lodge")
+            .header("x-key", "k")
+            .header("whinspring-request-id", "only-once")
+            .header("whinspring-attempt", attempt)
+    };
+    let first = caller.send(&lodge(&pair.a, "1")).await;
+    let second = caller.send(&lodge(&pair.b, "2")).await;
+    assert_eq!((first.code, second.code), (Some(100), Some(101)), "{first:?} {second:?}");
+    assert!(first.is_right() && second.is_right());
+    assert_eq!(first.echo, second.echo);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn recorded_answer_moves_with_the_server() {
+    let pair = pair("a", fenced()).await;
+    let (caller, both) = (Caller::new(), [&pair.a, &pair.b]);
+    let lodge = |attempt: &str| {
+        Call::new(pair.a.callers_addr, Method::POST, "/checks/lodge")
+            .header("x-key", "k")
+            .header("whinspring-request-id", "only-once")
+            .header("whinspring-attempt", attempt)
+    };
+    let first = caller.send(&lodge("1")).await;
+    assert!(first.is_right(), "{first:?}");
+    change(&both, &holders("checks", 2, vec![holder("a", 1, Some("b"))]));
+    until(|| pair.b.shared.metrics.counted("memory_received") == 1).await;
+    change(&both, &holders("checks", 3, vec![holder("b", 2, None)]));
+    let second = caller.send(&lodge("2")).await;
+    assert_eq!(second.code, Some(101), "{second:?}");
+    assert_eq!(first.echo, second.echo);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn recorded_answer_moves_with_the_slice() {
+    let (a, b) = (daemon("a").await, daemon("b").await);
+    let (first, second) = (server(fenced()).await, server(fenced()).await);
+    let bundles = server(Options::default()).await;
+    let placed =
+        |running: &Running, holder: &str| Placed { addr: running.addr, holder: holder.into() };
+    let checks = [placed(&first, "a"), placed(&second, "b")];
+    publish(&[&a, &b], &checks, &[placed(&bundles, "a")]).await;
+    let key = (0..).map(|number| format!("k{number}")).find(|key| slice_of(key, SLICES).0 == 0);
+    let key = key.expect("some key is in the first slice");
+    let lodge = |attempt: &str| {
+        Call::new(a.callers_addr, Method::POST, "/checks/lodge")
+            .header("x-key", &key)
+            .header("whinspring-request-id", "only-once")
+            .header("whinspring-attempt", attempt)
+    };
+    let caller = Caller::new();
+    let one = caller.send(&lodge("1")).await;
+    assert!(one.is_right(), "{one:?}");
+    change(&[&a, &b], &segment("checks", 2, 2, Some((0, owner(0, 1, Some(1))))));
+    until(|| b.shared.metrics.counted("memory_received") == 1).await;
+    change(&[&a, &b], &segment("checks", 3, 2, Some((0, owner(1, 2, None)))));
+    let two = caller.send(&lodge("2")).await;
+    assert_eq!(two.code, Some(101), "{two:?}");
+    assert_eq!(one.echo, two.echo);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lease_that_lapses_before_the_first_byte_stops_the_request() {
+    let logs = tempfile::tempdir().expect("a folder");
+    let log = logs.path().join("runs");
+    let server = server(Options { run_log: Some(log.clone()), ..Options::default() }).await;
+    let clock = Clock::start();
+    let backend = Backend::new(server.addr, clock);
+    let request = || Request::post("/x").header("host", "t").body(Upstream::empty());
+    let mut conn = backend.take(true).await.expect("the server accepts");
+    let lapsed = conn.send(request().expect("it is valid"), clock.now()).await;
+    assert_eq!(lapsed.err(), Some(Fault::Unsent));
+    let mut conn = backend.take(true).await.expect("the server accepts");
+    let until = clock.now() + Duration::from_secs(60);
+    assert!(conn.send(request().expect("it is valid"), until).await.is_ok());
+    let lines = runs::read(&log).expect("the log is there");
+    let starts = lines.iter().filter(|line| line.event == Event::Start);
+    assert_eq!(starts.count(), 1, "{lines:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn idle_connection_closed_by_the_server_is_not_used_again() {
+    let pair = pair("b", fenced()).await;
+    let caller = Caller::new();
+    assert!(caller.send(&lookup(&pair.a, "k")).await.is_right());
+    let addr = pair.checks.addr;
+    pair.checks.close().await;
+    let _again = server(Options { listen: addr, ..fenced() }).await;
+    let once = Call::new(pair.a.callers_addr, Method::POST, "/checks/lodge")
+        .header("x-key", "k")
+        .header("whinspring-request-id", "one")
+        .header("whinspring-attempt", "1");
+    let reply = caller.send(&once).await;
+    assert!(reply.is_right() || reply.class == Some(Class::NotRun), "{reply:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lost_server_is_told_at_once() {
+    let pair = pair("b", Options { work: Duration::from_secs(30), ..fenced() }).await;
+    let caller = Caller::new();
+    let call = Call::new(pair.a.callers_addr, Method::POST, "/checks/lodge")
+        .header("x-key", "k")
+        .header("whinspring-request-id", "lost")
+        .header("whinspring-attempt", "1");
+    let waiting = tokio::spawn(async move { caller.send(&call).await });
+    while pair.b.shared.all_held().iter().all(|held| held.load().0 == 0) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    pair.checks.close().await;
+    let reply = waiting.await.expect("the caller ends");
+    assert_eq!((reply.end, reply.code), (End::Whole, Some(600)), "{reply:?}");
+    assert_eq!(reply.class, Some(Class::Unknown));
+}
