Keep a caller's connection after a request with a body

Cause: the HTTP server keeps a connection only if the body was read to its end marker. The intake stopped at the last byte that Content-Length names, so each such request had its connection closed without notice, and the caller's next request on it was cut. Ruled out: an idle time-out (the cuts came within 0.2 ms); the generator's pool (GET alone loses nothing). Change: the intake lets the body note its end, then drops it. Seen to fail: connection_is_kept_after_a_request_with_a_body, request 1 was answered with nothing before the change.

--- a/crates/whinspring-bench/src/generator.rs
+++ b/crates/whinspring-bench/src/generator.rs
@@ -53,6 +53,8 @@
     pub unknown: u64,
     /// Requests without a final answer, or with another's.
     pub lost: u64,
+    /// The first of the lost ones of a worker.
+    pub first_lost: Option<Sending>,
     /// Time over which these were counted.
     pub time: Duration,
 }
@@ -61,7 +63,7 @@
     /// Returns an empty tally over `time`.
     fn new(time: Duration) -> Self {
         let latencies = Histogram::new_with_bounds(1, MAX_US, DIGITS).expect("bounds are in range");
-        Self { latencies, done: 0, refused: 0, unknown: 0, lost: 0, time }
+        Self { latencies, done: 0, refused: 0, unknown: 0, lost: 0, first_lost: None, time }
     }
 
     /// Returns the answered requests a second.
@@ -84,7 +86,10 @@
             }
             Ending::NotRun => self.refused += 1,
             Ending::Unknown => self.unknown += 1,
-            Ending::Lost | Ending::Silent | Ending::Wrong => self.lost += 1,
+            Ending::Lost | Ending::Silent | Ending::Wrong => {
+                self.lost += 1;
+                self.first_lost.get_or_insert_with(|| sending.clone());
+            }
         }
     }
 
@@ -95,6 +100,7 @@
         self.refused += other.refused;
         self.unknown += other.unknown;
         self.lost += other.lost;
+        self.first_lost = self.first_lost.take().or_else(|| other.first_lost.clone());
     }
 }
 
--- a/crates/whinspring-bench/src/path.rs
+++ b/crates/whinspring-bench/src/path.rs
@@ -96,6 +96,9 @@
     let full = generator::run(&load(&entries, None, seed), request).await;
     let paced = generator::run(&load(&entries, Some(PACED_RATE), seed), request).await;
     let direct = direct(seed).await?;
+    for lost in [&full, &paced, &direct].iter().filter_map(|tally| tally.first_lost.as_ref()) {
+        println!("a lost request: {:?} {lost:?}", lost.ending());
+    }
     let bodies = bodies::run(&entries).await;
     let mut doubled_ids = 0;
     for server in fleet.servers_of("checks") {
--- a/crates/whinspring-daemon/src/caller/intake.rs
+++ b/crates/whinspring-daemon/src/caller/intake.rs
@@ -5,7 +5,14 @@
     crate::{exchange::Uplink, serve::Source},
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, header::CONTENT_LENGTH},
-    std::{cell::Cell, cell::RefCell, future::poll_fn, pin::Pin, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        future::poll_fn,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Waker},
+        time::Duration,
+    },
     tokio::time::{Instant, timeout, timeout_at},
     whinspring::{code::Code, request::Refusal},
     xitca_http::{
@@ -137,9 +144,18 @@
         };
         let left = self.left.get().map(|left| left.saturating_sub(bytes.len() as u64));
         self.left.set(left);
+        if left == Some(0) {
+            self.end();
+        }
         Ok(Some(bytes))
     }
 
+    /// Lets the body note its end before it is dropped; else the connection would be closed.
+    fn end(&self) {
+        let Some(mut body) = self.body.borrow_mut().take() else { return };
+        let _ = Pin::new(&mut body).poll_frame(&mut Context::from_waker(Waker::noop()));
+    }
+
     /// Reads the next bytes as they come.
     async fn next_frame(&self) -> Result<Option<Bytes>, Broken> {
         let frame = poll_fn(|cx| {
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -221,3 +221,20 @@
     let lines = runs::read(&log).expect("the log is there");
     assert!(lines.iter().all(|line| line.path == "/checks/whole"), "{lines:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connection_is_kept_after_a_request_with_a_body() {
+    let pair = pair("a", fenced()).await;
+    let mut socket = TcpStream::connect(pair.a_callers).await.expect("the port is open");
+    for number in 0..3 {
+        let request = format!(
+            "POST /checks/x HTTP/1.1\r\nhost: a\r\nx-key: k\r\nwhinspring-request-id: r{number}\r\n\
+             whinspring-attempt: 1\r\ncontent-length: 4\r\n\r\nbody"
+        );
+        socket.write_all(request.as_bytes()).await.expect("the socket takes bytes");
+        let mut answer = vec![0; 4096];
+        let read = socket.read(&mut answer).await.expect("the connection stays open");
+        let answer = String::from_utf8_lossy(&answer[..read]);
+        assert!(answer.starts_with("HTTP/1.1 200"), "request {number}: {answer:?}");
+    }
+}
