--- /dev/null
+++ b/crates/whinspring-daemon/src/control/platform.rs
@@ -0,0 +1,122 @@
+//! Calls to the platform in the background.
+//!
+//! Each call runs as a task of its own and answers with an event, so that a slow platform never
+//! holds up the control loop.
+
+use {
+    crate::metrics::Metrics,
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::sleep},
+    whinspring::{
+        control::{Event, Stored, VmState},
+        record::{Key, Value},
+    },
+    whinspring_platform::{self as api, Error, Platform, Reading},
+};
+
+/// Longest wait of one watch call.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause before a failed read is reported.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
+/// Starts calls and sends their answers to the control loop.
+#[derive(Clone)]
+pub struct Calls {
+    /// Client of the object API.
+    client: Platform,
+    /// Where answers go.
+    events: mpsc::UnboundedSender<Event>,
+    /// Counters.
+    metrics: Arc<Metrics>,
+}
+
+impl Calls {
+    /// Creates a caller of `client` that answers on `events`.
+    pub fn new(
+        client: Platform,
+        events: mpsc::UnboundedSender<Event>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self { client, events, metrics }
+    }
+
+    /// Writes a record.
+    pub fn put(&self, op: u64, key: Key, expect: u64, mark: u64, value: Option<Value>) {
+        let calls = self.clone();
+        calls.metrics.count("platform_writes");
+        tokio::spawn(async move {
+            let outcome = calls.write(&key, expect, mark, value.as_ref()).await;
+            let _ = calls.events.send(Event::Stored { op, outcome });
+        });
+    }
+
+    /// Reads every record.
+    pub fn list(&self) {
+        let calls = self.clone();
+        calls.metrics.count("platform_reads");
+        tokio::spawn(async move {
+            let event = match calls.client.read_all().await {
+                Ok(reading) => calls.read(true, reading),
+                Err(_) => failed(false).await,
+            };
+            let _ = calls.events.send(event);
+        });
+    }
+
+    /// Waits for changes after a revision.
+    pub fn watch(&self, after: u64) {
+        let calls = self.clone();
+        calls.metrics.count("platform_reads");
+        tokio::spawn(async move {
+            let event = match calls.client.read_changes(after, WATCH_WAIT).await {
+                Ok(reading) => calls.read(false, reading),
+                Err(error) => failed(matches!(error, Error::Gone { .. })).await,
+            };
+            let _ = calls.events.send(event);
+        });
+    }
+
+    /// Reads the list of VMs; a failure is left out, as the list only lags a little more.
+    pub fn vms(&self) {
+        let calls = self.clone();
+        calls.metrics.count("platform_reads");
+        tokio::spawn(async move {
+            let Ok(vms) = calls.client.vms().await else { return };
+            let vms = vms.into_iter().map(|vm| (vm.name, state(vm.state))).collect();
+            let _ = calls.events.send(Event::Vms(vms));
+        });
+    }
+
+    /// Writes or deletes a record.
+    async fn write(&self, key: &Key, expect: u64, mark: u64, value: Option<&Value>) -> Stored {
+        let stored = self.client.store_record(key, expect, mark, value).await;
+        stored.unwrap_or_else(|_| {
+            self.metrics.count("platform_writes_refused");
+            Stored::Unknown
+        })
+    }
+
+    /// Returns the event of a reading; counts records that are not understood.
+    fn read(&self, whole: bool, reading: Reading) -> Event {
+        for _ in &reading.faults {
+            self.metrics.count("records_not_understood");
+        }
+        Event::Read { whole, revision: reading.revision, records: reading.records }
+    }
+}
+
+/// Returns the event of a failed read after a pause, so that a dead platform is not hammered.
+async fn failed(gone: bool) -> Event {
+    sleep(READ_PAUSE).await;
+    Event::ReadFailed { gone }
+}
+
+/// Returns what the platform says of a VM.
+fn state(state: api::VmState) -> VmState {
+    match state {
+        api::VmState::Live => VmState::Live,
+        api::VmState::Leaving => VmState::Leaving,
+        api::VmState::Gone => VmState::Gone,
+    }
+}
--- /dev/null
+++ b/crates/whinspring-daemon/src/control/suspects.rs
@@ -0,0 +1,101 @@
+//! Stores suspected requests on the platform.
+//!
+//! A suspicion must outlive the holder that found it. Each is written by read, merge and
+//! conditional update; while the platform is down it is kept here and tried again.
+
+use {
+    rand::random,
+    std::{collections::HashMap, time::Duration},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
+    whinspring::{
+        control::Stored,
+        model::Suspect,
+        record::{Key, Kind, Value},
+    },
+    whinspring_platform::Platform,
+    whinspring_wire::record,
+};
+
+/// Pause between attempts, in milliseconds.
+const RETRY_MS: u64 = 200;
+
+/// Largest number of suspicions kept while the platform is down.
+const PENDING_MAX: usize = 1_024;
+
+/// Stores each suspicion that arrives, until the channel closes.
+pub async fn run(client: Platform, mut arrivals: mpsc::UnboundedReceiver<Suspect>) {
+    let mut pending: HashMap<u64, Suspect> = HashMap::new();
+    loop {
+        let pause = Duration::from_millis(if pending.is_empty() { 3_600_000 } else { RETRY_MS });
+        match timeout(pause, arrivals.recv()).await {
+            Ok(None) => return,
+            Ok(Some(suspect)) if pending.len() < PENDING_MAX => {
+                merge(&mut pending, suspect);
+            }
+            _ => {}
+        }
+        flush(&client, &mut pending).await;
+    }
+}
+
+/// Adds `suspect` to what is pending.
+fn merge(pending: &mut HashMap<u64, Suspect>, suspect: Suspect) {
+    let print = suspect.print;
+    let known = pending.remove(&print);
+    pending.insert(print, merged(known, suspect));
+}
+
+/// Tries to store everything pending.
+async fn flush(client: &Platform, pending: &mut HashMap<u64, Suspect>) {
+    let prints: Vec<u64> = pending.keys().copied().collect();
+    for print in prints {
+        let Some(suspect) = pending.get(&print) else { continue };
+        if store(client, suspect.clone()).await {
+            pending.remove(&print);
+        } else {
+            sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+}
+
+/// Stores one suspicion; returns whether it is on the platform.
+async fn store(client: &Platform, suspect: Suspect) -> bool {
+    let key = Key::new(Kind::Suspect, format!("{:016x}", suspect.print));
+    let Ok(object) = client.get(&key).await else { return false };
+    let expect = object.as_ref().map_or(0, |object| object.version);
+    let known = object.and_then(|object| object.value).and_then(|bytes| decode(&bytes));
+    if known.as_ref().is_some_and(|known| covers(known, &suspect)) {
+        return true;
+    }
+    let value = record::encode(&Value::Suspect(merged(known, suspect)));
+    matches!(client.put(&key, expect, random(), value).await, Ok(Stored::Written(_)))
+}
+
+/// Returns the suspicion that `bytes` encode, if they are understood.
+fn decode(bytes: &[u8]) -> Option<Suspect> {
+    match record::decode(Kind::Suspect, bytes) {
+        Ok(Value::Suspect(known)) => Some(known),
+        _ => None,
+    }
+}
+
+/// Returns whether `known` already says what `found` says.
+fn covers(known: &Suspect, found: &Suspect) -> bool {
+    merged(Some(known.clone()), found.clone()) == *known
+}
+
+/// Returns what is known of a request after `found`.
+///
+/// A finding without deaths says that the request completed: it clears what was known before.
+fn merged(known: Option<Suspect>, found: Suspect) -> Suspect {
+    let Some(known) = known else { return found };
+    if found.last_ms < known.last_ms {
+        return known;
+    }
+    let deaths = if found.deaths == 0 { 0 } else { known.deaths.max(found.deaths) };
+    let cleared = known.cleared && known.last_ms == found.last_ms;
+    Suspect { print: found.print, deaths, last_ms: found.last_ms, cleared }
+}
--- a/crates/whinspring-daemon/src/exchange.rs
+++ b/crates/whinspring-daemon/src/exchange.rs
@@ -4,14 +4,20 @@
 //! [`Answer`], the holder a [`Call`]. Bodies flow in both directions under a credit that the
 //! reading end grants, so that a slow reader holds up its own stream only.
 
-pub use self::{answer::Answer, call::Call, flow::Flow, reply::Reply, upload::Upload};
+pub use self::{
+    answer::{Answer, Uplink},
+    call::Call,
+    flow::Flow,
+    reply::Reply,
+    upload::Upload,
+};
 
 use {
     bytes::Bytes,
     std::sync::Arc,
     tokio::sync::mpsc,
     whinspring::time::Tick,
-    whinspring_wire::link::{Head, Open, Reason},
+    whinspring_wire::link::{HandOver, Head, Open, Reason},
 };
 
 mod answer;
@@ -57,10 +63,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Gone;
 
-/// Takes requests for the servers that this node holds.
+/// Takes what other nodes send to the servers that this node holds.
 pub trait Serve: Send + Sync + 'static {
     /// Takes a request; its reply comes later.
     fn serve(&self, call: Call);
+
+    /// Takes what a former holder remembers.
+    fn remember(&self, hand: HandOver);
 }
 
 /// Opens a stream within the process.
--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -4,7 +4,11 @@
 //! order under the lock, and none of them blocks.
 
 use {
-    crate::{backend::Backend, exchange::{Call, Flow, Reply}, shared::Shared},
+    crate::{
+        backend::Backend,
+        exchange::{Call, Flow, Reply},
+        shared::Shared,
+    },
     log::info,
     parking_lot::{Mutex, MutexGuard},
     std::{
@@ -22,7 +26,7 @@
         name::{Name, ServerId},
         request::{Job, JobId, Refusal},
     },
-    whinspring_wire::link::Reason,
+    whinspring_wire::link::{Head, Reason},
 };
 
 pub use whinspring::view::Held as Record;
@@ -153,6 +157,11 @@
         self.term.load(Ordering::Acquire) == term
     }
 
+    /// Returns the term under which the server is held.
+    pub fn term(&self) -> u64 {
+        self.term.load(Ordering::Acquire)
+    }
+
     /// Returns how many requests run and how many wait.
     pub fn load(&self) -> (u32, u32) {
         (self.running.load(Ordering::Relaxed), self.queued.load(Ordering::Relaxed))
@@ -294,7 +303,9 @@
                 Output::Suspect(suspect) => {
                     let _ = self.shared.reports.suspects.send(suspect);
                 }
-                Output::HandOver(_) => self.shared.metrics.count("memory_not_sent"),
+                Output::HandOver(memories) => {
+                    self.shared.hand_over(&self.service, self.server, memories);
+                }
                 Output::Count(event) => self.shared.metrics.count(event),
                 Output::Log(line) => {
                     info!(service = self.service.as_str(), server = self.server.0; "{line}");
@@ -314,7 +325,7 @@
         let stop = CancellationToken::new();
         let entry = Entry::Running { refuse, stop: stop.clone() };
         state.jobs.insert(order.job, entry);
-        let run = run::Run::new(self.clone(), order, call, refused, stop);
+        let run = run::Run::new(self.clone(), order, *call, refused, stop);
         self.shared.runtime.spawn(run.run());
     }
 
@@ -338,7 +349,10 @@
     fn replay(&self, state: &mut State, job: JobId, record: &[u8]) {
         let Some(mut call) = self.take_waiting(state, job) else { return };
         match answer::replay(record) {
-            Some(head) => call.reply.head(head),
+            Some(head) => {
+                let (running, queued) = self.load();
+                call.reply.head(Head { running, queued, ..head });
+            }
             None => {
                 let refusal = Refusal { code: Code::MaybeRan, retry_ms: 0 };
                 call.reply.refuse(Reason::Refused(refusal));
--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -24,12 +24,7 @@
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::timeout},
     tokio_util::sync::CancellationToken,
-    whinspring::{
-        code::Code,
-        holder::Input,
-        request::Refusal,
-        time::Tick,
-    },
+    whinspring::{code::Code, holder::Input, request::Refusal, time::Tick},
     whinspring_wire::link::{Head, Open, Reason},
 };
 
@@ -86,11 +81,11 @@
     pub(super) fn new(
         held: Arc<Held>,
         order: Order,
-        call: Box<Call>,
+        call: Call,
         refused: mpsc::UnboundedReceiver<Refusal>,
         stop: CancellationToken,
     ) -> Self {
-        let Call { open, deadline, upload, reply } = *call;
+        let Call { open, deadline, upload, reply } = call;
         let flow = reply.flow();
         Self {
             held,
@@ -158,11 +153,7 @@
     }
 
     /// Passes the server's answer on.
-    async fn answer(
-        &mut self,
-        mut conn: Conn,
-        answer: Response<Incoming>,
-    ) -> Result<End, Stopped> {
+    async fn answer(&mut self, mut conn: Conn, answer: Response<Incoming>) -> Result<End, Stopped> {
         let (parts, mut body) = answer.into_parts();
         if let Some(reason) = parts.headers.get(NOT_RUN) {
             let end = refusal(reason, &parts.headers);
@@ -180,6 +171,7 @@
         if let Some(declared) = declared.filter(|_| self.open.method == http::Method::HEAD) {
             headers.insert(http::header::CONTENT_LENGTH, declared);
         }
+        let (running, queued) = self.held.load();
         let head = Head {
             stream: 0,
             status: parts.status,
@@ -188,6 +180,8 @@
             body: Bytes::new(),
             whole: false,
             length,
+            running,
+            queued,
         };
         if length.is_some_and(|length| length <= WHOLE_BYTES) {
             return self.whole(conn, head, body).await;
