--- a/crates/whinspring-wire/src/link/memory.rs
+++ b/crates/whinspring-wire/src/link/memory.rs
@@ -43,6 +43,7 @@
             unit: Some(unit),
             epoch: memory.epoch,
             term: memory.term,
+            last: memory.last,
             since_ms: memory.since.0,
             entries: memory.entries.into_iter().map(wire::Remembered::from).collect(),
         }
@@ -61,6 +62,7 @@
             unit,
             epoch: memory.epoch,
             term: memory.term,
+            last: memory.last,
             since: Wall(memory.since_ms),
             entries: memory.entries.into_iter().map(Remembered::from).collect(),
         })
--- a/crates/whinspring-wire/tests/link.rs
+++ b/crates/whinspring-wire/tests/link.rs
@@ -125,6 +125,7 @@
         unit: Unit::Slice(Slice(0)),
         epoch: 1,
         term: 2,
+        last: true,
         since: Wall(3),
         entries: vec![known, unknown],
     };
