--- a/crates/whinspring/examples/policies.rs
+++ b/crates/whinspring/examples/policies.rs
@@ -27,6 +27,8 @@
 const WARM_US: u64 = 5_000_000;
 /// Time between two ticks of the holder, in microseconds.
 const TICK_US: u64 = 20_000;
+/// Longest wait of a request that is refused at once, in microseconds.
+const AT_ONCE_US: u64 = 50_000;
 /// Mean service time, in microseconds.
 const SERVICE_US: f64 = 10_000.0;
 const SLOTS: usize = 2;
@@ -64,7 +66,7 @@
         "late",
         "p50 ms",
         "p99 ms",
-        "wait p99",
+        "waited %",
         "others %",
         "oth. p99",
     );
@@ -130,6 +132,12 @@
         }
     }
 
+    /// Returns how many of 100 refusals came later than [`AT_ONCE_US`] after the arrival.
+    fn waited(&self) -> f64 {
+        let late = self.refusals.iter().filter(|wait| **wait > AT_ONCE_US).count();
+        100.0 * late as f64 / self.refusals.len().max(1) as f64
+    }
+
     fn print(mut self, scenario: &Scenario, policy: &str) {
         let seconds = (RUN_US - WARM_US) as f64 / 1e6;
         let ideal = self.offered_us.min((seconds * SLOTS as f64 * 1e6) as u64);
@@ -141,7 +149,7 @@
             self.late,
             quantile(&mut self.latencies, 0.5),
             quantile(&mut self.latencies, 0.99),
-            quantile(&mut self.refusals, 0.99),
+            self.waited(),
             100.0 * self.others_done as f64 / self.others as f64,
             quantile(&mut self.others_latencies, 0.99),
         );
--- a/crates/whinspring/src/holder/admission.rs
+++ b/crates/whinspring/src/holder/admission.rs
@@ -179,7 +179,8 @@
             .chain(std::iter::repeat_n(Duration::ZERO, slots.saturating_sub(self.runs.len())))
             .collect();
         free.sort_unstable();
-        pour(&free, mean * ahead)
+        let backlog = self.queue.backlog(&job.meta.customer, job.deadline);
+        pour(&free, mean * ahead).max(backlog)
     }
 
     fn expire_joined(&mut self, cx: &mut Context<'_>) {
--- a/crates/whinspring/src/holder/queue.rs
+++ b/crates/whinspring/src/holder/queue.rs
@@ -20,6 +20,8 @@
 
 /// Virtual time of a microsecond of slot time at a share of 1.
 const SCALE: u64 = 1_024;
+/// Starts over which a customer's pace is averaged.
+const PACE_SAMPLES: u32 = 16;
 /// Requests that an idle customer may start ahead of its turn.
 const BURST: u64 = 4;
 /// Customers and requests of each that are looked at for one that may start.
@@ -78,6 +80,21 @@
     share: u32,
     due: u64,
     jobs: VecDeque<Rank>,
+    /// When its last request started, if more have waited since.
+    started: Option<Tick>,
+    /// Time between starts while more waited.
+    pace: Duration,
+}
+
+impl Customer {
+    /// Takes a start into the pace.
+    fn note_start(&mut self, now: Tick) {
+        if let Some(before) = self.started {
+            let gap = now.since(before);
+            self.pace = (self.pace * (PACE_SAMPLES - 1) + gap) / PACE_SAMPLES;
+        }
+        self.started = (!self.jobs.is_empty()).then_some(now);
+    }
 }
 
 impl Queue {
@@ -149,6 +166,17 @@
         before + ahead.min(others) + self.parked.len()
     }
 
+    /// Returns how long the customer's present backlog would keep a new request of this deadline
+    /// waiting, by the pace of its starts.
+    pub fn backlog(&self, customer: &Name, deadline: Tick) -> Duration {
+        let Some(known) = self.customers.get(&self.turn_name(customer)) else {
+            return Duration::ZERO;
+        };
+        let rank = (self.order(deadline), u64::MAX, JobId(u64::MAX));
+        let before = known.jobs.partition_point(|other| *other < rank);
+        known.pace * before as u32
+    }
+
     /// Returns whether the customer waits with over twice its share of the queue.
     pub fn over_share(&self, customer: &Name) -> bool {
         let Some(known) = self.customers.get(customer) else { return false };
@@ -195,11 +223,12 @@
     }
 
     /// Removes a request that is being started, and charges its customer the expected cost.
-    pub fn start(&mut self, id: JobId, cost: Duration) -> Option<Waiting> {
+    pub fn start(&mut self, now: Tick, id: JobId, cost: Duration) -> Option<Waiting> {
         let waiting = self.remove(id)?;
         let name = self.turn_name(&waiting.job.meta.customer);
-        if let Some(customer) = self.customers.get(&name) {
+        if let Some(customer) = self.customers.get_mut(&name) {
             self.clock = self.clock.max(customer.due);
+            customer.note_start(now);
         }
         self.charge(&waiting.job.meta.customer, cost, Duration::ZERO);
         self.credit = BURST * self.step(cost, 1);
@@ -252,6 +281,8 @@
             share,
             due: clock,
             jobs: VecDeque::new(),
+            started: None,
+            pace: Duration::ZERO,
         });
         if customer.jobs.is_empty() {
             customer.due = customer.due.max(clock);
--- a/crates/whinspring/src/holder/start.rs
+++ b/crates/whinspring/src/holder/start.rs
@@ -119,7 +119,7 @@
             return false;
         }
         let cost = self.estimate.expected(waiting.job.meta.print);
-        let Some(waiting) = self.queue.start(id, cost) else { return false };
+        let Some(waiting) = self.queue.start(cx.now, id, cost) else { return false };
         self.run(cx, waiting.job, waiting.tries, cost, alone, epoch);
         true
     }
