Keep serving short requests while a long one holds up a hand-over

Cause: a holder that is to hand its server over started nothing until its last run ended; a download of minutes would have kept the server's keys or capacity away that long. Short requests go on now while a long run keeps the server anyway, for up to 30 s. An entry asks such a holder once, then waits for the records without spending retries. Also: memory is only swept when units went away, not at each change of the records.

--- a/crates/whinspring/src/entry.rs
+++ b/crates/whinspring/src/entry.rs
@@ -182,7 +182,28 @@
         };
         let owner = service.owner(place);
         let owner = owner.ok_or(Blocked { code: Code::NoOwner, expect: LOSS_TIME })?;
-        find_holder(service, view, owner)
+        self.find_holder(service, view, owner)
+    }
+
+    /// Returns the target for the owner's server, or why there is none now.
+    ///
+    /// A holder that is to hand the server over is asked once: it may still take short work.
+    fn find_holder(
+        &self,
+        service: &ServiceView,
+        view: &View,
+        owner: &Owner,
+    ) -> Result<Target, Blocked> {
+        if owner.next.is_some() {
+            return Err(Blocked { code: Code::Moved, expect: MOVE_TIME });
+        }
+        let target = choice::target(service, view, owner.server, owner.epoch);
+        let target = target.ok_or(Blocked { code: Code::NoHolder, expect: LOSS_TIME })?;
+        let asked = self.again.is_some() && self.target.as_ref() == Some(&target);
+        if asked && choice::is_leaving(service, owner.server) {
+            return Err(Blocked { code: Code::Moved, expect: MOVE_TIME });
+        }
+        Ok(target)
     }
 
     fn forward(&mut self, now: Tick, target: Target, budget: &mut Budget) -> Step {
@@ -270,12 +291,3 @@
         Step::Answer(refusal)
     }
 }
-
-/// Returns the target for the owner's server, or why there is none now.
-fn find_holder(service: &ServiceView, view: &View, owner: &Owner) -> Result<Target, Blocked> {
-    if owner.next.is_some() {
-        return Err(Blocked { code: Code::Moved, expect: MOVE_TIME });
-    }
-    let target = choice::target(service, view, owner.server, owner.epoch);
-    target.ok_or(Blocked { code: Code::NoHolder, expect: LOSS_TIME })
-}
--- a/crates/whinspring/src/entry/choice.rs
+++ b/crates/whinspring/src/entry/choice.rs
@@ -28,11 +28,14 @@
     rng: &mut impl Rng,
 ) -> Option<Target> {
     let servers = service.service().servers.iter();
-    let able: Vec<ServerId> = servers
+    let mut able: Vec<ServerId> = servers
         .filter(|(_, server)| server.state == ServerState::Active)
         .map(|(id, _)| *id)
         .filter(|id| !avoid.contains(id) && target(service, view, *id, 0).is_some())
         .collect();
+    if able.iter().any(|id| !is_leaving(service, *id)) {
+        able.retain(|id| !is_leaving(service, *id));
+    }
     if able.is_empty() {
         return None;
     }
@@ -47,13 +50,13 @@
     target(service, view, chosen, 0)
 }
 
-/// Returns the target for a server, if it has a serving holder that keeps it.
+/// Returns the target for a server, if it has a serving holder.
 pub fn target(service: &ServiceView, view: &View, server: ServerId, epoch: u64) -> Option<Target> {
     if service.server(server)?.state == ServerState::Lost {
         return None;
     }
     let holder = service.holder(server)?;
-    if holder.next.is_some() || !view.serves(holder) {
+    if !view.serves(holder) {
         return None;
     }
     Some(Target {
@@ -65,6 +68,11 @@
     })
 }
 
+/// Returns whether the server is to change its holder.
+pub fn is_leaving(service: &ServiceView, server: ServerId) -> bool {
+    service.holder(server).is_some_and(|holder| holder.next.is_some())
+}
+
 /// Returns how strongly a request id points to a server.
 fn affinity(id: &str, server: ServerId) -> u64 {
     let mut hasher = XxHash3_64::default();
--- a/crates/whinspring/src/holder/admission.rs
+++ b/crates/whinspring/src/holder/admission.rs
@@ -6,6 +6,7 @@
         duplicates::{Fresh, Known},
         event::Output,
         grants::Claim,
+        release::LONG_REST,
         suspicion::Trust,
     },
     crate::{
@@ -112,7 +113,8 @@
             return self.refuse(cx, job.id, Code::NoHolder, RETRY_SOON);
         }
         let claim = self.grants.claim(&job.meta);
-        if claim == Claim::No || self.is_closed(cx) {
+        let long = self.estimate.expected(job.meta.print) >= LONG_REST;
+        if claim == Claim::No || self.is_closed(cx) || (self.handover && long) {
             return self.refuse(cx, job.id, Code::Moved, RETRY_SOON);
         }
         if !job.meta.repeatable && !self.check_fresh(cx, &job) {
@@ -137,7 +139,8 @@
         let keyed = self.is_keyed();
         let drained = self.server.state == ServerState::Draining && !keyed;
         let lost = self.life.is_lost() || self.server.state == ServerState::Lost;
-        drained || lost || self.handover || self.life.is_closed(cx.now, keyed)
+        let handover = self.handover && !self.lingers(cx);
+        drained || lost || handover || self.life.is_closed(cx.now, keyed)
     }
 
     /// Refuses an unrepeatable request with an unknown id that may have run before.
--- a/crates/whinspring/src/holder/ending.rs
+++ b/crates/whinspring/src/holder/ending.rs
@@ -127,7 +127,7 @@
         }
         let claim = self.grants.claim(&run.job.meta);
         let able = run.tries + 1 < MAX_TRIES && self.in_time(cx.now, &run.job);
-        if able && claim != Claim::No && self.life.is_up() && !self.handover {
+        if able && claim != Claim::No && !self.is_closed(cx) {
             return self.queue.push(run.job, run.tries + 1, claim == Claim::Granting);
         }
         self.refuse(cx, run.job.id, code, mean);
--- a/crates/whinspring/src/holder/release.rs
+++ b/crates/whinspring/src/holder/release.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Context, Holder, RETRY_SOON,
+        Context, Holder, RETRY_SOON, Run,
         event::{Memory, Output, Unit, Update},
         grants::{Claim, Grant, Owned},
     },
@@ -17,6 +17,10 @@
 
 /// Time for which memory of units that the records do not give to the server yet is kept.
 const STAGE_TTL: Duration = Duration::from_secs(30);
+/// Time for which a server that is to be handed over gets short work beside a long request.
+const LINGER_MOST: Duration = Duration::from_secs(30);
+/// Expected rest of a run from which it is long for a hand-over.
+pub(super) const LONG_REST: Duration = Duration::from_millis(300);
 /// Units whose memory is kept that way at most.
 const MAX_STAGED: usize = 4_096;
 
@@ -31,19 +35,22 @@
             self.handed = false;
         }
         self.term = update.term;
-        self.handover = update.handover || self.handed;
+        self.set_handover(cx, update.handover || self.handed);
         let gone = self.grants.update(cx.wall, &update);
         self.server = update.server;
         self.queue.set_shares(update.shares);
         self.suspicion.update(update.suspects);
+        let forget = !gone.is_empty();
         let mut lost = Vec::new();
         for (unit, owned) in gone {
             if owned.released && !owned.moving {
                 lost.push(self.memory(cx, &unit, &owned));
             }
         }
-        let grants = &self.grants;
-        self.duplicates.retain(|key, slice| grants.covers(key, slice));
+        if forget {
+            let grants = &self.grants;
+            self.duplicates.retain(|key, slice| grants.covers(key, slice));
+        }
         self.hand_over(cx, lost);
         self.merge_staged(cx);
         self.reject_moved(cx);
@@ -135,6 +142,22 @@
         }
     }
 
+    fn set_handover(&mut self, cx: &Context<'_>, handover: bool) {
+        if handover && !self.handover {
+            self.handover_since = cx.now;
+        }
+        self.handover = handover;
+    }
+
+    /// Returns whether a server that is to be handed over still gets short work, because a long
+    /// request keeps it here anyway.
+    pub(super) fn lingers(&self, cx: &Context<'_>) -> bool {
+        let long =
+            |run: &Run| self.estimate.rest(run.job.meta.print, run.start, cx.now) >= LONG_REST;
+        let recent = cx.now < self.handover_since + LINGER_MOST;
+        !self.handed && recent && self.runs.values().any(long)
+    }
+
     /// Takes in staged memory whose units the server owns by now.
     fn merge_staged(&mut self, cx: &mut Context<'_>) {
         let staged = std::mem::take(&mut self.staged);
--- a/crates/whinspring/tests/holder/sessions.rs
+++ b/crates/whinspring/tests/holder/sessions.rs
@@ -176,6 +176,24 @@
     assert_eq!(world.answer(3), "Moved", "a released server is not used again in this term");
 }
 
+#[test]
+fn long_request_does_not_keep_a_handed_over_server_from_short_ones() {
+    let mut world = World::new(update(1, 1));
+    world.fake.slow.insert(99, 2_000);
+    world.arrive(1, Meta { print: 99, ..get("a") }, 9_000);
+    world.run(1_000);
+    world.input(Input::Update(Box::new(Update { handover: true, ..update(1, 1) })));
+    for number in 10..20 {
+        world.arrive(number, get("b"), 200);
+        world.run(50);
+    }
+    world.run(600);
+    world.arrive(30, get("b"), 200);
+    let done = (10..20).filter(|number| world.answer(*number) == "done").count();
+    assert_eq!((done, world.answer(1), world.answer(30)), (10, "done", "Moved"));
+    assert!(world.trace.contains("ServerReleased"), "{}", world.trace);
+}
+
 #[test]
 fn crashing_request_kills_two_servers_at_most() {
     let mut world = World::new(update(1, 1));
