Tell operators what became of a request and who owned a key

Cause: explain and history asked admin ports that did not answer them.

Ruled out: keeping them in the platform (a write for each request).

--- /dev/null
+++ b/crates/whinspring-cli/tests/admin.rs
@@ -0,0 +1,126 @@
+//! The client and the admin port of a daemon understand each other.
+
+use {
+    std::{net::TcpListener, sync::Arc},
+    tokio::{runtime::Handle, sync::mpsc},
+    whinspring::{
+        code::Code,
+        declaration,
+        entry::Outcome,
+        model::{Owner, Segment},
+        name::{Name, ServerId},
+        record::{Key, Kind, Record, Value},
+        request::Target,
+        time::Wall,
+    },
+    whinspring_cli::{
+        node::{self, Past, Trail, escape},
+        text::WIDTH,
+        view::{Changes, Explanation},
+    },
+    whinspring_daemon::{
+        admin::Admin,
+        clock::Clock,
+        journal::{Hop, What},
+        metrics::Metrics,
+        shared::{Reports, Shared},
+    },
+};
+
+/// Tables of a node without records.
+fn shared(name: &str) -> Arc<Shared> {
+    let (messages, _) = mpsc::unbounded_channel();
+    let (suspects, _) = mpsc::unbounded_channel();
+    let reports = Reports { messages, suspects };
+    let metrics = Arc::new(Metrics::new());
+    Shared::new(name.into(), 1, Clock::start(), metrics, Handle::current(), reports)
+}
+
+/// Serves the admin port of a node.
+fn serve(shared: &Arc<Shared>) -> (Admin, std::net::SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    (Admin::start(shared.clone(), listener).unwrap(), addr)
+}
+
+#[tokio::test]
+async fn explain_joins_what_nodes_remember() {
+    let [entry, holder] = [shared("entry-1"), shared("entry-2")];
+    let id = Name::from("order 7&x=é");
+    let target =
+        Target { node: "entry-2".into(), incarnation: 1, server: ServerId(3), term: 4, epoch: 5 };
+    let received = What::Received { service: "reservations".into(), repeatable: false };
+    entry.journal.add(&id, Hop::Entry, received);
+    entry.journal.add(&id, Hop::Entry, What::Forwarded(target));
+    entry.journal.add(&id, Hop::Entry, What::Failed(Outcome::Broken));
+    entry.journal.add(&id, Hop::Entry, What::Answered(Code::HolderLost));
+    let started = What::Started { server: ServerId(3), term: 4, epoch: 5 };
+    holder.journal.add(&id, Hop::Holder, started);
+    holder.journal.add(&"other".into(), Hop::Holder, What::Replayed);
+
+    let [(first, a), (second, b)] = [serve(&entry), serve(&holder)];
+    let path = format!("/explain?id={}", escape(&id));
+    let trails: Vec<Trail> = node::ask(&[a, b], &path).await.unwrap();
+    let mut explanation = Explanation::new(&id, trails);
+    assert_eq!(explanation.events.len(), 5);
+    for (index, step) in explanation.events.iter_mut().enumerate() {
+        step.event.at_ms = index as u64;
+    }
+    let text = explanation.to_string();
+    assert!(text.lines().all(|line| line.chars().count() <= WIDTH), "{text}");
+    let expected = "\
+request order 7&x=é
+  +0 ms entry entry-1: received for reservations, unrepeatable
+  +1 ms entry entry-1: forwarded to entry-2 for s3, term 4
+  +2 ms entry entry-1: no answer: the link to the holder was lost after sending
+  +3 ms entry entry-1: answered the caller (601, unknown: the holder was lost
+    after the request was handed over)
+  +4 ms holder entry-2: given to s3, term 4, epoch 5
+";
+    assert_eq!(text, expected);
+
+    let trails: Vec<Trail> = node::ask(&[a], "/explain?id=unknown").await.unwrap();
+    assert!(trails[0].events.is_empty());
+    assert!(node::ask::<Trail>(&[a], "/explain").await.is_err());
+    first.close().await;
+    second.close().await;
+    assert!(node::ask::<Trail>(&[a], &path).await.is_err());
+}
+
+#[tokio::test]
+async fn history_tells_owners_once() {
+    let declared = include_str!("../../../docs/reservations.ini");
+    let mut service = declaration::parse(declared).unwrap();
+    service.slices = 4;
+    let owner = |epoch| Owner { server: ServerId(1), epoch, next: None };
+    let segment = |epoch| Segment { first: 0, owners: vec![owner(epoch); 4], ..Segment::default() };
+    let key = Key::new(Kind::Service, "reservations");
+    let value = Some(Value::Service(service.clone()));
+    let record = Record { key, version: 1, mark: 0, value };
+
+    let mut servers = Vec::new();
+    for (index, name) in ["entry-1", "entry-2"].into_iter().enumerate() {
+        let shared = shared(name);
+        shared.update(shared.view().updated([&record].into_iter()));
+        let at = |ms: u64| Wall(1_700_000_000_000 + ms + index as u64);
+        let mut history = shared.history.lock();
+        history.note(at(0), &service, None, (&segment(1), 2), &[]);
+        history.note(at(5_000), &service, Some(&segment(1)), (&segment(2), 3), &[]);
+        drop(history);
+        servers.push(serve(&shared));
+    }
+    let nodes: Vec<_> = servers.iter().map(|(_, addr)| *addr).collect();
+    let pasts: Vec<Past> = node::ask(&nodes, "/history?key=bay%207").await.unwrap();
+    let text = Changes::new("bay 7", Some("reservations"), pasts).to_string();
+    let expected = "\
+key bay 7
+  2023-11-14 22:13:25 reservations: s1, epoch 2, version 3, the controller:
+    former owner lost, or load
+  2023-11-14 22:13:20 reservations: s1, epoch 1, version 2, known since the
+    node's start
+";
+    assert_eq!(text, expected);
+    for (server, _) in servers {
+        server.close().await;
+    }
+}
--- a/crates/whinspring-daemon/src/admin.rs
+++ b/crates/whinspring-daemon/src/admin.rs
@@ -1,16 +1,17 @@
 //! The port for operators' tools: metrics, liveness, readiness and status.
 
 use {
-    crate::shared::Shared,
-    http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE},
+    crate::{caller::request::decode, journal::Note, shared::Shared},
+    http::{HeaderValue, Response, StatusCode, Uri, header::CONTENT_TYPE},
     serde::Serialize,
-    std::{io, net::TcpListener, sync::Arc, thread},
+    std::{borrow::Cow, io, net::TcpListener, sync::Arc, thread},
     tokio::sync::oneshot,
+    whinspring::history::Change,
     xitca_server::ServerHandle,
     xitca_web::{
         App, HttpServer,
         body::ResponseBody,
-        handler::{handler_service, state::StateRef},
+        handler::{handler_service, state::StateRef, uri::UriRef},
         http::WebResponse,
         route::get,
     },
@@ -60,6 +61,80 @@
     running: u32,
     /// Requests that wait.
     queued: u32,
+    /// Whether the server answers, as far as this node sees.
+    up: bool,
+}
+
+/// What this node remembers of a request.
+#[derive(Debug, Serialize)]
+struct Trail {
+    /// Name of the node.
+    node: String,
+    /// What happened, in order.
+    events: Vec<Event>,
+}
+
+/// One thing that happened to a request.
+#[derive(Debug, Serialize)]
+struct Event {
+    /// Calendar time, in milliseconds since the Unix epoch.
+    at_ms: u64,
+    /// Where it happened.
+    hop: &'static str,
+    /// What happened.
+    text: String,
+    /// Result code that goes with it.
+    code: Option<u16>,
+}
+
+impl From<Note> for Event {
+    fn from(note: Note) -> Self {
+        Self {
+            at_ms: note.at.0,
+            hop: note.hop.as_str(),
+            text: note.what.text(),
+            code: note.what.code().map(|code| code as u16),
+        }
+    }
+}
+
+/// What this node remembers of the owners of a key.
+#[derive(Debug, Serialize)]
+struct Past {
+    /// Name of the node.
+    node: String,
+    /// Changes that it saw, in order.
+    changes: Vec<Ownership>,
+}
+
+/// One change of the owner of a key.
+#[derive(Debug, Serialize)]
+struct Ownership {
+    /// Service of the key.
+    service: String,
+    /// Version of the record that made the change.
+    version: u64,
+    /// Calendar time at which this node learned of it, in milliseconds since the Unix epoch.
+    at_ms: u64,
+    /// Number of the server that owns the key from then on.
+    server: u32,
+    /// Epoch of the ownership.
+    epoch: u64,
+    /// Why it changed.
+    cause: String,
+}
+
+impl From<&Change> for Ownership {
+    fn from(change: &Change) -> Self {
+        Self {
+            service: change.service.to_string(),
+            version: change.version,
+            at_ms: change.at.0,
+            server: change.server.0,
+            epoch: change.epoch,
+            cause: change.cause.text(),
+        }
+    }
 }
 
 impl Admin {
@@ -74,7 +149,9 @@
             .at("/metrics", get(handler_service(metrics)))
             .at("/live", get(handler_service(live)))
             .at("/ready", get(handler_service(ready)))
-            .at("/status", get(handler_service(status)));
+            .at("/status", get(handler_service(status)))
+            .at("/explain", get(handler_service(explain)))
+            .at("/history", get(handler_service(history)));
         let server = HttpServer::serve(app.finish()).worker_threads(1).disable_signal();
         let mut server = server.listen(listener)?.run();
         let handle = server.handle()?;
@@ -122,6 +199,7 @@
             term: held.term(),
             running,
             queued,
+            up: held.is_up(),
         }
     });
     let view = shared.view();
@@ -136,7 +214,53 @@
         flights: shared.metrics.flights.get(),
         callers: shared.metrics.callers.get(),
     };
-    let body = serde_json::to_string(&status).expect("numbers and strings are valid JSON");
+    respond_json(&status)
+}
+
+/// Tells what this node remembers of the request whose id is the parameter `id`.
+async fn explain(
+    StateRef(shared): StateRef<'_, Arc<Shared>>,
+    UriRef(uri): UriRef<'_>,
+) -> WebResponse {
+    let Some(id) = parameter(uri, "id") else { return missing("id") };
+    let events = shared.journal.of(&id).into_iter().map(Event::from).collect();
+    respond_json(&Trail { node: shared.node.to_string(), events })
+}
+
+/// Tells what this node remembers of the owners of the key in the parameter `key`.
+async fn history(
+    StateRef(shared): StateRef<'_, Arc<Shared>>,
+    UriRef(uri): UriRef<'_>,
+) -> WebResponse {
+    let Some(key) = parameter(uri, "key") else { return missing("key") };
+    let view = shared.view();
+    let history = shared.history.lock();
+    let mut changes = Vec::new();
+    for service in view.services().map(|service| service.service()) {
+        if service.slices > 0 {
+            changes.extend(history.of_key(&service.name, service.slices, &key));
+        }
+    }
+    let changes = changes.into_iter().map(Ownership::from).collect();
+    respond_json(&Past { node: shared.node.to_string(), changes })
+}
+
+/// Returns a parameter of the query, decoded.
+fn parameter(uri: &Uri, name: &str) -> Option<String> {
+    let mut pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    decode(value).map(Cow::into_owned)
+}
+
+/// Answers a call without its parameter.
+fn missing(name: &str) -> WebResponse {
+    let text = format!("the parameter {name} is missing or malformed\n");
+    respond(StatusCode::BAD_REQUEST, "text/plain", text)
+}
+
+/// Builds a response of JSON.
+fn respond_json(value: &impl Serialize) -> WebResponse {
+    let body = serde_json::to_string(value).expect("numbers and strings are valid JSON");
     respond(StatusCode::OK, "application/json", body)
 }
 
--- a/crates/whinspring-daemon/src/caller.rs
+++ b/crates/whinspring-daemon/src/caller.rs
@@ -12,6 +12,7 @@
         request::{Checked, check},
     },
     crate::{
+        journal::{Hop, What},
         serve::{Inquiry, fly},
         shared::Shared,
         trace,
@@ -33,7 +34,7 @@
 mod conn;
 mod door;
 mod intake;
-mod request;
+pub(crate) mod request;
 
 /// Longest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -162,6 +163,8 @@
         }
     };
     let service = checked.meta.service.clone();
+    let (id, repeatable) = (checked.meta.id.clone(), checked.meta.repeatable);
+    shared.journal.add(&id, Hop::Entry, What::Received { service: service.clone(), repeatable });
     if shared.metrics.flights.get() > MAX_FLIGHTS {
         discard(body).await;
         let refusal = Refusal { code: Code::Overloaded, retry_ms: ROOM_RETRY_MS };
@@ -175,6 +178,11 @@
             Err(Refusal { code: Code::Cut, retry_ms: 0 })
         }
     };
+    let code = match &flown {
+        Ok((_, code)) => *code,
+        Err(refusal) => refusal.code,
+    };
+    shared.journal.add(&id, Hop::Entry, What::Answered(code));
     match flown {
         Ok((response, code)) => Ok((service, response, code)),
         Err(refusal) => Err((service, refusal)),
--- a/crates/whinspring-daemon/src/caller/request.rs
+++ b/crates/whinspring-daemon/src/caller/request.rs
@@ -236,7 +236,7 @@
 }
 
 /// Decodes a percent-encoded part of a path; `None` if it is malformed.
-fn decode(part: &str) -> Option<Cow<'_, str>> {
+pub(crate) fn decode(part: &str) -> Option<Cow<'_, str>> {
     if !part.contains('%') {
         return Some(Cow::Borrowed(part));
     }
--- a/crates/whinspring-daemon/src/control.rs
+++ b/crates/whinspring-daemon/src/control.rs
@@ -17,7 +17,7 @@
         control::{Action, Control, Event, Peer, Setup, TICK_MS},
         message::Message,
         model::Suspect,
-        record::Key,
+        record::{Key, Kind, Value},
     },
     whinspring_platform::Platform,
 };
@@ -142,9 +142,29 @@
         shared.set_lease(self.control.lease_until());
     }
 
+    /// Notes how the owners in a segment changed.
+    fn note(&self, key: &Key) {
+        let replica = self.control.replica();
+        let shared = &self.outputs.shared;
+        let Some((name, index)) = key.name.rsplit_once('.') else { return };
+        let Some(record) = replica.get(key) else { return };
+        let Some(Value::Segment(after)) = &record.value else { return };
+        let service = replica.get(&Key::new(Kind::Service, name));
+        let service = service.and_then(|record| record.value.as_ref());
+        let Some(Value::Service(service)) = service else { return };
+        let view = shared.view();
+        let known = view.service(name).zip(index.parse().ok());
+        let before = known.and_then(|(service, index)| service.segment(index));
+        let plans: Vec<_> = replica.iter(Kind::Plan).collect();
+        let after = (after, record.version);
+        let mut history = shared.history.lock();
+        history.note(self.clock.wall(), service, before.map(Arc::as_ref), after, &plans);
+    }
+
     /// Brings the request path up to date with changed records.
     fn changed(&self, keys: &[Key]) {
         let replica = self.control.replica();
+        keys.iter().for_each(|key| self.note(key));
         let records = keys.iter().filter_map(|key| replica.get(key));
         let view = self.outputs.shared.view().updated(records);
         self.outputs.shared.update(view);
--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -7,6 +7,7 @@
     crate::{
         backend::Backend,
         exchange::{Call, Flow, Reply},
+        journal::{Hop, What},
         shared::Shared,
     },
     log::info,
@@ -162,6 +163,11 @@
         self.term.load(Ordering::Acquire)
     }
 
+    /// Returns whether the server answers, as far as this node sees.
+    pub fn is_up(&self) -> bool {
+        self.state.lock().holder.as_ref().is_some_and(Holder::is_up)
+    }
+
     /// Returns how many requests run and how many wait.
     pub fn load(&self) -> (u32, u32) {
         (self.running.load(Ordering::Relaxed), self.queued.load(Ordering::Relaxed))
@@ -173,6 +179,7 @@
         let meta = call.open.meta.clone();
         let job = Job { id, meta, deadline: call.deadline };
         let flow = call.reply.flow();
+        self.note(&call, What::Queued(self.server));
         let mut state = self.state.lock();
         self.shared.metrics.jobs.inc();
         state.jobs.insert(id, Entry::Waiting(Box::new(call)));
@@ -318,6 +325,8 @@
             state.orphans.push(order.job);
             return;
         };
+        let Order { term, epoch, .. } = order;
+        self.note(&call, What::Started { server: self.server, term, epoch });
         self.shared.metrics.jobs.inc();
         let (refuse, refused) = mpsc::unbounded_channel();
         let stop = CancellationToken::new();
@@ -336,6 +345,7 @@
             }
             Some(Entry::Waiting(call)) => {
                 self.shared.metrics.jobs.dec();
+                self.note(&call, What::Refused(refusal.code));
                 call.reply.refuse(Reason::Refused(refusal));
             }
             Some(Entry::Ended(reply)) => reply.refuse(Reason::Refused(refusal)),
@@ -347,7 +357,10 @@
     fn replay(&self, state: &mut State, job: JobId, record: &[u8]) {
         let Some(mut call) = self.take_waiting(state, job) else { return };
         match answer::replay(record) {
-            Some(head) => call.reply.head(head),
+            Some(head) => {
+                self.note(&call, What::Replayed);
+                call.reply.head(head);
+            }
             None => {
                 let refusal = Refusal { code: Code::MaybeRan, retry_ms: 0 };
                 call.reply.refuse(Reason::Refused(refusal));
@@ -355,6 +368,11 @@
         }
     }
 
+    /// Notes what happened to a request.
+    fn note(&self, call: &Call, what: What) {
+        self.shared.journal.add(&call.open.meta.id, Hop::Holder, what);
+    }
+
     /// Takes a waiting request out of the table.
     fn take_waiting(&self, state: &mut State, job: JobId) -> Option<Box<Call>> {
         match state.jobs.remove(&job)? {
--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -11,6 +11,7 @@
         headers::{
             DEADLINE, EPOCH, NOT_RUN, REQUEST_ID, SLICE, TERM, TRACEPARENT, strip_hop, strip_own,
         },
+        journal::{Hop, What},
         trace,
     },
     bytes::Bytes,
@@ -73,6 +74,19 @@
     Failed(Fault),
 }
 
+impl End {
+    /// Returns the end as operators read it.
+    fn text(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "the server answered",
+            Self::Shed(_) => "the server refused it before running it",
+            Self::Fenced => "the server refused it: no grant under this term and epoch",
+            Self::Failed(fault) if fault.is_sent() => "failed after it may have reached the server",
+            Self::Failed(_) => "failed, nothing reached the server",
+        }
+    }
+}
+
 /// The holder stopped the request.
 struct Stopped;
 
@@ -322,6 +336,8 @@
             reply.refuse(Reason::Refused(refusal));
         }
         let held = self.held.clone();
+        let what = What::Ended(end.text());
+        held.shared.journal.add(&self.open.meta.id, Hop::Holder, what);
         match end {
             End::Answered(answer) => {
                 held.finish(job, Left::Nothing, Input::Answered { job, answer });
--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod exchange;
 mod headers;
 pub mod held;
+pub mod journal;
 pub mod keys;
 pub mod link;
 pub mod logging;
--- a/crates/whinspring-daemon/src/serve.rs
+++ b/crates/whinspring-daemon/src/serve.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         exchange::{Answer, Part, Serve, Uplink, local},
+        journal::{Hop, What},
         shared::Shared,
     },
     bytes::Bytes,
@@ -86,10 +87,13 @@
             }
         };
         drop(view);
+        let id = &inquiry.meta.id;
+        shared.journal.add(id, Hop::Entry, What::Forwarded(target.clone()));
         let outcome = match attempt(shared, &inquiry, flight.meta(), target, source).await {
             Ok(answer) => return Ok(answer),
             Err(outcome) => outcome,
         };
+        shared.journal.add(id, Hop::Entry, What::Failed(outcome));
         if let Some(refusal) = last(shared, &inquiry, outcome, source) {
             return Err(refusal);
         }
--- a/crates/whinspring-daemon/src/shared.rs
+++ b/crates/whinspring-daemon/src/shared.rs
@@ -5,6 +5,7 @@
         clock::Clock,
         exchange::{Call, Serve},
         held::{self, Held},
+        journal::Journal,
         link::DataLinks,
         metrics::Metrics,
     },
@@ -25,6 +26,7 @@
     },
     whinspring::{
         entry::Budget,
+        history::History,
         holder::Input,
         message::Message,
         model::Suspect,
@@ -64,6 +66,10 @@
     pub reports: Reports,
     /// What all requests of this entry share.
     pub budget: Mutex<Budget>,
+    /// What happened lately to requests.
+    pub journal: Journal,
+    /// Who owned what when.
+    pub history: Mutex<History>,
     /// The routing view.
     view: ArcSwap<View>,
     /// Rises with each change of the view.
@@ -103,6 +109,8 @@
             runtime,
             reports,
             budget: Mutex::default(),
+            journal: Journal::new(clock),
+            history: Mutex::default(),
             changes: watch::Sender::new(0),
             lease: AtomicU64::new(0),
             held: ArcSwap::default(),
--- /dev/null
+++ b/crates/whinspring/src/history.rs
@@ -0,0 +1,213 @@
+//! Who owned what when, as one node saw the records change.
+//!
+//! The history is bounded and starts with the process. It notes runs of neighbouring slices that
+//! changed together, so that a large change stays one note.
+
+use {
+    crate::{
+        model::{Owner, PlanState, Segment, ServerState, Service, Step},
+        name::{Name, ServerId, Slice, slice_of},
+        record::{Record, Value},
+        time::Wall,
+    },
+    std::collections::VecDeque,
+};
+
+/// Changes remembered at most.
+const MAX_CHANGES: usize = 16_384;
+
+/// What changed its owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unit {
+    /// Neighbouring slices, from the first to the last.
+    Slices(Slice, Slice),
+    /// A single key.
+    Key(Name),
+}
+
+/// Why an owner changed, as far as the records tell.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Cause {
+    /// It was so when the node learned of the service.
+    Start,
+    /// A plan moved it.
+    Plan(Name),
+    /// The former owner drains.
+    Drain,
+    /// The controller decided it: the former owner was lost, or load was evened out.
+    Controller,
+}
+
+impl Cause {
+    /// Returns the cause as operators read it.
+    pub fn text(&self) -> String {
+        match self {
+            Self::Start => "known since the node's start".into(),
+            Self::Plan(id) => format!("plan {id}"),
+            Self::Drain => "the former owner drains".into(),
+            Self::Controller => "the controller: former owner lost, or load".into(),
+        }
+    }
+}
+
+/// One change of owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Calendar time at which the node learned of it.
+    pub at: Wall,
+    /// Version of the record that made it.
+    pub version: u64,
+    /// Service of the unit.
+    pub service: Name,
+    /// What changed its owner.
+    pub unit: Unit,
+    /// Owner from then on.
+    pub server: ServerId,
+    /// Epoch of the ownership.
+    pub epoch: u64,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// The latest changes of owners.
+#[derive(Debug, Default)]
+pub struct History {
+    changes: VecDeque<Change>,
+}
+
+impl History {
+    /// Notes how a segment changed; `plans` are the records of plans.
+    pub fn note(
+        &mut self,
+        at: Wall,
+        service: &Service,
+        before: Option<&Segment>,
+        after: (&Segment, u64),
+        plans: &[&Record],
+    ) {
+        let (segment, version) = after;
+        let change = |unit: Unit, old: Option<&Owner>, owner: &Owner| Change {
+            at,
+            version,
+            service: service.name.clone(),
+            cause: cause(service, &unit, before.is_some(), old, owner, plans),
+            unit,
+            server: owner.server,
+            epoch: owner.epoch,
+        };
+        for change in slice_changes(before, segment, &change) {
+            self.push(change);
+        }
+        for (key, owner) in &segment.keys {
+            let old = before.and_then(|before| before.keys.get(key));
+            if old.is_none_or(|old| differs(old, owner)) {
+                self.push(change(Unit::Key(key.clone()), old, owner));
+            }
+        }
+    }
+
+    /// Returns the changes that concern a key of a service of `slices` slices, oldest first.
+    pub fn of_key(&self, service: &str, slices: u32, key: &str) -> Vec<&Change> {
+        let slice = slice_of(key, slices);
+        let concerns = |unit: &Unit| match unit {
+            Unit::Slices(first, last) => (*first..=*last).contains(&slice),
+            Unit::Key(name) => name == key,
+        };
+        let changes = self.changes.iter();
+        changes.filter(|change| change.service == service && concerns(&change.unit)).collect()
+    }
+
+    /// Adds a change and forgets the oldest one beyond the limit.
+    fn push(&mut self, change: Change) {
+        if self.changes.len() == MAX_CHANGES {
+            self.changes.pop_front();
+        }
+        self.changes.push_back(change);
+    }
+}
+
+/// Returns the changes of slices, neighbours that changed alike joined.
+fn slice_changes(
+    before: Option<&Segment>,
+    after: &Segment,
+    change: &impl Fn(Unit, Option<&Owner>, &Owner) -> Change,
+) -> Vec<Change> {
+    let mut changes: Vec<Change> = Vec::new();
+    for (index, owner) in after.owners.iter().enumerate() {
+        let slice = Slice(after.first + index as u32);
+        let old = before.and_then(|before| before.owner(slice));
+        if old.is_some_and(|old| !differs(old, owner)) {
+            continue;
+        }
+        let next = change(Unit::Slices(slice, slice), old, owner);
+        match changes.last_mut() {
+            Some(last) if joins(last, &next, slice) => extend(last, slice),
+            _ => changes.push(next),
+        }
+    }
+    changes
+}
+
+/// Returns whether the change of `slice` continues the last one.
+fn joins(last: &Change, next: &Change, slice: Slice) -> bool {
+    let neighbours = matches!(last.unit, Unit::Slices(_, end) if end.0 + 1 == slice.0);
+    let alike = (last.server, last.epoch, &last.cause) == (next.server, next.epoch, &next.cause);
+    neighbours && alike
+}
+
+/// Makes a change end with `slice`.
+fn extend(change: &mut Change, slice: Slice) {
+    if let Unit::Slices(_, last) = &mut change.unit {
+        *last = slice;
+    }
+}
+
+/// Returns whether the ownership is another one.
+fn differs(old: &Owner, new: &Owner) -> bool {
+    (old.server, old.epoch) != (new.server, new.epoch)
+}
+
+/// Works out why an owner changed.
+fn cause(
+    service: &Service,
+    unit: &Unit,
+    known: bool,
+    old: Option<&Owner>,
+    new: &Owner,
+    plans: &[&Record],
+) -> Cause {
+    if !known {
+        return Cause::Start;
+    }
+    if let Some(id) = plan_of(service, unit, new.server, plans) {
+        return Cause::Plan(id);
+    }
+    let former = old.and_then(|old| service.servers.get(&old.server));
+    match former.map(|server| server.state) {
+        Some(ServerState::Draining) => Cause::Drain,
+        _ => Cause::Controller,
+    }
+}
+
+/// Returns the latest plan that moved the unit to `server`.
+fn plan_of(service: &Service, unit: &Unit, server: ServerId, plans: &[&Record]) -> Option<Name> {
+    let moves = |step: &Step| match (step, unit) {
+        (Step::MoveSlice { service: name, slice, to }, Unit::Slices(first, last)) => {
+            *name == service.name && *to == server && (*first..=*last).contains(slice)
+        }
+        (Step::MoveKey { service: name, key, to }, Unit::Key(moved)) => {
+            *name == service.name && *to == server && key == moved
+        }
+        _ => false,
+    };
+    let confirmed = plans.iter().filter_map(|record| match &record.value {
+        Some(Value::Plan(plan))
+            if matches!(plan.state, PlanState::Confirmed | PlanState::Finished) =>
+        {
+            Some((record.version, plan))
+        }
+        _ => None,
+    });
+    let moved = confirmed.filter(|(_, plan)| plan.steps.iter().any(moves));
+    moved.max_by_key(|(version, _)| *version).map(|(_, plan)| plan.id.clone())
+}
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod declaration;
 pub mod entry;
+pub mod history;
 pub mod holder;
 pub mod ini;
 pub mod lease;
--- a/crates/whinspring/src/view.rs
+++ b/crates/whinspring/src/view.rs
@@ -219,6 +219,11 @@
         segment.keys.get(&place.key).or_else(|| segment.owner(place.slice))
     }
 
+    /// Returns the segment of an index.
+    pub fn segment(&self, index: u32) -> Option<&Arc<Segment>> {
+        self.segments.get(&index)?.value.as_ref()
+    }
+
     /// Returns the holder of a server.
     pub fn holder(&self, server: ServerId) -> Option<&Holder> {
         self.holders.terms.get(&server)
