--- a/crates/whinspring-bench/src/main.rs
+++ b/crates/whinspring-bench/src/main.rs
@@ -3,7 +3,8 @@
 use {
     clap::{Arg, ArgMatches, Command, value_parser},
     std::{path::PathBuf, process::ExitCode},
-    whinspring_bench::demo,
+    tokio::signal::unix::{SignalKind, signal},
+    whinspring_bench::{demo, path},
 };
 
 fn main() -> ExitCode {
@@ -15,7 +16,19 @@
             return ExitCode::FAILURE;
         }
     };
-    if runtime.block_on(run(&matches)) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if runtime.block_on(run_or_stop(&matches)) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Runs an experiment until its end or a signal to stop; its processes end with it.
+async fn run_or_stop(matches: &ArgMatches) -> bool {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return run(matches).await;
+    };
+    tokio::select! {
+        passed = run(matches) => passed,
+        _ = terminate.recv() => false,
+        _ = tokio::signal::ctrl_c() => false,
+    }
 }
 
 /// Returns the command line.
@@ -31,6 +44,11 @@
         .value_name("DIR")
         .value_parser(value_parser!(PathBuf))
         .help("Directory to keep settings and logs in");
+    let daemons = Arg::new("daemons")
+        .long("daemons")
+        .value_name("N")
+        .value_parser(value_parser!(usize))
+        .help("Measure only this number of daemons");
     let experiment = |name: &'static str, about: &'static str| {
         Command::new(name).about(about).arg(seed.clone()).arg(keep.clone())
     };
@@ -38,6 +56,10 @@
         .about("Experiments over real processes")
         .subcommand_required(true)
         .subcommand(experiment("demo", "From nothing to a lost server and a lost daemon"))
+        .subcommand(
+            experiment("path", "Throughput, added latency and memory of the whole path")
+                .arg(daemons),
+        )
 }
 
 /// Runs an experiment; returns whether it passed.
@@ -49,6 +71,7 @@
     let keep = matches.get_one::<PathBuf>("keep").map(PathBuf::as_path);
     let result = match name {
         "demo" => demo::run(seed, keep).await,
+        "path" => path::run(seed, keep, matches.get_one("daemons").copied()).await,
         _ => Ok(false),
     };
     result.unwrap_or_else(|error| {
--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -27,7 +27,7 @@
         name::{Name, ServerId},
         request::{Job, JobId, Refusal},
     },
-    whinspring_wire::link::Reason,
+    whinspring_wire::link::{Head, Reason},
 };
 
 pub use whinspring::view::Held as Record;
@@ -310,7 +310,9 @@
                 Output::Suspect(suspect) => {
                     let _ = self.shared.reports.suspects.send(suspect);
                 }
-                Output::HandOver(_) => self.shared.metrics.count("memory_not_sent"),
+                Output::HandOver(memories) => {
+                    self.shared.hand_over(&self.service, self.server, memories);
+                }
                 Output::Count(event) => self.shared.metrics.count(event),
                 Output::Log(line) => {
                     info!(service = self.service.as_str(), server = self.server.0; "{line}");
@@ -332,7 +334,7 @@
         let stop = CancellationToken::new();
         let entry = Entry::Running { refuse, stop: stop.clone() };
         state.jobs.insert(order.job, entry);
-        let run = run::Run::new(self.clone(), order, call, refused, stop);
+        let run = run::Run::new(self.clone(), order, *call, refused, stop);
         self.shared.runtime.spawn(run.run());
     }
 
@@ -359,7 +361,8 @@
         match answer::replay(record) {
             Some(head) => {
                 self.note(&call, What::Replayed);
-                call.reply.head(head);
+                let (running, queued) = self.load();
+                call.reply.head(Head { running, queued, ..head });
             }
             None => {
                 let refusal = Refusal { code: Code::MaybeRan, retry_ms: 0 };
--- a/crates/whinspring/src/control.rs
+++ b/crates/whinspring/src/control.rs
@@ -9,6 +9,7 @@
         message::Message,
         model::{Controller, Holder, NodeState},
         name::Name,
+        placement::Policy,
         record::{Key, Kind, Record, Value},
         replica::Replica,
         time::{Tick, Wall},
@@ -173,6 +174,8 @@
     rng: ChaCha8Rng,
     /// Time of the event being handled.
     now: Tick,
+    /// Calendar time of the event being handled.
+    wall: Wall,
     /// When the process last came back from a pause.
     awake: Tick,
     /// Until when the lease was last seen to be valid.
@@ -181,6 +184,10 @@
     replica: Replica,
     /// What is worked out from the node records.
     roster: Roster,
+    /// Whether node records changed since.
+    roster_due: bool,
+    /// When the roster may be worked out anew.
+    roster_next: Tick,
     /// Lease of this node.
     lease: Lease,
     /// Leases that this node keeps for others.
@@ -199,6 +206,8 @@
     vacancy: Option<Vacancy>,
     /// This node's work as the controller.
     term: Option<Term>,
+    /// The way that load is evened out.
+    policy: Policy,
     /// Whether records or reports changed since the controller last looked.
     dirty: bool,
 }
@@ -231,10 +240,13 @@
             incarnation: setup.incarnation,
             rng: ChaCha8Rng::seed_from_u64(setup.seed),
             now,
+            wall: Wall::default(),
             awake: now,
             leased: now,
             replica: Replica::default(),
             roster: Roster::default(),
+            roster_due: false,
+            roster_next: now,
             lease: Lease::default(),
             ledger: Ledger::new(now),
             inquiries: BTreeMap::new(),
@@ -244,13 +256,21 @@
             own: Membership::default(),
             vacancy: None,
             term: None,
+            policy: Policy::default(),
             dirty: false,
             setup,
         }
     }
 
+    /// Selects the way that load is evened out.
+    #[must_use]
+    pub fn with_policy(self, policy: Policy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Handles one event and appends what the daemon has to do to `out`.
-    pub fn handle(&mut self, now: Tick, _wall: Wall, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Tick, wall: Wall, event: Event, out: &mut Vec<Action>) {
+        self.wall = wall;
         self.enter(now);
         match event {
             Event::Tick => {}
@@ -318,6 +338,7 @@
 
     /// Does what the time and the changed state call for.
     fn tend(&mut self, out: &mut Vec<Action>) {
+        self.tend_roster();
         let named = self.named() && self.lease_valid();
         self.writes.retry(self.now, |purpose| purpose != Purpose::Plan || named, out);
         self.tend_membership(out);
@@ -357,7 +378,7 @@
 
     /// Takes a report of this node's own holders.
     fn local(&mut self, message: Message, out: &mut Vec<Action>) {
-        if let Some(message) = self.reports.add(message) {
+        if let Some(message) = self.reports.add(message, &self.replica) {
             self.send_report(message, out);
         }
     }
--- a/crates/whinspring/src/planner/segments.rs
+++ b/crates/whinspring/src/planner/segments.rs
@@ -5,6 +5,7 @@
     crate::{
         model::{Owner, SEGMENT_SLICES, Segment, ServerState, Service},
         name::{Name, ServerId, Slice},
+        placement::Seat,
         record::Value,
         replica::Replica,
         time::Tick,
@@ -17,13 +18,15 @@
 
 /// What a service's servers can be used for.
 #[derive(Debug)]
-struct Servers {
+pub(super) struct Servers {
     /// Servers that may be given slices, with their slots.
     usable: BTreeMap<ServerId, u32>,
     /// Servers whose slices go elsewhere at once.
     lost: BTreeSet<ServerId>,
     /// Servers whose slices go elsewhere in batches.
     draining: BTreeSet<ServerId>,
+    /// Servers that are to own their slices at the next epoch.
+    renewed: BTreeSet<ServerId>,
     /// Slices owned, or about to be owned, by each server.
     counts: BTreeMap<ServerId, usize>,
     /// Slices of each draining server that wait for their release.
@@ -53,14 +56,14 @@
             None => servers.create(service, index),
         };
         let key = segment_key(&service.name, index);
-        writes.extend(value.map(|segment| Write { key, value: Value::Segment(segment) }));
+        writes.extend(value.map(|segment| Write { key, value: Some(Value::Segment(segment)) }));
     }
     writes
 }
 
 impl Servers {
     /// Sorts the servers of a service by what they can be used for.
-    fn new(replica: &Replica, memory: &Memory, now: Tick, service: &Service) -> Self {
+    pub(super) fn new(replica: &Replica, memory: &Memory, now: Tick, service: &Service) -> Self {
         let id = |id: ServerId| (service.name.clone(), id);
         let active =
             |id: &ServerId| service.servers.get(id).is_some_and(|s| s.state == ServerState::Active);
@@ -69,7 +72,9 @@
         let mut usable = BTreeMap::new();
         let mut draining = BTreeSet::new();
         for (server, declared) in &service.servers {
-            let leaves = !active(server) || memory.leaving.contains(&declared.name);
+            let leaves = !active(server)
+                || memory.leaving.contains(&declared.name)
+                || memory.parting.contains_key(&id(*server));
             let barred = memory.barred.get(&id(*server)).is_some_and(|until| now < *until);
             if leaves {
                 draining.insert(*server);
@@ -80,8 +85,16 @@
         let total = service.servers.keys().filter(|id| active(id)).count();
         let lost_active = reported.iter().filter(|id| active(id)).count();
         let lost = if lost_active * 2 > total { BTreeSet::new() } else { reported };
-        let mut servers =
-            Self { usable, lost, draining, counts: BTreeMap::new(), waiting: BTreeMap::new() };
+        let renewed =
+            service.servers.keys().copied().filter(|s| memory.renew.contains(&id(*s))).collect();
+        let mut servers = Self {
+            renewed,
+            usable,
+            lost,
+            draining,
+            counts: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        };
         for index in 0..segment_count(service) {
             let Some(segment) = segment_of(replica, &service.name, index) else { continue };
             servers.count(segment);
@@ -89,6 +102,11 @@
         servers
     }
 
+    /// Returns the servers that may be given slices.
+    pub(super) fn seats(&self) -> Vec<Seat> {
+        self.usable.iter().map(|(server, slots)| Seat { server: *server, weight: *slots }).collect()
+    }
+
     /// Counts the slices of one segment.
     fn count(&mut self, segment: &Segment) {
         for owner in &segment.owners {
@@ -148,7 +166,8 @@
             return released.then(|| Owner { server: next, epoch: owner.epoch + 1, next: None });
         }
         if !self.must_leave(owner.server) {
-            return None;
+            let renewed = self.renewed.contains(&owner.server);
+            return renewed.then(|| Owner { epoch: owner.epoch + 1, ..owner.clone() });
         }
         let next = self.take()?;
         if let Some(count) = self.counts.get_mut(&owner.server) {
--- a/crates/whinspring/tests/holder/world.rs
+++ b/crates/whinspring/tests/holder/world.rs
@@ -37,6 +37,7 @@
     pub handed: Vec<Memory>,
     pub suspects: Vec<Suspect>,
     pub reports: Vec<Message>,
+    pub probes: u32,
     pub trace: String,
     deadlines: BTreeMap<JobId, u64>,
     cancelled: BTreeSet<JobId>,
@@ -59,8 +60,9 @@
     pub fn cold(update: Update, ms: u64, fake: Fake, policy: Policy) -> Self {
         let service = Name::from("bays");
         let now = Tick::from_millis(ms);
-        let holder = Holder::with_policy(now, service, ServerId(1), update, 7, policy);
-        Self {
+        let bare = Update { slices: Vec::new(), ..update.clone() };
+        let holder = Holder::with_policy(now, service, ServerId(1), bare, 7, policy);
+        let mut world = Self {
             holder,
             fake,
             ms,
@@ -71,10 +73,13 @@
             handed: Vec::new(),
             suspects: Vec::new(),
             reports: Vec::new(),
+            probes: 0,
             trace: String::new(),
             deadlines: BTreeMap::new(),
             cancelled: BTreeSet::new(),
-        }
+        };
+        world.input(Input::Update(Box::new(update)));
+        world
     }
 
     /// Lets a request arrive that must be answered within `within` milliseconds.
@@ -126,12 +131,11 @@
     }
 
     /// Replaces the holder by one that knows nothing, as after the loss of its node.
-    pub fn lose_holder(&mut self, term: u64, epoch: u64) {
+    pub fn lose_holder(&mut self, update: Update) {
         let open = self.metas.keys().filter(|job| !self.answers.contains_key(job));
         self.cancelled.extend(open);
         self.fake.forget();
         let now = Tick::from_millis(self.ms);
-        let update = update(term, epoch);
         self.holder = Holder::new(now, "bays".into(), ServerId(1), update, self.ms);
     }
 
@@ -140,8 +144,13 @@
         self.answers.get(&JobId(number)).map_or("none", String::as_str)
     }
 
-    /// Takes in the outputs of a holder that is closed.
-    pub fn output(&mut self, output: Output) {
+    /// Returns whether a request was lost with its holder, or cancelled.
+    pub fn is_gone(&self, number: u64) -> bool {
+        self.cancelled.contains(&JobId(number))
+    }
+
+    /// Carries an output out.
+    fn output(&mut self, output: Output) {
         self.note_output(&output);
         self.fake.act(self.ms, &output, &self.metas);
         assert!(self.fake.most <= 2, "more than two requests ran at once");
@@ -162,6 +171,7 @@
             }
             Output::HandOver(memories) => self.handed.extend(memories),
             Output::Suspect(suspect) => self.suspects.push(suspect),
+            Output::Probe => self.probes += 1,
             Output::Report(report) => self.reports.push(report),
             _ => {}
         }
