Count what is written to links; show revision and controller in the status

Cause: docs/CAPACITY.md needs the control bytes of a node and the time a record needs to be known everywhere; neither could be read from a running node. Change: link_bytes and link_writes by purpose; seen and controller on the status page. Measured: not yet; the capacity experiment reads them.

--- a/crates/whinspring-daemon/src/admin.rs
+++ b/crates/whinspring-daemon/src/admin.rs
@@ -38,6 +38,10 @@
     leaving: bool,
     /// Whether its lease holds.
     leased: bool,
+    /// Whether it is the controller.
+    controller: bool,
+    /// Revision up to which it knows every record.
+    seen: u64,
     /// Services that it knows.
     services: Vec<String>,
     /// Servers that it holds.
@@ -209,6 +213,8 @@
         ready: shared.is_ready(),
         leaving: shared.is_leaving(),
         leased: shared.is_leased(),
+        controller: shared.is_controller(),
+        seen: shared.seen(),
         services: view.services().map(|service| service.service().name.to_string()).collect(),
         held: held.collect(),
         flights: shared.metrics.flights.get(),
--- a/crates/whinspring-daemon/src/control.rs
+++ b/crates/whinspring-daemon/src/control.rs
@@ -139,6 +139,7 @@
         if shared.incarnation() != self.control.incarnation() {
             shared.set_incarnation(self.control.incarnation());
         }
+        shared.set_control(self.control.replica().seen(), self.control.is_controller());
         shared.set_lease(self.control.lease_until());
     }
 
--- a/crates/whinspring-daemon/src/link/accept.rs
+++ b/crates/whinspring-daemon/src/link/accept.rs
@@ -9,7 +9,10 @@
         served::Serving,
         socket::tune,
     },
-    crate::{exchange::Serve, metrics::Metrics},
+    crate::{
+        exchange::Serve,
+        metrics::{Metrics, Traffic},
+    },
     parking_lot::Mutex,
     std::{io, sync::Arc, time::Duration},
     tokio::{
@@ -200,4 +203,8 @@
     fn count(&self, event: &'static str) {
         self.metrics.count(event);
     }
+
+    fn traffic(&self) -> Traffic {
+        self.metrics.traffic("control")
+    }
 }
--- a/crates/whinspring-daemon/src/link/asked.rs
+++ b/crates/whinspring-daemon/src/link/asked.rs
@@ -4,7 +4,7 @@
     super::line::{Line, Receive},
     crate::{
         exchange::{Answer, Flow, Gone, Part, WINDOW_BYTES},
-        metrics::Metrics,
+        metrics::{Metrics, Traffic},
     },
     bytes::Bytes,
     parking_lot::Mutex,
@@ -159,6 +159,10 @@
     fn count(&self, event: &'static str) {
         self.metrics.count(event);
     }
+
+    fn traffic(&self) -> Traffic {
+        self.metrics.traffic("data")
+    }
 }
 
 impl Asked {
--- a/crates/whinspring-daemon/src/link/control.rs
+++ b/crates/whinspring-daemon/src/link/control.rs
@@ -7,7 +7,7 @@
         parts::parts,
         pool::{Conn, Kind, Pool},
     },
-    crate::metrics::Metrics,
+    crate::metrics::{Metrics, Traffic},
     bytes::Bytes,
     std::{sync::Arc, time::Duration},
     whinspring::{control::Peer, message::Message},
@@ -111,4 +111,8 @@
     fn count(&self, event: &'static str) {
         self.metrics.count(event);
     }
+
+    fn traffic(&self) -> Traffic {
+        self.metrics.traffic("control")
+    }
 }
--- a/crates/whinspring-daemon/src/link/line.rs
+++ b/crates/whinspring-daemon/src/link/line.rs
@@ -2,6 +2,7 @@
 
 use {
     super::handshake::Stream,
+    crate::metrics::Traffic,
     futures_util::StreamExt,
     std::{
         sync::{
@@ -63,6 +64,9 @@
 
     /// Counts an occurrence.
     fn count(&self, event: &'static str);
+
+    /// Returns the counters of what is written.
+    fn traffic(&self) -> Traffic;
 }
 
 /// The writing end of an open connection.
@@ -145,7 +149,7 @@
         work: Notify::new(),
         ended: CancellationToken::new(),
     });
-    tokio::spawn(write(line.clone(), writer, queue, patience));
+    tokio::spawn(write(line.clone(), writer, queue, patience, receiver.traffic()));
     tokio::spawn(serve(line.clone(), frames, receiver, patience));
     line
 }
@@ -235,6 +239,7 @@
     mut writer: OwnedWriteHalf,
     mut queue: mpsc::UnboundedReceiver<Frame>,
     patience: Patience,
+    traffic: Traffic,
 ) {
     let mut codec = FrameCodec::<wire::Frame>::default();
     let mut batch = Vec::with_capacity(BATCH_FRAMES);
@@ -250,12 +255,15 @@
                 line.end();
                 return;
             }
-            if buffer.len() >= BATCH_BYTES && !flush(&mut writer, &mut buffer, patience).await {
+            if buffer.len() < BATCH_BYTES {
+                continue;
+            }
+            if !flush(&mut writer, &mut buffer, patience, &traffic).await {
                 line.end();
                 return;
             }
         }
-        if !flush(&mut writer, &mut buffer, patience).await {
+        if !flush(&mut writer, &mut buffer, patience, &traffic).await {
             break;
         }
         if buffer.capacity() > KEEP_BYTES {
@@ -267,7 +275,14 @@
 }
 
 /// Writes out the buffer; `false` if the connection fails or takes nothing.
-async fn flush(writer: &mut OwnedWriteHalf, buffer: &mut BytesMut, patience: Patience) -> bool {
+async fn flush(
+    writer: &mut OwnedWriteHalf,
+    buffer: &mut BytesMut,
+    patience: Patience,
+    traffic: &Traffic,
+) -> bool {
+    traffic.bytes.inc_by(buffer.len() as u64);
+    traffic.writes.inc();
     let written = timeout(2 * patience.dead, writer.write_all(buffer)).await;
     buffer.clear();
     matches!(written, Ok(Ok(())))
--- a/crates/whinspring-daemon/src/link/served.rs
+++ b/crates/whinspring-daemon/src/link/served.rs
@@ -6,7 +6,10 @@
         line::{Line, Receive},
         parts::{Joined, Joiner},
     },
-    crate::exchange::{Call, Chunk, Flow, Part, Reply, Serve, Upload, WINDOW_BYTES},
+    crate::{
+        exchange::{Call, Chunk, Flow, Part, Reply, Serve, Upload, WINDOW_BYTES},
+        metrics::Traffic,
+    },
     bytes::Bytes,
     parking_lot::Mutex,
     std::{collections::HashMap, sync::Arc},
@@ -155,6 +158,10 @@
     fn count(&self, event: &'static str) {
         self.local.metrics.count(event);
     }
+
+    fn traffic(&self) -> Traffic {
+        self.local.metrics.traffic("data")
+    }
 }
 
 impl Served {
--- a/crates/whinspring-daemon/src/metrics.rs
+++ b/crates/whinspring-daemon/src/metrics.rs
@@ -32,6 +32,10 @@
     answers: Family<AnswerLabels, Counter>,
     /// Time from a request's head to its answer's head.
     latency: Histogram,
+    /// Bytes written to links.
+    link_bytes: Family<LinkLabels, Counter>,
+    /// Writes to links.
+    link_writes: Family<LinkLabels, Counter>,
     /// Requests of callers in progress.
     pub flights: Gauge,
     /// Requests at this node's held servers, queued or running.
@@ -49,6 +53,22 @@
     event: &'static str,
 }
 
+/// Labels of what is written to links.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LinkLabels {
+    /// What the links carry.
+    purpose: &'static str,
+}
+
+/// What is written to links of one purpose.
+#[derive(Debug, Clone)]
+pub struct Traffic {
+    /// Bytes.
+    pub bytes: Counter,
+    /// Writes, each of one or more frames.
+    pub writes: Counter,
+}
+
 /// Labels of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AnswerLabels {
@@ -68,6 +88,8 @@
         let answers = Family::default();
         let buckets = exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS);
         let latency = Histogram::new(buckets);
+        let link_bytes = Family::default();
+        let link_writes = Family::default();
         let flights = Gauge::default();
         let jobs = Gauge::default();
         let callers = Gauge::default();
@@ -75,11 +97,24 @@
         registry.register("events", "Occurrences by name", events.clone());
         registry.register("answers", "Answers to callers by result", answers.clone());
         registry.register("latency_seconds", "Time to the answer's head", latency.clone());
+        registry.register("link_bytes", "Bytes written to links", link_bytes.clone());
+        registry.register("link_writes", "Writes to links", link_writes.clone());
         registry.register("flights", "Requests of callers in progress", flights.clone());
         registry.register("jobs", "Requests queued or running at held servers", jobs.clone());
         registry.register("caller_connections", "Connections of callers", callers.clone());
         registry.register("data_links", "Data connections between nodes", links.clone());
-        Self { registry, events, answers, latency, flights, jobs, callers, links }
+        Self {
+            registry,
+            events,
+            answers,
+            latency,
+            link_bytes,
+            link_writes,
+            flights,
+            jobs,
+            callers,
+            links,
+        }
     }
 
     /// Counts an occurrence.
@@ -100,6 +135,14 @@
         self.latency.observe(took.as_secs_f64());
     }
 
+    /// Returns the counters of links that carry `purpose`.
+    pub fn traffic(&self, purpose: &'static str) -> Traffic {
+        let labels = LinkLabels { purpose };
+        let bytes = self.link_bytes.get_or_create(&labels).clone();
+        let writes = self.link_writes.get_or_create(&labels).clone();
+        Traffic { bytes, writes }
+    }
+
     /// Returns the metrics page.
     pub fn page(&self) -> String {
         let mut page = String::new();
--- a/crates/whinspring-daemon/src/shared.rs
+++ b/crates/whinspring-daemon/src/shared.rs
@@ -77,6 +77,10 @@
     changes: watch::Sender<u64>,
     /// Present incarnation of this node.
     incarnation: AtomicU64,
+    /// Revision up to which the node knows every record.
+    seen: AtomicU64,
+    /// Whether this node is the controller.
+    controls: AtomicBool,
     /// Point until which the node's lease holds.
     lease: AtomicU64,
     /// Held servers.
@@ -115,6 +119,8 @@
             journal: Journal::new(clock),
             history: Mutex::default(),
             changes: watch::Sender::new(0),
+            seen: AtomicU64::new(0),
+            controls: AtomicBool::new(false),
             lease: AtomicU64::new(0),
             held: ArcSwap::default(),
             staged: Staged::default(),
@@ -180,6 +186,22 @@
         let _ = self.links.set(links);
     }
 
+    /// Returns the revision up to which the node knows every record.
+    pub fn seen(&self) -> u64 {
+        self.seen.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether this node is the controller.
+    pub fn is_controller(&self) -> bool {
+        self.controls.load(Ordering::Relaxed)
+    }
+
+    /// Sets what the control loop says of the node.
+    pub fn set_control(&self, seen: u64, controller: bool) {
+        self.seen.store(seen, Ordering::Relaxed);
+        self.controls.store(controller, Ordering::Relaxed);
+    }
+
     /// Notes that the node has learned the records.
     pub fn set_known(&self) {
         self.known.store(true, Ordering::Relaxed);
