Measure the daemons' processor time and end processes with their parent

Cause: on a shared machine latency says little, processor time a request does; and daemons of runs that were cut by a signal went on (drain of 900 s). Change: path reports cpu_us_per_request over the paced stage; the system kills every process of a fleet when the experiment ends, however that comes about.

--- a/crates/whinspring-bench/src/fleet/process.rs
+++ b/crates/whinspring-bench/src/fleet/process.rs
@@ -185,14 +185,22 @@
 fn spawn(program: &Path, args: &[OsString], log: &Path) -> Result<Child, Error> {
     let output = File::options().create(true).append(true).open(log).context(DirSnafu)?;
     let errors = output.try_clone().context(DirSnafu)?;
-    Command::new(program)
-        .args(args)
-        .stdin(Stdio::null())
-        .stdout(output)
-        .stderr(errors)
-        .kill_on_drop(true)
-        .spawn()
-        .context(ProgramSnafu { program })
+    let mut command = Command::new(program);
+    command.args(args).stdin(Stdio::null()).stdout(output).stderr(errors).kill_on_drop(true);
+    // SAFETY: between fork and exec only one system call is made, and it takes no pointers.
+    #[allow(unsafe_code)]
+    unsafe {
+        command.pre_exec(die_with_parent);
+    }
+    command.spawn().context(ProgramSnafu { program })
+}
+
+/// Has the system kill this process when its parent ends, however that comes about.
+fn die_with_parent() -> io::Result<()> {
+    // SAFETY: prctl takes no pointers for this option.
+    #[allow(unsafe_code)]
+    let result = unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) };
+    if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
 }
 
 /// Returns the length of a file, zero if there is none.
--- a/crates/whinspring-bench/src/path.rs
+++ b/crates/whinspring-bench/src/path.rs
@@ -94,7 +94,9 @@
     }
     let entries: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.caller).collect();
     let full = generator::run(&load(&entries, None, seed), request).await;
+    let before = cpu(fleet);
     let paced = generator::run(&load(&entries, Some(PACED_RATE), seed), request).await;
+    let cpu = cpu(fleet).saturating_sub(before);
     let direct = direct(seed).await?;
     for lost in [&full, &paced, &direct].iter().filter_map(|tally| tally.first_lost.as_ref()) {
         println!("a lost request: {:?} {lost:?}", lost.ending());
@@ -109,7 +111,19 @@
     let peaks = fleet.daemons.iter().filter_map(|daemon| daemon.process.usage());
     let peak_kb = peaks.map(|usage| usage.peak_kb).max().unwrap_or_default();
     let daemons = fleet.daemons.len();
-    Ok(Stage::new(daemons, &full, &paced, &direct, &bodies, peak_kb, doubled_ids))
+    let cpu_us = cpu.as_micros() as f64 / (PACED_RATE * (WARMUP + TIME).as_secs_f64());
+    Ok(Stage::new(&full, &paced, &direct, &bodies).with_fleet(
+        daemons,
+        cpu_us,
+        peak_kb,
+        doubled_ids,
+    ))
+}
+
+/// Returns the processor time that the daemons have used so far.
+fn cpu(fleet: &Fleet) -> Duration {
+    let usages = fleet.daemons.iter().filter_map(|daemon| daemon.process.usage());
+    usages.map(|usage| usage.cpu).sum()
 }
 
 /// Sends the same requests to a server that checks nothing, without a daemon between.
--- a/crates/whinspring-bench/src/path/report.rs
+++ b/crates/whinspring-bench/src/path/report.rs
@@ -3,7 +3,7 @@
 use {super::bodies::Bodies, crate::generator::Tally, serde::Serialize};
 
 /// Figures of a fleet of one size.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Default, Serialize)]
 pub(super) struct Stage {
     daemons: usize,
     requests_per_s: f64,
@@ -16,6 +16,7 @@
     direct_p50_us: u64,
     direct_p99_us: u64,
     added_p99_us: i64,
+    cpu_us_per_request: f64,
     bodies_whole: u64,
     bodies_ms: u128,
     rss_mb: f64,
@@ -45,19 +46,10 @@
 }
 
 impl Stage {
-    /// Puts the figures of one fleet together.
-    pub(super) fn new(
-        daemons: usize,
-        full: &Tally,
-        paced: &Tally,
-        direct: &Tally,
-        bodies: &Bodies,
-        peak_kb: u64,
-        doubled: u64,
-    ) -> Self {
+    /// Puts together what callers saw.
+    pub(super) fn new(full: &Tally, paced: &Tally, direct: &Tally, bodies: &Bodies) -> Self {
         let p99 = |tally: &Tally| tally.percentile(99.0);
         Self {
-            daemons,
             requests_per_s: full.rate().round(),
             full_p50_us: full.percentile(50.0),
             full_p99_us: p99(full),
@@ -70,14 +62,25 @@
             added_p99_us: p99(paced) as i64 - p99(direct) as i64,
             bodies_whole: bodies.whole,
             bodies_ms: bodies.time.as_millis(),
-            rss_mb: (peak_kb as f64 / 102.4).round() / 10.0,
             refused: full.refused + paced.refused,
             unknown: full.unknown + paced.unknown,
             lost: full.lost + paced.lost + bodies.lost,
-            doubled,
+            ..Self::default()
         }
     }
 
+    /// Adds what the processes and the run logs show.
+    pub(super) fn with_fleet(
+        self,
+        daemons: usize,
+        cpu_us: f64,
+        peak_kb: u64,
+        doubled: u64,
+    ) -> Self {
+        let rss_mb = (peak_kb as f64 / 102.4).round() / 10.0;
+        Self { daemons, cpu_us_per_request: cpu_us.round(), rss_mb, doubled, ..self }
+    }
+
     /// Returns the figures as one line.
     pub(super) fn to_json(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
