Measure what a node costs at several sizes

Change: whinspring-bench capacity: fleets of 3, 9, 27 and 81 daemons idle, changing configuration and losing a daemon; records and tables; processor time of requests.

--- /dev/null
+++ b/crates/whinspring-bench/src/capacity/fit.rs
@@ -0,0 +1,40 @@
+//! Least-squares lines.
+
+use serde::Serialize;
+
+/// A line through measured points.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Line {
+    /// Value at zero.
+    pub base: f64,
+    /// Rise for each unit.
+    pub slope: f64,
+    /// Standard error of the slope; `None` with fewer than three points.
+    pub slope_error: Option<f64>,
+    /// Points.
+    pub points: usize,
+}
+
+impl Line {
+    /// Fits a line; `None` with fewer than two different abscissas.
+    pub fn fit(points: &[(f64, f64)]) -> Option<Self> {
+        let count = points.len() as f64;
+        let mean = |value: fn(&(f64, f64)) -> f64| points.iter().map(value).sum::<f64>() / count;
+        let (mean_x, mean_y) = (mean(|point| point.0), mean(|point| point.1));
+        let spread: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+        if spread == 0.0 || points.is_empty() {
+            return None;
+        }
+        let joint: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+        let slope = joint / spread;
+        let base = mean_y - slope * mean_x;
+        let rest: f64 = points.iter().map(|(x, y)| (y - base - slope * x).powi(2)).sum();
+        let slope_error = (points.len() > 2).then(|| (rest / (count - 2.0) / spread).sqrt());
+        Some(Self { base, slope, slope_error, points: points.len() })
+    }
+
+    /// Returns the value at `x`.
+    pub fn at(&self, x: f64) -> f64 {
+        self.base + self.slope * x
+    }
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/capacity/report.rs
@@ -0,0 +1,125 @@
+//! What the slopes say of the size to come.
+
+use {
+    super::{Point, fit::Line, requests::Requests, tables::Tables},
+    serde_json::{Value as Json, json},
+};
+
+/// Nodes to come.
+const NODES: f64 = 1_300.0;
+
+/// Failure domains to come.
+const DOMAINS: f64 = 9.0;
+
+/// Requests a second to come.
+const REQUESTS: f64 = 19_000_000.0;
+
+/// Configuration changes a day.
+const CHANGES_A_DAY: f64 = 1_300.0;
+
+/// VMs replaced a day.
+const REPLACED_A_DAY: f64 = 370.0;
+
+/// Seconds of a day.
+const DAY_S: f64 = 86_400.0;
+
+/// Slices of the service to come.
+const SLICES: f64 = 65_536.0;
+
+/// Time within which the loss of a failure domain has to be worked off, in seconds.
+const LOSS_S: f64 = 1.0;
+
+/// The lines and what they say of the size to come.
+pub struct Report {
+    json: Json,
+}
+
+impl Report {
+    /// Carries the measured lines on.
+    pub fn new(tables: &Tables, points: &[Point], requests: &Requests) -> Self {
+        let line = |value: fn(&Point) -> f64| fit(points, value);
+        let bytes = line(|point| point.idle.wire_bytes);
+        let cpu = line(|point| point.idle.control_cpu);
+        let rss = line(|point| point.idle.rss_mb);
+        let reads = line(|point| point.idle.reads);
+        let spread = line(|point| point.spread.ms.iter().copied().fold(0.0, f64::max));
+        let served = served(points);
+        let loss_writes = line(|point| point.loss.writes);
+        let change_writes = line(|point| point.spread.writes);
+        let change_reads = line(|point| point.spread.reads);
+        let table_mb = tables.slice_bytes.map(|line| line.at(SLICES) / 1e6);
+        let a_day =
+            |line: &Option<Line>, count: f64| line.map(|line| line.at(NODES) * count / DAY_S);
+        let writes =
+            sum([a_day(&change_writes, CHANGES_A_DAY), a_day(&loss_writes, REPLACED_A_DAY)]);
+        let domain = loss_writes.map(|line| line.at(NODES) * NODES / DOMAINS / LOSS_S);
+        let json = json!({
+            "slopes": {
+                "control_bytes_per_s": bytes,
+                "control_cpu_share": cpu,
+                "rss_mb": rss,
+                "store_reads_per_s": reads,
+                "spread_ms": spread,
+                "served_again_ms": served,
+                "loss_writes": loss_writes,
+                "change_writes": change_writes,
+                "change_reads": change_reads,
+                "request_cpu": requests.cpu,
+                "slice_bytes": tables.slice_bytes,
+                "holder_bytes": tables.holder_bytes,
+                "apply_us": tables.apply_us,
+            },
+            "table_mb": table_mb,
+            "request_cores_per_node": requests.cpu.map(|line| line.slope * REQUESTS / NODES),
+            "control_bytes_per_s": at(bytes),
+            "control_cpu_share": at(cpu),
+            "rss_mb": at(rss),
+            "store_writes_per_s": writes,
+            "store_writes_domain_loss_per_s": domain,
+            "store_reads_per_s": sum([at(reads), a_day(&change_reads, CHANGES_A_DAY)]),
+            "config_spread_s": at(spread).map(|ms| ms / 1e3),
+            "served_again_ms": at(served),
+        });
+        Self { json }
+    }
+
+    /// Returns the report as JSON.
+    pub fn to_json(&self) -> &Json {
+        &self.json
+    }
+}
+
+/// Returns what was measured of one fleet.
+pub fn point(point: &Point) -> Json {
+    json!({
+        "nodes": point.nodes,
+        "idle": point.idle,
+        "spread": point.spread,
+        "loss": point.loss,
+    })
+}
+
+/// Fits a value over the number of nodes.
+fn fit(points: &[Point], value: fn(&Point) -> f64) -> Option<Line> {
+    let pairs: Vec<_> = points.iter().map(|point| (point.nodes as f64, value(point))).collect();
+    Line::fit(&pairs)
+}
+
+/// Fits the time until keys were served again; `None` if some never were.
+fn served(points: &[Point]) -> Option<Line> {
+    let pairs: Option<Vec<_>> = points
+        .iter()
+        .map(|point| Some((point.nodes as f64, point.loss.served_again_ms?)))
+        .collect();
+    Line::fit(&pairs?)
+}
+
+/// Returns a line's value at the size to come.
+fn at(line: Option<Line>) -> Option<f64> {
+    line.map(|line| line.at(NODES))
+}
+
+/// Adds two values that are both known.
+fn sum(values: [Option<f64>; 2]) -> Option<f64> {
+    Some(values[0]? + values[1]?)
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/capacity/spread.rs
@@ -0,0 +1,126 @@
+//! The time that a configuration change needs to be known to every node.
+
+use {
+    super::idle::Calls,
+    crate::fleet::{Daemon, Error, Fleet},
+    hyper::Method,
+    serde::Serialize,
+    std::{
+        ffi::OsStr,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time::sleep},
+    whinspring::record::{Key, Kind},
+    whinspring_platform::Platform,
+    whinspring_standin::control::call,
+};
+
+/// Changes made.
+const CHANGES: u32 = 5;
+
+/// Longest wait for one change.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// Time left for what follows from a change.
+const AFTER: Duration = Duration::from_millis(500);
+
+/// Spread of configuration changes.
+#[derive(Debug, Clone, Serialize)]
+pub struct Spread {
+    /// Time from the write of the service's record to the last node that knows it, in ms.
+    pub ms: Vec<f64>,
+    /// Changes that some node did not know within the limit.
+    pub late: u32,
+    /// Platform writes for each change, the operators' client included.
+    pub writes: f64,
+    /// Platform reads of the nodes for each change.
+    pub reads: f64,
+}
+
+/// Changes a customer's share a few times and times its spread.
+pub async fn measure(fleet: &Fleet, service: &str) -> Result<Spread, Error> {
+    let calls = Calls::read(fleet).await?;
+    let mut ms = Vec::new();
+    let mut late = 0;
+    for change in 0..CHANGES {
+        match spread(fleet, service, change + 2).await? {
+            Some(time) => ms.push(time.as_secs_f64() * 1e3),
+            None => late += 1,
+        }
+        sleep(AFTER).await;
+    }
+    let calls = Calls::read(fleet).await?.since(&calls);
+    let changes = f64::from(CHANGES);
+    Ok(Spread { ms, late, writes: calls.writes / changes, reads: calls.reads / changes })
+}
+
+/// Times one change; `None` if it was not known everywhere within [`LIMIT`].
+async fn spread(fleet: &Fleet, service: &str, share: u32) -> Result<Option<Duration>, Error> {
+    let platform = Platform::new(fleet.store);
+    let before = version(&platform, service).await;
+    let share = share.to_string();
+    let args = ["share", service, &share, "capacity"].map(OsStr::new);
+    let written = written(&platform, service, before);
+    let (said, written) = tokio::join!(fleet.operator.change(args), written);
+    said?;
+    let Some((revision, start)) = written else { return Ok(None) };
+    let end = start + LIMIT;
+    let mut looks = JoinSet::new();
+    for daemon in fleet.daemons.iter().filter(|daemon| daemon.is_running()) {
+        looks.spawn(known(daemon.admin, revision, end));
+    }
+    let known = looks.join_all().await.into_iter().all(|known| known);
+    Ok(known.then(|| start.elapsed()))
+}
+
+/// Waits for a later version of a service's record; returns it and when it was seen.
+async fn written(platform: &Platform, service: &str, before: u64) -> Option<(u64, Instant)> {
+    let end = Instant::now() + LIMIT;
+    while Instant::now() < end {
+        let now = version(platform, service).await;
+        if now > before {
+            return Some((now, Instant::now()));
+        }
+        sleep(LOOK).await;
+    }
+    None
+}
+
+/// Returns the version of a service's record.
+async fn version(platform: &Platform, service: &str) -> u64 {
+    let key = Key::new(Kind::Service, service);
+    let object = platform.get(&key).await.ok().flatten();
+    object.map_or(0, |object| object.version)
+}
+
+/// Waits until a node knows a revision; returns whether it did by `end`.
+async fn known(admin: SocketAddr, revision: u64, end: Instant) -> bool {
+    while Instant::now() < end {
+        if seen(admin).await >= revision {
+            return true;
+        }
+        sleep(LOOK).await;
+    }
+    false
+}
+
+/// Returns the revision that a node says to know.
+async fn seen(admin: SocketAddr) -> u64 {
+    let Ok(answer) = call(admin, Method::GET, "/status", "").await else { return 0 };
+    let status: serde_json::Value = serde_json::from_slice(answer.body()).unwrap_or_default();
+    status["seen"].as_u64().unwrap_or_default()
+}
+
+/// Returns whether a daemon holds servers, and whether it is the controller.
+pub async fn role(daemon: &Daemon) -> (usize, bool) {
+    let Ok(answer) = call(daemon.admin, Method::GET, "/status", "").await else {
+        return (0, false);
+    };
+    let status: serde_json::Value = serde_json::from_slice(answer.body()).unwrap_or_default();
+    let held = status["held"].as_array().map_or(0, Vec::len);
+    (held, status["controller"].as_bool().unwrap_or_default())
+}
--- a/crates/whinspring-bench/src/fleet/operator.rs
+++ b/crates/whinspring-bench/src/fleet/operator.rs
@@ -38,9 +38,16 @@
 
     /// Plans a service declared in a file, and confirms the plan.
     pub async fn declare(&self, file: &Path) -> Result<Vec<Said>, Error> {
-        let planned = self
-            .run(["service", "declare"].map(OsStr::new).into_iter().chain([file.as_os_str()]))
-            .await?;
+        let command = ["service", "declare"].map(OsStr::new);
+        self.change(command.into_iter().chain([file.as_os_str()])).await
+    }
+
+    /// Plans a change, confirms the plan and waits for its end.
+    pub async fn change<'a>(
+        &self,
+        args: impl IntoIterator<Item = &'a OsStr>,
+    ) -> Result<Vec<Said>, Error> {
+        let planned = self.run(args).await?;
         let Some(plan) = plan_id(&planned.output) else {
             let Said { command, output } = planned;
             return OperatorSnafu { command, output }.fail();
--- a/crates/whinspring-bench/src/fleet/process.rs
+++ b/crates/whinspring-bench/src/fleet/process.rs
@@ -145,6 +145,13 @@
         self.signal(libc::SIGCONT)
     }
 
+    /// Returns the processor time of its living threads of this name.
+    pub fn thread_time(&self, name: &str) -> Duration {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.pid));
+        let tasks = tasks.into_iter().flatten().flatten();
+        tasks.filter_map(|task| thread_time(&task.path(), name)).sum()
+    }
+
     /// Waits until it ends by itself, at most `limit`; returns whether it did.
     pub async fn ends_within(&mut self, limit: Duration) -> bool {
         let ended = tokio::time::timeout(limit, self.child.wait()).await.is_ok();
@@ -216,11 +223,25 @@
         line.trim_end_matches("kB").trim().parse().ok()
     };
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let cpu = cpu_time(&stat)?;
+    Some(Usage { cpu, rss_kb: kb("VmRSS:")?, peak_kb: kb("VmHWM:")? })
+}
+
+/// Returns the processor time of a thread if it has this name.
+fn thread_time(task: &Path, name: &str) -> Option<Duration> {
+    let comm = std::fs::read_to_string(task.join("comm")).ok()?;
+    if comm.trim() != name {
+        return None;
+    }
+    cpu_time(&std::fs::read_to_string(task.join("stat")).ok()?)
+}
+
+/// Returns the processor time in process or thread statistics.
+fn cpu_time(stat: &str) -> Option<Duration> {
     let (_, fields) = stat.rsplit_once(')')?;
     let mut ticks = fields.split_whitespace().skip(11).map_while(|field| field.parse::<u64>().ok());
     let cpu_ticks = ticks.next()? + ticks.next()?;
-    let cpu = Duration::from_secs_f64(cpu_ticks as f64 / ticks_per_s());
-    Some(Usage { cpu, rss_kb: kb("VmRSS:")?, peak_kb: kb("VmHWM:")? })
+    Some(Duration::from_secs_f64(cpu_ticks as f64 / ticks_per_s()))
 }
 
 /// Returns the number of clock ticks a second in process statistics.
--- a/crates/whinspring-bench/src/lib.rs
+++ b/crates/whinspring-bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! sends many of them, and [`verdict`] holds what callers saw against what the servers ran. Each
 //! experiment is a module of its own.
 
+pub mod capacity;
 pub mod demo;
 pub mod driver;
 pub mod fleet;
