--- a/crates/whinspring/src/control.rs
+++ b/crates/whinspring/src/control.rs
@@ -378,7 +378,7 @@
 
     /// Takes a report of this node's own holders.
     fn local(&mut self, message: Message, out: &mut Vec<Action>) {
-        if let Some(message) = self.reports.add(message, &self.replica) {
+        if let Some(message) = self.reports.add(self.now, message, &self.replica) {
             self.send_report(message, out);
         }
     }
--- a/crates/whinspring/src/control/membership.rs
+++ b/crates/whinspring/src/control/membership.rs
@@ -395,6 +395,9 @@
         self.own.next_probe = self.now + PROBE;
         let lessors = self.lease.lessors();
         let wanted = LESSORS.saturating_sub(lessors.len());
+        if wanted == 0 {
+            return;
+        }
         let mut candidates = self.others();
         candidates.retain(|name| !lessors.contains(name) && !self.heard(name, FRESH));
         candidates.sort_by_cached_key(|name| self.preference(name, &lessors));
--- a/crates/whinspring/src/control/reports.rs
+++ b/crates/whinspring/src/control/reports.rs
@@ -5,6 +5,7 @@
         message::Message,
         model::Owner,
         name::{Name, ServerId, Slice},
+        planner::load::period,
         record::{Key, Kind, Value},
         replica::Replica,
         time::Tick,
@@ -45,11 +46,17 @@
 pub(super) struct Reports {
     /// Reports by subject.
     open: BTreeMap<Subject, Report>,
+    /// When the load of each server was last sent on.
+    loads: BTreeMap<(Name, ServerId), Tick>,
 }
 
 impl Reports {
     /// Takes a report of a holder; returns it if it is to be sent once and forgotten.
-    pub fn add(&mut self, mut message: Message, replica: &Replica) -> Option<Message> {
+    pub fn add(&mut self, now: Tick, mut message: Message, replica: &Replica) -> Option<Message> {
+        if let Message::Load { service, server, .. } = &message {
+            let id = (service.clone(), *server);
+            return self.load_due(now, id, replica).then_some(message);
+        }
         let subject = match &message {
             Message::ServerLost { service, server, .. }
             | Message::ServerBack { service, server, .. } => {
@@ -70,6 +77,17 @@
         None
     }
 
+    /// Returns whether the load of a server is to be sent on now.
+    fn load_due(&mut self, now: Tick, id: (Name, ServerId), replica: &Replica) -> bool {
+        let period = period(replica);
+        if self.loads.get(&id).is_some_and(|sent| now.since(*sent) < period) {
+            return false;
+        }
+        self.loads.retain(|_, sent| now.since(*sent) < period * 2);
+        self.loads.insert(id, now);
+        true
+    }
+
     /// Returns the reports that are due, and drops those that the records show to be done.
     pub fn due(&mut self, now: Tick, replica: &Replica) -> Vec<Message> {
         self.open.retain(|_, report| !report.done(replica));
--- a/crates/whinspring/src/holder/release.rs
+++ b/crates/whinspring/src/holder/release.rs
@@ -45,6 +45,9 @@
         let grants = &self.grants;
         self.duplicates.retain(|key, slice| grants.covers(key, slice));
         self.hand_over(cx, lost);
+        if !self.grants.released().is_empty() {
+            self.report_released(cx);
+        }
         self.merge_staged(cx);
         self.reject_moved(cx);
         self.unpark();
--- a/crates/whinspring/src/planner/load.rs
+++ b/crates/whinspring/src/planner/load.rs
@@ -1,8 +1,10 @@
 //! Measured load, smoothed, as the holders report it.
 
 use {
+    super::services,
     crate::{
         name::{Name, ServerId, Slice},
+        replica::Replica,
         time::Tick,
     },
     std::{collections::BTreeMap, time::Duration},
@@ -14,8 +16,21 @@
 /// Load below which an item is forgotten, in microseconds of slot time a second.
 const FORGET: f64 = 10.0;
 
-/// Time after which a report is no longer relied on.
-const FRESH: Duration = Duration::from_secs(5);
+/// Reports that the controller takes in a second, over all servers.
+const REPORTS_PER_S: u32 = 100;
+
+/// Shortest time between two reports on a server.
+const PERIOD_MIN: Duration = Duration::from_millis(900);
+
+/// Periods after which a report is no longer relied on.
+const FRESH_PERIODS: u32 = 5;
+
+/// Returns the time between two reports on a server: it grows with the number of servers, so that
+/// the controller's share of the network does not.
+pub fn period(replica: &Replica) -> Duration {
+    let servers: usize = services(replica).map(|service| service.servers.len()).sum();
+    PERIOD_MIN.max(Duration::from_secs(1) * servers as u32 / REPORTS_PER_S)
+}
 
 /// The load of one server.
 #[derive(Debug, Default)]
@@ -46,9 +61,9 @@
         mix(&mut self.keys, keys, first);
     }
 
-    /// Returns whether the load is recent.
-    pub fn is_fresh(&self, now: Tick) -> bool {
-        self.at > Tick::default() && now.since(self.at) < FRESH
+    /// Returns whether the load is recent, for reports at intervals of `period`.
+    pub fn is_fresh(&self, now: Tick, period: Duration) -> bool {
+        self.at > Tick::default() && now.since(self.at) < period * FRESH_PERIODS
     }
 }
 
--- a/crates/whinspring/src/planner/rebalance.rs
+++ b/crates/whinspring/src/planner/rebalance.rs
@@ -2,7 +2,11 @@
 
 use {
     super::{
-        Memory, Write, load::ServerLoad, plans::lift, segment_key, segment_of, segments::Servers,
+        Memory, Write,
+        load::{ServerLoad, period},
+        plans::lift,
+        segment_key, segment_of,
+        segments::Servers,
     },
     crate::{
         control::roster::rank,
@@ -13,7 +17,7 @@
         replica::Replica,
         time::Tick,
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// Load above the mean that is left alone, as a share of the mean.
@@ -63,7 +67,9 @@
     }
     let servers = Servers::new(replica, memory, now, service);
     let seats: Vec<Seat> = servers.seats();
-    let Some(measured) = Measured::new(memory, now, service, &seats) else { return Vec::new() };
+    let Some(measured) = Measured::new(memory, now, period(replica), service, &seats) else {
+        return Vec::new();
+    };
     let mut after = segments.clone();
     sort_keys(replica, service, &measured, &mut after);
     let (items, units) = units(service, &measured, &after);
@@ -99,10 +105,17 @@
 
 impl<'a> Measured<'a> {
     /// Gathers the load; `None` unless all or none of the servers reported lately.
-    fn new(memory: &'a Memory, now: Tick, service: &Service, seats: &[Seat]) -> Option<Self> {
+    fn new(
+        memory: &'a Memory,
+        now: Tick,
+        period: Duration,
+        service: &Service,
+        seats: &[Seat],
+    ) -> Option<Self> {
         let load = |seat: &Seat| memory.loads.get(&(service.name.clone(), seat.server));
-        let fresh =
-            |seat: &Seat| load(seat).filter(|load| load.is_fresh(now)).map(|l| (seat.server, l));
+        let fresh = |seat: &Seat| {
+            load(seat).filter(|load| load.is_fresh(now, period)).map(|l| (seat.server, l))
+        };
         let servers: BTreeMap<ServerId, &ServerLoad> = seats.iter().filter_map(fresh).collect();
         if seats.is_empty() || !(servers.is_empty() || servers.len() == seats.len()) {
             return None;
