--- /dev/null
+++ b/crates/whinspring/src/control/choice.rs
@@ -0,0 +1,157 @@
+//! Which nodes keep this node's lease: chosen, replaced when they are silent, spread evenly.
+
+use {
+    super::{Action, Control, Peer, membership::LEASELESS, roster},
+    crate::{
+        lease::LESSORS,
+        message::Message,
+        model::{Node, NodeState},
+        name::Name,
+    },
+    rand::Rng,
+    std::time::Duration,
+};
+
+/// Time without acknowledgement after which a lessor is replaced.
+const LESSOR_SILENT: Duration = Duration::from_millis(400);
+
+/// Time for which a silent node is not chosen again, unless there is no other.
+const SHUN: Duration = Duration::from_millis(5_000);
+
+/// Time within which a node must have been heard to be added as a lessor.
+const FRESH: Duration = Duration::from_millis(1_000);
+
+/// Largest number of other nodes that a node without lessors may disregard.
+const SOLO_OTHERS: usize = 2;
+
+/// Leases that a lessor keeps before some of its lessees look for another.
+const MAX_LEASES: usize = 6;
+
+/// Longest time between two looks at the leases that the lessors keep.
+const EVEN: Duration = Duration::from_millis(10_000);
+
+/// Time between two rounds of questions to possible lessors.
+const PROBE: Duration = Duration::from_millis(300);
+
+impl Control {
+    /// Returns the lessors that this node's record should name.
+    pub(super) fn wanted_lessors(&mut self, own: &Node) -> Vec<Name> {
+        let good: Vec<Name> = own.lessors.iter().filter(|name| self.good(name)).cloned().collect();
+        let mute = own.lessors.iter().filter(|name| self.mute(name)).cloned();
+        for name in mute.collect::<Vec<_>>() {
+            self.own.shunned.insert(name, self.now);
+        }
+        let now = self.now;
+        self.own.shunned.retain(|_, since| now.since(*since) < SHUN);
+        if good.len() == LESSORS {
+            return self.evened(good);
+        }
+        let leaseless = now.since(self.leased) >= LEASELESS;
+        if !good.is_empty() || own.lessors.is_empty() {
+            let fresh = (good.len() == own.lessors.len()).then_some(FRESH);
+            return self.choose(&good, fresh);
+        }
+        let others = self.others();
+        if others.len() <= 1 || (others.len() <= SOLO_OTHERS && leaseless) {
+            return Vec::new();
+        }
+        let heard = self.choose(&[], Some(FRESH));
+        if !heard.is_empty() {
+            return heard;
+        }
+        if !leaseless || now < self.own.next_change {
+            return own.lessors.clone();
+        }
+        self.choose(&[], None)
+    }
+
+    /// Replaces, once in a while, a lessor that keeps far more leases than others.
+    fn evened(&mut self, mut lessors: Vec<Name>) -> Vec<Name> {
+        if self.now < self.own.next_even {
+            return lessors;
+        }
+        self.own.next_even = self.now + self.jitter(EVEN);
+        let crowded = |name: &Name| self.roster.load(name) > MAX_LEASES;
+        let Some(place) = lessors.iter().position(crowded) else { return lessors };
+        if self.rng.random_bool(0.5) {
+            return lessors;
+        }
+        let crowded = lessors.remove(place);
+        self.own.shunned.insert(crowded, self.now);
+        self.choose(&lessors, None)
+    }
+
+    /// Returns whether a lessor is the process that was chosen, stays, and answers.
+    fn good(&self, name: &Name) -> bool {
+        let Some((_, node)) = roster::node(&self.replica, name) else { return false };
+        let chosen = self.own.chosen.get(name).map(|chosen| chosen.0);
+        node.state == NodeState::Live && chosen == Some(node.incarnation) && !self.mute(name)
+    }
+
+    /// Returns whether a lessor has not acknowledged for long.
+    fn mute(&self, name: &Name) -> bool {
+        let since = self.own.chosen.get(name).map(|chosen| chosen.1).unwrap_or_default();
+        let acked = self.lease.acked(name).unwrap_or_default();
+        self.now.since(acked.max(since).max(self.awake)) >= LESSOR_SILENT
+    }
+
+    /// Adds lessors to `kept`: other failure domains first, few leases, then a fixed random order.
+    ///
+    /// With `fresh` only nodes heard within this span are added.
+    pub(super) fn choose(&self, kept: &[Name], fresh: Option<Duration>) -> Vec<Name> {
+        let mut chosen = kept.to_vec();
+        let mut candidates = self.others();
+        candidates.retain(|name| !kept.contains(name));
+        if let Some(span) = fresh {
+            candidates
+                .retain(|name| self.heard(name, span) && !self.own.shunned.contains_key(name));
+        } else if !kept.is_empty() {
+            candidates.retain(|name| !self.own.shunned.contains_key(name));
+        }
+        while chosen.len() < LESSORS {
+            let best = candidates.iter().min_by_key(|name| self.preference(name, &chosen)).cloned();
+            let Some(best) = best else { break };
+            candidates.retain(|name| *name != best);
+            chosen.push(best);
+        }
+        chosen
+    }
+
+    /// Orders candidates for a lessor beside those `chosen`.
+    fn preference(&self, name: &Name, chosen: &[Name]) -> (bool, bool, bool, usize, u64) {
+        let domain =
+            |name: &Name| roster::node(&self.replica, name).map(|(_, node)| node.domain.clone());
+        let own = domain(name);
+        let near = own.as_ref() == Some(&self.setup.domain);
+        let twice = chosen.iter().any(|other| domain(other) == own);
+        let shunned = self.own.shunned.contains_key(name);
+        (shunned, near, twice, self.roster.load(name), roster::rank(&[&self.setup.name, name], 0))
+    }
+
+    /// Returns the other live nodes whose VMs are not gone.
+    fn others(&self) -> Vec<Name> {
+        let gone = &self.own.vms_gone;
+        self.roster.others.iter().filter(|name| !gone.contains(name)).cloned().collect()
+    }
+
+    /// Asks nodes that could become lessors whether they are there.
+    pub(super) fn tend_probes(&mut self, out: &mut Vec<Action>) {
+        if self.now < self.own.next_probe || !self.own.present {
+            return;
+        }
+        self.own.next_probe = self.now + PROBE;
+        let lessors = self.lease.lessors();
+        let wanted = LESSORS.saturating_sub(lessors.len());
+        if wanted == 0 {
+            return;
+        }
+        let mut candidates = self.others();
+        candidates.retain(|name| !lessors.contains(name) && !self.heard(name, FRESH));
+        candidates.sort_by_cached_key(|name| self.preference(name, &lessors));
+        for name in candidates.into_iter().take(wanted) {
+            let Some((_, node)) = roster::node(&self.replica, &name) else { continue };
+            let peer = Peer { name, addr: node.addr };
+            out.push(Action::Send(peer, Message::Pull { seen: self.replica.seen() }));
+        }
+    }
+}
--- a/crates/whinspring/src/control/membership.rs
+++ b/crates/whinspring/src/control/membership.rs
@@ -1,10 +1,9 @@
 //! This node's own record: joining, choice of lessors, return after a loss, graceful stop.
 
 use {
-    super::{Action, Control, Peer, VmState, roster, writes::Purpose},
+    super::{Action, Control, VmState, roster, writes::Purpose},
     crate::{
-        lease::{HEARTBEAT, LESSORS, SOLO_RENEW},
-        message::Message,
+        lease::{HEARTBEAT, SOLO_RENEW},
         model::{Node, NodeState},
         name::Name,
         record::{Key, Kind, Value},
@@ -14,36 +13,15 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Time without acknowledgement after which a lessor is replaced.
-const LESSOR_SILENT: Duration = Duration::from_millis(400);
-
 /// Time that future lessors have to acknowledge.
 const COURT: Duration = Duration::from_millis(300);
 
-/// Time for which a silent node is not chosen again, unless there is no other.
-const SHUN: Duration = Duration::from_millis(5_000);
-
-/// Time within which a node must have been heard to be added as a lessor.
-const FRESH: Duration = Duration::from_millis(1_000);
-
 /// Time without a lease before desperate changes of lessors.
-const LEASELESS: Duration = Duration::from_millis(1_500);
+pub(super) const LEASELESS: Duration = Duration::from_millis(1_500);
 
 /// Longest wait between such changes.
 const STUCK_MAX: Duration = Duration::from_millis(30_000);
 
-/// Largest number of other nodes that a node without lessors may disregard.
-const SOLO_OTHERS: usize = 2;
-
-/// Leases that a lessor keeps before some of its lessees look for another.
-const MAX_LEASES: usize = 6;
-
-/// Longest time between two looks at the leases that the lessors keep.
-const EVEN: Duration = Duration::from_millis(10_000);
-
-/// Time between two rounds of questions to possible lessors.
-const PROBE: Duration = Duration::from_millis(300);
-
 /// Time between two looks at the list of VMs.
 const VMS_INTERVAL: Duration = Duration::from_millis(5_000);
 
@@ -65,9 +43,9 @@
     /// VMs that the platform says are leaving.
     pub vms_leaving: Vec<Name>,
     /// Incarnation of each lessor when it was chosen, and when that was.
-    chosen: BTreeMap<Name, (u64, Tick)>,
+    pub chosen: BTreeMap<Name, (u64, Tick)>,
     /// Nodes that were silent as lessors, and when.
-    shunned: BTreeMap<Name, Tick>,
+    pub shunned: BTreeMap<Name, Tick>,
     /// State and lessors in the write under way.
     proposed: Option<(NodeState, Vec<Name>)>,
     /// When future lessors were first asked.
@@ -77,13 +55,13 @@
     /// Next round of heartbeats.
     next_beat: Tick,
     /// Next desperate write of the own record.
-    next_change: Tick,
+    pub next_change: Tick,
     /// Wait after it.
     stuck_wait: Duration,
     /// Next round of questions to possible lessors.
-    next_probe: Tick,
+    pub next_probe: Tick,
     /// Next look at the leases that the lessors keep.
-    next_even: Tick,
+    pub next_even: Tick,
     /// Next look at the list of VMs.
     next_vms: Tick,
 }
@@ -278,106 +256,6 @@
         out.push(self.writes.put(Purpose::Own, key, expect, Some(Value::Node(node)), mark));
     }
 
-    /// Returns the lessors that this node's record should name.
-    fn wanted_lessors(&mut self, own: &Node) -> Vec<Name> {
-        let good: Vec<Name> = own.lessors.iter().filter(|name| self.good(name)).cloned().collect();
-        let mute = own.lessors.iter().filter(|name| self.mute(name)).cloned();
-        for name in mute.collect::<Vec<_>>() {
-            self.own.shunned.insert(name, self.now);
-        }
-        let now = self.now;
-        self.own.shunned.retain(|_, since| now.since(*since) < SHUN);
-        if good.len() == LESSORS {
-            return self.evened(good);
-        }
-        let leaseless = now.since(self.leased) >= LEASELESS;
-        if !good.is_empty() || own.lessors.is_empty() {
-            let fresh = (good.len() == own.lessors.len()).then_some(FRESH);
-            return self.choose(&good, fresh);
-        }
-        let others = self.others();
-        if others.len() <= 1 || (others.len() <= SOLO_OTHERS && leaseless) {
-            return Vec::new();
-        }
-        let heard = self.choose(&[], Some(FRESH));
-        if !heard.is_empty() {
-            return heard;
-        }
-        if !leaseless || now < self.own.next_change {
-            return own.lessors.clone();
-        }
-        self.choose(&[], None)
-    }
-
-    /// Replaces, once in a while, a lessor that keeps far more leases than others.
-    fn evened(&mut self, mut lessors: Vec<Name>) -> Vec<Name> {
-        if self.now < self.own.next_even {
-            return lessors;
-        }
-        self.own.next_even = self.now + self.jitter(EVEN);
-        let crowded = |name: &Name| self.roster.load(name) > MAX_LEASES;
-        let Some(place) = lessors.iter().position(crowded) else { return lessors };
-        if self.rng.random_bool(0.5) {
-            return lessors;
-        }
-        let crowded = lessors.remove(place);
-        self.own.shunned.insert(crowded, self.now);
-        self.choose(&lessors, None)
-    }
-
-    /// Returns whether a lessor is the process that was chosen, stays, and answers.
-    fn good(&self, name: &Name) -> bool {
-        let Some((_, node)) = roster::node(&self.replica, name) else { return false };
-        let chosen = self.own.chosen.get(name).map(|chosen| chosen.0);
-        node.state == NodeState::Live && chosen == Some(node.incarnation) && !self.mute(name)
-    }
-
-    /// Returns whether a lessor has not acknowledged for long.
-    fn mute(&self, name: &Name) -> bool {
-        let since = self.own.chosen.get(name).map(|chosen| chosen.1).unwrap_or_default();
-        let acked = self.lease.acked(name).unwrap_or_default();
-        self.now.since(acked.max(since).max(self.awake)) >= LESSOR_SILENT
-    }
-
-    /// Adds lessors to `kept`: other failure domains first, few leases, then a fixed random order.
-    ///
-    /// With `fresh` only nodes heard within this span are added.
-    fn choose(&self, kept: &[Name], fresh: Option<Duration>) -> Vec<Name> {
-        let mut chosen = kept.to_vec();
-        let mut candidates = self.others();
-        candidates.retain(|name| !kept.contains(name));
-        if let Some(span) = fresh {
-            candidates
-                .retain(|name| self.heard(name, span) && !self.own.shunned.contains_key(name));
-        } else if !kept.is_empty() {
-            candidates.retain(|name| !self.own.shunned.contains_key(name));
-        }
-        while chosen.len() < LESSORS {
-            let best = candidates.iter().min_by_key(|name| self.preference(name, &chosen)).cloned();
-            let Some(best) = best else { break };
-            candidates.retain(|name| *name != best);
-            chosen.push(best);
-        }
-        chosen
-    }
-
-    /// Orders candidates for a lessor beside those `chosen`.
-    fn preference(&self, name: &Name, chosen: &[Name]) -> (bool, bool, bool, usize, u64) {
-        let domain =
-            |name: &Name| roster::node(&self.replica, name).map(|(_, node)| node.domain.clone());
-        let own = domain(name);
-        let near = own.as_ref() == Some(&self.setup.domain);
-        let twice = chosen.iter().any(|other| domain(other) == own);
-        let shunned = self.own.shunned.contains_key(name);
-        (shunned, near, twice, self.roster.load(name), roster::rank(&[&self.setup.name, name], 0))
-    }
-
-    /// Returns the other live nodes whose VMs are not gone.
-    fn others(&self) -> Vec<Name> {
-        let gone = &self.own.vms_gone;
-        self.roster.others.iter().filter(|name| !gone.contains(name)).cloned().collect()
-    }
-
     /// Sends heartbeats when it is time to.
     fn tend_beats(&mut self, out: &mut Vec<Action>) {
         if self.now < self.own.next_beat || self.lease.version() == 0 {
@@ -387,27 +265,6 @@
         self.send_beats(|_| true, out);
     }
 
-    /// Asks nodes that could become lessors whether they are there.
-    fn tend_probes(&mut self, out: &mut Vec<Action>) {
-        if self.now < self.own.next_probe || !self.own.present {
-            return;
-        }
-        self.own.next_probe = self.now + PROBE;
-        let lessors = self.lease.lessors();
-        let wanted = LESSORS.saturating_sub(lessors.len());
-        if wanted == 0 {
-            return;
-        }
-        let mut candidates = self.others();
-        candidates.retain(|name| !lessors.contains(name) && !self.heard(name, FRESH));
-        candidates.sort_by_cached_key(|name| self.preference(name, &lessors));
-        for name in candidates.into_iter().take(wanted) {
-            let Some((_, node)) = roster::node(&self.replica, &name) else { continue };
-            let peer = Peer { name, addr: node.addr };
-            out.push(Action::Send(peer, Message::Pull { seen: self.replica.seen() }));
-        }
-    }
-
     /// Reads the list of VMs when that is this node's task.
     fn tend_vms(&mut self, out: &mut Vec<Action>) {
         let asks = self.term.is_some() || self.now.since(self.leased) >= LEASELESS;
--- /dev/null
+++ b/crates/whinspring/tests/control/main.rs
@@ -0,0 +1,7 @@
+//! Sessions of the control machines around a small fake.
+
+mod fake;
+mod load;
+mod scaling;
+mod seeds;
+mod sessions;
