Let a plan that lost its race say so by number

Cause: the controller failed the later of two plans with a text of its own, while the client looked for number 720: it exited with 1 and made no fresh plan.

Change: the controller's reasons are the numbered errors 720 (a record changed) and 723 (another plan is changing a record; new); confirm stops waiting once the controller has admitted the plan. The client's fake now runs the controller's own decisions on plans, so the race tests join the two ends.

--- a/crates/whinspring-cli/src/plans.rs
+++ b/crates/whinspring-cli/src/plans.rs
@@ -121,15 +121,20 @@
     matches!(state, PlanState::Proposed | PlanState::Confirmed)
 }
 
-/// Returns why a plan lost against another change, if it did.
-pub fn lost_reason(plan: &Plan) -> Option<&str> {
+/// Returns number and text of the error with which a plan lost against another change.
+pub fn lost_reason(plan: &Plan) -> Option<(u16, &str)> {
     let failed = plan.state == PlanState::Failed;
-    plan.reason.strip_prefix(&format!("{CONFLICT} ")).filter(|_| failed)
+    let (number, reason) = plan.reason.split_once(' ')?;
+    let number = number.parse().ok().filter(|number| failed && LOST.contains(number))?;
+    Some((number, reason))
 }
 
 /// Number of the error that another change came first.
 pub const CONFLICT: u16 = 720;
 
+/// Numbers of the errors with which a plan loses against another change.
+const LOST: &[u16] = &[CONFLICT, 723];
+
 /// Returns a stored plan.
 pub async fn get(store: &impl Store, id: &Name) -> Result<StoredPlan, Error> {
     let found = store.get(&key(id)).await?.and_then(stored);
--- a/crates/whinspring-cli/src/run.rs
+++ b/crates/whinspring-cli/src/run.rs
@@ -167,14 +167,14 @@
     match plans::confirm(store, id).await {
         Ok(_) => {}
         Err(error) if error.number() == Some(plans::CONFLICT) => {
-            return renew(id, &error.to_string(), store, out).await;
+            return renew(id, plans::CONFLICT, &error.to_string(), store, out).await;
         }
         Err(error) => return Err(error),
     }
     if wait {
         return watch(id, store, out).await;
     }
-    let taken_up = |plan: &Plan| plan.state != PlanState::Confirmed || plan.done > 0;
+    let taken_up = |plan: &Plan| plan.state != PlanState::Confirmed || !plan.reason.is_empty();
     let last = plans::follow(store, id, plans::TAKEN_UP, taken_up, |_| {}).await?;
     out.print(&Progress::from(&last.plan));
     conclude(&last.plan, Exit::Done, store, out).await
@@ -199,8 +199,8 @@
     store: &impl Store,
     out: &mut Output<W>,
 ) -> Result<Exit, Error> {
-    if let Some(reason) = plans::lost_reason(plan) {
-        return renew(&plan.id, reason, store, out).await;
+    if let Some((number, reason)) = plans::lost_reason(plan) {
+        return renew(&plan.id, number, reason, store, out).await;
     }
     Ok(match plan.state {
         PlanState::Finished => Exit::Done,
@@ -212,6 +212,7 @@
 /// Tells why a plan lost and prints a fresh one in its place.
 async fn renew<W: Write>(
     id: &Name,
+    number: u16,
     reason: &str,
     store: &impl Store,
     out: &mut Output<W>,
@@ -219,7 +220,7 @@
     let fresh = plans::renew(store, id).await?;
     out.print(&Lost {
         plan: id.to_string(),
-        number: plans::CONFLICT,
+        number,
         error: reason.into(),
         fresh: fresh.as_ref().map(Proposed::from),
     });
--- a/crates/whinspring-cli/tests/commands.rs
+++ b/crates/whinspring-cli/tests/commands.rs
@@ -153,7 +153,7 @@
 #[tokio::test(start_paused = true)]
 async fn confirmed_plan_is_followed_to_its_end() {
     let fake = deployment();
-    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    done(&fake, &["server", "fence", "reservations", "bay-3", "yes"]).await;
     fake.control();
     let id = fake.plans()[0].id.clone();
     insta::assert_snapshot!(done(&fake, &["confirm", &id, "--wait"]).await);
@@ -166,7 +166,7 @@
 #[tokio::test(start_paused = true)]
 async fn plan_without_a_controller_goes_on() {
     let fake = deployment();
-    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    done(&fake, &["server", "fence", "reservations", "bay-3", "yes"]).await;
     let id = fake.plans()[0].id.clone();
     assert!(done(&fake, &["confirm", &id]).await.contains("confirmed, 0 of 1"));
     let (exit, _) = run(&fake, &["watch", &id], Form::Text).await;
@@ -187,7 +187,7 @@
 async fn lost_replies_are_settled() {
     let fake = deployment();
     fake.lose(2);
-    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    done(&fake, &["server", "fence", "reservations", "bay-3", "yes"]).await;
     assert_eq!(fake.plans().len(), 1);
     fake.lose(1);
     fake.control();
--- a/crates/whinspring-cli/tests/support/fake.rs
+++ b/crates/whinspring-cli/tests/support/fake.rs
@@ -1,12 +1,14 @@
-//! A store in memory with a controller that carries out what it is told to.
+//! A store in memory with the controller's decisions on plans.
 
 use {
     std::cell::RefCell,
     whinspring::{
         control::Stored,
-        model::{Plan, PlanState, Step},
-        plan::{self, Records},
+        model::Plan,
+        plan::Records,
+        planner::{Memory, plans},
         record::{Key, Kind, Record, Value},
+        replica::Replica,
     },
     whinspring_cli::{
         Output, command, dispatch, error::Error, exit::Exit, store::Store, view::Form,
@@ -63,43 +65,16 @@
         self.revision
     }
 
-    /// Carries out the confirmed plan of the lowest version, if there is one.
+    /// Carries out what the controller decides on plans; returns whether anything changed.
     fn carry_out(&mut self) -> bool {
-        let confirmed = |record: &&Record| {
-            plan_of(record).is_some_and(|plan| plan.state == PlanState::Confirmed)
-        };
-        let Some(record) =
-            self.records.values().filter(confirmed).min_by_key(|record| record.version)
-        else {
-            return false;
-        };
-        let key = record.key.clone();
-        let mut plan = plan_of(record).unwrap().clone();
-        match plan::conflict(&plan, |key| plan::version(&self.records, key)) {
-            Some(conflict) => {
-                plan.state = PlanState::Failed;
-                plan.reason = conflict.to_string().into();
-            }
-            None => {
-                plan.steps.iter().for_each(|step| self.step(step));
-                plan.state = PlanState::Finished;
-                plan.done = plan.steps.len() as u32;
-            }
+        let mut replica = Replica::default();
+        replica.apply(0, self.revision, self.records.values().cloned().collect());
+        let writes = plans::advance(&replica, &Memory::default());
+        let changed = !writes.is_empty();
+        for write in writes {
+            self.write(write.key, 0, write.value.expect("plans delete nothing"));
         }
-        self.write(key, 0, Value::Plan(plan));
-        true
-    }
-
-    fn step(&mut self, step: &Step) {
-        let mut after = match step {
-            Step::Declare(service) => service.as_ref().clone(),
-            Step::Want { service, .. } => plan::service(&self.records, service).unwrap().clone(),
-            _ => return,
-        };
-        if let Step::Want { server, state, .. } = step {
-            after.servers.get_mut(server).unwrap().state = *state;
-        }
-        self.write(Key::new(Kind::Service, after.name.clone()), 0, Value::Service(after));
+        changed
     }
 }
 
--- a/crates/whinspring/src/plan.rs
+++ b/crates/whinspring/src/plan.rs
@@ -18,10 +18,7 @@
         record::{Key, Kind, Record, Value},
     },
     change::Change,
-    std::{
-        collections::BTreeMap,
-        fmt::{self, Display, Formatter},
-    },
+    std::collections::BTreeMap,
 };
 
 pub use {
@@ -63,8 +60,6 @@
 }
 
 /// A record that is no longer at the version that a plan was computed from.
-///
-/// Printed as the reason of a plan that failed for it, with the number of [`Error::Conflict`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Conflict {
     /// The record, as `kind/name`.
@@ -75,13 +70,6 @@
     pub now: u64,
 }
 
-impl Display for Conflict {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let error = Error::from(self.clone());
-        write!(f, "{} {error}", error.number())
-    }
-}
-
 impl From<Conflict> for Error {
     fn from(conflict: Conflict) -> Self {
         Self::Conflict { key: conflict.key, base: conflict.base, now: conflict.now }
--- a/crates/whinspring/src/plan/error.rs
+++ b/crates/whinspring/src/plan/error.rs
@@ -105,6 +105,16 @@
         /// Version now.
         now: u64,
     },
+    /// Another plan that is carried out concerns the same record.
+    #[snafu(display(
+        "{key} is being changed by plan {other}; when that has ended, confirm a fresh plan"
+    ))]
+    Busy {
+        /// The record, as `kind/name`.
+        key: Name,
+        /// The other plan.
+        other: Name,
+    },
     /// The plan is in a state in which this cannot be done.
     #[snafu(display("plan {id} is {}; `whinspring plans` lists what is open", state.as_str()))]
     WrongState {
@@ -138,8 +148,14 @@
         (720, "a record changed after the plan was made"),
         (721, "the plan is in a state in which this cannot be done"),
         (722, "there is no such plan"),
+        (723, "another plan is changing a record"),
     ];
 
+    /// Returns the error as the reason of a failed plan: its number, then its text.
+    pub fn reason(&self) -> Name {
+        format!("{} {self}", self.number()).into()
+    }
+
     /// Returns the number of the error.
     pub const fn number(&self) -> u16 {
         match self {
@@ -157,6 +173,7 @@
             Self::Conflict { .. } => 720,
             Self::WrongState { .. } => 721,
             Self::NoPlan { .. } => 722,
+            Self::Busy { .. } => 723,
         }
     }
 }
--- a/crates/whinspring/src/planner/plans.rs
+++ b/crates/whinspring/src/planner/plans.rs
@@ -11,7 +11,7 @@
             Owner, Plan, PlanState, SEGMENT_SLICES, Segment, ServerState, Service, Step, Suspect,
         },
         name::{Name, ServerId, Slice, slice_of},
-        plan::conflict,
+        plan::{Error, conflict},
         record::{Key, Kind, Value},
         replica::Replica,
     },
@@ -71,11 +71,11 @@
 /// Admits a plan, or fails it because of a record that changed or is about to.
 fn admit(replica: &Replica, plan: &Plan, taken: &mut BTreeMap<Name, Name>) -> Write {
     if let Some((name, other)) = plan.base.keys().find_map(|name| taken.get_key_value(name)) {
-        return fail(plan, format!("{name} is being changed by plan {other}; propose it again"));
+        let busy = Error::Busy { key: name.clone(), other: other.clone() };
+        return fail(plan, busy.reason());
     }
     if let Some(conflict) = conflict(plan, |key| replica.version(key)) {
-        let (key, base, now) = (&conflict.key, conflict.base, conflict.now);
-        return fail(plan, format!("{key} changed from version {base} to {now}; propose it again"));
+        return fail(plan, Error::from(conflict).reason());
     }
     taken.extend(plan.base.keys().map(|name| (name.clone(), plan.id.clone())));
     write_plan(Plan { reason: RUNNING.into(), ..plan.clone() })
@@ -92,7 +92,7 @@
         match changes.step(replica, memory, step) {
             Progress::Done if index == done => done += 1,
             Progress::Done | Progress::Waiting => {}
-            Progress::Failed(reason) => return vec![fail(plan, reason)],
+            Progress::Failed(reason) => return vec![fail(plan, reason.into())],
         }
         if index == done && !moves(step) {
             break;
@@ -119,8 +119,8 @@
 }
 
 /// Returns the write that ends a plan in failure.
-fn fail(plan: &Plan, reason: String) -> Write {
-    write_plan(Plan { state: PlanState::Failed, reason: reason.into(), ..plan.clone() })
+fn fail(plan: &Plan, reason: Name) -> Write {
+    write_plan(Plan { state: PlanState::Failed, reason, ..plan.clone() })
 }
 
 /// Returns the write of a plan.
