Let doctor ask nodes as well as the records

Cause: a lost server and a node without a lease show in no record, so doctor could not name them.

Change: doctor asks the admin ports that it is given: silent nodes, nodes without lease or records, declarations at an older version than the platform's, servers that give their holder no answer. /status shows the version of each declaration.

--- a/crates/whinspring-cli/src/node.rs
+++ b/crates/whinspring-cli/src/node.rs
@@ -10,7 +10,7 @@
         rt::TokioExecutor,
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::{task::JoinSet, time::timeout},
 };
 
@@ -65,7 +65,44 @@
     pub cause: String,
 }
 
-/// Asks every node the same and returns the answers, in no fixed order.
+/// What a node says of itself: `GET /status`.
+#[derive(Debug, Clone, Deserialize)]
+pub struct NodeStatus {
+    /// Name of the node.
+    pub node: String,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Whether its lease holds.
+    pub leased: bool,
+    /// Services that it knows.
+    pub services: Vec<KnownService>,
+    /// Servers that it holds.
+    pub held: Vec<HeldServer>,
+}
+
+/// A service as a node knows it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct KnownService {
+    /// Its name.
+    pub name: String,
+    /// Version of the declaration in force on the node.
+    pub version: u64,
+}
+
+/// A server as its holder sees it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct HeldServer {
+    /// Its service.
+    pub service: String,
+    /// Its number.
+    pub server: u32,
+    /// Whether it answers.
+    pub up: bool,
+}
+
+/// Asks every node the same and returns the answers.
 ///
 /// # Errors
 ///
@@ -74,18 +111,12 @@
 where
     T: DeserializeOwned + Send + 'static,
 {
-    let mut calls = JoinSet::new();
-    for addr in nodes.iter().copied() {
-        let path = path.to_string();
-        calls.spawn(async move { get(addr, &path).await });
-    }
     let mut answers = Vec::new();
     let mut failure = None;
-    while let Some(ended) = calls.join_next().await {
-        match ended {
-            Ok(Ok(answer)) => answers.push(answer),
-            Ok(Err(error)) => failure = Some(error),
-            Err(_) => {}
+    for (_, answer) in ask_each(nodes, path).await {
+        match answer {
+            Ok(answer) => answers.push(answer),
+            Err(error) => failure = Some(error),
         }
     }
     match failure {
@@ -94,6 +125,19 @@
     }
 }
 
+/// Asks every node the same and returns each one's answer, in the order of addresses.
+pub async fn ask_each<T>(nodes: &[SocketAddr], path: &str) -> BTreeMap<SocketAddr, Result<T, Error>>
+where
+    T: DeserializeOwned + Send + 'static,
+{
+    let mut calls = JoinSet::new();
+    for addr in nodes.iter().copied() {
+        let path = path.to_string();
+        calls.spawn(async move { (addr, get(addr, &path).await) });
+    }
+    calls.join_all().await.into_iter().collect()
+}
+
 /// Asks one node.
 async fn get<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Result<T, Error> {
     let silent = |reason: String| Error::NodeSilent { addr, reason };
--- a/crates/whinspring-cli/src/query.rs
+++ b/crates/whinspring-cli/src/query.rs
@@ -1,11 +1,13 @@
 //! Queries on the records: what is, who owns what, and what is wrong.
 
 mod doctor;
+mod live;
 mod owners;
 mod status;
 
 pub use {
     doctor::{Finding, Harm, diagnose},
+    live::{Answer, check},
     owners::{OwnerRow, owners},
     status::{NodeRow, ServerRow, ServiceRow, status},
 };
--- /dev/null
+++ b/crates/whinspring-cli/src/query/live.rs
@@ -0,0 +1,90 @@
+//! What nodes themselves say is wrong, beside what the records tell.
+
+use {
+    super::doctor::{Finding, Harm},
+    crate::node::{HeldServer, NodeStatus},
+    std::net::SocketAddr,
+    whinspring::{
+        model::ServerState,
+        name::ServerId,
+        plan::{self, Records},
+        record::{Key, Kind},
+    },
+};
+
+/// What a node answered when it was asked for its state; `None` if it gave no answer.
+pub type Answer = (SocketAddr, Option<NodeStatus>);
+
+/// Returns what is wrong by the answers of nodes.
+pub fn check(records: &Records, answers: &[Answer]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (addr, status) in answers {
+        match status {
+            None => findings.push(silent(*addr)),
+            Some(status) => {
+                findings.extend(check_node(status));
+                findings.extend(check_versions(records, status));
+                let held = status.held.iter().filter(|held| !held.up);
+                findings.extend(held.filter_map(|held| check_server(records, status, held)));
+            }
+        }
+    }
+    findings
+}
+
+/// Describes a node that gave no answer.
+fn silent(addr: SocketAddr) -> Finding {
+    let mend = "start whinspringd there; if its VM is gone, leave it out of --node";
+    Finding {
+        harm: Harm::AtRisk,
+        text: format!("no answer from the admin port {addr}"),
+        mend: mend.into(),
+    }
+}
+
+/// Checks that a node takes part.
+fn check_node(status: &NodeStatus) -> Option<Finding> {
+    if status.leaving {
+        return None;
+    }
+    let (text, mend) = if !status.ready {
+        ("has not learned the records", "check `platform` and `peers` of its settings")
+    } else if !status.leased {
+        ("has no lease and uses no server", "check the network between it and other nodes")
+    } else {
+        return None;
+    };
+    let text = format!("node {} {text}", status.node);
+    Some(Finding { harm: Harm::AtRisk, text, mend: mend.into() })
+}
+
+/// Checks that a node knows the latest declarations.
+fn check_versions(records: &Records, status: &NodeStatus) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for service in plan::services(records) {
+        let now = plan::version(records, &Key::new(Kind::Service, service.name.clone()));
+        let known = status.services.iter().find(|known| known.name == service.name.as_str());
+        let known = known.map_or(0, |known| known.version);
+        if known < now {
+            let (node, name) = (&status.node, &service.name);
+            findings.push(Finding {
+                harm: Harm::AtRisk,
+                text: format!("node {node} has {name} at version {known}, the platform at {now}"),
+                mend: "it follows within seconds; if it lasts, check its network".into(),
+            });
+        }
+    }
+    findings
+}
+
+/// Describes an active server that its holder gets no answer from.
+fn check_server(records: &Records, status: &NodeStatus, held: &HeldServer) -> Option<Finding> {
+    let service = plan::service(records, &held.service)?;
+    let id = ServerId(held.server);
+    let server = service.servers.get(&id).filter(|found| found.state == ServerState::Active)?;
+    let text =
+        format!("{}: {id} {} gives node {} no answer", held.service, server.name, status.node);
+    let mend =
+        format!("restart it, or whinspring server replace {} {} ...", held.service, server.name);
+    Some(Finding { harm: Harm::Refused, text, mend })
+}
--- a/crates/whinspring-cli/src/run.rs
+++ b/crates/whinspring-cli/src/run.rs
@@ -18,6 +18,7 @@
         ffi::OsString,
         fs,
         io::Write,
+        net::SocketAddr,
         path::{Path, PathBuf},
     },
     whinspring::{
@@ -92,16 +93,20 @@
             match matches.subcommand() {
                 Some(("explain", args)) => explain(args, &options, out).await,
                 Some(("history", args)) => history(args, &options, out).await,
-                _ => dispatch(matches, &Platform::new(options.platform()?), out).await,
+                _ => {
+                    let platform = Platform::new(options.platform()?);
+                    dispatch(matches, &platform, options.known_nodes(), out).await
+                }
             }
         }
     }
 }
 
-/// Runs a command on the records of `store`.
+/// Runs a command on the records of `store`; `nodes` are admin ports to ask beside it.
 pub async fn dispatch<W: Write>(
     matches: &ArgMatches,
     store: &impl Store,
+    nodes: &[SocketAddr],
     out: &mut Output<W>,
 ) -> Result<Exit, Error> {
     if let Some(intent) = intent::parse(matches)? {
@@ -130,7 +135,9 @@
             Ok(Exit::Done)
         }
         Some(("doctor", _)) => {
-            let diagnosis = query::diagnose(&store.list().await?);
+            let records = store.list().await?;
+            let mut diagnosis = query::diagnose(&records);
+            diagnosis.add(query::check(&records, &states(nodes).await));
             out.print(&diagnosis);
             Ok(if diagnosis.findings.is_empty() { Exit::Done } else { Exit::Wrong })
         }
@@ -141,6 +148,12 @@
     }
 }
 
+/// Asks nodes for their state.
+async fn states(nodes: &[SocketAddr]) -> Vec<query::Answer> {
+    let answers = node::ask_each(nodes, "/status").await;
+    answers.into_iter().map(|(addr, answer)| (addr, answer.ok())).collect()
+}
+
 /// Returns whether a plan is listed without being asked for.
 fn is_news(plan: &Plan) -> bool {
     plans::is_open(plan.state) || plan.state == PlanState::Failed
--- a/crates/whinspring-cli/src/view/status.rs
+++ b/crates/whinspring-cli/src/view/status.rs
@@ -128,6 +128,14 @@
     pub findings: Vec<Finding>,
 }
 
+impl Diagnosis {
+    /// Adds findings and sorts all of them.
+    pub fn add(&mut self, findings: Vec<Finding>) {
+        self.findings.extend(findings);
+        self.findings.sort();
+    }
+}
+
 impl Display for Diagnosis {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         if self.findings.is_empty() {
--- a/crates/whinspring-cli/tests/admin.rs
+++ b/crates/whinspring-cli/tests/admin.rs
@@ -9,12 +9,14 @@
         entry::Outcome,
         model::{Owner, Segment},
         name::{Name, ServerId},
+        plan::Records,
         record::{Key, Kind, Record, Value},
         request::Target,
         time::Wall,
     },
     whinspring_cli::{
-        node::{self, Past, Trail, escape},
+        node::{self, HeldServer, NodeStatus, Past, Trail, escape},
+        query::{self, Answer},
         text::WIDTH,
         view::{Changes, Explanation},
     },
@@ -124,3 +126,42 @@
         server.close().await;
     }
 }
+
+#[tokio::test]
+async fn doctor_hears_nodes() {
+    let declared = include_str!("../../../docs/reservations.ini");
+    let service = declaration::parse(declared).unwrap();
+    let key = Key::new(Kind::Service, "reservations");
+    let record = |version| Record {
+        key: key.clone(),
+        version,
+        mark: 0,
+        value: Some(Value::Service(service.clone())),
+    };
+    let node = shared("entry-1");
+    node.update(node.view().updated([&record(5)].into_iter()));
+    node.set_known();
+    let (admin, addr) = serve(&node);
+    let (gone, silent) = serve(&shared("entry-2"));
+    gone.close().await;
+
+    let mut answers: Vec<Answer> = Vec::new();
+    for (addr, answer) in node::ask_each::<NodeStatus>(&[addr, silent], "/status").await {
+        answers.push((addr, answer.ok()));
+    }
+    let records = Records::from([(key.clone(), record(9))]);
+    let mut texts: Vec<_> = query::check(&records, &answers).into_iter().map(|f| f.text).collect();
+    texts.sort();
+    let expected = [
+        format!("no answer from the admin port {silent}"),
+        "node entry-1 has no lease and uses no server".into(),
+        "node entry-1 has reservations at version 5, the platform at 9".into(),
+    ];
+    assert_eq!(texts, expected);
+
+    let status = answers.iter_mut().find_map(|(_, status)| status.as_mut()).unwrap();
+    status.held.push(HeldServer { service: "reservations".into(), server: 1, up: false });
+    let found = query::check(&records, &answers);
+    assert!(found.iter().any(|f| f.text == "reservations: s1 bay-2 gives node entry-1 no answer"));
+    admin.close().await;
+}
--- a/crates/whinspring-cli/tests/platform.rs
+++ b/crates/whinspring-cli/tests/platform.rs
@@ -12,7 +12,7 @@
     let line = ["whinspring", "--json"].iter().chain(line);
     let matches = command::command().try_get_matches_from(line).unwrap();
     let mut out = Output { form: Form::Json, sink: Vec::new() };
-    let exit = dispatch(&matches, platform, &mut out).await?;
+    let exit = dispatch(&matches, platform, &[], &mut out).await?;
     Ok((exit, serde_json::from_slice(&out.sink).unwrap()))
 }
 
--- a/crates/whinspring-cli/tests/support/fake.rs
+++ b/crates/whinspring-cli/tests/support/fake.rs
@@ -120,7 +120,7 @@
     let line = ["whinspring"].iter().chain(line);
     let matches = command::command().try_get_matches_from(line).unwrap();
     let mut out = Output { form, sink: Vec::new() };
-    let ended = dispatch(&matches, fake, &mut out).await;
+    let ended = dispatch(&matches, fake, &[], &mut out).await;
     let mut text = String::from_utf8(out.sink).unwrap();
     let exit = ended.unwrap_or_else(|error| {
         text.push_str(&form.render_error(&error));
--- a/crates/whinspring-daemon/src/admin.rs
+++ b/crates/whinspring-daemon/src/admin.rs
@@ -39,7 +39,7 @@
     /// Whether its lease holds.
     leased: bool,
     /// Services that it knows.
-    services: Vec<String>,
+    services: Vec<ServiceStatus>,
     /// Servers that it holds.
     held: Vec<HeldStatus>,
     /// Requests of callers in progress.
@@ -48,6 +48,15 @@
     callers: i64,
 }
 
+/// What the status page shows of a service.
+#[derive(Debug, Serialize)]
+struct ServiceStatus {
+    /// Its name.
+    name: String,
+    /// Version of the declaration in force on this node.
+    version: u64,
+}
+
 /// What the status page shows of a held server.
 #[derive(Debug, Serialize)]
 struct HeldStatus {
@@ -203,13 +212,17 @@
         }
     });
     let view = shared.view();
+    let services = view.services().map(|service| ServiceStatus {
+        name: service.service().name.to_string(),
+        version: service.version(),
+    });
     let status = Status {
         node: shared.node.to_string(),
         incarnation: shared.incarnation(),
         ready: shared.is_ready(),
         leaving: shared.is_leaving(),
         leased: shared.is_leased(),
-        services: view.services().map(|service| service.service().name.to_string()).collect(),
+        services: services.collect(),
         held: held.collect(),
         flights: shared.metrics.flights.get(),
         callers: shared.metrics.callers.get(),
--- a/crates/whinspring/src/view.rs
+++ b/crates/whinspring/src/view.rs
@@ -213,6 +213,11 @@
         self.declared.as_ref().expect("the view hands out declared services only")
     }
 
+    /// Returns the version of the declaration.
+    pub fn version(&self) -> u64 {
+        self.versions.service
+    }
+
     /// Returns the owner of a key: the key's own one, otherwise that of its slice.
     pub fn owner(&self, place: &Place) -> Option<&Owner> {
         let segment = self.segment_of(place.slice)?;
