--- a/crates/whinspring-cli/src/run.rs
+++ b/crates/whinspring-cli/src/run.rs
@@ -18,6 +18,7 @@
         ffi::OsString,
         fs,
         io::Write,
+        net::SocketAddr,
         path::{Path, PathBuf},
     },
     whinspring::{
@@ -92,16 +93,20 @@
             match matches.subcommand() {
                 Some(("explain", args)) => explain(args, &options, out).await,
                 Some(("history", args)) => history(args, &options, out).await,
-                _ => dispatch(matches, &Platform::new(options.platform()?), out).await,
+                _ => {
+                    let platform = Platform::new(options.platform()?);
+                    dispatch(matches, &platform, options.known_nodes(), out).await
+                }
             }
         }
     }
 }
 
-/// Runs a command on the records of `store`.
+/// Runs a command on the records of `store`; `nodes` are admin ports to ask beside it.
 pub async fn dispatch<W: Write>(
     matches: &ArgMatches,
     store: &impl Store,
+    nodes: &[SocketAddr],
     out: &mut Output<W>,
 ) -> Result<Exit, Error> {
     if let Some(intent) = intent::parse(matches)? {
@@ -130,7 +135,9 @@
             Ok(Exit::Done)
         }
         Some(("doctor", _)) => {
-            let diagnosis = query::diagnose(&store.list().await?);
+            let records = store.list().await?;
+            let mut diagnosis = query::diagnose(&records);
+            diagnosis.add(query::check(&records, &states(nodes).await));
             out.print(&diagnosis);
             Ok(if diagnosis.findings.is_empty() { Exit::Done } else { Exit::Wrong })
         }
@@ -141,6 +148,12 @@
     }
 }
 
+/// Asks nodes for their state.
+async fn states(nodes: &[SocketAddr]) -> Vec<query::Answer> {
+    let answers = node::ask_each(nodes, "/status").await;
+    answers.into_iter().map(|(addr, answer)| (addr, answer.ok())).collect()
+}
+
 /// Returns whether a plan is listed without being asked for.
 fn is_news(plan: &Plan) -> bool {
     plans::is_open(plan.state) || plan.state == PlanState::Failed
@@ -167,14 +180,14 @@
     match plans::confirm(store, id).await {
         Ok(_) => {}
         Err(error) if error.number() == Some(plans::CONFLICT) => {
-            return renew(id, &error.to_string(), store, out).await;
+            return renew(id, plans::CONFLICT, &error.to_string(), store, out).await;
         }
         Err(error) => return Err(error),
     }
     if wait {
         return watch(id, store, out).await;
     }
-    let taken_up = |plan: &Plan| plan.state != PlanState::Confirmed || plan.done > 0;
+    let taken_up = |plan: &Plan| plan.state != PlanState::Confirmed || !plan.reason.is_empty();
     let last = plans::follow(store, id, plans::TAKEN_UP, taken_up, |_| {}).await?;
     out.print(&Progress::from(&last.plan));
     conclude(&last.plan, Exit::Done, store, out).await
@@ -199,8 +212,8 @@
     store: &impl Store,
     out: &mut Output<W>,
 ) -> Result<Exit, Error> {
-    if let Some(reason) = plans::lost_reason(plan) {
-        return renew(&plan.id, reason, store, out).await;
+    if let Some((number, reason)) = plans::lost_reason(plan) {
+        return renew(&plan.id, number, reason, store, out).await;
     }
     Ok(match plan.state {
         PlanState::Finished => Exit::Done,
@@ -212,6 +225,7 @@
 /// Tells why a plan lost and prints a fresh one in its place.
 async fn renew<W: Write>(
     id: &Name,
+    number: u16,
     reason: &str,
     store: &impl Store,
     out: &mut Output<W>,
@@ -219,7 +233,7 @@
     let fresh = plans::renew(store, id).await?;
     out.print(&Lost {
         plan: id.to_string(),
-        number: plans::CONFLICT,
+        number,
         error: reason.into(),
         fresh: fresh.as_ref().map(Proposed::from),
     });
--- a/crates/whinspring-daemon/src/admin.rs
+++ b/crates/whinspring-daemon/src/admin.rs
@@ -43,7 +43,7 @@
     /// Revision up to which it knows every record.
     seen: u64,
     /// Services that it knows.
-    services: Vec<String>,
+    services: Vec<ServiceStatus>,
     /// Servers that it holds.
     held: Vec<HeldStatus>,
     /// Requests of callers in progress.
@@ -52,6 +52,15 @@
     callers: i64,
 }
 
+/// What the status page shows of a service.
+#[derive(Debug, Serialize)]
+struct ServiceStatus {
+    /// Its name.
+    name: String,
+    /// Version of the declaration in force on this node.
+    version: u64,
+}
+
 /// What the status page shows of a held server.
 #[derive(Debug, Serialize)]
 struct HeldStatus {
@@ -207,6 +216,10 @@
         }
     });
     let view = shared.view();
+    let services = view.services().map(|service| ServiceStatus {
+        name: service.service().name.to_string(),
+        version: service.version(),
+    });
     let status = Status {
         node: shared.node.to_string(),
         incarnation: shared.incarnation(),
@@ -215,7 +228,7 @@
         leased: shared.is_leased(),
         controller: shared.is_controller(),
         seen: shared.seen(),
-        services: view.services().map(|service| service.service().name.to_string()).collect(),
+        services: services.collect(),
         held: held.collect(),
         flights: shared.metrics.flights.get(),
         callers: shared.metrics.callers.get(),
