End the watch of a request with its reply

Cause: a request that had waited left a task behind for good, as nothing ended the flow that it watched. Change: a reply that is dropped shuts its flow. Tests: finished requests leave nothing behind (hung before the change, with all tasks alive); the server gets the holder's orders and the caller's trace; requests that the server did not run are told as not run (which code, depends on whether the budget, the deadline or the patience ends first; the test looks at the class and at what the holder counted). The test of a caller going away looks at its counter once the connection has ended: looked at earlier it lost a race once in three runs. Seen red: the caller's end unseen; the not-run header ignored.

--- a/crates/whinspring-daemon/src/exchange/reply.rs
+++ b/crates/whinspring-daemon/src/exchange/reply.rs
@@ -93,5 +93,6 @@
         if !self.done {
             self.send(Part::Broken);
         }
+        self.down.shut();
     }
 }
--- a/crates/whinspring-daemon/src/link/socket.rs
+++ b/crates/whinspring-daemon/src/link/socket.rs
@@ -7,7 +7,7 @@
 };
 
 /// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time after which unacknowledged bytes end a connection.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -110,6 +110,7 @@
         until(|| running(a) + running(b) == 1).await;
         drop(socket);
         until(|| running(a) + running(b) == 0).await;
+        until(|| a.shared.metrics.callers.get() == 0).await;
         assert_eq!(a.shared.metrics.counted("caller_gone"), 1);
         let cancelled = || {
             let lines = runs::read(&log).expect("the log is there");
--- a/crates/whinspring-daemon/tests/data/path.rs
+++ b/crates/whinspring-daemon/tests/data/path.rs
@@ -4,12 +4,13 @@
     crate::{
         callers::until,
         rig::{
-            Daemon, Placed, SLICES, change, daemon, holder, holders, owner, publish, segment,
+            Daemon, Fake, Placed, SLICES, change, daemon, holder, holders, owner, publish, segment,
             server,
         },
     },
     hyper::{Method, Request},
     std::{net::SocketAddr, time::Duration},
+    tokio::{runtime::Handle, task::JoinSet},
     whinspring::name::slice_of,
     whinspring_daemon::{
         backend::{Backend, Fault, Upstream},
@@ -77,7 +78,7 @@
 async fn concurrent_answers_are_never_crossed() {
     let pair = pair("b", Options { work: Duration::from_millis(2), ..fenced() }).await;
     let caller = Caller::new();
-    let mut tasks = tokio::task::JoinSet::new();
+    let mut tasks = JoinSet::new();
     for number in 0..200 {
         let body = Payload::Whole(format!("body of {number}").into());
         let path = format!("/checks/lodge/{number}");
@@ -227,3 +228,100 @@
     assert_eq!((reply.end, reply.code), (End::Whole, Some(600)), "{reply:?}");
     assert_eq!(reply.class, Some(Class::Unknown));
 }
+
+/// Returns the value of a header in the text of a head.
+fn value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let start = format!("{name}: ");
+    head.lines().find_map(|line| line.strip_prefix(start.as_str()))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn server_gets_the_holders_orders_and_the_callers_trace() {
+    let (a, b) = (daemon("a").await, daemon("b").await);
+    let mut fake = Fake::start(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_vec()).await;
+    let bundles = server(Options::default()).await;
+    let placed = |addr| [Placed { addr, holder: "b".into() }];
+    publish(&[&a, &b], &placed(fake.addr), &placed(bundles.addr)).await;
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let call = Call::new(a.callers_addr, Method::POST, "/checks/x?y=z")
+        .header("x-key", "k")
+        .header("whinspring-request-id", "one")
+        .header("whinspring-attempt", "1")
+        .header("whinspring-term", "99")
+        .header("whinspring-epoch", "99")
+        .header("whinspring-deadline-ms", "5000")
+        .header("keep-alive", "timeout=5")
+        .header("x-own", "kept")
+        .header("traceparent", &format!("00-{trace}-b7ad6b7169203331-01"));
+    let reply = Caller::new().send(&call).await;
+    assert_eq!((reply.status, reply.code), (200, Some(100)), "{reply:?}");
+    let head = fake.heads.recv().await.expect("the server got it");
+    assert!(head.starts_with("post /checks/x?y=z http/1.1\r\n"), "{head}");
+    assert_eq!(value(&head, "whinspring-term"), Some("1"), "{head}");
+    assert_eq!(value(&head, "whinspring-epoch"), Some("1"), "{head}");
+    let slice = slice_of("k", SLICES).0.to_string();
+    assert_eq!(value(&head, "whinspring-slice"), Some(slice.as_str()), "{head}");
+    assert_eq!(value(&head, "whinspring-request-id"), Some("one"), "{head}");
+    assert_eq!(value(&head, "x-own"), Some("kept"), "{head}");
+    assert_eq!(value(&head, "keep-alive"), None, "{head}");
+    let left = value(&head, "whinspring-deadline-ms").and_then(|ms| ms.parse().ok());
+    assert!(left.is_some_and(|left: u32| left < 5_000), "{head}");
+    let parent = value(&head, "traceparent").expect("a trace context");
+    assert_eq!(parent.split('-').nth(1), Some(trace), "{head}");
+    assert_ne!(parent.split('-').nth(2), Some("b7ad6b7169203331"), "{head}");
+
+    let call = Call::new(a.callers_addr, Method::GET, "/checks/x").header("x-key", "k");
+    let _ = Caller::new().send(&call).await;
+    let head = fake.heads.recv().await.expect("the server got it");
+    assert!(value(&head, "traceparent").is_some_and(|parent| !parent.contains(trace)), "{head}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_that_the_server_did_not_run_is_told_as_not_run() {
+    let refusals = [
+        ("503 Busy\r\nwhinspring-not-run: shed\r\nretry-after: 1", "shed"),
+        ("504 Late\r\nwhinspring-not-run: expired", "shed"),
+        ("409 Conflict\r\nwhinspring-not-run: fenced", "fenced"),
+    ];
+    for (refusal, event) in refusals {
+        let (a, b) = (daemon("a").await, daemon("b").await);
+        let script = format!("HTTP/1.1 {refusal}\r\ncontent-length: 0\r\n\r\n");
+        let fake = Fake::start(script.into_bytes()).await;
+        let bundles = server(Options::default()).await;
+        let placed = |addr| [Placed { addr, holder: "b".into() }];
+        publish(&[&a, &b], &placed(fake.addr), &placed(bundles.addr)).await;
+        let call = Call::new(a.callers_addr, Method::POST, "/checks/x")
+            .header("x-key", "k")
+            .header("whinspring-request-id", "one")
+            .header("whinspring-attempt", "1");
+        let reply = Caller::new().send(&call).await;
+        assert_eq!(reply.class, Some(Class::NotRun), "{refusal}: {reply:?}");
+        assert!(b.shared.metrics.counted(event) > 0, "{refusal}: {reply:?}");
+        assert!(reply.retry_after && reply.retry_ms.is_some(), "{refusal}: {reply:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn finished_requests_leave_nothing_behind() {
+    let pair = pair("b", Options { work: Duration::from_millis(1), ..fenced() }).await;
+    let alive = || Handle::current().metrics().num_alive_tasks();
+    let burst = async || {
+        let caller = Caller::new();
+        let mut tasks = JoinSet::new();
+        for number in 0..50 {
+            let call = lookup(&pair.a, &format!("key-{number}"));
+            let caller = caller.clone();
+            tasks.spawn(async move { caller.send(&call).await });
+        }
+        tasks.join_all().await.iter().all(|reply| reply.is_right())
+    };
+    assert!(burst().await);
+    until(|| pair.a.shared.metrics.callers.get() == 0).await;
+    let before = alive();
+    assert!(burst().await && burst().await && burst().await);
+    until(|| pair.a.shared.metrics.callers.get() == 0).await;
+    let idle = 10;
+    until(|| alive() <= before + idle).await;
+    assert_eq!(pair.b.shared.metrics.jobs.get(), 0);
+    assert_eq!(pair.a.shared.metrics.flights.get(), 0);
+}
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -277,6 +277,8 @@
 pub struct Fake {
     /// Its address.
     pub addr: SocketAddr,
+    /// Heads of the other requests that it got.
+    pub heads: mpsc::UnboundedReceiver<String>,
 }
 
 impl Fake {
@@ -293,17 +295,22 @@
     /// Starts a server.
     async fn run(script: Option<Vec<u8>>) -> Self {
         let (listener, addr) = bind().await;
+        let (sender, heads) = mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(fake(socket, script.clone()));
+                tokio::spawn(fake(socket, script.clone(), sender.clone()));
             }
         });
-        Self { addr }
+        Self { addr, heads }
     }
 }
 
 /// Answers the requests of one connection of a [`Fake`].
-async fn fake(mut socket: TcpStream, script: Option<Vec<u8>>) {
+async fn fake(
+    mut socket: TcpStream,
+    script: Option<Vec<u8>>,
+    heads: mpsc::UnboundedSender<String>,
+) {
     let sign = "{\"boot\":1,\"term\":1,\"state\":\"ready\"}";
     let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{sign}", sign.len());
     let mut buffer = Vec::new();
@@ -311,9 +318,12 @@
         let text = String::from_utf8_lossy(&buffer);
         let whole = text.contains("\r\n\r\n") && (text.starts_with("GET") || text.ends_with('}'));
         let own = text.contains(" /_whinspring/");
-        if own && !whole {
+        if !text.contains("\r\n\r\n") || (own && !whole) {
             continue;
         }
+        if !own {
+            let _ = heads.send(text.to_lowercase());
+        }
         if own {
             let _ = socket.write_all(answer.as_bytes()).await;
             buffer.clear();
