Test that the node itself judges its incarnation and term

Cause: a node may go on as another incarnation while its links stay open, so the entry no longer compares incarnations, and the test that it did was wrong since. Change: in its place, a node is shown to refuse as misrouted what names another incarnation or term of it, and the entry to refuse another node at the address. Seen red with the comparison taken out of Shared::serve.

--- a/crates/whinspring-daemon/tests/data/links.rs
+++ b/crates/whinspring-daemon/tests/data/links.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         callers::until,
+        path::pair,
         peer::RawPeer,
         rig::{KEY, bind, local, peered},
     },
@@ -22,10 +23,10 @@
         exchange::{Answer, Call, Part, Serve, WINDOW_BYTES},
         link::{ControlLinks, DataLinks, Local},
     },
-    whinspring_standin::relay::Relay,
+    whinspring_standin::{relay::Relay, server::Options},
     whinspring_wire::{
         frame::MAX_FRAME_BYTES,
-        link::{Frame, HandOver, Head, Open},
+        link::{Frame, HandOver, Head, Open, Reason},
     },
 };
 
@@ -334,10 +335,31 @@
     assert!(links.open(&peer, open("/x")).await.is_err());
     let keep = Arc::new(Keep::default());
     let b = peered("b", KEY, keep.clone()).await;
-    let mut restarted = open("/x");
-    restarted.target.incarnation = 2;
-    assert!(links.open(&b.peer, restarted).await.is_err());
     let wrong = Peer { name: "c".into(), addr: b.peer.addr };
     assert!(DataLinks::new(node_a()).open(&wrong, open("/x")).await.is_err());
+    let mut other = open("/x");
+    other.target.node = "c".into();
+    assert!(links.open(&b.peer, other).await.is_err());
     assert!(keep.0.lock().is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_for_another_incarnation_or_term_is_misrouted() {
+    let pair = pair("b", Options::default()).await;
+    let links = DataLinks::new(node_a());
+    let peer = Peer { name: "b".into(), addr: pair.b.addr };
+    let bundles = |incarnation, term| {
+        let mut open = open("/bundles/x");
+        open.meta.service = "bundles".into();
+        open.target = Target { incarnation, term, ..open.target };
+        open
+    };
+    for (incarnation, term) in [(2, 1), (1, 2), (1, 0)] {
+        let answer = links.open(&peer, bundles(incarnation, term)).await;
+        let part = answer.expect("b accepts").next().await;
+        assert!(matches!(part, Part::Refuse(Reason::Misrouted)), "{part:?}");
+    }
+    let answer = links.open(&peer, bundles(1, 1)).await;
+    let part = answer.expect("b accepts").next().await;
+    assert!(matches!(part, Part::Head(_)), "{part:?}");
+}
