--- a/crates/whinspring-daemon/src/shared.rs
+++ b/crates/whinspring-daemon/src/shared.rs
@@ -6,6 +6,7 @@
         exchange::{Call, Serve},
         handover::Staged,
         held::{self, Held},
+        journal::Journal,
         link::DataLinks,
         metrics::Metrics,
     },
@@ -26,6 +27,7 @@
     },
     whinspring::{
         entry::Budget,
+        history::History,
         holder::Input,
         message::Message,
         model::Suspect,
@@ -65,12 +67,20 @@
     pub reports: Reports,
     /// What all requests of this entry share.
     pub budget: Mutex<Budget>,
+    /// What happened lately to requests.
+    pub journal: Journal,
+    /// Who owned what when.
+    pub history: Mutex<History>,
     /// The routing view.
     view: ArcSwap<View>,
     /// Rises with each change of the view.
     changes: watch::Sender<u64>,
     /// Present incarnation of this node.
     incarnation: AtomicU64,
+    /// Revision up to which the node knows every record.
+    seen: AtomicU64,
+    /// Whether this node is the controller.
+    controls: AtomicBool,
     /// Point until which the node's lease holds.
     lease: AtomicU64,
     /// Held servers.
@@ -106,7 +116,11 @@
             runtime,
             reports,
             budget: Mutex::default(),
+            journal: Journal::new(clock),
+            history: Mutex::default(),
             changes: watch::Sender::new(0),
+            seen: AtomicU64::new(0),
+            controls: AtomicBool::new(false),
             lease: AtomicU64::new(0),
             held: ArcSwap::default(),
             staged: Staged::default(),
@@ -172,6 +186,22 @@
         let _ = self.links.set(links);
     }
 
+    /// Returns the revision up to which the node knows every record.
+    pub fn seen(&self) -> u64 {
+        self.seen.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether this node is the controller.
+    pub fn is_controller(&self) -> bool {
+        self.controls.load(Ordering::Relaxed)
+    }
+
+    /// Sets what the control loop says of the node.
+    pub fn set_control(&self, seen: u64, controller: bool) {
+        self.seen.store(seen, Ordering::Relaxed);
+        self.controls.store(controller, Ordering::Relaxed);
+    }
+
     /// Notes that the node has learned the records.
     pub fn set_known(&self) {
         self.known.store(true, Ordering::Relaxed);
