Hand the memory of a lost server's slices over also when they get a next owner first

Cause: the controller names a next owner for slices of a lost server; they counted as released already, so their memory was neither handed over then nor when they went. Whether memory was handed over is now kept for each unit. Seen red: memory_of_a_lost_server_goes_on_once failed before the change, with the next owner.

--- a/crates/whinspring/src/holder/grants.rs
+++ b/crates/whinspring/src/holder/grants.rs
@@ -31,6 +31,8 @@
     pub moving: bool,
     /// Whether no work starts on it any more.
     pub released: bool,
+    /// Whether its memory was handed over.
+    pub handed: bool,
     /// Whether no other holder can have served it in this epoch.
     pub first: bool,
     /// Number of the first grant that contains it.
@@ -116,9 +118,9 @@
         !self.away.contains(key) && self.units.contains_key(&Unit::Slice(slice))
     }
 
-    /// Returns the units that are to be released and are not yet.
+    /// Returns the units that have a next owner and whose memory is not handed over yet.
     pub fn leaving(&self) -> Vec<Unit> {
-        let units = self.units.iter().filter(|(_, owned)| owned.moving && !owned.released);
+        let units = self.units.iter().filter(|(_, owned)| owned.moving && !owned.handed);
         units.map(|(unit, _)| unit.clone()).collect()
     }
 
@@ -228,10 +230,11 @@
         true
     }
 
-    /// Gives a unit up.
+    /// Gives a unit up and notes that its memory is handed over.
     pub fn release(&mut self, unit: &Unit) {
         if let Some(owned) = self.units.get_mut(unit) {
             owned.released = true;
+            owned.handed = true;
         }
     }
 
@@ -275,6 +278,7 @@
             since: wall,
             moving: owner.next.is_some(),
             released: false,
+            handed: false,
             first,
             number: self.number + 1,
         }
--- a/crates/whinspring/src/holder/release.rs
+++ b/crates/whinspring/src/holder/release.rs
@@ -43,7 +43,7 @@
         let forget = !gone.is_empty();
         let mut lost = Vec::new();
         for (unit, owned) in gone {
-            if owned.released && !owned.moving {
+            if owned.released && !owned.handed {
                 lost.push(self.memory(cx, &unit, &owned));
             }
         }
--- a/crates/whinspring/tests/holder/sessions.rs
+++ b/crates/whinspring/tests/holder/sessions.rs
@@ -297,6 +297,28 @@
     assert_eq!(world.answer(5), "done");
 }
 
+#[test]
+fn memory_of_a_lost_server_goes_on_once() {
+    let slice = slice_of("a", 4);
+    for through in [vec![gone(slice)], vec![moving(slice), gone(slice)]] {
+        let mut world = World::new(update(1, 1));
+        world.arrive(1, post("a", "x"), 300);
+        world.run(3);
+        world.fake.crash(world.ms);
+        world.run(100);
+        for input in through {
+            world.input(input);
+            world.run(20);
+        }
+        let ids: Vec<&str> = world
+            .handed
+            .iter()
+            .flat_map(|memory| memory.entries.iter().map(|known| known.id.id.as_str()))
+            .collect();
+        assert_eq!(ids, ["x"], "{}", world.trace);
+    }
+}
+
 #[test]
 fn slow_answers_and_a_paused_process_are_no_loss() {
     let mut world = World::new(update(1, 1));
