Take only tries that reached a server or a full queue from the retry budget

Cause: when a holder or its term changes, all requests in flight are sent astray at once; after 50 of them the entry refused the rest for want of budget, though no server had any work of them. Looking for the holder is free now, and pauses double from 50 to 800 ms within 3 s. Ruled out: a larger budget, which would also allow more work on servers after a loss.

--- a/crates/whinspring/src/entry.rs
+++ b/crates/whinspring/src/entry.rs
@@ -26,6 +26,8 @@
 const PATIENCE: Duration = Duration::from_millis(3_000);
 /// Time after which a target that refused is tried again though no record changed.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Times that the pause is doubled.
+const MAX_DOUBLED: u32 = 4;
 /// Time within which a planned move is expected to end.
 const MOVE_TIME: Duration = Duration::from_millis(100);
 /// Time within which a lost server or holder is expected to be replaced.
@@ -82,6 +84,11 @@
     /// Since when the request waits for records.
     waiting: Option<Tick>,
     tries: u32,
+    /// Whether the next try is taken from the retry budget: the last one reached a server or a
+    /// full queue.
+    costs: bool,
+    /// Tries in a row that found no holder that serves the key.
+    astray: u32,
     /// Servers lost with the request.
     losses: u32,
     /// Whether the last try lost a server.
@@ -109,6 +116,8 @@
             avoid: Vec::new(),
             waiting: None,
             tries: 0,
+            costs: false,
+            astray: 0,
             losses: 0,
             died: false,
         }
@@ -211,10 +220,9 @@
         if let Some(again) = self.again.filter(|again| same && now < *again) {
             return self.wait_until(now, again);
         }
-        let moved = self.meta.place.is_some() && !same && self.unknown.is_none();
         if self.tries == 0 {
             budget.retries.earn();
-        } else if !moved && !budget.retries.spend() {
+        } else if std::mem::take(&mut self.costs) && !budget.retries.spend() {
             let last = self.refused.filter(|last| last.code == Code::Overloaded);
             return self.answer(last.map_or(Code::NoBudget, |last| last.code), RETRY_MS);
         }
@@ -250,6 +258,7 @@
 
     fn may_have_run(&mut self, refusal: Refusal) {
         self.unknown = Some(refusal);
+        self.costs = true;
         let lost = matches!(refusal.code, Code::ServerLost | Code::HolderLost);
         if refusal.code == Code::ServerLost {
             self.losses += 1;
@@ -268,6 +277,7 @@
         match refusal.code {
             Code::Moved | Code::NoHolder | Code::NoOwner | Code::Leaving => self.pause(now),
             Code::Overloaded | Code::Shed if unkeyed && self.tries < 2 => {
+                self.costs = true;
                 self.avoid.extend(self.target.as_ref().map(|target| target.server));
             }
             _ => self.settled = Some(self.unknown.unwrap_or(refusal)),
@@ -275,7 +285,9 @@
     }
 
     fn pause(&mut self, now: Tick) {
-        let half = PAUSE.as_micros() as u64 / 2;
+        let mean = PAUSE * (1 << self.astray.min(MAX_DOUBLED));
+        self.astray += 1;
+        let half = mean.as_micros() as u64 / 2;
         let spread = Duration::from_micros(self.rng.random_range(half..=3 * half));
         self.again = Some(now + spread);
     }
--- a/crates/whinspring/tests/routing/entry.rs
+++ b/crates/whinspring/tests/routing/entry.rs
@@ -151,6 +151,30 @@
     assert!((140..=155).contains(&retried), "{retried} retries");
 }
 
+#[test]
+fn looking_for_the_holder_spends_no_retries_but_slows_down() {
+    let budget = &mut Budget::default();
+    while budget.retries.spend() {}
+    let mut flight = flight(meta("a", false), 10_000);
+    let mut asked = Vec::new();
+    let mut now = at(0);
+    loop {
+        match flight.next(now, &view("n2"), budget) {
+            Step::Forward(_) => {
+                asked.push(now);
+                flight.failed(now, Outcome::Misrouted);
+            }
+            Step::Wait(until) => now = until,
+            Step::Answer(refusal) => {
+                assert_eq!(refusal.code, Code::NoHolder);
+                break;
+            }
+        }
+    }
+    assert!((5..=10).contains(&asked.len()), "asked {} times", asked.len());
+    assert!(now <= at(3_100));
+}
+
 #[test]
 fn unkeyed_request_goes_to_a_server_that_takes_work() {
     let unkeyed = || Meta { service: "files".into(), place: None, ..meta("a", true) };
