Answer control messages over the connection that asked

Cause: control traffic was 27 KB/s a node with headers, over the 13 KB/s allowed. Each heartbeat went out on one connection and its acknowledgement came back on another, so both stayed unanswered and were pinged each time: 26 writes a second for each lessor where 13 suffice (885 writes in 17 s with two lessors). Ruled out: fewer heartbeats, as only two fit into a lease then; no pings, as a connection that an intermediary has forgotten would then cost the lease. Change: acknowledgements, promises and records go back over the accepted connection; only a question that stays unanswered is pinged. Tests: answers arrive over the connection that asked; the silent link is still replaced.

--- a/crates/whinspring-daemon/src/daemon.rs
+++ b/crates/whinspring-daemon/src/daemon.rs
@@ -11,7 +11,7 @@
         clock::Clock,
         control::{self, Inputs, Outputs},
         keys::{self, Keys},
-        link::{ControlLinks, DataLinks, Listener, Local},
+        link::{Answers, ControlLinks, DataLinks, Listener, Local},
         logging,
         metrics::Metrics,
         shared::{Reports, Shared, run_ticks},
@@ -174,6 +174,7 @@
         addr: node.peer,
         clock,
         metrics: metrics.clone(),
+        answers: Answers::default(),
         control: control.handle().clone(),
         data: data.handle().clone(),
     });
@@ -193,7 +194,7 @@
 
     let (inbox_in, inbox) = mpsc::channel(INBOX);
     let socket = listen(node.peer).await?;
-    let listener = Listener::start(local.clone(), socket, inbox_in, shared.clone());
+    let listener = Listener::start(local.clone(), socket, inbox_in.clone(), shared.clone());
     let (retire, retiring) = watch::channel(false);
     let (retired_in, retired) = watch::channel(false);
     let setup = Setup {
@@ -205,7 +206,7 @@
         peers: node.peers.clone(),
     };
     let inputs = Inputs { inbox, reports, suspects, retire: retiring };
-    let control_links = ControlLinks::new(local);
+    let control_links = ControlLinks::new(local, inbox_in);
     let outputs = Outputs {
         links: control_links.clone(),
         platform: Platform::new(node.platform),
--- a/crates/whinspring-daemon/src/link.rs
+++ b/crates/whinspring-daemon/src/link.rs
@@ -10,6 +10,7 @@
     asked::Asked,
     control::ControlLinks,
     data::{DataLinks, Unreachable},
+    inbox::Answers,
     served::Served,
 };
 
@@ -26,6 +27,7 @@
 mod control;
 mod data;
 mod handshake;
+mod inbox;
 mod line;
 mod parts;
 mod pool;
@@ -49,6 +51,8 @@
     pub clock: Clock,
     /// Counters.
     pub metrics: Arc<Metrics>,
+    /// Connections over which control messages are answered.
+    pub answers: Answers,
     /// Where control links run, so that bulk data never delays them.
     pub control: Handle,
     /// Where data links run.
--- a/crates/whinspring-daemon/src/link/accept.rs
+++ b/crates/whinspring-daemon/src/link/accept.rs
@@ -4,16 +4,12 @@
     super::{
         Local,
         handshake::{self, Stream},
-        line::{Line, Patience, Receive, start},
-        parts::{Joined, Joiner},
+        inbox::Inbox,
+        line::{Patience, start},
         served::Serving,
         socket::tune,
     },
-    crate::{
-        exchange::Serve,
-        metrics::{Metrics, Traffic},
-    },
-    parking_lot::Mutex,
+    crate::exchange::Serve,
     std::{io, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -23,11 +19,7 @@
     },
     tokio_util::codec::Framed,
     whinspring::{control::Peer, message::Message},
-    whinspring_wire::{
-        control::{MAX_MESSAGE_BYTES, decode},
-        error::Error,
-        link::{Frame, Hello, Purpose},
-    },
+    whinspring_wire::link::{Hello, Purpose},
 };
 
 /// Handshakes that may go on at once.
@@ -120,11 +112,13 @@
         let runtime = self.local.runtime(hello.purpose);
         match hello.purpose {
             Purpose::Control => {
-                let peer = Peer { name: hello.node, addr: hello.addr };
-                let inbox = Inbox::new(peer, self.inbox.clone(), self.local.metrics.clone());
+                let local = self.local.clone();
+                let addr = hello.addr;
+                let inbox = Inbox::new(hello, self.inbox.clone(), local.metrics.clone());
                 runtime.spawn(async move {
                     let Ok(stream) = adopt(stream) else { return };
-                    start(stream, Arc::new(inbox), PATIENCE);
+                    let line = start(stream, Arc::new(inbox), PATIENCE);
+                    local.answers.put(addr, line);
                 });
             }
             Purpose::Data => {
@@ -146,65 +140,3 @@
     std::mem::swap(moved.read_buffer_mut(), &mut parts.read_buf);
     Ok(moved)
 }
-
-/// Joins the parts of a peer's control messages.
-struct Inbox {
-    /// The peer.
-    peer: Peer,
-    /// Takes whole messages.
-    inbox: mpsc::Sender<(Peer, Message)>,
-    /// Parts of a message whose end has not arrived.
-    parts: Mutex<Joiner>,
-    /// Counters.
-    metrics: Arc<Metrics>,
-}
-
-impl Inbox {
-    /// Creates the inbox of a connection.
-    fn new(peer: Peer, inbox: mpsc::Sender<(Peer, Message)>, metrics: Arc<Metrics>) -> Self {
-        Self { peer, inbox, parts: Mutex::default(), metrics }
-    }
-
-    /// Hands a whole message over; `false` if it is none.
-    fn deliver(&self, bytes: &[u8]) -> bool {
-        match decode(bytes) {
-            Ok(message) => {
-                if self.inbox.try_send((self.peer.clone(), message)).is_err() {
-                    self.count("control_inbox_full");
-                }
-                true
-            }
-            Err(Error::UnknownType { .. }) => {
-                self.count("control_unknown_type");
-                true
-            }
-            Err(_) => false,
-        }
-    }
-}
-
-impl Receive for Inbox {
-    fn receive(&self, _: &Arc<Line>, frame: Frame) -> bool {
-        let Frame::Control { part, more } = frame else { return false };
-        let joined = self.parts.lock().join(part, more, MAX_MESSAGE_BYTES);
-        match joined {
-            Joined::Partial => true,
-            Joined::Whole(message) => self.deliver(&message),
-            Joined::TooLong => false,
-        }
-    }
-
-    fn is_busy(&self, _: &Line) -> bool {
-        false
-    }
-
-    fn closed(&self) {}
-
-    fn count(&self, event: &'static str) {
-        self.metrics.count(event);
-    }
-
-    fn traffic(&self) -> Traffic {
-        self.metrics.traffic("control")
-    }
-}
--- a/crates/whinspring-daemon/src/link/control.rs
+++ b/crates/whinspring-daemon/src/link/control.rs
@@ -3,13 +3,15 @@
 use {
     super::{
         Local,
-        line::{Line, Patience, Receive},
+        inbox::Inbox,
+        line::{Line, Patience},
         parts::parts,
         pool::{Conn, Kind, Pool},
     },
-    crate::metrics::{Metrics, Traffic},
+    crate::metrics::Metrics,
     bytes::Bytes,
     std::{sync::Arc, time::Duration},
+    tokio::sync::mpsc,
     whinspring::{control::Peer, message::Message},
     whinspring_wire::{
         control::encode,
@@ -28,18 +30,25 @@
 pub struct ControlLinks {
     /// Connections by peer.
     pool: Arc<Pool<ControlKind>>,
+    /// What the node's links share.
+    local: Arc<Local>,
 }
 
 impl ControlLinks {
-    /// Creates links that open on demand.
-    pub fn new(local: Arc<Local>) -> Self {
+    /// Creates links that open on demand; what arrives over them goes to `inbox`.
+    pub fn new(local: Arc<Local>, inbox: mpsc::Sender<(Peer, Message)>) -> Self {
         let metrics = local.metrics.clone();
-        Self { pool: Pool::new(local, ControlKind { metrics }) }
+        let kind = ControlKind { inbox, metrics };
+        Self { pool: Pool::new(local.clone(), kind), local }
     }
 
-    /// Sends a message.
+    /// Sends a message; an answer goes back the way that its question came.
     pub fn send(&self, peer: &Peer, message: Message) {
-        self.pool.get(peer, encode(&message));
+        let line = is_answer(&message).then(|| self.local.answers.get(peer.addr)).flatten();
+        match line {
+            Some(line) => queue(&line, encode(&message), &self.local.metrics),
+            None => self.pool.get(peer, encode(&message)),
+        }
     }
 
     /// Ends every connection.
@@ -50,12 +59,14 @@
 
 /// Connections that carry control messages.
 struct ControlKind {
+    /// Takes what peers answer.
+    inbox: mpsc::Sender<(Peer, Message)>,
     /// Counters.
     metrics: Arc<Metrics>,
 }
 
 impl Kind for ControlKind {
-    type Receiver = Sent;
+    type Receiver = Inbox;
     type Waiter = Bytes;
 
     const PURPOSE: Purpose = Purpose::Control;
@@ -67,8 +78,8 @@
     const LIMIT: usize = 1;
     const FULL: usize = usize::MAX;
 
-    fn receiver(&self, _: &Hello) -> Sent {
-        Sent { metrics: self.metrics.clone() }
+    fn receiver(&self, hello: &Hello) -> Inbox {
+        Inbox::new(hello.clone(), self.inbox.clone(), self.metrics.clone())
     }
 
     fn load(&self, conn: &Conn<Self>) -> usize {
@@ -76,13 +87,8 @@
     }
 
     fn ready(&self, conn: &Arc<Conn<Self>>, message: Bytes) {
-        if conn.line.backlog() > MAX_BACKLOG {
-            self.metrics.count("control_dropped");
-            return;
-        }
-        for (part, more) in parts(message) {
-            conn.line.send(Frame::Control { part, more });
-        }
+        conn.line.ask();
+        queue(&conn.line, message, &self.metrics);
         conn.line.wake();
     }
 
@@ -91,28 +97,18 @@
     }
 }
 
-/// The peer's side of a connection on which only this node sends.
-struct Sent {
-    /// Counters.
-    metrics: Arc<Metrics>,
-}
-
-impl Receive for Sent {
-    fn receive(&self, _: &Arc<Line>, _: Frame) -> bool {
-        false
+/// Queues a message on a connection.
+fn queue(line: &Line, message: Bytes, metrics: &Metrics) {
+    if line.backlog() > MAX_BACKLOG {
+        metrics.count("control_dropped");
+        return;
     }
-
-    fn is_busy(&self, line: &Line) -> bool {
-        line.is_unanswered()
-    }
-
-    fn closed(&self) {}
-
-    fn count(&self, event: &'static str) {
-        self.metrics.count(event);
+    for (part, more) in parts(message) {
+        line.send(Frame::Control { part, more });
     }
+}
 
-    fn traffic(&self) -> Traffic {
-        self.metrics.traffic("control")
-    }
+/// Returns whether a message answers one of its receiver.
+fn is_answer(message: &Message) -> bool {
+    matches!(message, Message::Ack { .. } | Message::Lapsed { .. } | Message::Records { .. })
 }
--- /dev/null
+++ b/crates/whinspring-daemon/src/link/inbox.rs
@@ -0,0 +1,106 @@
+//! Control messages that arrive.
+
+use {
+    super::{
+        line::{Line, Receive},
+        parts::{Joined, Joiner},
+    },
+    crate::metrics::{Metrics, Traffic},
+    parking_lot::Mutex,
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+    tokio::sync::mpsc,
+    whinspring::{control::Peer, message::Message},
+    whinspring_wire::{
+        control::{MAX_MESSAGE_BYTES, decode},
+        error::Error,
+        link::{Frame, Hello},
+    },
+};
+
+/// Joins the parts of a peer's control messages.
+pub struct Inbox {
+    /// The peer.
+    peer: Peer,
+    /// Takes whole messages.
+    inbox: mpsc::Sender<(Peer, Message)>,
+    /// Parts of a message whose end has not arrived.
+    parts: Mutex<Joiner>,
+    /// Counters.
+    metrics: Arc<Metrics>,
+}
+
+impl Inbox {
+    /// Creates the inbox of a connection.
+    pub fn new(hello: Hello, inbox: mpsc::Sender<(Peer, Message)>, metrics: Arc<Metrics>) -> Self {
+        let peer = Peer { name: hello.node, addr: hello.addr };
+        Self { peer, inbox, parts: Mutex::default(), metrics }
+    }
+
+    /// Hands a whole message over; `false` if it is none.
+    fn deliver(&self, bytes: &[u8]) -> bool {
+        match decode(bytes) {
+            Ok(message) => {
+                if self.inbox.try_send((self.peer.clone(), message)).is_err() {
+                    self.count("control_inbox_full");
+                }
+                true
+            }
+            Err(Error::UnknownType { .. }) => {
+                self.count("control_unknown_type");
+                true
+            }
+            Err(_) => false,
+        }
+    }
+}
+
+impl Receive for Inbox {
+    fn receive(&self, _: &Arc<Line>, frame: Frame) -> bool {
+        let Frame::Control { part, more } = frame else { return false };
+        let joined = self.parts.lock().join(part, more, MAX_MESSAGE_BYTES);
+        match joined {
+            Joined::Partial => true,
+            Joined::Whole(message) => self.deliver(&message),
+            Joined::TooLong => false,
+        }
+    }
+
+    fn is_busy(&self, line: &Line) -> bool {
+        line.is_unanswered()
+    }
+
+    fn closed(&self) {}
+
+    fn count(&self, event: &'static str) {
+        self.metrics.count(event);
+    }
+
+    fn traffic(&self) -> Traffic {
+        self.metrics.traffic("control")
+    }
+}
+
+/// Accepted connections over which answers go back the way that the question came.
+///
+/// A question and its answer on one connection prove that it works both ways, so that it need not
+/// be pinged.
+#[derive(Debug, Default)]
+pub struct Answers {
+    /// The latest connection of each peer.
+    lines: Mutex<HashMap<SocketAddr, Arc<Line>>>,
+}
+
+impl Answers {
+    /// Adds the connection of a peer.
+    pub fn put(&self, addr: SocketAddr, line: Arc<Line>) {
+        let mut lines = self.lines.lock();
+        lines.retain(|_, line| !line.is_ended());
+        lines.insert(addr, line);
+    }
+
+    /// Returns the connection for an answer, if the peer has one open.
+    pub fn get(&self, addr: SocketAddr) -> Option<Arc<Line>> {
+        let line = self.lines.lock().get(&addr).cloned();
+        line.filter(|line| !line.is_ended())
+    }
+}
--- a/crates/whinspring-daemon/src/link/line.rs
+++ b/crates/whinspring-daemon/src/link/line.rs
@@ -80,8 +80,8 @@
     start: Instant,
     /// Microseconds from the opening to the last frame heard.
     heard: AtomicU64,
-    /// Microseconds from the opening to the last frame sent.
-    sent: AtomicU64,
+    /// Microseconds from the opening to the last question.
+    asked: AtomicU64,
     /// Wakes the watch when work begins.
     work: Notify,
     /// Cancelled when the connection has ended.
@@ -92,7 +92,6 @@
     /// Queues a frame; it is lost if the connection has ended.
     pub fn send(&self, frame: Frame) {
         self.backlog.fetch_add(1, Ordering::Relaxed);
-        self.sent.store(self.age(), Ordering::Relaxed);
         let _ = self.frames.send(frame);
     }
 
@@ -101,9 +100,14 @@
         self.backlog.load(Ordering::Relaxed)
     }
 
-    /// Returns whether something was sent since the peer was last heard.
+    /// Notes that something is sent that the peer answers.
+    pub fn ask(&self) {
+        self.asked.store(self.age(), Ordering::Relaxed);
+    }
+
+    /// Returns whether a question was sent since the peer was last heard.
     pub fn is_unanswered(&self) -> bool {
-        self.sent.load(Ordering::Relaxed) > self.heard.load(Ordering::Relaxed)
+        self.asked.load(Ordering::Relaxed) > self.heard.load(Ordering::Relaxed)
     }
 
     /// Starts to watch for silence.
@@ -145,7 +149,7 @@
         backlog: AtomicUsize::new(0),
         start: Instant::now(),
         heard: AtomicU64::new(0),
-        sent: AtomicU64::new(0),
+        asked: AtomicU64::new(0),
         work: Notify::new(),
         ended: CancellationToken::new(),
     });
--- a/crates/whinspring-daemon/tests/data/links.rs
+++ b/crates/whinspring-daemon/tests/data/links.rs
@@ -11,7 +11,7 @@
     http::{HeaderMap, Method, StatusCode},
     parking_lot::Mutex,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{io::AsyncWriteExt, net::TcpStream},
+    tokio::{io::AsyncWriteExt, net::TcpStream, sync::mpsc},
     whinspring::{
         code::Code,
         control::Peer,
@@ -116,6 +116,11 @@
     local("a", ([127, 0, 0, 1], 1).into(), KEY)
 }
 
+/// Links for control messages; what is answered over them is not looked at.
+fn control_links(local: Arc<Local>) -> ControlLinks {
+    ControlLinks::new(local, mpsc::channel(1).0)
+}
+
 /// A message of `bytes` bytes or more.
 fn message(bytes: usize) -> Message {
     let keys = (0..bytes / 100).map(|number| (format!("{number:0100}").into(), 1)).collect();
@@ -126,7 +131,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn control_messages_of_any_size_arrive_in_order_and_name_their_sender() {
     let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
-    let links = ControlLinks::new(node_a());
+    let links = control_links(node_a());
     let sent = [message(100), message(3 << 20), message(200)];
     for message in &sent {
         links.send(&b.peer, message.clone());
@@ -137,12 +142,28 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_go_back_the_way_that_the_question_came() {
+    let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
+    let (inbox, mut answers) = mpsc::channel(16);
+    let a = ControlLinks::new(node_a(), inbox);
+    let back = control_links(b.local.clone());
+    for seq in 0..5 {
+        a.send(&b.peer, Message::Heartbeat { incarnation: 1, seq, version: 1, seen: 1 });
+        let (peer, _) = b.inbox.recv().await.expect("the listener runs");
+        back.send(&peer, Message::Ack { incarnation: 1, seq, seen: 1 });
+        let (peer, answer) = answers.recv().await.expect("the link is open");
+        assert_eq!(peer.name, "b");
+        assert_eq!(answer, Message::Ack { incarnation: 1, seq, seen: 1 });
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn control_link_that_falls_silent_is_replaced() {
     let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
     let relay = Relay::start(([127, 0, 0, 1], 0).into(), b.peer.addr).await.expect("loopback");
     let peer = Peer { name: "b".into(), addr: relay.addr };
-    let links = ControlLinks::new(node_a());
+    let links = control_links(node_a());
     links.send(&peer, message(100));
     assert!(b.inbox.recv().await.is_some());
     relay.stall();
@@ -163,12 +184,12 @@
     let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
     let counted = |event| b.local.metrics.counted(event);
     let addr = ([127, 0, 0, 1], 1).into();
-    ControlLinks::new(local("x", addr, b"another key")).send(&b.peer, message(100));
+    control_links(local("x", addr, b"another key")).send(&b.peer, message(100));
     until(|| counted("link_stranger") == 1).await;
     let other = Local { deployment: "other".into(), ..take(node_a()) };
-    ControlLinks::new(Arc::new(other)).send(&b.peer, message(100));
+    control_links(Arc::new(other)).send(&b.peer, message(100));
     until(|| counted("link_stranger") == 2).await;
-    ControlLinks::new(node_a()).send(&b.peer, message(100));
+    control_links(node_a()).send(&b.peer, message(100));
     let (peer, _) = b.inbox.recv().await.expect("the listener runs");
     assert_eq!(peer.name, "a");
     assert!(b.inbox.try_recv().is_err());
@@ -178,18 +199,18 @@
 async fn key_is_replaced_node_by_node_without_cutting_a_link() {
     let mut b = peered("b", KEY, Arc::new(Keep::default())).await;
     let a = node_a();
-    let open_before = ControlLinks::new(a.clone());
+    let open_before = control_links(a.clone());
     open_before.send(&b.peer, message(1));
     b.inbox.recv().await.expect("the listener runs");
 
     let [old, new] = [KEY.to_vec(), b"the next key of the deployment".to_vec()];
     b.local.keys.replace(vec![old.clone(), new.clone()]);
     a.keys.replace(vec![new.clone(), old]);
-    ControlLinks::new(a.clone()).send(&b.peer, message(2));
+    control_links(a.clone()).send(&b.peer, message(2));
     b.inbox.recv().await.expect("the new key is accepted beside the old one");
 
     b.local.keys.replace(vec![new]);
-    ControlLinks::new(node_a()).send(&b.peer, message(3));
+    control_links(node_a()).send(&b.peer, message(3));
     until(|| b.local.metrics.counted("link_stranger") == 1).await;
     open_before.send(&b.peer, message(4));
     let (peer, _) = b.inbox.recv().await.expect("the open link stays");
@@ -217,7 +238,7 @@
     let silent = TcpStream::connect(b.peer.addr).await.expect("the port is open");
     until(|| counted("link_handshake_timeout") == 1).await;
     drop(silent);
-    ControlLinks::new(node_a()).send(&b.peer, message(100));
+    control_links(node_a()).send(&b.peer, message(100));
     assert!(b.inbox.recv().await.is_some());
 }
 
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -30,7 +30,7 @@
         clock::Clock,
         exchange::Serve,
         keys::Keys,
-        link::{DataLinks, Listener, Local},
+        link::{Answers, DataLinks, Listener, Local},
         metrics::Metrics,
         shared::{Reports, Shared, run_ticks},
     },
@@ -59,6 +59,7 @@
         addr,
         clock: Clock::start(),
         metrics: Arc::new(Metrics::new()),
+        answers: Answers::default(),
         control: Handle::current(),
         data: Handle::current(),
     })
