--- a/crates/whinspring/src/control/controller.rs
+++ b/crates/whinspring/src/control/controller.rs
@@ -161,11 +161,11 @@
     fn plan(&mut self, listened: bool, out: &mut Vec<Action>) {
         let Some(term) = &mut self.term else { return };
         term.prune(self.now, &self.replica);
-        let mut counts = holders::counts(&self.replica);
+        let mut pool = holders::Pool::new(&self.replica);
         let mut writes = plans::advance(&self.replica, &term.memory);
         writes.extend(retention::plan(&self.replica, self.wall));
         for service in planner::services(&self.replica) {
-            writes.extend(holders::plan(&self.replica, &term.memory, service, &mut counts));
+            writes.extend(holders::plan(&self.replica, &term.memory, service, &mut pool));
             if listened {
                 writes.extend(segments::plan(&self.replica, &term.memory, self.now, service));
             }
--- a/crates/whinspring/src/control/spread.rs
+++ b/crates/whinspring/src/control/spread.rs
@@ -89,7 +89,7 @@
 impl Control {
     /// Reads the platform and exchanges records as far as it is time to.
     pub(super) fn tend_spread(&mut self, out: &mut Vec<Action>) {
-        self.writes.prune(&self.replica);
+        self.writes.prune(self.now, &self.replica);
         self.tend_reads(out);
         self.tend_pulls(out);
         self.notify(out);
--- a/crates/whinspring/src/control/writes.rs
+++ b/crates/whinspring/src/control/writes.rs
@@ -20,6 +20,9 @@
 /// Longest such wait.
 const RETRY_MAX: Duration = Duration::from_millis(2_000);
 
+/// Time for which a record is not written again that the platform holds at an unknown version.
+const HOLD: Duration = Duration::from_millis(500);
+
 /// What a write is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Purpose {
@@ -69,19 +72,25 @@
     /// Writes by number.
     pending: BTreeMap<u64, Pending>,
     /// Versions, by record, that the replica must reach before the record is written again.
-    ahead: BTreeMap<Key, u64>,
+    ahead: BTreeMap<Key, (u64, Tick)>,
 }
 
 impl Writes {
     /// Returns whether `key` may be written: no write is under way or still unseen in `replica`.
     pub fn free(&self, replica: &Replica, key: &Key) -> bool {
-        let settled = self.ahead.get(key).is_none_or(|version| replica.written(key) >= *version);
+        let settled =
+            self.ahead.get(key).is_none_or(|(version, _)| replica.written(key) >= *version);
         settled && !self.pending.values().any(|write| write.key == *key)
     }
 
     /// Returns the highest version known of and not yet in `replica`, zero if there is none.
     pub fn unseen(&self, replica: &Replica) -> u64 {
-        self.ahead.values().copied().filter(|version| *version > replica.seen()).max().unwrap_or(0)
+        self.ahead
+            .values()
+            .map(|ahead| ahead.0)
+            .filter(|version| *version > replica.seen())
+            .max()
+            .unwrap_or(0)
     }
 
     /// Begins a write.
@@ -121,7 +130,7 @@
             }
         };
         let write = self.pending.remove(&op)?;
-        self.ahead.insert(write.key.clone(), ahead);
+        self.ahead.insert(write.key.clone(), (ahead, now));
         Some(Ended { write, version })
     }
 
@@ -137,9 +146,11 @@
     }
 
     /// Forgets what the replica has caught up with.
-    pub fn prune(&mut self, replica: &Replica) {
-        self.ahead
-            .retain(|key, version| replica.written(key) < *version && replica.seen() < *version);
+    pub fn prune(&mut self, now: Tick, replica: &Replica) {
+        self.ahead.retain(|key, (version, since)| {
+            let unseen = replica.seen() < *version || now.since(*since) < HOLD;
+            unseen && replica.written(key) < *version
+        });
     }
 }
 
--- a/crates/whinspring/src/planner/rebalance.rs
+++ b/crates/whinspring/src/planner/rebalance.rs
@@ -26,6 +26,9 @@
 /// Moves in one round, as a part of the units.
 const MOVES_PART: usize = 16;
 
+/// Moves in one round that are always allowed.
+const MIN_MOVES: usize = 4;
+
 /// Moves in one round at most.
 const MAX_MOVES: usize = 256;
 
@@ -73,7 +76,7 @@
     let mut after = segments.clone();
     sort_keys(replica, service, &measured, &mut after);
     let (items, units) = units(service, &measured, &after);
-    let moves = (units.len() / MOVES_PART).clamp(1, MAX_MOVES);
+    let moves = (units.len() / MOVES_PART).clamp(MIN_MOVES, MAX_MOVES);
     let owners = place(policy, &units, &seats, Limits { moves, slack: SLACK });
     for ((item, unit), owner) in items.iter().zip(&units).zip(&owners) {
         if unit.owner != Some(*owner) {
--- a/crates/whinspring/src/planner/segments.rs
+++ b/crates/whinspring/src/planner/segments.rs
@@ -29,6 +29,8 @@
     renewed: BTreeSet<ServerId>,
     /// Slices owned, or about to be owned, by each server.
     counts: BTreeMap<ServerId, usize>,
+    /// Usable servers by how full they are, once one has been chosen.
+    order: BTreeSet<(u64, ServerId)>,
     /// Slices of each draining server that wait for their release.
     waiting: BTreeMap<ServerId, usize>,
 }
@@ -93,6 +95,7 @@
             lost,
             draining,
             counts: BTreeMap::new(),
+            order: BTreeSet::new(),
             waiting: BTreeMap::new(),
         };
         for index in 0..segment_count(service) {
@@ -191,13 +194,19 @@
 
     /// Chooses the server with the fewest slices for its slots, and counts one more for it.
     fn take(&mut self) -> Option<ServerId> {
-        let fill = |id: &ServerId, slots: u32| {
-            let count = self.counts.get(id).copied().unwrap_or_default() as u64;
-            (count * 1_000_000 / u64::from(slots), id.0)
-        };
-        let (server, _) = self.usable.iter().min_by_key(|(id, slots)| fill(id, **slots))?;
-        let server = *server;
+        if self.order.is_empty() {
+            self.order = self.usable.keys().map(|id| (self.fill(*id), *id)).collect();
+        }
+        let (_, server) = self.order.pop_first()?;
         *self.counts.entry(server).or_default() += 1;
+        self.order.insert((self.fill(server), server));
         Some(server)
     }
+
+    /// Returns how full a usable server is.
+    fn fill(&self, server: ServerId) -> u64 {
+        let count = self.counts.get(&server).copied().unwrap_or_default() as u64;
+        let slots = self.usable.get(&server).copied().unwrap_or(1);
+        count * 1_000_000 / u64::from(slots)
+    }
 }
