Control: replacements of lost lessors spread over time

A node with two good lessors of three replaces the third within 4 ms for each other node, at most 5 s, drawn at random.

--- a/crates/whinspring/src/control/choice.rs
+++ b/crates/whinspring/src/control/choice.rs
@@ -3,7 +3,7 @@
 use {
     super::{Action, Control, Peer, membership::LEASELESS, roster},
     crate::{
-        lease::LESSORS,
+        lease::{LESSORS, ack_quorum},
         message::Message,
         model::{Node, NodeState},
         name::Name,
@@ -33,6 +33,12 @@
 /// Time between two rounds of questions to possible lessors.
 const PROBE: Duration = Duration::from_millis(300);
 
+/// Time for each other node over which the replacement of a lost lessor is spread.
+const REPLACE_STEP: Duration = Duration::from_millis(4);
+
+/// Longest time over which it is spread.
+const REPLACE_MAX: Duration = Duration::from_millis(5_000);
+
 impl Control {
     /// Returns the lessors that this node's record should name.
     pub(super) fn wanted_lessors(&mut self, own: &Node) -> Vec<Name> {
@@ -46,6 +52,9 @@
         if good.len() == LESSORS {
             return self.evened(good);
         }
+        if self.may_wait(own, &good) {
+            return own.lessors.clone();
+        }
         let leaseless = now.since(self.leased) >= LEASELESS;
         if !good.is_empty() || own.lessors.is_empty() {
             let fresh = (good.len() == own.lessors.len()).then_some(FRESH);
@@ -65,6 +74,21 @@
         self.choose(&[], None)
     }
 
+    /// Returns whether the good lessors suffice for now, so that the loss of many nodes at once does
+    /// not make all others write at the same moment.
+    fn may_wait(&mut self, own: &Node, good: &[Name]) -> bool {
+        let lossy = good.len() < own.lessors.len();
+        if !lossy || own.lessors.len() < LESSORS || good.len() < ack_quorum(own.lessors.len()) {
+            self.own.replace_at = None;
+            return false;
+        }
+        let nodes = self.roster.others.len() as u32;
+        let window = (REPLACE_STEP * nodes).min(REPLACE_MAX);
+        let wait = window.mul_f64(self.rng.random_range(0.0..1.0));
+        let at = *self.own.replace_at.get_or_insert(self.now + wait);
+        self.now < at
+    }
+
     /// Replaces, once in a while, a lessor that keeps far more leases than others.
     fn evened(&mut self, mut lessors: Vec<Name>) -> Vec<Name> {
         if self.now < self.own.next_even {
--- a/crates/whinspring/src/control/membership.rs
+++ b/crates/whinspring/src/control/membership.rs
@@ -48,6 +48,8 @@
     pub shunned: BTreeMap<Name, Tick>,
     /// State and lessors in the write under way.
     proposed: Option<(NodeState, Vec<Name>)>,
+    /// When a lost lessor is to be replaced that can be done without for now.
+    pub replace_at: Option<Tick>,
     /// When future lessors were first asked.
     courted: Tick,
     /// When the last write of the own record without lessors was sent.
