Probe over a new connection while an earlier probe is unanswered

Cause: connections to a server that fell silent unseen carried its probes too, so two probes without an answer lost a server that was well. Ruled out: a connection kept for probes only (it falls silent like any other). Change: a probe or grant drops the idle connections while an earlier one is unanswered, and bytes that stay unacknowledged end a connection after 1.5 s. A caller that waits for a 100 is not asked for the body of a request that is refused. Tests: silent connections do not condemn a server (hung with the change taken out, three runs); a refused caller is not asked for its body (failed, two runs).

--- a/crates/whinspring-daemon/src/backend.rs
+++ b/crates/whinspring-daemon/src/backend.rs
@@ -91,6 +91,11 @@
         Conn::open(addr, self.clock).await
     }
 
+    /// Drops the idle connections, as one of them may have fallen silent unseen.
+    pub fn clear(&self) {
+        self.state.lock().idle.clear();
+    }
+
     /// Keeps a connection whose answer was read to its end.
     pub async fn give_back(&self, mut conn: Conn) {
         if !conn.settle().await {
--- a/crates/whinspring-daemon/src/backend/conn.rs
+++ b/crates/whinspring-daemon/src/backend/conn.rs
@@ -31,7 +31,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time after which unacknowledged bytes end a connection.
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
--- a/crates/whinspring-daemon/src/caller.rs
+++ b/crates/whinspring-daemon/src/caller.rs
@@ -157,13 +157,13 @@
     let checked = match check(shared, &parts) {
         Ok(checked) => checked,
         Err((service, code, retry_ms)) => {
-            discard(body).await;
+            discard(&parts.headers, body).await;
             return Err((service, Refusal { code, retry_ms }));
         }
     };
     let service = checked.meta.service.clone();
     if shared.metrics.flights.get() > MAX_FLIGHTS {
-        discard(body).await;
+        discard(&parts.headers, body).await;
         let refusal = Refusal { code: Code::Overloaded, retry_ms: ROOM_RETRY_MS };
         return Err((service, refusal));
     }
--- a/crates/whinspring-daemon/src/caller/intake.rs
+++ b/crates/whinspring-daemon/src/caller/intake.rs
@@ -4,7 +4,10 @@
     super::conn::Conn,
     crate::{exchange::Uplink, serve::Source},
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, header::CONTENT_LENGTH},
+    http::{
+        HeaderMap,
+        header::{CONTENT_LENGTH, EXPECT},
+    },
     std::{
         cell::{Cell, RefCell},
         future::poll_fn,
@@ -201,8 +204,11 @@
     state.body.borrow_mut().take();
 }
 
-/// Reads the body of a refused request, within bounds.
-pub async fn discard(mut body: RequestBody) {
+/// Reads the body of a refused request, within bounds, unless the caller waits to send it.
+pub async fn discard(headers: &HeaderMap, mut body: RequestBody) {
+    if headers.contains_key(EXPECT) {
+        return;
+    }
     let mut read = 0;
     let steps = async {
         while read < DISCARD_BYTES {
--- a/crates/whinspring-daemon/src/held.rs
+++ b/crates/whinspring-daemon/src/held.rs
@@ -53,6 +53,8 @@
     running: AtomicU32,
     /// Requests that wait.
     queued: AtomicU32,
+    /// Probes and grants without an answer yet.
+    asking: AtomicU32,
     /// The decisions and the requests that they are about.
     state: Mutex<State>,
 }
@@ -136,6 +138,7 @@
             term,
             running: AtomicU32::new(0),
             queued: AtomicU32::new(0),
+            asking: AtomicU32::new(0),
             state: Mutex::new(state),
         });
         held.feed(Input::Lease(lease));
--- a/crates/whinspring-daemon/src/held/probe.rs
+++ b/crates/whinspring-daemon/src/held/probe.rs
@@ -9,7 +9,10 @@
     bytes::Bytes,
     http::{Method, Request, StatusCode, header::CONTENT_TYPE},
     serde::{Deserialize, Serialize},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     tokio::time::timeout,
     whinspring::{
         holder::Input,
@@ -84,9 +87,18 @@
     }
 
     /// Sends a probe or grant and returns what it showed.
+    ///
+    /// While an earlier one is unanswered, it goes over a new connection: the earlier one's may
+    /// have fallen silent though the server is well.
     async fn ask(&self, request: http::Result<Request<Upstream>>, grant: u64) -> Input {
         let request = request.expect("the parts are valid");
-        let input = match timeout(PROBE_TIMEOUT, self.ask_steps(request)).await {
+        let others = self.asking.fetch_add(1, Ordering::Relaxed);
+        if others > 0 {
+            self.backend.clear();
+        }
+        let answer = timeout(PROBE_TIMEOUT, self.ask_steps(request)).await;
+        self.asking.fetch_sub(1, Ordering::Relaxed);
+        let input = match answer {
             Ok(Ok((StatusCode::OK, body))) => sign(&body, grant),
             Ok(Ok((StatusCode::CONFLICT, _))) if grant > 0 => Input::Outranked,
             Ok(Ok(_)) | Err(_) => Input::Down { refused: false },
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -96,6 +96,15 @@
     assert!(Caller::new().send(&call).await.is_right());
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refused_caller_is_not_asked_for_its_body() {
+    let pair = pair("a", fenced()).await;
+    let request = b"PUT /nowhere HTTP/1.1\r\nhost: t\r\nexpect: 100-continue\r\n\
+        content-length: 100\r\n\r\n";
+    let answer = exchange(pair.a.callers_addr, request).await;
+    assert!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn caller_that_goes_away_cancels_repeatable_work() {
     for holder in ["a", "b"] {
--- a/crates/whinspring-daemon/tests/data/path.rs
+++ b/crates/whinspring-daemon/tests/data/path.rs
@@ -19,6 +19,7 @@
     whinspring_standin::{
         caller::{Call, Caller, Class, End, Payload},
         http::Running,
+        relay::Relay,
         runs::{self, Event},
         server::Options,
     },
@@ -211,6 +212,28 @@
     assert!(reply.is_right() || reply.class == Some(Class::NotRun), "{reply:?}");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connections_to_a_server_do_not_condemn_it() {
+    let (a, b) = (daemon("a").await, daemon("b").await);
+    let work = Duration::from_millis(20);
+    let checks = server(Options { work, ..fenced() }).await;
+    let bundles = server(Options::default()).await;
+    let relay = Relay::start(([127, 0, 0, 1], 0).into(), checks.addr).await.expect("loopback");
+    let placed = |addr| [Placed { addr, holder: "b".into() }];
+    publish(&[&a, &b], &placed(relay.addr), &placed(bundles.addr)).await;
+    let caller = Caller::new();
+    let mut tasks = JoinSet::new();
+    for number in 0..80 {
+        let (caller, call) = (caller.clone(), lookup(&a, &format!("key-{number}")));
+        tasks.spawn(async move { caller.send(&call).await });
+    }
+    assert!(tasks.join_all().await.iter().all(|reply| reply.is_right()));
+    relay.stall();
+    let again = lookup(&a, "k").header("whinspring-deadline-ms", "1000");
+    while !caller.send(&again).await.is_right() {}
+    assert_eq!(b.shared.metrics.counted("server_lost"), 0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn lost_server_is_told_at_once() {
     let pair = pair("b", Options { work: Duration::from_secs(30), ..fenced() }).await;
