Refuse old HTTP versions and paths that do not parse

Cause: an answer of unknown length to an HTTP/1.0 caller ends with the connection, so that a cut looks whole; and a path from another node that did not parse was sent on as the root. Change: both are refused where they arrive.

--- a/crates/whinspring-daemon/src/caller/request.rs
+++ b/crates/whinspring-daemon/src/caller/request.rs
@@ -96,8 +96,7 @@
     if method == Method::CONNECT || method == Method::TRACE || parts.headers.contains_key(UPGRADE) {
         return Err(Code::BadRequest);
     }
-    let hosts = parts.headers.get_all(HOST).iter().count();
-    if hosts > 1 || (hosts == 0 && parts.version == Version::HTTP_11) {
+    if parts.version != Version::HTTP_11 || parts.headers.get_all(HOST).iter().count() != 1 {
         return Err(Code::BadRequest);
     }
     let path = parts.uri.path_and_query().ok_or(Code::BadRequest)?.as_str();
--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -18,6 +18,7 @@
     http::{
         HeaderMap, HeaderValue, Request, Response,
         header::{HOST, RETRY_AFTER},
+        uri::PathAndQuery,
     },
     http_body::Body,
     hyper::body::Incoming,
@@ -296,7 +297,8 @@
         };
         let mut request = Request::new(body);
         *request.method_mut() = open.method.clone();
-        *request.uri_mut() = open.path.parse().unwrap_or_default();
+        let path = PathAndQuery::try_from(open.path.as_str());
+        *request.uri_mut() = path.expect("checked when it arrived").into();
         *request.headers_mut() = open.headers.clone();
         let headers = request.headers_mut();
         headers.insert(TERM, self.order.term.into());
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -82,11 +82,13 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn missing_host_garbage_and_oversized_heads_are_refused_and_the_daemon_goes_on() {
+async fn missing_host_old_versions_garbage_and_oversized_heads_are_refused() {
     let pair = pair("a", fenced()).await;
     let addr = pair.a.callers_addr;
     let no_host = exchange(addr, b"GET /checks/x HTTP/1.1\r\nconnection: close\r\n\r\n").await;
     assert!(no_host.contains("whinspring-code: 405\r\n"), "{no_host}");
+    let old = exchange(addr, b"GET /checks/x HTTP/1.0\r\nhost: t\r\nx-key: k\r\n\r\n").await;
+    assert!(old.contains("whinspring-code: 405\r\n"), "{old}");
     let garbage = exchange(addr, b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n").await;
     assert!(garbage.starts_with("HTTP/1.1 400 "), "{garbage}");
     let large = format!("GET /checks/x HTTP/1.1\r\nhost: t\r\nx: {}\r\n\r\n", "y".repeat(100_000));
--- a/crates/whinspring-wire/src/link/convert.rs
+++ b/crates/whinspring-wire/src/link/convert.rs
@@ -5,7 +5,7 @@
         BadFrame, BadFrameSnafu, Frame, Head, Hello, NONCE_BYTES, Open, Purpose, Reason, wire,
     },
     bytes::Bytes,
-    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode},
+    http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, uri::PathAndQuery},
     snafu::{OptionExt, ensure},
     std::time::Duration,
     whinspring::{
@@ -127,6 +127,8 @@
 
     fn try_from(open: wire::Open) -> Result<Self, BadFrame> {
         let method = Method::from_bytes(open.method.as_bytes());
+        let path = PathAndQuery::try_from(open.path.as_str());
+        ensure!(path.is_ok(), BadFrameSnafu { field: "path" });
         Ok(Self {
             stream: open.stream,
             method: method.ok().context(BadFrameSnafu { field: "method" })?,
--- a/crates/whinspring-wire/tests/link.rs
+++ b/crates/whinspring-wire/tests/link.rs
@@ -144,6 +144,8 @@
         frame(wire::frame::Kind::Open(open)).is_err()
     };
     assert!(bad_open(|open| open.method = "not a method".into()));
+    assert!(bad_open(|open| open.path = "/a b".into()));
+    assert!(bad_open(|open| open.path.clear()));
     assert!(bad_open(|open| open.meta = None));
     assert!(bad_open(|open| open.target = None));
     assert!(bad_open(|open| open.headers[0].name = Bytes::from_static(b"a\r\nb")));
