--- a/crates/whinspring-daemon/src/caller.rs
+++ b/crates/whinspring-daemon/src/caller.rs
@@ -158,7 +158,7 @@
     let checked = match check(shared, &parts) {
         Ok(checked) => checked,
         Err((service, code, retry_ms)) => {
-            discard(body).await;
+            discard(&parts.headers, body).await;
             return Err((service, Refusal { code, retry_ms }));
         }
     };
@@ -166,7 +166,7 @@
     let (id, repeatable) = (checked.meta.id.clone(), checked.meta.repeatable);
     shared.journal.add(&id, Hop::Entry, What::Received { service: service.clone(), repeatable });
     if shared.metrics.flights.get() > MAX_FLIGHTS {
-        discard(body).await;
+        discard(&parts.headers, body).await;
         let refusal = Refusal { code: Code::Overloaded, retry_ms: ROOM_RETRY_MS };
         return Err((service, refusal));
     }
