Take the limit of requests in progress from the settings

Cause: in_flight was accepted and did nothing; the callers' port had a constant.

Change: the port gets the limit with its other settings.

--- a/crates/whinspring-daemon/src/caller.rs
+++ b/crates/whinspring-daemon/src/caller.rs
@@ -45,9 +45,6 @@
 /// Longest time from the first byte of a head to its last.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Requests of callers in progress at most.
-const MAX_FLIGHTS: i64 = 16_384;
-
 /// Time after which a caller refused for lack of room may come back, in milliseconds.
 const ROOM_RETRY_MS: u32 = 500;
 
@@ -59,6 +56,8 @@
 pub struct Setup {
     /// Threads that serve callers.
     pub workers: usize,
+    /// Requests of callers in progress at most.
+    pub flights: u32,
     /// Time for which an idle connection is kept.
     pub idle: Duration,
     /// Time that the balancer takes to send no more connections.
@@ -95,7 +94,8 @@
             .max_read_buf_size::<MAX_HEAD_BYTES>()
             .max_write_buf_size::<WRITE_BYTES>();
         let tables = shared.clone();
-        let handler = fn_service(move |request| handle(tables.clone(), request));
+        let most = i64::from(setup.flights);
+        let handler = fn_service(move |request| handle(tables.clone(), most, request));
         let http = handler.enclosed(HttpServiceBuilder::h1().config(config).with_tls(Acceptor));
         let service = Watch::new(http, doors.clone());
         let mut server = Builder::new()
@@ -130,13 +130,14 @@
 /// Serves one request.
 async fn handle(
     shared: Arc<Shared>,
+    most: i64,
     request: Request<RequestExt<xitca_http::RequestBody>>,
 ) -> Result<Response<Body>, Infallible> {
     let conn = Conn::current();
     let busy = conn.begin();
     let start = shared.clock.now();
     shared.metrics.flights.inc();
-    let (service, code, mut response) = match serve(&shared, &conn, request).await {
+    let (service, code, mut response) = match serve(&shared, most, &conn, request).await {
         Ok((service, response, code)) => (service, code, response),
         Err((service, refusal)) => (service, refusal.code, refuse(refusal)),
     };
@@ -147,9 +148,10 @@
     Ok(response)
 }
 
-/// Checks, forwards and answers one request.
+/// Checks, forwards and answers one request, unless `most` are in progress.
 async fn serve(
     shared: &Arc<Shared>,
+    most: i64,
     conn: &std::rc::Rc<Conn>,
     request: Request<RequestExt<xitca_http::RequestBody>>,
 ) -> Result<(Name, Response<Body>, Code), (Name, Refusal)> {
@@ -165,7 +167,7 @@
     let service = checked.meta.service.clone();
     let (id, repeatable) = (checked.meta.id.clone(), checked.meta.repeatable);
     shared.journal.add(&id, Hop::Entry, What::Received { service: service.clone(), repeatable });
-    if shared.metrics.flights.get() > MAX_FLIGHTS {
+    if shared.metrics.flights.get() > most {
         discard(body).await;
         let refusal = Refusal { code: Code::Overloaded, retry_ms: ROOM_RETRY_MS };
         return Err((service, refusal));
--- a/crates/whinspring-daemon/src/daemon.rs
+++ b/crates/whinspring-daemon/src/daemon.rs
@@ -229,6 +229,7 @@
 fn callers_setup(limits: &Limits) -> caller::Setup {
     caller::Setup {
         workers: threads(),
+        flights: limits.in_flight,
         idle: Duration::from_millis(limits.idle_ms.into()),
         drain: Duration::from_millis(limits.notice_ms.into()),
     }
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         path::{Pair, fenced, pair},
-        rig::{Daemon, Fake, Placed, daemon, publish},
+        rig::{Daemon, FLIGHTS, Fake, Placed, daemon, publish},
     },
     hyper::Method,
     std::{net::SocketAddr, time::Duration},
@@ -119,6 +119,21 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_beyond_the_limit_are_refused_at_once() {
+    let pair = pair("a", fenced()).await;
+    let flights = &pair.a.shared.metrics.flights;
+    let request = b"GET /checks/x HTTP/1.1\r\nhost: t\r\nx-key: k\r\nconnection: close\r\n\r\n";
+    flights.inc_by(i64::from(FLIGHTS));
+    let refused = exchange(pair.a.callers_addr, request).await;
+    assert!(refused.contains("whinspring-code: 500\r\n"), "{refused}");
+    assert!(refused.contains("whinspring-retry-ms: "), "{refused}");
+    flights.dec();
+    let answered = exchange(pair.a.callers_addr, request).await;
+    assert!(answered.contains("whinspring-code: 100\r\n"), "{answered}");
+    flights.dec_by(i64::from(FLIGHTS - 1));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn caller_that_goes_away_does_not_stop_unrepeatable_work() {
     let options = Options { work: Duration::from_millis(300), ..fenced() };
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -43,6 +43,9 @@
 /// Key of the deployment in tests.
 pub const KEY: &[u8] = b"a key of the deployment for tests";
 
+/// Requests of callers in progress at a node at most.
+pub const FLIGHTS: u32 = 1_000;
+
 /// Slices of the keyed service.
 pub const SLICES: u32 = 8;
 
@@ -131,8 +134,12 @@
     let _ = Listener::start(local.clone(), socket, sender, shared.clone());
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
     let callers_addr = listener.local_addr().expect("it is bound");
-    let setup =
-        Setup { workers: 2, idle: Duration::from_secs(60), drain: Duration::from_millis(100) };
+    let setup = Setup {
+        workers: 2,
+        flights: FLIGHTS,
+        idle: Duration::from_secs(60),
+        drain: Duration::from_millis(100),
+    };
     let callers = Callers::start(shared.clone(), listener, setup).expect("the port starts");
     Daemon {
         name: name.into(),
