--- a/crates/whinspring-daemon/src/main.rs
+++ b/crates/whinspring-daemon/src/main.rs
@@ -1,10 +1,14 @@
 //! `whinspringd`: the daemon that runs on every entry VM.
 
 use {
-    clap::{Arg, ArgAction, Command, crate_version, value_parser},
-    std::{fs, path::PathBuf, process::ExitCode},
+    clap::{Arg, Command, crate_version, value_parser},
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
     whinspring::settings::Settings,
-    whinspring_daemon::daemon,
+    whinspring_daemon::{daemon, keys},
 };
 
 /// Exit code for settings that cannot be read or are not valid.
@@ -12,12 +16,11 @@
 
 fn main() -> ExitCode {
     let args = command().get_matches();
+    if let Some(file) = args.get_one::<PathBuf>("check") {
+        return check(file);
+    }
     let file: &PathBuf = args.get_one("config").expect("clap requires it");
     let Some(settings) = read(file) else { return ExitCode::from(BAD_SETTINGS) };
-    if args.get_flag("check") {
-        println!("{}: no faults", file.display());
-        return ExitCode::SUCCESS;
-    }
     match daemon::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -39,18 +42,31 @@
                 .value_name("FILE")
                 .help("Settings of this node")
                 .value_parser(value_parser!(PathBuf))
-                .required(true),
+                .required_unless_present("check"),
         )
         .arg(
             Arg::new("check")
                 .long("check")
-                .help("Check the settings, list every fault and exit")
-                .action(ArgAction::SetTrue),
+                .value_name("FILE")
+                .help("Check settings and key file, list every fault and exit")
+                .value_parser(value_parser!(PathBuf))
+                .conflicts_with("config"),
         )
 }
 
+/// Checks settings and the key file that they name.
+fn check(file: &Path) -> ExitCode {
+    let Some(settings) = read(file) else { return ExitCode::from(BAD_SETTINGS) };
+    if let Err(error) = keys::read(&settings.node.secret) {
+        eprintln!("{}: {error}", file.display());
+        return ExitCode::from(BAD_SETTINGS);
+    }
+    println!("{}: no faults", file.display());
+    ExitCode::SUCCESS
+}
+
 /// Reads the settings; prints every fault.
-fn read(file: &PathBuf) -> Option<Settings> {
+fn read(file: &Path) -> Option<Settings> {
     let text = match fs::read_to_string(file) {
         Ok(text) => text,
         Err(error) => {
