Rank doctor's findings by what callers feel

Cause: in a trial with real processes doctor said that callers were refused for a lost server that owned nothing any more, and a plan that had lost to another one kept doctor red for good.

Change: such a server is a risk, not a refusal; a plan that lost changed nothing and is left to its own message; one that failed on the way stays until abort takes note of it.

--- a/crates/whinspring-cli/src/command.rs
+++ b/crates/whinspring-cli/src/command.rs
@@ -203,7 +203,9 @@
     [
         Command::new("confirm").about("Have a plan carried out").args([plan(), wait]),
         Command::new("watch").about("Follow a plan to its end").arg(plan()),
-        Command::new("abort").about("Stop a plan where that is safe").arg(plan()),
+        Command::new("abort")
+            .about("Stop a plan between two steps, or take note of a failed one")
+            .arg(plan()),
         Command::new("plans").about("List plans").arg(all),
     ]
 }
--- a/crates/whinspring-cli/src/plans.rs
+++ b/crates/whinspring-cli/src/plans.rs
@@ -61,10 +61,12 @@
 }
 
 /// Marks a plan as aborted; the controller starts no further step of it.
+///
+/// A failed plan is marked as well: the operator has taken note of it.
 pub async fn abort(store: &impl Store, id: &Name) -> Result<StoredPlan, Error> {
     loop {
         let found = get(store, id).await?;
-        if !is_open(found.plan.state) {
+        if !is_open(found.plan.state) && found.plan.state != PlanState::Failed {
             return Err(plan::Error::WrongState { id: id.clone(), state: found.plan.state }.into());
         }
         match set_state(store, found, PlanState::Aborted).await {
--- a/crates/whinspring-cli/src/query/doctor.rs
+++ b/crates/whinspring-cli/src/query/doctor.rs
@@ -2,14 +2,14 @@
 
 use {
     super::{holders, is_live, nodes, plans, status::Counts, suspects},
-    crate::view::Diagnosis,
+    crate::{plans::lost_reason, view::Diagnosis},
     serde::Serialize,
     std::{
         collections::BTreeSet,
         fmt::{self, Display, Formatter},
     },
     whinspring::{
-        model::{NodeState, PlanState, ServerState, Service},
+        model::{NodeState, Plan, PlanState, ServerState, Service},
         plan::{self, Records},
         record::{Key, Kind, Value},
     },
@@ -177,11 +177,14 @@
     }
 }
 
-/// Checks for plans that failed.
+/// Checks for plans that failed on the way; one that lost to another plan changed nothing.
 fn check_plans(records: &Records, findings: &mut Vec<Finding>) {
-    for plan in plans(records).filter(|plan| plan.state == PlanState::Failed) {
-        let text = format!("plan {} failed: {}", plan.id, plan.reason);
-        let mend = format!("whinspring {} makes a fresh one", plan.intent);
+    let failed = |plan: &&Plan| plan.state == PlanState::Failed && lost_reason(plan).is_none();
+    for plan in plans(records).filter(failed) {
+        let (id, intent) = (&plan.id, &plan.intent);
+        let done = format!("{} of {} steps done", plan.done, plan.steps.len());
+        let text = format!("plan {id} failed, {done}: {}", plan.reason);
+        let mend = format!("whinspring {intent}; whinspring abort {id} takes note of it");
         add(findings, Harm::Waiting, text, &mend);
     }
 }
--- a/crates/whinspring-cli/src/query/live.rs
+++ b/crates/whinspring-cli/src/query/live.rs
@@ -1,7 +1,10 @@
 //! What nodes themselves say is wrong, beside what the records tell.
 
 use {
-    super::doctor::{Finding, Harm},
+    super::{
+        doctor::{Finding, Harm},
+        status::Counts,
+    },
     crate::node::{HeldServer, NodeStatus},
     std::net::SocketAddr,
     whinspring::{
@@ -86,5 +89,7 @@
         format!("{}: {id} {} gives node {} no answer", held.service, server.name, status.node);
     let mend =
         format!("restart it, or whinspring server replace {} {} ...", held.service, server.name);
-    Some(Finding { harm: Harm::Refused, text, mend })
+    let idle = service.slices > 0 && !Counts::of(records, service).owns(id);
+    let harm = if idle { Harm::AtRisk } else { Harm::Refused };
+    Some(Finding { harm, text, mend })
 }
--- a/crates/whinspring-cli/src/query/status.rs
+++ b/crates/whinspring-cli/src/query/status.rs
@@ -159,6 +159,11 @@
 }
 
 impl Counts {
+    /// Returns whether a server owns anything.
+    pub fn owns(&self, server: ServerId) -> bool {
+        self.slices.contains_key(&server) || self.keys.contains_key(&server)
+    }
+
     /// Counts what the servers of a service own.
     pub fn of(records: &Records, service: &Service) -> Self {
         let mut counts = Self::default();
--- a/crates/whinspring-cli/tests/commands.rs
+++ b/crates/whinspring-cli/tests/commands.rs
@@ -195,6 +195,25 @@
     done(&fake, &["confirm", &id, "--wait"]).await;
 }
 
+#[tokio::test]
+async fn failed_plan_stays_in_doctor_until_it_is_noted() {
+    let fake = deployment();
+    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    let mut plan = fake.plans()[0].clone();
+    plan.state = PlanState::Failed;
+    plan.reason = "723 service/reservations is being changed".into();
+    fake.set(Key::new(Kind::Plan, plan.id.clone()), Value::Plan(plan.clone()));
+    assert_eq!(run(&fake, &["doctor"], Form::Text).await.0, Exit::Done, "it changed nothing");
+
+    plan.reason = "server s1 is lost or leaves".into();
+    fake.set(Key::new(Kind::Plan, plan.id.clone()), Value::Plan(plan.clone()));
+    let (exit, text) = run(&fake, &["doctor"], Form::Text).await;
+    assert_eq!(exit, Exit::Wrong);
+    assert!(text.contains("plan PLAN1 failed, 0 of 1 steps done: server s1 is lost"), "{text}");
+    done(&fake, &["abort", &plan.id]).await;
+    assert_eq!(run(&fake, &["doctor"], Form::Text).await.0, Exit::Done);
+}
+
 #[tokio::test]
 async fn status_owners_and_plans() {
     let fake = deployment();
