--- a/crates/whinspring/src/holder/admission.rs
+++ b/crates/whinspring/src/holder/admission.rs
@@ -179,7 +179,8 @@
             .chain(std::iter::repeat_n(Duration::ZERO, slots.saturating_sub(self.runs.len())))
             .collect();
         free.sort_unstable();
-        pour(&free, mean * ahead)
+        let backlog = self.queue.backlog(&job.meta.customer, job.deadline);
+        pour(&free, mean * ahead).max(backlog)
     }
 
     fn expire_joined(&mut self, cx: &mut Context<'_>) {
@@ -190,7 +191,7 @@
 
     /// Refuses queued requests that cannot be answered in time any more.
     fn expire_queued(&mut self, cx: &mut Context<'_>) {
-        let least = self.estimate.mean() / 2;
+        let least = self.estimate.mean();
         let spare = self.runs.is_empty() && self.queue.len() == 1;
         while let Some((deadline, id)) = self.queue.earliest() {
             let late = deadline <= cx.now;
