--- a/crates/whinspring/src/control/writes.rs
+++ b/crates/whinspring/src/control/writes.rs
@@ -121,7 +121,7 @@
         let (ahead, version) = match outcome {
             Stored::Written(version) => (version, Some(version)),
             Stored::Conflict { version, mark } if mark == write.mark => (version, Some(version)),
-            Stored::Conflict { version: 0, .. } if write.expect > 0 => (write.expect + 1, None),
+            Stored::Conflict { version, .. } if version < write.expect => (write.expect + 1, None),
             Stored::Conflict { version, .. } => (version, None),
             Stored::Unknown => {
                 write.retry = Some(now + write.wait.mul_f64(rng.random_range(0.5..1.0)));
