--- a/crates/whinspring/tests/control/main.rs
+++ b/crates/whinspring/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod fake;
 mod load;
+mod restored;
 mod scaling;
 mod seeds;
 mod sessions;
