Time the spread of a change from its write, not from the operator's answer

Cause: the experiment looked at the nodes only after the operators' client had seen the plan's end, so every size showed its 240 ms poll. Change: the nodes are looked at while the client still waits.

--- a/crates/whinspring-bench/src/capacity/spread.rs
+++ b/crates/whinspring-bench/src/capacity/spread.rs
@@ -64,17 +64,26 @@
     let before = version(&platform, service).await;
     let share = share.to_string();
     let args = ["share", service, &share, "capacity"].map(OsStr::new);
-    let written = written(&platform, service, before);
-    let (said, written) = tokio::join!(fleet.operator.change(args), written);
+    let time = known_everywhere(fleet, &platform, service, before);
+    let (said, time) = tokio::join!(fleet.operator.change(args), time);
     said?;
-    let Some((revision, start)) = written else { return Ok(None) };
-    let end = start + LIMIT;
+    Ok(time)
+}
+
+/// Returns the time from a later version of a service's record to the last node that knows it.
+async fn known_everywhere(
+    fleet: &Fleet,
+    platform: &Platform,
+    service: &str,
+    before: u64,
+) -> Option<Duration> {
+    let (revision, start) = written(platform, service, before).await?;
     let mut looks = JoinSet::new();
     for daemon in fleet.daemons.iter().filter(|daemon| daemon.is_running()) {
-        looks.spawn(known(daemon.admin, revision, end));
+        looks.spawn(known(daemon.admin, revision, start + LIMIT));
     }
     let known = looks.join_all().await.into_iter().all(|known| known);
-    Ok(known.then(|| start.elapsed()))
+    known.then(|| start.elapsed())
 }
 
 /// Waits for a later version of a service's record; returns it and when it was seen.
