--- a/crates/whinspring/src/control.rs
+++ b/crates/whinspring/src/control.rs
@@ -64,10 +64,6 @@
     replica: Replica,
     /// What is worked out from the node records.
     roster: Roster,
-    /// Whether node records changed since.
-    roster_due: bool,
-    /// When the roster may be worked out anew.
-    roster_next: Tick,
     /// Lease of this node.
     lease: Lease,
     /// Leases that this node keeps for others.
@@ -125,8 +121,6 @@
             leased: now,
             replica: Replica::default(),
             roster: Roster::default(),
-            roster_due: false,
-            roster_next: now,
             lease: Lease::default(),
             ledger: Ledger::new(now),
             inquiries: BTreeMap::new(),
@@ -203,7 +197,7 @@
             controller: self.controller().map(|(_, controller)| controller.clone()),
             lessors: self.lease.lessors(),
             lessees: self.roster.lessees.len(),
-            watcher: self.roster.watcher,
+            watcher: self.roster.watches(&self.setup.name),
         }
     }
 
@@ -218,7 +212,6 @@
 
     /// Does what the time and the changed state call for.
     fn tend(&mut self, out: &mut Vec<Action>) {
-        self.tend_roster();
         let named = self.named() && self.lease_valid();
         self.writes.retry(self.now, |purpose| purpose != Purpose::Plan || named, out);
         self.tend_membership(out);
--- a/crates/whinspring/src/control/lessor.rs
+++ b/crates/whinspring/src/control/lessor.rs
@@ -140,8 +140,7 @@
         if !node.lessors.contains(&self.setup.name) {
             return false;
         }
-        let known = self.roster.known.get(name).filter(|known| known.0 == node.incarnation);
-        let known = known.map_or(self.now, |known| known.1);
+        let known = self.roster.since(name, node.incarnation).unwrap_or(self.now);
         let acked = self.ledger.acked(name, node.incarnation).is_some();
         let grace = acked || self.now.since(known) > FIRST_BEAT;
         grace && self.ledger.silence(self.now, name, node.incarnation) > LEASE + DRIFT
--- a/crates/whinspring/src/control/roster.rs
+++ b/crates/whinspring/src/control/roster.rs
@@ -8,64 +8,112 @@
         replica::Replica,
         time::Tick,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     twox_hash::XxHash3_64,
 };
 
 /// Nodes in each failure domain that watch the platform.
 const WATCHERS: usize = 2;
 
-/// What is worked out from the node records whenever one changes.
+/// What is worked out from the node records, one changed record at a time.
 #[derive(Debug, Default)]
 pub(super) struct Roster {
     /// Nodes that name this node as a lessor, except those that are gone.
-    pub lessees: Vec<Name>,
+    pub lessees: BTreeSet<Name>,
     /// Other nodes without lessors, with the version and when it was first seen.
     pub solos: BTreeMap<Name, (u64, Tick)>,
-    /// When each other incarnation was first seen.
-    pub known: BTreeMap<Name, (u64, Tick)>,
-    /// Leases that each node keeps, by the records.
-    pub leased: BTreeMap<Name, usize>,
     /// Other nodes that are live.
-    pub others: Vec<Name>,
-    /// Whether this node is to watch the platform.
-    pub watcher: bool,
+    pub others: BTreeSet<Name>,
+    /// Nodes that are not gone.
+    entries: BTreeMap<Name, Entry>,
+    /// Leases that each node keeps, by the records.
+    leased: BTreeMap<Name, usize>,
+    /// Live nodes of each failure domain by hash.
+    domains: BTreeMap<Name, BTreeSet<(u64, Name)>>,
+}
+
+/// What is kept of one record, to be taken back when it changes.
+#[derive(Debug)]
+struct Entry {
+    /// Incarnation of the node.
+    incarnation: u64,
+    /// When this incarnation was first seen.
+    since: Tick,
+    /// Failure domain of the node.
+    domain: Name,
+    /// Its lessors.
+    lessors: Vec<Name>,
 }
 
 impl Roster {
-    /// Works everything out anew.
-    pub fn update(&mut self, now: Tick, replica: &Replica, me: &Name) {
-        let present = || nodes(replica).filter(|(_, node)| node.state != NodeState::Gone);
-        self.lessees = present()
-            .filter(|(_, n)| n.lessors.contains(me))
-            .map(|(_, n)| n.name.clone())
-            .collect();
-        self.leased.clear();
-        for lessor in present().flat_map(|(_, node)| &node.lessors) {
+    /// Takes in that the record of a node changed.
+    pub fn update(&mut self, now: Tick, replica: &Replica, me: &Name, name: &Name) {
+        let former = self.remove(name);
+        let Some((version, node)) = node(replica, name).filter(|(_, n)| n.state != NodeState::Gone)
+        else {
+            return;
+        };
+        for lessor in &node.lessors {
             *self.leased.entry(lessor.clone()).or_default() += 1;
         }
-        self.others =
-            live(replica).filter(|node| node.name != *me).map(|node| node.name.clone()).collect();
-        self.watcher = watchers(replica, me);
-        self.known = present()
-            .map(|(_, node)| {
-                let former = self.known.get(&node.name).filter(|known| known.0 == node.incarnation);
-                (node.name.clone(), former.copied().unwrap_or((node.incarnation, now)))
-            })
-            .collect();
-        self.solos = present()
-            .filter(|(_, node)| node.lessors.is_empty() && node.name != *me)
-            .map(|(version, node)| {
-                let former = self.solos.get(&node.name).filter(|solo| solo.0 == version);
-                (node.name.clone(), former.copied().unwrap_or((version, now)))
-            })
-            .collect();
+        if node.lessors.contains(me) {
+            self.lessees.insert(name.clone());
+        }
+        if node.lessors.is_empty() && name != me {
+            self.solos.insert(name.clone(), (version, now));
+        }
+        if node.state == NodeState::Live {
+            let domain = self.domains.entry(node.domain.clone()).or_default();
+            domain.insert((rank(&[name], 0), name.clone()));
+            if name != me {
+                self.others.insert(name.clone());
+            }
+        }
+        let known = former.filter(|former| former.incarnation == node.incarnation);
+        let entry = Entry {
+            incarnation: node.incarnation,
+            since: known.map_or(now, |known| known.since),
+            domain: node.domain.clone(),
+            lessors: node.lessors.clone(),
+        };
+        self.entries.insert(name.clone(), entry);
     }
 
     /// Returns for how many nodes `name` is a lessor.
     pub fn load(&self, name: &Name) -> usize {
         self.leased.get(name).copied().unwrap_or_default()
     }
+
+    /// Returns when an incarnation of a node was first seen.
+    pub fn since(&self, name: &Name, incarnation: u64) -> Option<Tick> {
+        let entry = self.entries.get(name).filter(|entry| entry.incarnation == incarnation);
+        entry.map(|entry| entry.since)
+    }
+
+    /// Returns whether a node is to watch the platform.
+    pub fn watches(&self, name: &Name) -> bool {
+        let domain = self.entries.get(name).and_then(|entry| self.domains.get(&entry.domain));
+        domain.is_some_and(|nodes| nodes.iter().take(WATCHERS).any(|(_, other)| other == name))
+    }
+
+    /// Takes back what a node's former record said.
+    fn remove(&mut self, name: &Name) -> Option<Entry> {
+        let entry = self.entries.remove(name)?;
+        for lessor in &entry.lessors {
+            let Some(count) = self.leased.get_mut(lessor) else { continue };
+            *count -= 1;
+            if *count == 0 {
+                self.leased.remove(lessor);
+            }
+        }
+        self.lessees.remove(name);
+        self.solos.remove(name);
+        self.others.remove(name);
+        if let Some(domain) = self.domains.get_mut(&entry.domain) {
+            domain.remove(&(rank(&[name], 0), name.clone()));
+        }
+        Some(entry)
+    }
 }
 
 /// Returns every node record with its version.
@@ -102,11 +150,3 @@
     text.push('\0');
     XxHash3_64::oneshot_with_seed(number, text.as_bytes())
 }
-
-/// Returns whether `me` is among the watchers of its failure domain.
-fn watchers(replica: &Replica, me: &Name) -> bool {
-    let Some((_, own)) = node(replica, me) else { return false };
-    let mine = rank(&[me], 0);
-    let before = live(replica).filter(|n| n.domain == own.domain && rank(&[&n.name], 0) < mine);
-    own.state == NodeState::Live && before.count() < WATCHERS
-}
--- a/crates/whinspring/src/control/spread.rs
+++ b/crates/whinspring/src/control/spread.rs
@@ -36,9 +36,6 @@
 /// Time after which a node that was not heard from is forgotten as a neighbour.
 const FORGET: Duration = Duration::from_millis(10_000);
 
-/// Shortest time between two looks at all node records.
-const ROSTER_GAP: Duration = Duration::from_millis(20);
-
 /// Shortest time between two rounds of news to the neighbours.
 const NOTIFY_GAP: Duration = Duration::from_millis(10);
 
@@ -197,9 +194,9 @@
         if changed.is_empty() {
             return;
         }
-        if changed.iter().any(|key| key.kind == Kind::Node) {
-            self.roster_due = true;
-            self.tend_roster();
+        for key in changed.iter().filter(|key| key.kind == Kind::Node) {
+            self.roster.update(self.now, &self.replica, &self.setup.name, &key.name);
+            self.forget_gone(&key.name);
         }
         if changed.iter().any(|key| key.kind == Kind::Controller) {
             self.reports.repeat();
@@ -208,21 +205,11 @@
         out.push(Action::Changed(changed));
     }
 
-    /// Works the roster out anew if node records changed, but not for every single change.
-    pub(super) fn tend_roster(&mut self) {
-        if !self.roster_due || self.now < self.roster_next {
-            return;
-        }
-        self.roster_due = false;
-        self.roster_next = self.now + ROSTER_GAP;
-        self.roster.update(self.now, &self.replica, &self.setup.name);
-        self.forget_gone();
-    }
-
-    /// Forgets the leases of nodes that are gone.
-    fn forget_gone(&mut self) {
-        for (_, node) in roster::nodes(&self.replica).filter(|(_, n)| n.state == NodeState::Gone) {
-            self.ledger.forget(&node.name, node.incarnation);
+    /// Forgets the lease of a node that is gone.
+    fn forget_gone(&mut self, name: &Name) {
+        let node = roster::node(&self.replica, name).map(|(_, node)| node);
+        if let Some(node) = node.filter(|node| node.state == NodeState::Gone) {
+            self.ledger.forget(name, node.incarnation);
         }
     }
 
@@ -248,7 +235,7 @@
         let unseen = self.writes.unseen(&self.replica) > 0;
         let since = unseen.then(|| self.spread.unseen.unwrap_or(self.now));
         self.spread.unseen = since;
-        self.roster.watcher
+        self.roster.watches(&self.setup.name)
             || self.node_state().is_none()
             || self.term.is_some()
             || since.is_some_and(|since| self.now.since(since) >= UNSEEN)
