Control: VMs that are gone are believed late enough

A node that is left alone declares the others lost once the platform's list says that their VMs are gone. The list lags, and a VM may return under its name, so only incarnations known for 30 s count: a list that wrongly says that all are gone moves nothing.

--- a/crates/whinspring/src/control/controller.rs
+++ b/crates/whinspring/src/control/controller.rs
@@ -6,7 +6,6 @@
         message::Message,
         name::{Name, ServerId},
         planner::{self, Memory, holders, plans, rebalance, retention, segments},
-        record::{Key, Kind},
         replica::Replica,
         time::Tick,
     },
@@ -17,9 +16,6 @@
 /// Time that a new controller listens to reports before it moves slices.
 const LISTEN: Duration = Duration::from_millis(300);
 
-/// Time without a message after which the platform's word that a VM is gone is believed.
-const SILENCE: Duration = Duration::from_millis(1_000);
-
 /// Time after which everything is looked at again without a cause.
 const REVIEW: Duration = Duration::from_millis(1_000);
 
@@ -94,7 +90,6 @@
         term.reviewed = Some(now);
         term.memory.leaving =
             self.own.vms_leaving.iter().chain(&self.own.vms_gone).cloned().collect();
-        self.bury(out);
         self.plan(listened, out);
     }
 
@@ -146,17 +141,6 @@
         self.dirty = true;
     }
 
-    /// Declares nodes lost whose VMs the platform says are gone.
-    fn bury(&mut self, out: &mut Vec<Action>) {
-        let gone = self.own.vms_gone.clone();
-        let unheard = |name: &Name| *name != self.setup.name && !self.heard(name, SILENCE);
-        let gone: Vec<Name> = gone.into_iter().filter(unheard).collect();
-        for name in gone {
-            let version = self.replica.version(&Key::new(Kind::Node, name.clone()));
-            self.declare(&name, version, out);
-        }
-    }
-
     /// Writes what differs from the decisions.
     fn plan(&mut self, listened: bool, out: &mut Vec<Action>) {
         let Some(term) = &mut self.term else { return };
--- a/crates/whinspring/src/control/lessor.rs
+++ b/crates/whinspring/src/control/lessor.rs
@@ -23,6 +23,12 @@
 /// Time that a node has for its first heartbeat.
 const FIRST_BEAT: Duration = Duration::from_millis(2_000);
 
+/// Longest time by which the platform's list of VMs lags.
+const VM_LAG: Duration = Duration::from_millis(30_000);
+
+/// Time without a message after which the platform's word that a VM is gone is believed.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
 /// The inquiry into one node that seems lost.
 #[derive(Debug)]
 pub(super) struct Inquiry {
@@ -89,6 +95,8 @@
             self.inquiries.clear();
             return;
         }
+        self.tend_solos(out);
+        self.bury(out);
         let lessees = self.roster.lessees.clone();
         let silent: Vec<Name> = lessees.into_iter().filter(|name| self.silent(name)).collect();
         self.inquiries.retain(|name, _| silent.contains(name));
@@ -99,7 +107,6 @@
         for name in silent {
             self.inquire(name, out);
         }
-        self.tend_solos(out);
     }
 
     /// Declares a node lost unless its record has changed.
@@ -200,4 +207,19 @@
             self.declare(&name, version, out);
         }
     }
+
+    /// Declares nodes lost whose VMs the platform says are gone, where their lessors have not.
+    ///
+    /// The platform's list lags, and a VM may return under its name. So only incarnations count
+    /// that have been known for longer than the list lags.
+    fn bury(&mut self, out: &mut Vec<Action>) {
+        for name in self.own.vms_gone.clone() {
+            let Some((version, node)) = roster::node(&self.replica, &name) else { continue };
+            let since = self.roster.since(&name, node.incarnation).unwrap_or(self.now);
+            let old = self.now.since(since) >= VM_LAG;
+            if old && name != self.setup.name && !self.heard(&name, SILENCE) {
+                self.declare(&name, version, out);
+            }
+        }
+    }
 }
--- a/crates/whinspring/src/control/membership.rs
+++ b/crates/whinspring/src/control/membership.rs
@@ -38,6 +38,8 @@
     pub retiring: bool,
     /// Whether the graceful stop is complete.
     pub retired: bool,
+    /// When the platform last listed the VMs.
+    vms_at: Tick,
     /// VMs that the platform says are gone.
     pub vms_gone: Vec<Name>,
     /// VMs that the platform says are leaving.
@@ -79,6 +81,7 @@
 
     /// Takes the platform's list of VMs.
     pub(super) fn vms(&mut self, vms: Vec<(Name, VmState)>) {
+        self.own.vms_at = self.now;
         self.own.vms_gone.clear();
         self.own.vms_leaving.clear();
         for (name, state) in vms {
@@ -269,7 +272,12 @@
 
     /// Reads the list of VMs when that is this node's task.
     fn tend_vms(&mut self, out: &mut Vec<Action>) {
-        let asks = self.term.is_some() || self.now.since(self.leased) >= LEASELESS;
+        if self.now.since(self.own.vms_at) > VMS_INTERVAL * 2 {
+            self.own.vms_gone.clear();
+            self.own.vms_leaving.clear();
+        }
+        let alone = self.lease.lessors().is_empty() && !self.roster.others.is_empty();
+        let asks = self.term.is_some() || alone || self.now.since(self.leased) >= LEASELESS;
         if asks && self.now >= self.own.next_vms && self.own.present {
             self.own.next_vms = self.now + VMS_INTERVAL;
             out.push(Action::ListVms);
--- a/crates/whinspring/tests/control/scaling.rs
+++ b/crates/whinspring/tests/control/scaling.rs
@@ -27,6 +27,9 @@
 /// Time over which the steady state is measured, in milliseconds.
 const STEADY_MS: u64 = 3_000;
 
+/// Time between the starts of two nodes, in milliseconds.
+const START_MS: u64 = 10;
+
 /// Failure domains.
 const DOMAINS: usize = 9;
 
@@ -41,6 +44,7 @@
     world.checking = false;
     for index in 0..nodes {
         world.start(&name(index), &format!("d{}", index % DOMAINS));
+        world.run(START_MS);
     }
     let start = world.now;
     while leased(&world) < nodes {
@@ -160,7 +164,7 @@
 #[ignore = "measures for minutes"]
 fn scaling() {
     let one = env::var("WHINSPRING_NODES").ok().and_then(|text| text.parse().ok());
-    let sizes = one.map_or(vec![100, 300, 700, 1_300], |nodes| vec![nodes]);
+    let sizes = one.map_or(vec![100, 200, 400, 700, 1_300], |nodes| vec![nodes]);
     for nodes in sizes {
         measure(nodes);
     }
--- a/crates/whinspring/tests/control/seeds.rs
+++ b/crates/whinspring/tests/control/seeds.rs
@@ -11,7 +11,7 @@
     rand::Rng,
     std::env,
     whinspring::{
-        control::Event,
+        control::{Event, VmState},
         model::{PlanState, Step},
         name::{Name, ServerId, Slice},
         record::{Key, Kind, Value},
@@ -46,6 +46,36 @@
     world
 }
 
+#[test]
+fn last_node_takes_over_once_the_other_vms_are_gone() {
+    each_seed(|seed| {
+        let nodes = 4 + seed as usize % 3;
+        let mut world = settled(seed, nodes);
+        for index in 1..nodes {
+            world.kill(&format!("n{index}"));
+            world.vms.insert(format!("n{index}").into(), VmState::Gone);
+        }
+        world.run(60_000);
+        assert_eq!(whole(&world), (6, 32, 1, 1));
+    });
+}
+
+#[test]
+fn stale_list_of_vms_harms_no_live_node() {
+    each_seed(|seed| {
+        let nodes = 7;
+        let mut world = settled(seed, nodes);
+        let before = world.objects[&Key::new(Kind::Holders, "checks")].clone();
+        for index in 0..nodes {
+            world.vms.insert(format!("n{index}").into(), VmState::Gone);
+        }
+        world.run(15_000);
+        world.vms.clear();
+        assert_whole(&mut world);
+        assert_eq!(world.objects[&before.key], before, "moved for a stale list");
+    });
+}
+
 /// Does one harmful thing to the world.
 fn fault(world: &mut World, nodes: usize) {
     let node = format!("n{}", world.rng.random_range(0..nodes));
