--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod daemon;
 pub mod exchange;
+mod handover;
 mod headers;
 pub mod held;
 pub mod keys;
