--- a/crates/whinspring-cli/src/node.rs
+++ b/crates/whinspring-cli/src/node.rs
@@ -57,6 +57,8 @@
     pub version: u64,
     /// Calendar time at which the node learned of it, in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// Number of the server that owned it until then.
+    pub former: Option<u32>,
     /// Number of the server that owns the key from then on.
     pub server: u32,
     /// Epoch of the ownership.
--- a/crates/whinspring-cli/src/view/trail.rs
+++ b/crates/whinspring-cli/src/view/trail.rs
@@ -89,8 +89,9 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(&wrap("key ", "  ", &self.key))?;
         for change in &self.changes {
-            let Ownership { service, version, at_ms, server, epoch, cause } = change;
-            let line = format!("s{server}, epoch {epoch}, version {version}, {cause}");
+            let Ownership { service, version, at_ms, former, server, epoch, cause } = change;
+            let former = former.map(|former| format!("s{former} -> ")).unwrap_or_default();
+            let line = format!("{former}s{server}, epoch {epoch}, version {version}, {cause}");
             f.write_str(&wrap(&format!("  {} {service}: ", calendar(*at_ms)), "    ", &line))?;
         }
         Ok(())
--- a/crates/whinspring-daemon/src/admin.rs
+++ b/crates/whinspring-daemon/src/admin.rs
@@ -6,7 +6,13 @@
     serde::Serialize,
     std::{borrow::Cow, io, net::TcpListener, sync::Arc, thread},
     tokio::sync::oneshot,
-    whinspring::history::Change,
+    whinspring::{
+        history::{Change, History},
+        model::{Owner, Service},
+        name::slice_of,
+        request::Place,
+        view::ServiceView,
+    },
     xitca_server::ServerHandle,
     xitca_web::{
         App, HttpServer,
@@ -129,6 +135,8 @@
     version: u64,
     /// Calendar time at which this node learned of it, in milliseconds since the Unix epoch.
     at_ms: u64,
+    /// Number of the server that owned it until then.
+    former: Option<u32>,
     /// Number of the server that owns the key from then on.
     server: u32,
     /// Epoch of the ownership.
@@ -143,6 +151,7 @@
             service: change.service.to_string(),
             version: change.version,
             at_ms: change.at.0,
+            former: change.former.map(|former| former.0),
             server: change.server.0,
             epoch: change.epoch,
             cause: change.cause.text(),
@@ -254,16 +263,31 @@
     let Some(key) = parameter(uri, "key") else { return missing("key") };
     let view = shared.view();
     let history = shared.history.lock();
-    let mut changes = Vec::new();
-    for service in view.services().map(|service| service.service()) {
-        if service.slices > 0 {
-            changes.extend(history.of_key(&service.name, service.slices, &key));
-        }
-    }
-    let changes = changes.into_iter().map(Ownership::from).collect();
+    let keyed = view.services().filter(|service| service.service().slices > 0);
+    let changes = keyed.flat_map(|service| past(&history, service, &key)).collect();
     respond_json(&Past { node: shared.node.to_string(), changes })
 }
 
+/// Returns the changes of a key's owner, or its present owner if it never changed.
+fn past(history: &History, service: &ServiceView, key: &str) -> Vec<Ownership> {
+    let Service { name, slices, .. } = service.service();
+    let changes = history.of_key(name, *slices, key);
+    if !changes.is_empty() {
+        return changes.into_iter().map(Ownership::from).collect();
+    }
+    let place = Place { key: key.into(), slice: slice_of(key, *slices) };
+    let unchanged = |owner: &Owner| Ownership {
+        service: name.to_string(),
+        version: 0,
+        at_ms: history.since().unwrap_or_default().0,
+        former: None,
+        server: owner.server.0,
+        epoch: owner.epoch,
+        cause: "unchanged since the node's start".into(),
+    };
+    service.owner(&place).map(unchanged).into_iter().collect()
+}
+
 /// Returns a parameter of the query, decoded.
 fn parameter(uri: &Uri, name: &str) -> Option<String> {
     let mut pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
