Count the bytes written to links, control and data apart

Cause: control traffic a node is bounded and was not measured. Change: each connection counts what it writes (whinspring_control_sent_bytes, whinspring_data_sent_bytes).

--- a/crates/whinspring-daemon/src/link.rs
+++ b/crates/whinspring-daemon/src/link.rs
@@ -15,6 +15,7 @@
 
 use {
     crate::{clock::Clock, keys::Keys, metrics::Metrics},
+    prometheus_client::metrics::counter::Counter,
     std::{net::SocketAddr, sync::Arc},
     tokio::runtime::Handle,
     whinspring::name::Name,
@@ -56,6 +57,14 @@
 }
 
 impl Local {
+    /// Returns the counter of bytes written to links of this purpose.
+    fn written(&self, purpose: Purpose) -> Counter {
+        match purpose {
+            Purpose::Control => self.metrics.control_bytes.clone(),
+            Purpose::Data => self.metrics.data_bytes.clone(),
+        }
+    }
+
     /// Returns where links of this purpose run.
     fn runtime(&self, purpose: Purpose) -> &Handle {
         match purpose {
--- a/crates/whinspring-daemon/src/link/accept.rs
+++ b/crates/whinspring-daemon/src/link/accept.rs
@@ -115,20 +115,21 @@
     /// Starts a connection where its kind runs.
     fn start(&self, stream: Stream, hello: Hello) {
         let runtime = self.local.runtime(hello.purpose);
+        let written = self.local.written(hello.purpose);
         match hello.purpose {
             Purpose::Control => {
                 let peer = Peer { name: hello.node, addr: hello.addr };
                 let inbox = Inbox::new(peer, self.inbox.clone(), self.local.metrics.clone());
                 runtime.spawn(async move {
                     let Ok(stream) = adopt(stream) else { return };
-                    start(stream, Arc::new(inbox), PATIENCE);
+                    start(stream, Arc::new(inbox), PATIENCE, written);
                 });
             }
             Purpose::Data => {
                 let serving = Serving::new(self.local.clone(), self.server.clone());
                 runtime.spawn(async move {
                     let Ok(stream) = adopt(stream) else { return };
-                    start(stream, Arc::new(serving), PATIENCE);
+                    start(stream, Arc::new(serving), PATIENCE, written);
                 });
             }
         }
--- a/crates/whinspring-daemon/src/link/line.rs
+++ b/crates/whinspring-daemon/src/link/line.rs
@@ -3,6 +3,7 @@
 use {
     super::handshake::Stream,
     futures_util::StreamExt,
+    prometheus_client::metrics::counter::Counter,
     std::{
         sync::{
             Arc,
@@ -130,7 +131,14 @@
 }
 
 /// Starts reading and writing an open connection on the current runtime.
-pub fn start<R: Receive>(stream: Stream, receiver: Arc<R>, patience: Patience) -> Arc<Line> {
+///
+/// Bytes written are added to `written`.
+pub fn start<R: Receive>(
+    stream: Stream,
+    receiver: Arc<R>,
+    patience: Patience,
+    written: Counter,
+) -> Arc<Line> {
     let parts = stream.into_parts();
     let (reader, writer) = parts.io.into_split();
     let mut frames = FramedRead::new(reader, parts.codec);
@@ -145,7 +153,8 @@
         work: Notify::new(),
         ended: CancellationToken::new(),
     });
-    tokio::spawn(write(line.clone(), writer, queue, patience));
+    let output = Output { writer, buffer: BytesMut::new(), patience, written };
+    tokio::spawn(write(line.clone(), output, queue));
     tokio::spawn(serve(line.clone(), frames, receiver, patience));
     line
 }
@@ -229,46 +238,59 @@
     }
 }
 
-/// Writes frames in batches until the connection ends.
-async fn write(
-    line: Arc<Line>,
-    mut writer: OwnedWriteHalf,
-    mut queue: mpsc::UnboundedReceiver<Frame>,
+/// What frames are written to.
+struct Output {
+    /// The socket.
+    writer: OwnedWriteHalf,
+    /// Encoded frames that are not written yet.
+    buffer: BytesMut,
+    /// When a write has taken too long.
     patience: Patience,
-) {
-    let mut codec = FrameCodec::<wire::Frame>::default();
+    /// Counts the bytes written.
+    written: Counter,
+}
+
+/// Writes frames in batches until the connection ends.
+async fn write(line: Arc<Line>, mut output: Output, mut queue: mpsc::UnboundedReceiver<Frame>) {
     let mut batch = Vec::with_capacity(BATCH_FRAMES);
-    let mut buffer = BytesMut::new();
     loop {
         let count = tokio::select! {
             count = queue.recv_many(&mut batch, BATCH_FRAMES) => count,
             () = line.ended.cancelled() => break,
         };
         line.backlog.fetch_sub(count, Ordering::Relaxed);
-        for frame in batch.drain(..) {
-            if codec.encode(&wire::Frame::from(frame), &mut buffer).is_err() {
-                line.end();
-                return;
-            }
-            if buffer.len() >= BATCH_BYTES && !flush(&mut writer, &mut buffer, patience).await {
-                line.end();
-                return;
-            }
-        }
-        if !flush(&mut writer, &mut buffer, patience).await {
+        if !output.write(batch.drain(..)).await {
             break;
         }
-        if buffer.capacity() > KEEP_BYTES {
-            buffer = BytesMut::new();
-        }
     }
     line.end();
-    let _ = writer.shutdown().await;
+    let _ = output.writer.shutdown().await;
 }
 
-/// Writes out the buffer; `false` if the connection fails or takes nothing.
-async fn flush(writer: &mut OwnedWriteHalf, buffer: &mut BytesMut, patience: Patience) -> bool {
-    let written = timeout(2 * patience.dead, writer.write_all(buffer)).await;
-    buffer.clear();
-    matches!(written, Ok(Ok(())))
+impl Output {
+    /// Writes frames; `false` if the connection fails or takes nothing.
+    async fn write(&mut self, frames: impl Iterator<Item = Frame>) -> bool {
+        let mut codec = FrameCodec::<wire::Frame>::default();
+        for frame in frames {
+            if codec.encode(&wire::Frame::from(frame), &mut self.buffer).is_err() {
+                return false;
+            }
+            if self.buffer.len() >= BATCH_BYTES && !self.flush().await {
+                return false;
+            }
+        }
+        self.flush().await
+    }
+
+    /// Writes out the buffer; `false` if the connection fails or takes nothing.
+    async fn flush(&mut self) -> bool {
+        let limit = 2 * self.patience.dead;
+        let done = timeout(limit, self.writer.write_all(&self.buffer)).await;
+        self.written.inc_by(self.buffer.len() as u64);
+        self.buffer.clear();
+        if self.buffer.capacity() > KEEP_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        matches!(done, Ok(Ok(())))
+    }
 }
--- a/crates/whinspring-daemon/src/link/pool.rs
+++ b/crates/whinspring-daemon/src/link/pool.rs
@@ -154,7 +154,8 @@
         match handshake::dial(&self.local, socket, peer, K::PURPOSE).await {
             Ok((stream, hello)) => {
                 let receiver = Arc::new(self.kind.receiver(&hello));
-                let line = start(stream, receiver.clone(), K::PATIENCE);
+                let line =
+                    start(stream, receiver.clone(), K::PATIENCE, self.local.written(K::PURPOSE));
                 Some(Arc::new(Conn { line, receiver, hello }))
             }
             Err(error) => {
--- a/crates/whinspring-daemon/src/metrics.rs
+++ b/crates/whinspring-daemon/src/metrics.rs
@@ -40,6 +40,10 @@
     pub callers: Gauge,
     /// Data connections to and from other nodes.
     pub links: Gauge,
+    /// Bytes written to control connections.
+    pub control_bytes: Counter,
+    /// Bytes written to data connections.
+    pub data_bytes: Counter,
 }
 
 /// Labels of an occurrence.
@@ -72,6 +76,8 @@
         let jobs = Gauge::default();
         let callers = Gauge::default();
         let links = Gauge::default();
+        let control_bytes = Counter::default();
+        let data_bytes = Counter::default();
         registry.register("events", "Occurrences by name", events.clone());
         registry.register("answers", "Answers to callers by result", answers.clone());
         registry.register("latency_seconds", "Time to the answer's head", latency.clone());
@@ -79,7 +85,22 @@
         registry.register("jobs", "Requests queued or running at held servers", jobs.clone());
         registry.register("caller_connections", "Connections of callers", callers.clone());
         registry.register("data_links", "Data connections between nodes", links.clone());
-        Self { registry, events, answers, latency, flights, jobs, callers, links }
+        let text = "Bytes written to control connections between nodes";
+        registry.register("control_sent_bytes", text, control_bytes.clone());
+        let text = "Bytes written to data connections between nodes";
+        registry.register("data_sent_bytes", text, data_bytes.clone());
+        Self {
+            registry,
+            events,
+            answers,
+            latency,
+            flights,
+            jobs,
+            callers,
+            links,
+            control_bytes,
+            data_bytes,
+        }
     }
 
     /// Counts an occurrence.
