--- a/crates/whinspring-daemon/src/link/line.rs
+++ b/crates/whinspring-daemon/src/link/line.rs
@@ -153,7 +153,8 @@
         work: Notify::new(),
         ended: CancellationToken::new(),
     });
-    tokio::spawn(write(line.clone(), writer, queue, patience, receiver.traffic()));
+    let output = Output { writer, buffer: BytesMut::new(), patience, traffic: receiver.traffic() };
+    tokio::spawn(write(line.clone(), output, queue));
     tokio::spawn(serve(line.clone(), frames, receiver, patience));
     line
 }
@@ -237,57 +238,60 @@
     }
 }
 
-/// Writes frames in batches until the connection ends.
-async fn write(
-    line: Arc<Line>,
-    mut writer: OwnedWriteHalf,
-    mut queue: mpsc::UnboundedReceiver<Frame>,
+/// What frames are written to.
+struct Output {
+    /// The socket.
+    writer: OwnedWriteHalf,
+    /// Encoded frames that are not written yet.
+    buffer: BytesMut,
+    /// When a write has taken too long.
     patience: Patience,
+    /// Counts what is written.
     traffic: Traffic,
-) {
-    let mut codec = FrameCodec::<wire::Frame>::default();
+}
+
+/// Writes frames in batches until the connection ends.
+async fn write(line: Arc<Line>, mut output: Output, mut queue: mpsc::UnboundedReceiver<Frame>) {
     let mut batch = Vec::with_capacity(BATCH_FRAMES);
-    let mut buffer = BytesMut::new();
     loop {
         let count = tokio::select! {
             count = queue.recv_many(&mut batch, BATCH_FRAMES) => count,
             () = line.ended.cancelled() => break,
         };
         line.backlog.fetch_sub(count, Ordering::Relaxed);
-        for frame in batch.drain(..) {
-            if codec.encode(&wire::Frame::from(frame), &mut buffer).is_err() {
-                line.end();
-                return;
-            }
-            if buffer.len() < BATCH_BYTES {
-                continue;
-            }
-            if !flush(&mut writer, &mut buffer, patience, &traffic).await {
-                line.end();
-                return;
-            }
-        }
-        if !flush(&mut writer, &mut buffer, patience, &traffic).await {
+        if !output.write(batch.drain(..)).await {
             break;
         }
-        if buffer.capacity() > KEEP_BYTES {
-            buffer = BytesMut::new();
-        }
     }
     line.end();
-    let _ = writer.shutdown().await;
+    let _ = output.writer.shutdown().await;
 }
 
-/// Writes out the buffer; `false` if the connection fails or takes nothing.
-async fn flush(
-    writer: &mut OwnedWriteHalf,
-    buffer: &mut BytesMut,
-    patience: Patience,
-    traffic: &Traffic,
-) -> bool {
-    traffic.bytes.inc_by(buffer.len() as u64);
-    traffic.writes.inc();
-    let written = timeout(2 * patience.dead, writer.write_all(buffer)).await;
-    buffer.clear();
-    matches!(written, Ok(Ok(())))
+impl Output {
+    /// Writes frames; `false` if the connection fails or takes nothing.
+    async fn write(&mut self, frames: impl Iterator<Item = Frame>) -> bool {
+        let mut codec = FrameCodec::<wire::Frame>::default();
+        for frame in frames {
+            if codec.encode(&wire::Frame::from(frame), &mut self.buffer).is_err() {
+                return false;
+            }
+            if self.buffer.len() >= BATCH_BYTES && !self.flush().await {
+                return false;
+            }
+        }
+        self.flush().await
+    }
+
+    /// Writes out the buffer; `false` if the connection fails or takes nothing.
+    async fn flush(&mut self) -> bool {
+        let limit = 2 * self.patience.dead;
+        let done = timeout(limit, self.writer.write_all(&self.buffer)).await;
+        self.traffic.bytes.inc_by(self.buffer.len() as u64);
+        self.traffic.writes.inc();
+        self.buffer.clear();
+        if self.buffer.capacity() > KEEP_BYTES {
+            self.buffer = BytesMut::new();
+        }
+        matches!(done, Ok(Ok(())))
+    }
 }
