--- a/crates/whinspring-cli/src/plans.rs
+++ b/crates/whinspring-cli/src/plans.rs
@@ -61,10 +61,12 @@
 }
 
 /// Marks a plan as aborted; the controller starts no further step of it.
+///
+/// A failed plan is marked as well: the operator has taken note of it.
 pub async fn abort(store: &impl Store, id: &Name) -> Result<StoredPlan, Error> {
     loop {
         let found = get(store, id).await?;
-        if !is_open(found.plan.state) {
+        if !is_open(found.plan.state) && found.plan.state != PlanState::Failed {
             return Err(plan::Error::WrongState { id: id.clone(), state: found.plan.state }.into());
         }
         match set_state(store, found, PlanState::Aborted).await {
@@ -121,15 +123,20 @@
     matches!(state, PlanState::Proposed | PlanState::Confirmed)
 }
 
-/// Returns why a plan lost against another change, if it did.
-pub fn lost_reason(plan: &Plan) -> Option<&str> {
+/// Returns number and text of the error with which a plan lost against another change.
+pub fn lost_reason(plan: &Plan) -> Option<(u16, &str)> {
     let failed = plan.state == PlanState::Failed;
-    plan.reason.strip_prefix(&format!("{CONFLICT} ")).filter(|_| failed)
+    let (number, reason) = plan.reason.split_once(' ')?;
+    let number = number.parse().ok().filter(|number| failed && LOST.contains(number))?;
+    Some((number, reason))
 }
 
 /// Number of the error that another change came first.
 pub const CONFLICT: u16 = 720;
 
+/// Numbers of the errors with which a plan loses against another change.
+const LOST: &[u16] = &[CONFLICT, 723];
+
 /// Returns a stored plan.
 pub async fn get(store: &impl Store, id: &Name) -> Result<StoredPlan, Error> {
     let found = store.get(&key(id)).await?.and_then(stored);
--- a/crates/whinspring-cli/tests/commands.rs
+++ b/crates/whinspring-cli/tests/commands.rs
@@ -153,7 +153,7 @@
 #[tokio::test(start_paused = true)]
 async fn confirmed_plan_is_followed_to_its_end() {
     let fake = deployment();
-    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    done(&fake, &["server", "fence", "reservations", "bay-3", "yes"]).await;
     fake.control();
     let id = fake.plans()[0].id.clone();
     insta::assert_snapshot!(done(&fake, &["confirm", &id, "--wait"]).await);
@@ -166,7 +166,7 @@
 #[tokio::test(start_paused = true)]
 async fn plan_without_a_controller_goes_on() {
     let fake = deployment();
-    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    done(&fake, &["server", "fence", "reservations", "bay-3", "yes"]).await;
     let id = fake.plans()[0].id.clone();
     assert!(done(&fake, &["confirm", &id]).await.contains("confirmed, 0 of 1"));
     let (exit, _) = run(&fake, &["watch", &id], Form::Text).await;
@@ -187,7 +187,7 @@
 async fn lost_replies_are_settled() {
     let fake = deployment();
     fake.lose(2);
-    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    done(&fake, &["server", "fence", "reservations", "bay-3", "yes"]).await;
     assert_eq!(fake.plans().len(), 1);
     fake.lose(1);
     fake.control();
@@ -195,6 +195,25 @@
     done(&fake, &["confirm", &id, "--wait"]).await;
 }
 
+#[tokio::test]
+async fn failed_plan_stays_in_doctor_until_it_is_noted() {
+    let fake = deployment();
+    done(&fake, &["server", "drain", "reservations", "bay-3"]).await;
+    let mut plan = fake.plans()[0].clone();
+    plan.state = PlanState::Failed;
+    plan.reason = "723 service/reservations is being changed".into();
+    fake.set(Key::new(Kind::Plan, plan.id.clone()), Value::Plan(plan.clone()));
+    assert_eq!(run(&fake, &["doctor"], Form::Text).await.0, Exit::Done, "it changed nothing");
+
+    plan.reason = "server s1 is lost or leaves".into();
+    fake.set(Key::new(Kind::Plan, plan.id.clone()), Value::Plan(plan.clone()));
+    let (exit, text) = run(&fake, &["doctor"], Form::Text).await;
+    assert_eq!(exit, Exit::Wrong);
+    assert!(text.contains("plan PLAN1 failed, 0 of 1 steps done: server s1 is lost"), "{text}");
+    done(&fake, &["abort", &plan.id]).await;
+    assert_eq!(run(&fake, &["doctor"], Form::Text).await.0, Exit::Done);
+}
+
 #[tokio::test]
 async fn status_owners_and_plans() {
     let fake = deployment();
--- a/crates/whinspring-daemon/src/caller/request.rs
+++ b/crates/whinspring-daemon/src/caller/request.rs
@@ -96,8 +96,7 @@
     if method == Method::CONNECT || method == Method::TRACE || parts.headers.contains_key(UPGRADE) {
         return Err(Code::BadRequest);
     }
-    let hosts = parts.headers.get_all(HOST).iter().count();
-    if hosts > 1 || (hosts == 0 && parts.version == Version::HTTP_11) {
+    if parts.version != Version::HTTP_11 || parts.headers.get_all(HOST).iter().count() != 1 {
         return Err(Code::BadRequest);
     }
     let path = parts.uri.path_and_query().ok_or(Code::BadRequest)?.as_str();
@@ -236,7 +235,7 @@
 }
 
 /// Decodes a percent-encoded part of a path; `None` if it is malformed.
-fn decode(part: &str) -> Option<Cow<'_, str>> {
+pub(crate) fn decode(part: &str) -> Option<Cow<'_, str>> {
     if !part.contains('%') {
         return Some(Cow::Borrowed(part));
     }
--- a/crates/whinspring-daemon/src/held/run.rs
+++ b/crates/whinspring-daemon/src/held/run.rs
@@ -11,6 +11,7 @@
         headers::{
             DEADLINE, EPOCH, NOT_RUN, REQUEST_ID, SLICE, TERM, TRACEPARENT, strip_hop, strip_own,
         },
+        journal::{Hop, What},
         trace,
     },
     bytes::Bytes,
@@ -18,6 +19,7 @@
     http::{
         HeaderMap, HeaderValue, Request, Response,
         header::{HOST, RETRY_AFTER},
+        uri::PathAndQuery,
     },
     http_body::Body,
     hyper::body::Incoming,
@@ -73,6 +75,19 @@
     Failed(Fault),
 }
 
+impl End {
+    /// Returns the end as operators read it.
+    fn text(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "the server answered",
+            Self::Shed(_) => "the server refused it before running it",
+            Self::Fenced => "the server refused it: no grant under this term and epoch",
+            Self::Failed(fault) if fault.is_sent() => "failed after it may have reached the server",
+            Self::Failed(_) => "failed, nothing reached the server",
+        }
+    }
+}
+
 /// The holder stopped the request.
 struct Stopped;
 
@@ -296,7 +311,8 @@
         };
         let mut request = Request::new(body);
         *request.method_mut() = open.method.clone();
-        *request.uri_mut() = open.path.parse().unwrap_or_default();
+        let path = PathAndQuery::try_from(open.path.as_str());
+        *request.uri_mut() = path.expect("checked when it arrived").into();
         *request.headers_mut() = open.headers.clone();
         let headers = request.headers_mut();
         headers.insert(TERM, self.order.term.into());
@@ -325,6 +341,8 @@
             reply.refuse(Reason::Refused(refusal));
         }
         let held = self.held.clone();
+        let what = What::Ended(end.text());
+        held.shared.journal.add(&self.open.meta.id, Hop::Holder, what);
         match end {
             End::Answered(answer) => {
                 held.finish(job, Left::Nothing, Input::Answered { job, answer });
--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod headers;
 pub mod held;
+pub mod journal;
 pub mod keys;
 pub mod link;
 pub mod logging;
--- a/crates/whinspring-daemon/src/link/line.rs
+++ b/crates/whinspring-daemon/src/link/line.rs
@@ -2,6 +2,7 @@
 
 use {
     super::handshake::Stream,
+    crate::metrics::Traffic,
     futures_util::StreamExt,
     std::{
         sync::{
@@ -63,6 +64,9 @@
 
     /// Counts an occurrence.
     fn count(&self, event: &'static str);
+
+    /// Returns the counters of what is written.
+    fn traffic(&self) -> Traffic;
 }
 
 /// The writing end of an open connection.
@@ -76,8 +80,8 @@
     start: Instant,
     /// Microseconds from the opening to the last frame heard.
     heard: AtomicU64,
-    /// Microseconds from the opening to the last frame sent.
-    sent: AtomicU64,
+    /// Microseconds from the opening to the last question.
+    asked: AtomicU64,
     /// Wakes the watch when work begins.
     work: Notify,
     /// Cancelled when the connection has ended.
@@ -88,7 +92,6 @@
     /// Queues a frame; it is lost if the connection has ended.
     pub fn send(&self, frame: Frame) {
         self.backlog.fetch_add(1, Ordering::Relaxed);
-        self.sent.store(self.age(), Ordering::Relaxed);
         let _ = self.frames.send(frame);
     }
 
@@ -97,9 +100,14 @@
         self.backlog.load(Ordering::Relaxed)
     }
 
-    /// Returns whether something was sent since the peer was last heard.
+    /// Notes that something is sent that the peer answers.
+    pub fn ask(&self) {
+        self.asked.store(self.age(), Ordering::Relaxed);
+    }
+
+    /// Returns whether a question was sent since the peer was last heard.
     pub fn is_unanswered(&self) -> bool {
-        self.sent.load(Ordering::Relaxed) > self.heard.load(Ordering::Relaxed)
+        self.asked.load(Ordering::Relaxed) > self.heard.load(Ordering::Relaxed)
     }
 
     /// Starts to watch for silence.
@@ -141,11 +149,11 @@
         backlog: AtomicUsize::new(0),
         start: Instant::now(),
         heard: AtomicU64::new(0),
-        sent: AtomicU64::new(0),
+        asked: AtomicU64::new(0),
         work: Notify::new(),
         ended: CancellationToken::new(),
     });
-    tokio::spawn(write(line.clone(), writer, queue, patience));
+    tokio::spawn(write(line.clone(), writer, queue, patience, receiver.traffic()));
     tokio::spawn(serve(line.clone(), frames, receiver, patience));
     line
 }
@@ -235,6 +243,7 @@
     mut writer: OwnedWriteHalf,
     mut queue: mpsc::UnboundedReceiver<Frame>,
     patience: Patience,
+    traffic: Traffic,
 ) {
     let mut codec = FrameCodec::<wire::Frame>::default();
     let mut batch = Vec::with_capacity(BATCH_FRAMES);
@@ -250,12 +259,15 @@
                 line.end();
                 return;
             }
-            if buffer.len() >= BATCH_BYTES && !flush(&mut writer, &mut buffer, patience).await {
+            if buffer.len() < BATCH_BYTES {
+                continue;
+            }
+            if !flush(&mut writer, &mut buffer, patience, &traffic).await {
                 line.end();
                 return;
             }
         }
-        if !flush(&mut writer, &mut buffer, patience).await {
+        if !flush(&mut writer, &mut buffer, patience, &traffic).await {
             break;
         }
         if buffer.capacity() > KEEP_BYTES {
@@ -267,7 +279,14 @@
 }
 
 /// Writes out the buffer; `false` if the connection fails or takes nothing.
-async fn flush(writer: &mut OwnedWriteHalf, buffer: &mut BytesMut, patience: Patience) -> bool {
+async fn flush(
+    writer: &mut OwnedWriteHalf,
+    buffer: &mut BytesMut,
+    patience: Patience,
+    traffic: &Traffic,
+) -> bool {
+    traffic.bytes.inc_by(buffer.len() as u64);
+    traffic.writes.inc();
     let written = timeout(2 * patience.dead, writer.write_all(buffer)).await;
     buffer.clear();
     matches!(written, Ok(Ok(())))
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         path::{Pair, fenced, pair},
-        rig::{Daemon, Fake, Placed, daemon, publish},
+        rig::{Daemon, FLIGHTS, Fake, Placed, daemon, publish},
     },
     hyper::Method,
     std::{net::SocketAddr, time::Duration},
@@ -82,11 +82,13 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn missing_host_garbage_and_oversized_heads_are_refused_and_the_daemon_goes_on() {
+async fn missing_host_old_versions_garbage_and_oversized_heads_are_refused() {
     let pair = pair("a", fenced()).await;
     let addr = pair.a.callers_addr;
     let no_host = exchange(addr, b"GET /checks/x HTTP/1.1\r\nconnection: close\r\n\r\n").await;
     assert!(no_host.contains("whinspring-code: 405\r\n"), "{no_host}");
+    let old = exchange(addr, b"GET /checks/x HTTP/1.0\r\nhost: t\r\nx-key: k\r\n\r\n").await;
+    assert!(old.contains("whinspring-code: 405\r\n"), "{old}");
     let garbage = exchange(addr, b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n").await;
     assert!(garbage.starts_with("HTTP/1.1 400 "), "{garbage}");
     let large = format!("GET /checks/x HTTP/1.1\r\nhost: t\r\nx: {}\r\n\r\n", "y".repeat(100_000));
@@ -96,6 +98,15 @@
     assert!(Caller::new().send(&call).await.is_right());
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refused_caller_is_not_asked_for_its_body() {
+    let pair = pair("a", fenced()).await;
+    let request = b"PUT /nowhere HTTP/1.1\r\nhost: t\r\nexpect: 100-continue\r\n\
+        content-length: 100\r\n\r\n";
+    let answer = exchange(pair.a.callers_addr, request).await;
+    assert!(answer.starts_with("HTTP/1.1 404 "), "{answer}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn caller_that_goes_away_cancels_repeatable_work() {
     for holder in ["a", "b"] {
@@ -110,6 +121,7 @@
         until(|| running(a) + running(b) == 1).await;
         drop(socket);
         until(|| running(a) + running(b) == 0).await;
+        until(|| a.shared.metrics.callers.get() == 0).await;
         assert_eq!(a.shared.metrics.counted("caller_gone"), 1);
         let cancelled = || {
             let lines = runs::read(&log).expect("the log is there");
@@ -119,6 +131,21 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_beyond_the_limit_are_refused_at_once() {
+    let pair = pair("a", fenced()).await;
+    let flights = &pair.a.shared.metrics.flights;
+    let request = b"GET /checks/x HTTP/1.1\r\nhost: t\r\nx-key: k\r\nconnection: close\r\n\r\n";
+    flights.inc_by(i64::from(FLIGHTS));
+    let refused = exchange(pair.a.callers_addr, request).await;
+    assert!(refused.contains("whinspring-code: 500\r\n"), "{refused}");
+    assert!(refused.contains("whinspring-retry-ms: "), "{refused}");
+    flights.dec();
+    let answered = exchange(pair.a.callers_addr, request).await;
+    assert!(answered.contains("whinspring-code: 100\r\n"), "{answered}");
+    flights.dec_by(i64::from(FLIGHTS - 1));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn caller_that_goes_away_does_not_stop_unrepeatable_work() {
     let options = Options { work: Duration::from_millis(300), ..fenced() };
--- a/crates/whinspring-daemon/tests/data/rig.rs
+++ b/crates/whinspring-daemon/tests/data/rig.rs
@@ -30,7 +30,7 @@
         clock::Clock,
         exchange::Serve,
         keys::Keys,
-        link::{DataLinks, Listener, Local},
+        link::{Answers, DataLinks, Listener, Local},
         metrics::Metrics,
         shared::{Reports, Shared, run_ticks},
     },
@@ -43,6 +43,9 @@
 /// Key of the deployment in tests.
 pub const KEY: &[u8] = b"a key of the deployment for tests";
 
+/// Requests of callers in progress at a node at most.
+pub const FLIGHTS: u32 = 1_000;
+
 /// Slices of the keyed service.
 pub const SLICES: u32 = 8;
 
@@ -59,6 +62,7 @@
         addr,
         clock: Clock::start(),
         metrics: Arc::new(Metrics::new()),
+        answers: Answers::default(),
         control: Handle::current(),
         data: Handle::current(),
     })
@@ -131,8 +135,12 @@
     let _ = Listener::start(local.clone(), socket, sender, shared.clone());
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
     let callers_addr = listener.local_addr().expect("it is bound");
-    let setup =
-        Setup { workers: 2, idle: Duration::from_secs(60), drain: Duration::from_millis(100) };
+    let setup = Setup {
+        workers: 2,
+        flights: FLIGHTS,
+        idle: Duration::from_secs(60),
+        drain: Duration::from_millis(100),
+    };
     let callers = Callers::start(shared.clone(), listener, setup).expect("the port starts");
     Daemon {
         name: name.into(),
@@ -278,6 +286,8 @@
 pub struct Fake {
     /// Its address.
     pub addr: SocketAddr,
+    /// Heads of the other requests that it got.
+    pub heads: mpsc::UnboundedReceiver<String>,
 }
 
 impl Fake {
@@ -294,17 +304,22 @@
     /// Starts a server.
     async fn run(script: Option<Vec<u8>>) -> Self {
         let (listener, addr) = bind().await;
+        let (sender, heads) = mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(fake(socket, script.clone()));
+                tokio::spawn(fake(socket, script.clone(), sender.clone()));
             }
         });
-        Self { addr }
+        Self { addr, heads }
     }
 }
 
 /// Answers the requests of one connection of a [`Fake`].
-async fn fake(mut socket: TcpStream, script: Option<Vec<u8>>) {
+async fn fake(
+    mut socket: TcpStream,
+    script: Option<Vec<u8>>,
+    heads: mpsc::UnboundedSender<String>,
+) {
     let sign = "{\"boot\":1,\"term\":1,\"state\":\"ready\"}";
     let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{sign}", sign.len());
     let mut buffer = Vec::new();
@@ -312,9 +327,12 @@
         let text = String::from_utf8_lossy(&buffer);
         let whole = text.contains("\r\n\r\n") && (text.starts_with("GET") || text.ends_with('}'));
         let own = text.contains(" /_whinspring/");
-        if own && !whole {
+        if !text.contains("\r\n\r\n") || (own && !whole) {
             continue;
         }
+        if !own {
+            let _ = heads.send(text.to_lowercase());
+        }
         if own {
             let _ = socket.write_all(answer.as_bytes()).await;
             buffer.clear();
--- a/crates/whinspring/src/planner/rebalance.rs
+++ b/crates/whinspring/src/planner/rebalance.rs
@@ -20,6 +20,10 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Mean load of a server below which the service counts as idle, in microseconds of slot time a
+/// second: what so few requests cost is chance, and moves would only follow it about.
+const IDLE_US: f64 = 50_000.0;
+
 /// Load above the mean that is left alone, as a share of the mean.
 const SLACK: f64 = 0.04;
 
@@ -124,7 +128,11 @@
             return None;
         }
         let total: f64 = servers.values().map(|load| load.total).sum();
-        Some(Self { servers, mean: total / seats.len() as f64 })
+        let mean = total / seats.len() as f64;
+        if mean < IDLE_US {
+            return Some(Self { servers: BTreeMap::new(), mean: 0.0 });
+        }
+        Some(Self { servers, mean })
     }
 
     /// Returns the load of a key on its server.
--- a/crates/whinspring/src/view.rs
+++ b/crates/whinspring/src/view.rs
@@ -213,12 +213,22 @@
         self.declared.as_ref().expect("the view hands out declared services only")
     }
 
+    /// Returns the version of the declaration.
+    pub fn version(&self) -> u64 {
+        self.versions.service
+    }
+
     /// Returns the owner of a key: the key's own one, otherwise that of its slice.
     pub fn owner(&self, place: &Place) -> Option<&Owner> {
         let segment = self.segment_of(place.slice)?;
         segment.keys.get(&place.key).or_else(|| segment.owner(place.slice))
     }
 
+    /// Returns the segment of an index.
+    pub fn segment(&self, index: u32) -> Option<&Arc<Segment>> {
+        self.segments.get(&index)?.value.as_ref()
+    }
+
     /// Returns the holder of a server.
     pub fn holder(&self, server: ServerId) -> Option<&Holder> {
         self.holders.terms.get(&server)
--- a/crates/whinspring/tests/control/load.rs
+++ b/crates/whinspring/tests/control/load.rs
@@ -105,3 +105,27 @@
     report(&mut world, 60, &second);
     assert_eq!(world.counts.puts, before, "moves without a change of load");
 }
+
+#[test]
+fn a_few_requests_move_nothing() {
+    let mut world = World::new(6);
+    world.start("a", "d0");
+    world.start("b", "d1");
+    world.start("c", "d2");
+    declare(&mut world, service("checks", 6, SLICES));
+    world.run(3_000);
+
+    let before = segment(&world);
+    for second in 0..60 {
+        for server in (0..6).map(ServerId) {
+            let lone = u64::from(server.0 == second % 6) * 5_000;
+            let slice = before.owners.iter().position(|owner| owner.server == server);
+            let slices = vec![(Slice(slice.expect("each server has slices") as u32), lone)];
+            let (service, keys) = (Name::from("checks"), vec![("lone".into(), lone)]);
+            let load = Message::Load { service, server, busy: 2, slices, keys };
+            world.feed("a", Event::Local(load));
+        }
+        world.run(1_000);
+    }
+    assert_eq!(segment(&world), before);
+}
--- a/crates/whinspring/tests/holder/sessions.rs
+++ b/crates/whinspring/tests/holder/sessions.rs
@@ -176,6 +176,24 @@
     assert_eq!(world.answer(3), "Moved", "a released server is not used again in this term");
 }
 
+#[test]
+fn long_request_does_not_keep_a_handed_over_server_from_short_ones() {
+    let mut world = World::new(update(1, 1));
+    world.fake.slow.insert(99, 2_000);
+    world.arrive(1, Meta { print: 99, ..get("a") }, 9_000);
+    world.run(1_000);
+    world.input(Input::Update(Box::new(Update { handover: true, ..update(1, 1) })));
+    for number in 10..20 {
+        world.arrive(number, get("b"), 200);
+        world.run(50);
+    }
+    world.run(600);
+    world.arrive(30, get("b"), 200);
+    let done = (10..20).filter(|number| world.answer(*number) == "done").count();
+    assert_eq!((done, world.answer(1), world.answer(30)), (10, "done", "Moved"));
+    assert!(world.trace.contains("ServerReleased"), "{}", world.trace);
+}
+
 #[test]
 fn crashing_request_kills_two_servers_at_most() {
     let mut world = World::new(update(1, 1));
@@ -279,6 +297,28 @@
     assert_eq!(world.answer(5), "done");
 }
 
+#[test]
+fn memory_of_a_lost_server_goes_on_once() {
+    let slice = slice_of("a", 4);
+    for through in [vec![gone(slice)], vec![moving(slice), gone(slice)]] {
+        let mut world = World::new(update(1, 1));
+        world.arrive(1, post("a", "x"), 300);
+        world.run(3);
+        world.fake.crash(world.ms);
+        world.run(100);
+        for input in through {
+            world.input(input);
+            world.run(20);
+        }
+        let ids: Vec<&str> = world
+            .handed
+            .iter()
+            .flat_map(|memory| memory.entries.iter().map(|known| known.id.id.as_str()))
+            .collect();
+        assert_eq!(ids, ["x"], "{}", world.trace);
+    }
+}
+
 #[test]
 fn slow_answers_and_a_paused_process_are_no_loss() {
     let mut world = World::new(update(1, 1));
