--- a/crates/whinspring-bench/src/driver.rs
+++ b/crates/whinspring-bench/src/driver.rs
@@ -52,6 +52,8 @@
 pub struct Sending {
     /// Entry it was sent to.
     pub entry: SocketAddr,
+    /// When it was sent.
+    pub began: Instant,
     /// What came back.
     pub reply: Reply,
 }
@@ -148,7 +150,8 @@
     loop {
         let entry = entries[(first + sendings.len()) % entries.len()];
         let call = request.call(entry, sendings.len() + 1);
-        let sending = Sending { entry, reply: caller.send(&call).await };
+        let began = Instant::now();
+        let sending = Sending { entry, began, reply: caller.send(&call).await };
         let wait = resend_wait(&request, &sending);
         sendings.push(sending);
         let Some(wait) = wait.filter(|wait| start.elapsed() + *wait < patience) else {
--- /dev/null
+++ b/crates/whinspring-bench/src/faults/traffic.rs
@@ -0,0 +1,116 @@
+//! Callers that send requests of all kinds, and some that ask for the same keys continually.
+
+use {
+    super::{KEYED, UNKEYED},
+    crate::{
+        driver::{Request, Story, deliver},
+        fleet::Fleet,
+    },
+    hyper::Method,
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{sync::watch, task::JoinSet, time::sleep},
+    whinspring_standin::caller::Caller,
+};
+
+/// Callers of all kinds of requests.
+const CALLERS: u64 = 8;
+
+/// Keys asked for continually.
+const PROBED: u64 = 24;
+
+/// Keys that the other callers ask for.
+const KEYS: u32 = 200;
+
+/// Wait of a caller between two requests.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// Longest time for which a caller resends one request.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// One request in so many goes to the unkeyed service.
+const UNKEYED_SHARE: u32 = 5;
+
+/// Running callers.
+#[derive(Debug)]
+pub(super) struct Traffic {
+    stop: watch::Sender<bool>,
+    callers: JoinSet<Vec<Story>>,
+    probes: JoinSet<Vec<Story>>,
+}
+
+/// What callers saw.
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    /// Requests of all kinds.
+    pub(super) stories: Vec<Story>,
+    /// Requests for each key that was asked for continually, in order.
+    pub(super) probes: Vec<Vec<Story>>,
+}
+
+impl Traffic {
+    /// Starts all callers; keys are asked for continually at `survivors` only.
+    pub(super) fn start(fleet: &Fleet, survivors: Vec<SocketAddr>, seed: u64) -> Self {
+        let entries: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.caller).collect();
+        let stop = watch::Sender::new(false);
+        let mut callers = JoinSet::new();
+        for index in 0..CALLERS {
+            let random = ChaCha8Rng::seed_from_u64(seed * CALLERS + index);
+            callers.spawn(call(random, entries.clone(), stop.subscribe()));
+        }
+        let mut probes = JoinSet::new();
+        for index in 0..PROBED {
+            probes.spawn(probe(format!("probed-{index}"), survivors.clone(), stop.subscribe()));
+        }
+        Self { stop, callers, probes }
+    }
+
+    /// Stops all callers and returns what they saw.
+    pub(super) async fn stop(self) -> Log {
+        self.stop.send_replace(true);
+        let stories = self.callers.join_all().await.concat();
+        Log { stories, probes: self.probes.join_all().await }
+    }
+}
+
+/// Sends requests of all kinds until told to stop.
+async fn call(
+    mut random: ChaCha8Rng,
+    entries: Vec<SocketAddr>,
+    stop: watch::Receiver<bool>,
+) -> Vec<Story> {
+    let caller = Caller::new();
+    let mut stories = Vec::new();
+    while !*stop.borrow() {
+        let request = draw(&mut random);
+        stories.push(deliver(&caller, &entries, request, PATIENCE).await);
+        sleep(PAUSE).await;
+    }
+    stories
+}
+
+/// Draws a request.
+fn draw(random: &mut ChaCha8Rng) -> Request {
+    let method = if random.random() { Method::POST } else { Method::GET };
+    let key = random.random_range(0..KEYS);
+    if random.random_ratio(1, UNKEYED_SHARE) {
+        return Request::new(method, format!("/{UNKEYED}/{key}"));
+    }
+    let key = format!("key-{key}");
+    let path = format!("/{KEYED}/{key}");
+    Request { key, body: random.random::<u64>().to_string().into(), ..Request::new(method, path) }
+}
+
+/// Asks for one key until told to stop.
+async fn probe(key: String, entries: Vec<SocketAddr>, stop: watch::Receiver<bool>) -> Vec<Story> {
+    let caller = Caller::new();
+    let mut stories = Vec::new();
+    while !*stop.borrow() {
+        let request = Request::new(Method::GET, format!("/{KEYED}/{key}"));
+        let request = Request { key: key.clone(), ..request };
+        stories.push(deliver(&caller, &entries, request, PATIENCE).await);
+        sleep(PAUSE).await;
+    }
+    stories
+}
--- /dev/null
+++ b/crates/whinspring-bench/src/faults/watch.rs
@@ -0,0 +1,72 @@
+//! Watches the status of every daemon for configuration that goes back.
+
+use {
+    crate::fleet::Fleet,
+    hyper::Method,
+    serde_json::Value,
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    tokio::{sync::watch, task::JoinSet, time::sleep},
+    whinspring_standin::control::call,
+};
+
+/// Wait between two looks at a daemon.
+const PERIOD: Duration = Duration::from_millis(40);
+
+/// Looks at all daemons of a fleet.
+#[derive(Debug)]
+pub(super) struct Watch {
+    stop: watch::Sender<bool>,
+    tasks: JoinSet<u64>,
+}
+
+impl Watch {
+    /// Starts to look.
+    pub(super) fn start(fleet: &Fleet) -> Self {
+        let stop = watch::Sender::new(false);
+        let mut tasks = JoinSet::new();
+        for daemon in &fleet.daemons {
+            tasks.spawn(look(daemon.admin, stop.subscribe()));
+        }
+        Self { stop, tasks }
+    }
+
+    /// Stops and returns how often a version was seen to go back.
+    pub(super) async fn stop(self) -> u64 {
+        self.stop.send_replace(true);
+        self.tasks.join_all().await.into_iter().sum()
+    }
+}
+
+/// Returns the status of a daemon.
+pub(super) async fn status(admin: SocketAddr) -> Option<Value> {
+    let answer = call(admin, Method::GET, "/status", "").await.ok()?;
+    serde_json::from_slice(answer.body()).ok()
+}
+
+/// Looks at one daemon until told to stop.
+async fn look(admin: SocketAddr, stop: watch::Receiver<bool>) -> u64 {
+    let mut highest: BTreeMap<(u64, String), u64> = BTreeMap::new();
+    let mut reverted = 0;
+    while !*stop.borrow() {
+        if let Some(status) = status(admin).await {
+            for (name, version) in versions(&status) {
+                let incarnation = status["incarnation"].as_u64().unwrap_or_default();
+                let highest = highest.entry((incarnation, name)).or_default();
+                reverted += u64::from(version < *highest);
+                *highest = version.max(*highest);
+            }
+        }
+        sleep(PERIOD).await;
+    }
+    reverted
+}
+
+/// Returns the versions that a status names.
+fn versions(status: &Value) -> Vec<(String, u64)> {
+    let mut versions = vec![(String::new(), status["seen"].as_u64().unwrap_or_default())];
+    for service in status["services"].as_array().into_iter().flatten() {
+        let name = service["name"].as_str().unwrap_or_default();
+        versions.push((name.into(), service["version"].as_u64().unwrap_or_default()));
+    }
+    versions
+}
--- a/crates/whinspring-bench/src/generator.rs
+++ b/crates/whinspring-bench/src/generator.rs
@@ -149,7 +149,7 @@
         let request = make(&mut random);
         let reply = caller.send(&request.call(entry, 1)).await;
         if sent >= recorded {
-            tally.record(&Sending { entry, reply }, from.elapsed());
+            tally.record(&Sending { entry, began: sent, reply }, from.elapsed());
         }
         due += gap.unwrap_or_default();
     }
--- a/crates/whinspring-bench/src/lib.rs
+++ b/crates/whinspring-bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod capacity;
 pub mod demo;
 pub mod driver;
+pub mod faults;
 pub mod fleet;
 pub mod generator;
 pub mod path;
--- a/crates/whinspring-bench/src/main.rs
+++ b/crates/whinspring-bench/src/main.rs
@@ -4,7 +4,7 @@
     clap::{Arg, ArgMatches, Command, value_parser},
     std::{path::PathBuf, process::ExitCode},
     tokio::signal::unix::{SignalKind, signal},
-    whinspring_bench::{capacity, demo, path},
+    whinspring_bench::{capacity, demo, faults, path},
 };
 
 fn main() -> ExitCode {
@@ -49,6 +49,13 @@
         .value_name("N")
         .value_parser(value_parser!(usize))
         .help("Measure only this number of daemons");
+    let seeds = Arg::new("seeds")
+        .long("seeds")
+        .value_name("M")
+        .default_value("1")
+        .value_parser(value_parser!(u64))
+        .help("Number of seeds, counted up from the first");
+    let case = Arg::new("case").long("case").value_name("NAME").help("Run only this case");
     let experiment = |name: &'static str, about: &'static str| {
         Command::new(name).about(about).arg(seed.clone()).arg(keep.clone())
     };
@@ -56,6 +63,11 @@
         .about("Experiments over real processes")
         .subcommand_required(true)
         .subcommand(experiment("capacity", "Slopes, and what they say of the size to come"))
+        .subcommand(
+            experiment("faults", "Faults of all kinds under traffic, judged by the run logs")
+                .arg(seeds)
+                .arg(case),
+        )
         .subcommand(experiment("demo", "From nothing to a lost server and a lost daemon"))
         .subcommand(
             experiment("path", "Throughput, added latency and memory of the whole path")
@@ -73,6 +85,11 @@
     let result = match name {
         "capacity" => capacity::run(seed, keep).await,
         "demo" => demo::run(seed, keep).await,
+        "faults" => {
+            let seeds = *matches.get_one("seeds").expect("has a default");
+            let case = matches.get_one::<String>("case").map(String::as_str);
+            faults::run(seed, seeds, case, keep).await
+        }
         "path" => path::run(seed, keep, matches.get_one("daemons").copied()).await,
         _ => Ok(false),
     };
--- a/crates/whinspring-bench/tests/verdict.rs
+++ b/crates/whinspring-bench/tests/verdict.rs
@@ -2,7 +2,10 @@
 
 use {
     hyper::Method,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     whinspring_bench::{
         driver::{Request, Sending, Story},
         verdict::Verdict,
@@ -26,7 +29,7 @@
         echo: None,
         latency: Duration::ZERO,
     };
-    Sending { entry: SocketAddr::from(([127, 0, 0, 1], 1)), reply }
+    Sending { entry: SocketAddr::from(([127, 0, 0, 1], 1)), began: Instant::now(), reply }
 }
 
 fn story(method: Method, sendings: Vec<Sending>) -> Story {
