Bench: nothing may be cut in planned cases; breaches by kind

Change: exchanges cut or lost unanswered in a planned case fail it; a case line names breaches by what they show.

--- a/crates/whinspring-bench/src/faults/case/checks.rs
+++ b/crates/whinspring-bench/src/faults/case/checks.rs
@@ -11,13 +11,18 @@
         time::{Duration, Instant},
     },
     tokio::time::sleep,
-    whinspring_standin::runs::Event,
+    whinspring_standin::runs::{Event, Line},
 };
 
 /// Longest wait for the platform to tell the plans after a fault of it.
 const PLANS_TIMEOUT: Duration = Duration::from_secs(5);
 
 impl Scene {
+    /// Returns whether all that happens is planned, so that nothing may be cut.
+    pub(in super::super) fn is_planned(&self) -> bool {
+        matches!(self.case, Case::PlannedStop | Case::Drain | Case::Rolling | Case::Conflict)
+    }
+
     /// Checks that every confirmed plan is there and finished.
     pub(in super::super) async fn check_plans(&mut self) {
         let end = Instant::now() + PLANS_TIMEOUT;
@@ -45,10 +50,8 @@
         for drained in &self.drained {
             let server = self.fleet.servers.iter().find(|server| server.name == drained.server);
             let runs = server.and_then(|server| server.runs().ok()).unwrap_or_default();
-            let late = runs
-                .iter()
-                .filter(|line| line.event == Event::Start && line.t_us > drained.from_us);
-            if let Some(line) = late.last() {
+            let is_late = |line: &&Line| line.event == Event::Start && line.t_us > drained.from_us;
+            if let Some(line) = runs.iter().rfind(is_late) {
                 self.notes.push(format!("{} got new work: {line:?}", drained.server));
             }
         }
--- a/crates/whinspring-bench/src/faults/judge.rs
+++ b/crates/whinspring-bench/src/faults/judge.rs
@@ -13,10 +13,13 @@
     },
     serde_json::{Value, json},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
-    whinspring_standin::runs::{Event, Line, breaches},
+    whinspring_standin::{
+        caller::End,
+        runs::{Breach, BreachKind, Event, Line, breaches},
+    },
 };
 
 /// Time beyond the deadline within which an answer may still come.
@@ -52,6 +55,7 @@
 pub(super) struct Judgement {
     counts: Counts,
     endings: BTreeMap<Ending, u64>,
+    breaches: BTreeMap<String, u64>,
     notes: Vec<String>,
 }
 
@@ -118,6 +122,7 @@
         line["right"] = json!(self.is_right());
         line["served_again"] = json!(self.counts.served_again.len());
         line["sendings"] = json!(endings);
+        line["breaches"] = json!(self.breaches);
         line["notes"] = json!(self.notes);
         line
     }
@@ -157,6 +162,9 @@
     for (_, sending) in sendings() {
         *endings.entry(sending.ending()).or_default() += 1;
     }
+    if let Some(note) = scene.is_planned().then(|| cuts(&stories)).flatten() {
+        notes.push(note);
+    }
     let counts = Counts {
         seeds: 1,
         requests: verdict.requests,
@@ -171,7 +179,31 @@
         victims: scene.victims,
         served_again: served_again(&scene.losses, &log.probes, &runs, &mut notes),
     };
-    Ok(Judgement { counts, endings, notes })
+    Ok(Judgement { counts, endings, breaches: kinds(&breaches), notes })
+}
+
+/// Tells of exchanges that ended after their connection was made, without a whole answer.
+fn cuts(stories: &[&Story]) -> Option<String> {
+    let sendings = stories.iter().flat_map(|story| &story.sendings);
+    let count = |end| sendings.clone().filter(|sending| sending.reply.end == end).count();
+    let (cut, broken) = (count(End::Cut), count(End::Broken));
+    (cut + broken > 0).then(|| format!("{cut} answers cut, {broken} connections lost unanswered"))
+}
+
+/// Counts breaches by what they show, and the runs that went on when another server had begun.
+fn kinds(breaches: &[Breach]) -> BTreeMap<String, u64> {
+    let mut kinds = BTreeMap::new();
+    let mut outlived = BTreeSet::new();
+    for breach in breaches {
+        *kinds.entry(format!("{:?}", breach.kind)).or_default() += 1;
+        if breach.kind == BreachKind::Overlap {
+            outlived.insert((breach.first.boot, breach.first.run));
+        }
+    }
+    if !outlived.is_empty() {
+        kinds.insert("runs that outlived their server's loss".into(), outlived.len() as u64);
+    }
+    kinds
 }
 
 /// Returns whether a sending got no final answer in time though its entry was not frozen.
