--- a/crates/whinspring-bench/src/faults/judge.rs
+++ b/crates/whinspring-bench/src/faults/judge.rs
@@ -169,7 +169,7 @@
         seeds: 1,
         requests: verdict.requests,
         steps: scene.steps,
-        double_owner: breaches.len() as u64,
+        double_owner: (breaches.len() + terms_back.len()) as u64,
         doubled: verdict.doubled,
         false_not_run: verdict.false_not_run,
         crossed: endings.get(&Ending::Wrong).copied().unwrap_or_default(),
@@ -190,6 +190,23 @@
     (cut + broken > 0).then(|| format!("{cut} answers cut, {broken} connections lost unanswered"))
 }
 
+/// Returns the runs with a lower term than an earlier run of the same server, with that run.
+///
+/// They show that a former holder still sent work while the next one did.
+fn terms_back(runs: &[Line]) -> Vec<(&Line, &Line)> {
+    let mut highest: BTreeMap<u64, &Line> = BTreeMap::new();
+    let mut found = Vec::new();
+    for run in runs.iter().filter(|line| line.event == Event::Start) {
+        let first = highest.entry(run.boot).or_insert(run);
+        if run.term < first.term {
+            found.push((*first, run));
+        } else {
+            *first = run;
+        }
+    }
+    found
+}
+
 /// Counts breaches by what they show, and the runs that went on when another server had begun.
 fn kinds(breaches: &[Breach]) -> BTreeMap<String, u64> {
     let mut kinds = BTreeMap::new();
