Bench: send unrepeatable requests at two entries at once

Cause: with the memory of ids taken out on a scratch build, holder-lost stayed green: hardly any unrepeatable request was sent again while it could still run. Change: one in four is sent at two entries at once and at a third afterwards.

--- a/crates/whinspring-bench/src/faults/judge.rs
+++ b/crates/whinspring-bench/src/faults/judge.rs
@@ -147,6 +147,10 @@
         notes.push(format!("{} answers that no run log knows", verdict.unlogged));
     }
     let breaches = breaches(&keyed);
+    let terms_back = terms_back(&keyed);
+    for (first, second) in terms_back.iter().take(3) {
+        notes.push(format!("a lower term after a higher one: {first:?}, then {second:?}"));
+    }
     for breach in breaches.iter().take(3) {
         notes.push(format!("{breach:?}"));
     }
--- a/crates/whinspring-bench/src/faults/traffic.rs
+++ b/crates/whinspring-bench/src/faults/traffic.rs
@@ -3,13 +3,16 @@
 use {
     super::{KEYED, UNKEYED},
     crate::{
-        driver::{Request, Story, deliver},
+        driver::{Request, Sending, Story, deliver},
         fleet::Fleet,
     },
     hyper::Method,
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::{sync::watch, task::JoinSet, time::sleep},
     whinspring_standin::caller::Caller,
 };
@@ -32,6 +35,9 @@
 /// One request in so many goes to the unkeyed service.
 const UNKEYED_SHARE: u32 = 5;
 
+/// One unrepeatable request in so many is sent again while its first sending runs.
+const TWICE_SHARE: u32 = 4;
+
 /// Running callers.
 #[derive(Debug)]
 pub(super) struct Traffic {
@@ -84,12 +90,32 @@
     let mut stories = Vec::new();
     while !*stop.borrow() {
         let request = draw(&mut random);
-        stories.push(deliver(&caller, &entries, request, PATIENCE).await);
+        let story = if !request.is_repeatable() && random.random_ratio(1, TWICE_SHARE) {
+            let first = random.random_range(0..entries.len());
+            twice(&caller, &entries, request, first).await
+        } else {
+            deliver(&caller, &entries, request, PATIENCE).await
+        };
+        stories.push(story);
         sleep(PAUSE).await;
     }
     stories
 }
 
+/// Sends a request at two entries at once, and at a third when both have ended.
+async fn twice(caller: &Caller, entries: &[SocketAddr], request: Request, first: usize) -> Story {
+    let start = Instant::now();
+    let send = async |index: usize| {
+        let entry = entries[(first + index) % entries.len()];
+        let began = Instant::now();
+        let reply = caller.send(&request.call(entry, index + 1)).await;
+        Sending { entry, began, reply }
+    };
+    let (one, two) = tokio::join!(send(0), send(1));
+    let sendings = vec![one, two, send(2).await];
+    Story { request, sendings, took: start.elapsed() }
+}
+
 /// Draws a request.
 fn draw(random: &mut ChaCha8Rng) -> Request {
     let method = if random.random() { Method::POST } else { Method::GET };
