--- a/crates/whinspring-bench/src/faults/case/checks.rs
+++ b/crates/whinspring-bench/src/faults/case/checks.rs
@@ -18,6 +18,11 @@
 const PLANS_TIMEOUT: Duration = Duration::from_secs(5);
 
 impl Scene {
+    /// Returns whether the platform is at fault.
+    pub(in super::super) fn has_platform_fault(&self) -> bool {
+        self.case.has_platform_fault()
+    }
+
     /// Returns whether all that happens is planned, so that nothing may be cut.
     pub(in super::super) fn is_planned(&self) -> bool {
         matches!(self.case, Case::PlannedStop | Case::Drain | Case::Rolling | Case::Conflict)
--- a/crates/whinspring-bench/src/faults/judge.rs
+++ b/crates/whinspring-bench/src/faults/judge.rs
@@ -28,6 +28,9 @@
 /// Share of the times that the shown quantile leaves above it.
 const QUANTILE: f64 = 0.99;
 
+/// Longest time to be served again without a platform fault, in milliseconds.
+const SERVED_MS: u64 = 1_000;
+
 /// Servers that one request may end.
 const VICTIMS: u64 = 2;
 
@@ -169,6 +172,10 @@
     if let Some(note) = scene.is_planned().then(|| cuts(&stories)).flatten() {
         notes.push(note);
     }
+    let served_again = served_again(&scene.losses, &log.probes, &runs, &mut notes);
+    if !scene.has_platform_fault() && served_again.iter().any(|time| *time > SERVED_MS) {
+        notes.push(format!("keys of a lost server were not served within {SERVED_MS} ms"));
+    }
     let counts = Counts {
         seeds: 1,
         requests: verdict.requests,
@@ -181,7 +188,7 @@
         reverted,
         silent: silent.len() as u64,
         victims: scene.victims,
-        served_again: served_again(&scene.losses, &log.probes, &runs, &mut notes),
+        served_again,
     };
     Ok(Judgement { counts, endings, breaches: kinds(&breaches), notes })
 }
