Carry on the mean where a line has no significant slope

Cause: the time until keys are served again does not grow with the nodes, and the line through its noise gave minus 6 s at 1,300 nodes. Change: a slope within twice its standard error counts as none.

--- a/crates/whinspring-bench/src/capacity/fit.rs
+++ b/crates/whinspring-bench/src/capacity/fit.rs
@@ -5,6 +5,8 @@
 /// A line through measured points.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct Line {
+    /// Mean of the values.
+    pub mean: f64,
     /// Value at zero.
     pub base: f64,
     /// Rise for each unit.
@@ -30,11 +32,14 @@
         let base = mean_y - slope * mean_x;
         let rest: f64 = points.iter().map(|(x, y)| (y - base - slope * x).powi(2)).sum();
         let slope_error = (points.len() > 2).then(|| (rest / (count - 2.0) / spread).sqrt());
-        Some(Self { base, slope, slope_error, points: points.len() })
+        Some(Self { mean: mean_y, base, slope, slope_error, points: points.len() })
     }
 
-    /// Returns the value at `x`.
+    /// Returns the value at `x`: on the line, or the mean if the slope is within twice its error.
     pub fn at(&self, x: f64) -> f64 {
+        if self.slope_error.is_some_and(|error| self.slope.abs() < 2.0 * error) {
+            return self.mean;
+        }
         self.base + self.slope * x
     }
 }
