Read a daemon's status, and parse a setting, in one place each

Cause: the capacity experiment asked for the status page by two calls of its own beside that of the fault experiment; the reader of settings parsed and refused values twice, for secrets and others. Ruled out: one table for the two ends of a link, whose entries differ in all they carry. Change: fleet::status serves both experiments; Reader::read serves optional and secret values. Conclusion: behaviour is as it was.

--- a/crates/whinspring-bench/src/capacity/spread.rs
+++ b/crates/whinspring-bench/src/capacity/spread.rs
@@ -2,8 +2,7 @@
 
 use {
     super::idle::Calls,
-    crate::fleet::{Daemon, Error, Fleet},
-    hyper::Method,
+    crate::fleet::{Daemon, Error, Fleet, status},
     serde::Serialize,
     std::{
         ffi::OsStr,
@@ -13,7 +12,6 @@
     tokio::{task::JoinSet, time::sleep},
     whinspring::record::{Key, Kind},
     whinspring_platform::Platform,
-    whinspring_standin::control::call,
 };
 
 /// Changes made.
@@ -119,17 +117,13 @@
 
 /// Returns the revision that a node says to know.
 async fn seen(admin: SocketAddr) -> u64 {
-    let Ok(answer) = call(admin, Method::GET, "/status", "").await else { return 0 };
-    let status: serde_json::Value = serde_json::from_slice(answer.body()).unwrap_or_default();
+    let status = status(admin).await.unwrap_or_default();
     status["seen"].as_u64().unwrap_or_default()
 }
 
 /// Returns whether a daemon holds servers, and whether it is the controller.
 pub async fn role(daemon: &Daemon) -> (usize, bool) {
-    let Ok(answer) = call(daemon.admin, Method::GET, "/status", "").await else {
-        return (0, false);
-    };
-    let status: serde_json::Value = serde_json::from_slice(answer.body()).unwrap_or_default();
+    let status = status(daemon.admin).await.unwrap_or_default();
     let held = status["held"].as_array().map_or(0, Vec::len);
     (held, status["controller"].as_bool().unwrap_or_default())
 }
--- a/crates/whinspring-bench/src/faults/case/actions.rs
+++ b/crates/whinspring-bench/src/faults/case/actions.rs
@@ -4,8 +4,8 @@
     super::{Drained, Frozen, Loss, Scene},
     crate::{
         driver::{Request, Sending, Story},
-        faults::{CRASH, KEYED, UNKEYED, watch::status},
-        fleet::Error,
+        faults::{CRASH, KEYED, UNKEYED},
+        fleet::{Error, status},
     },
     hyper::Method,
     rand::Rng,
--- a/crates/whinspring-bench/src/faults/watch.rs
+++ b/crates/whinspring-bench/src/faults/watch.rs
@@ -1,12 +1,10 @@
 //! Watches the status of every daemon for configuration that goes back.
 
 use {
-    crate::fleet::Fleet,
-    hyper::Method,
+    crate::fleet::{Fleet, status},
     serde_json::Value,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::{sync::watch, task::JoinSet, time::sleep},
-    whinspring_standin::control::call,
 };
 
 /// Wait between two looks at a daemon.
@@ -37,12 +35,6 @@
     }
 }
 
-/// Returns the status of a daemon.
-pub(super) async fn status(admin: SocketAddr) -> Option<Value> {
-    let answer = call(admin, Method::GET, "/status", "").await.ok()?;
-    serde_json::from_slice(answer.body()).ok()
-}
-
 /// Looks at one daemon until told to stop.
 async fn look(admin: SocketAddr, stop: watch::Receiver<bool>) -> u64 {
     let mut highest: BTreeMap<(u64, String), u64> = BTreeMap::new();
--- a/crates/whinspring-bench/src/fleet.rs
+++ b/crates/whinspring-bench/src/fleet.rs
@@ -12,7 +12,7 @@
 mod shape;
 
 pub use {
-    daemon::Daemon,
+    daemon::{Daemon, status},
     error::Error,
     operator::{Operator, Said},
     ports::free_addr,
--- a/crates/whinspring-bench/src/fleet/daemon.rs
+++ b/crates/whinspring-bench/src/fleet/daemon.rs
@@ -131,3 +131,9 @@
     }
     text
 }
+
+/// Returns the status that a daemon gives on its port for operators.
+pub async fn status(admin: SocketAddr) -> Option<serde_json::Value> {
+    let answer = call(admin, Method::GET, "/status", "").await.ok()?;
+    serde_json::from_slice(answer.body()).ok()
+}
--- a/crates/whinspring/src/ini.rs
+++ b/crates/whinspring/src/ini.rs
@@ -188,13 +188,7 @@
         hint: &str,
         parse: impl FnOnce(&str) -> Option<T>,
     ) -> Option<T> {
-        self.known.push(key);
-        let value = self.entry(key)?.value.clone();
-        let parsed = parse(&value);
-        if parsed.is_none() {
-            self.fault(key, &format!("`{value}` is not accepted"), hint);
-        }
-        parsed
+        self.read(key, hint, parse, |value| format!("`{value}` is not accepted"))
     }
 
     /// Returns the value of `key` as [`Reader::required`] does, but never shows it in a fault.
@@ -204,14 +198,25 @@
         hint: &str,
         parse: impl FnOnce(&str) -> Option<T>,
     ) -> Option<T> {
-        self.known.push(key);
-        let Some(entry) = self.entry(key) else {
+        if self.entry(key).is_none() {
             self.fault(key, "the key is missing", hint);
-            return None;
-        };
-        let parsed = parse(&entry.value);
+        }
+        self.read(key, hint, parse, |_| "the value is not accepted".into())
+    }
+
+    /// Parses the value of `key` if it is there, or lists a fault with the text of `refusal`.
+    fn read<T>(
+        &mut self,
+        key: &'static str,
+        hint: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+        refusal: impl FnOnce(&str) -> String,
+    ) -> Option<T> {
+        self.known.push(key);
+        let value = self.entry(key)?.value.clone();
+        let parsed = parse(&value);
         if parsed.is_none() {
-            self.fault(key, "the value is not accepted", hint);
+            self.fault(key, &refusal(&value), hint);
         }
         parsed
     }
