--- a/crates/whinspring-daemon/src/backend/conn.rs
+++ b/crates/whinspring-daemon/src/backend/conn.rs
@@ -20,7 +20,7 @@
         net::SocketAddr,
         pin::{Pin, pin},
         sync::Arc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::{Duration, Instant},
     },
     tokio::{net::TcpStream, time::timeout},
@@ -55,7 +55,7 @@
 
 impl Conn {
     /// Opens a connection.
-    pub(super) async fn open(addr: SocketAddr, clock: Clock) -> Result<Self, Fault> {
+    pub async fn open(addr: SocketAddr, clock: Clock) -> Result<Self, Fault> {
         let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let socket = socket.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let socket = socket.map_err(|error| match error.kind() {
@@ -128,16 +128,23 @@
     ///
     /// Fails if the connection fails before the end of the answer.
     pub async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+        poll_fn(|cx| self.poll_next(body, cx)).await
+    }
+
+    /// Polls for the next bytes of an answer; `None` after the last.
+    pub fn poll_next(
+        &mut self,
+        body: &mut Incoming,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, Fault>> {
         loop {
-            let frame = poll_fn(|cx| {
-                self.drive(cx);
-                Pin::new(&mut *body).poll_frame(cx)
-            })
-            .await;
-            let Some(frame) = frame else { return Ok(None) };
+            self.drive(cx);
+            let Some(frame) = ready!(Pin::new(&mut *body).poll_frame(cx)) else {
+                return Poll::Ready(Ok(None));
+            };
             let frame = frame.map_err(|_| Fault::Sent)?;
             if let Ok(bytes) = frame.into_data() {
-                return Ok(Some(bytes));
+                return Poll::Ready(Ok(Some(bytes)));
             }
         }
     }
--- a/crates/whinspring-daemon/src/caller.rs
+++ b/crates/whinspring-daemon/src/caller.rs
@@ -3,11 +3,12 @@
 //! Each request is checked, forwarded and answered, with the result code on every answer. A
 //! caller that goes away is noticed while its request waits, and cancels it.
 
+pub use self::{conn::Conn, door::Acceptor};
+
 use {
     self::{
         answer::{Body, answer, refuse, stamp},
-        conn::Conn,
-        door::{Acceptor, Doors, Watch},
+        door::{Doors, Watch},
         intake::{Intake, discard},
         request::{Checked, check},
     },
--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod daemon;
 pub mod exchange;
 mod handover;
-mod headers;
+pub mod headers;
 pub mod held;
 pub mod journal;
 pub mod keys;
--- /dev/null
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -0,0 +1,241 @@
+//! What a node believes of the configuration, the servers and the owners of keys.
+//!
+//! Each kind of object is kept as the store sent it, under the revision at which it held, so that
+//! it can be passed on to a node that the store does not serve. A lower revision never replaces a
+//! higher one, and a lower version of the routes never a higher one.
+
+use {
+    crate::{
+        message::{Item, OwnersRecord, Snapshot},
+        platform::{Changes, Dialect, Kind, Listing, Object, ServerEntry},
+    },
+    log::info,
+    prost::Message,
+    std::{
+        collections::{BTreeMap, HashMap},
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    whinspring::{
+        name::Name,
+        ranges::{Life, Ownership},
+        routes::RouteTable,
+        time::Tick,
+    },
+    whinspring_daemon::{backend::Backend, clock::Clock},
+};
+
+/// Time for which a server without an entry is still used: entries that lapsed while the store
+/// was away come back within two seconds of its return.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+
+/// Time for which a server without an entry is still used while the store answers.
+const GONE_GRACE: Duration = Duration::from_millis(300);
+
+/// A backend server.
+#[derive(Debug)]
+pub struct Server {
+    /// Its name.
+    pub name: Name,
+    /// How it describes itself.
+    pub entry: ServerEntry,
+    /// Connections to it.
+    pub backend: Rc<Backend>,
+    /// Since when it has no entry.
+    pub missing: Option<Tick>,
+    /// Since when it is about to leave.
+    pub leaving: Option<Tick>,
+    /// When it is no longer slow after its start.
+    pub warm: Tick,
+}
+
+impl Server {
+    /// Returns the life of the server.
+    pub fn life(&self) -> Life {
+        Life { server: self.name.clone(), born: self.entry.born }
+    }
+}
+
+/// Objects of one kind as the store sent them.
+#[derive(Debug, Default)]
+struct Raw {
+    /// Revision at which they held.
+    revision: u64,
+    /// The objects.
+    items: BTreeMap<Name, Object>,
+}
+
+/// What a node believes.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    /// Objects by the number of their kind.
+    raw: HashMap<u32, Raw>,
+    /// The configuration.
+    pub routes: Option<Arc<RouteTable>>,
+    /// Servers by name.
+    pub servers: HashMap<Name, Server>,
+    /// Owners by service, with the revision of their object.
+    pub owners: HashMap<Name, (u64, Rc<Ownership>)>,
+}
+
+impl Beliefs {
+    /// Returns the revision at which objects of a kind held.
+    pub fn revision(&self, kind: Kind) -> u64 {
+        self.raw.get(&kind.number()).map_or(0, |raw| raw.revision)
+    }
+
+    /// Returns all objects of a kind, to pass on.
+    pub fn snapshot(&self, kind: Kind) -> Snapshot {
+        let Some(raw) = self.raw.get(&kind.number()) else { return Snapshot::default() };
+        let item = |object: &Object| Item {
+            name: object.name.to_string(),
+            revision: object.revision,
+            value: object.value.clone(),
+        };
+        let items = raw.items.values().map(item).collect();
+        Snapshot { kind: kind.number(), revision: raw.revision, items }
+    }
+
+    /// Takes all objects of a kind over, unless newer ones are known; returns whether it did.
+    pub fn replace(
+        &mut self,
+        kind: Kind,
+        listing: Listing,
+        dialect: &impl Dialect,
+        clock: Clock,
+    ) -> bool {
+        let raw = self.raw.entry(kind.number()).or_default();
+        if listing.revision < raw.revision {
+            return false;
+        }
+        raw.revision = listing.revision;
+        raw.items = listing.items.into_iter().map(|item| (item.name.clone(), item)).collect();
+        self.decode(kind, dialect, clock);
+        true
+    }
+
+    /// Takes changes of a kind over.
+    pub fn change(&mut self, kind: Kind, changes: Changes, dialect: &impl Dialect, clock: Clock) {
+        if changes.events.is_empty() {
+            return;
+        }
+        let raw = self.raw.entry(kind.number()).or_default();
+        raw.revision = raw.revision.max(changes.revision);
+        for (object, gone) in changes.events {
+            let known = raw.items.get(&object.name).map_or(0, |item| item.revision);
+            if object.revision < known {
+                continue;
+            }
+            if gone {
+                raw.items.remove(&object.name);
+            } else {
+                raw.items.insert(object.name.clone(), object);
+            }
+        }
+        self.decode(kind, dialect, clock);
+    }
+
+    /// Takes one object over that this node has just written.
+    pub fn wrote(&mut self, kind: Kind, object: Object, dialect: &impl Dialect, clock: Clock) {
+        let revision = object.revision;
+        self.change(kind, Changes { revision, events: vec![(object, false)] }, dialect, clock);
+    }
+
+    /// Reads the objects of a kind.
+    fn decode(&mut self, kind: Kind, dialect: &impl Dialect, clock: Clock) {
+        match kind {
+            Kind::Routes => self.decode_routes(dialect),
+            Kind::Servers => self.decode_servers(dialect, clock),
+            Kind::Owners => self.decode_owners(),
+            Kind::Control | Kind::Nodes => {}
+        }
+    }
+
+    /// Reads the configuration.
+    fn decode_routes(&mut self, dialect: &impl Dialect) {
+        let Some(raw) = self.raw.get(&Kind::Routes.number()) else { return };
+        for object in raw.items.values() {
+            let Some(table) = dialect.routes(object) else { continue };
+            let known = self.routes.as_ref().map_or(0, |routes| routes.version);
+            if table.version > known || self.routes.is_none() {
+                info!(event = "routes", version = table.version, revision = object.revision; "new configuration");
+                self.routes = Some(Arc::new(table));
+            }
+        }
+    }
+
+    /// Reads the servers.
+    fn decode_servers(&mut self, dialect: &impl Dialect, clock: Clock) {
+        let now = clock.now();
+        let Some(raw) = self.raw.get(&Kind::Servers.number()) else { return };
+        for object in raw.items.values() {
+            let Some(entry) = dialect.server(object) else { continue };
+            note_server(&mut self.servers, object, entry, clock);
+        }
+        for server in self.servers.values_mut() {
+            if !raw.items.contains_key(&server.name) && server.missing.is_none() {
+                info!(event = "server_missing", server = server.name.as_str(), revision = raw.revision; "a server's entry is gone");
+                server.missing = Some(now);
+            }
+        }
+    }
+
+    /// Reads the owners.
+    fn decode_owners(&mut self) {
+        let Some(raw) = self.raw.get(&Kind::Owners.number()) else { return };
+        for object in raw.items.values() {
+            let known = self.owners.get(&object.name).map_or(0, |(revision, _)| *revision);
+            if object.revision <= known {
+                continue;
+            }
+            let record = OwnersRecord::decode(object.value.as_slice()).ok();
+            let owned = record.and_then(|record| Ownership::try_from(record).ok());
+            let Some(owned) = owned else {
+                log::warn!(event = "bad_owners", service = object.name.as_str(); "owners cannot be read");
+                continue;
+            };
+            self.owners.insert(object.name.clone(), (object.revision, Rc::new(owned)));
+        }
+    }
+
+    /// Forgets servers that are gone; returns whether there were any.
+    pub fn sweep(&mut self, now: Tick, store_back: Tick) -> bool {
+        let before = self.servers.len();
+        self.servers.retain(|_, server| {
+            let Some(since) = server.missing else { return true };
+            now < since + GONE_GRACE || now < store_back + LAPSE_GRACE
+        });
+        self.servers.len() != before
+    }
+}
+
+/// Takes a server's entry over.
+fn note_server(
+    servers: &mut HashMap<Name, Server>,
+    object: &Object,
+    entry: ServerEntry,
+    clock: Clock,
+) {
+    let now = clock.now();
+    let warm = now + entry.cold;
+    match servers.get_mut(&object.name) {
+        Some(server) if server.entry.addr == entry.addr && server.entry.born == entry.born => {
+            server.missing = None;
+            server.leaving = if entry.leaving { server.leaving.or(Some(now)) } else { None };
+            server.entry = entry;
+        }
+        _ => {
+            info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.born, revision = object.revision; "a server has come");
+            let server = Server {
+                name: object.name.clone(),
+                backend: Rc::new(Backend::new(entry.addr, clock)),
+                missing: None,
+                leaving: entry.leaving.then_some(now),
+                warm,
+                entry,
+            };
+            servers.insert(object.name.clone(), server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/whinspring-router/src/control.rs
@@ -0,0 +1,328 @@
+//! Who grants keys, and what the controller knows.
+//!
+//! One node at a time is the controller, named with a rising term in a record that is changed by
+//! conditional writes only. A controller that has lost its place may not know it; what keeps its
+//! late orders harmless is explained in [`grants`].
+
+use {
+    crate::{
+        message::{Beat, ControlRecord},
+        node::Node,
+        platform::{Kind, Platform, StoreError},
+    },
+    log::{info, warn},
+    prost::Message,
+    std::{
+        collections::HashMap,
+        hash::{DefaultHasher, Hash, Hasher},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{task::spawn_local, time::sleep},
+    whinspring::{
+        name::Name,
+        ranges::{Life, balance::KeyLoads},
+        time::Tick,
+    },
+};
+
+pub mod grants;
+mod holds;
+mod moves;
+
+use self::holds::Holds;
+
+/// Time between two looks at what is to be done.
+const ROUND: Duration = Duration::from_millis(100);
+
+/// Silence of the controller after which another node takes its place.
+const SILENT_AFTER: Duration = Duration::from_millis(900);
+
+/// Time after the start of the process before it looks for a controller.
+const START_PAUSE: Duration = Duration::from_millis(600);
+
+/// Time that each node waits longer than the one before it.
+const RANK_PAUSE: Duration = Duration::from_millis(350);
+
+/// Time between two confirmations by the store that the controller is in place.
+const CONFIRM_EVERY: Duration = Duration::from_millis(1_500);
+
+/// Time without a confirmation after which a controller grants nothing more; it bridges an outage
+/// of the store of nine seconds.
+pub const RIGHT: Duration = Duration::from_secs(12);
+
+/// Time without a confirmation after which other nodes may try to take the place.
+const DOUBTED_AFTER: Duration = Duration::from_millis(3_500);
+
+/// Time in which a measured load falls to a third.
+const LOAD_MEMORY_S: f64 = 3.0;
+
+/// Load below which a key is forgotten, in slots.
+const LEAST_LOAD: f64 = 0.0005;
+
+/// Part of a server's slowness that a new measurement replaces, for each request.
+const PACE_SMOOTHING: f64 = 0.06;
+
+/// Name of the controller's record.
+const RECORD: &str = "controller";
+
+/// What a node knows of the controller, and what the controller knows.
+#[derive(Debug, Default)]
+pub struct Controller {
+    /// Name and incarnation of the controller, if it is known.
+    chief: Option<(Name, u64)>,
+    /// When the controller was last heard.
+    heard: Tick,
+    /// Time since the controller's last confirmation, as it said.
+    doubt: Duration,
+    /// Highest term known.
+    term: u64,
+    /// Whether this node is the controller.
+    leads: bool,
+    /// Since when it is.
+    since: Tick,
+    /// When the store last confirmed it.
+    confirmed: Tick,
+    /// Whether a confirmation is on its way.
+    confirming: bool,
+    /// Number of the last fence of this term.
+    fences: u64,
+    /// Load by service and key, in slots.
+    loads: HashMap<Name, KeyLoads>,
+    /// When the loads were last reduced.
+    reduced: Tick,
+    /// Slowness of servers, one for a usual one.
+    slowness: HashMap<Name, f64>,
+    /// Grants and what became of them.
+    holds: Holds,
+    /// When servers last refused a connection.
+    down: HashMap<Life, Tick>,
+    /// Last known addresses of servers.
+    addresses: HashMap<Life, SocketAddr>,
+    /// State of each service's moves.
+    moves: HashMap<Name, moves::Progress>,
+}
+
+impl Controller {
+    /// Returns the highest term known.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns whether this node is the controller.
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// Returns the controller, if another node is.
+    pub fn controller(&self) -> Option<&Name> {
+        self.chief.as_ref().map(|(name, _)| name).filter(|_| !self.leads)
+    }
+
+    /// Takes a sign of life of another node.
+    pub fn hear(&mut self, now: Tick, from: &Name, beat: &Beat) {
+        if beat.term > self.term && self.leads {
+            warn!(event = "deposed", term = self.term, other = beat.term; "another controller is in place");
+            self.step_down();
+        }
+        if beat.leads && beat.term >= self.term {
+            self.term = beat.term;
+            self.chief = Some((from.clone(), beat.incarnation));
+            self.heard = now;
+            self.doubt = Duration::from_millis(beat.store_age.into());
+        }
+        if self.leads {
+            self.measure(now, beat);
+        }
+        let chief = self.chief.as_ref();
+        if chief
+            .is_some_and(|(name, run)| name == from && (*run != beat.incarnation || beat.leaving))
+        {
+            self.chief = None;
+        }
+    }
+
+    /// Takes the measurements of a node.
+    pub fn measure(&mut self, now: Tick, beat: &Beat) {
+        self.reduce(now);
+        for work in &beat.keys {
+            let loads = self.loads.entry(Name::from(work.service.as_str())).or_default();
+            let load = f64::from(work.work) / 1_000.0 / LOAD_MEMORY_S;
+            *loads.entry(work.key as u16).or_default() += load;
+        }
+        for pace in beat.paces.iter().filter(|pace| pace.usual > 0) {
+            let ratio = f64::from(pace.took) / f64::from(pace.usual);
+            let known = self.slowness.entry(Name::from(pace.server.as_str())).or_insert(1.0);
+            let part = 1.0 - (1.0 - PACE_SMOOTHING).powi(pace.count as i32);
+            *known += (ratio - *known) * part;
+        }
+    }
+
+    /// Lets old loads fade.
+    fn reduce(&mut self, now: Tick) {
+        let span = now.since(self.reduced).as_secs_f64();
+        self.reduced = now;
+        let factor = (-span / LOAD_MEMORY_S).exp();
+        for loads in self.loads.values_mut() {
+            loads.retain(|_, load| {
+                *load *= factor;
+                *load > LEAST_LOAD
+            });
+        }
+    }
+
+    /// Returns a fence number above all earlier ones.
+    fn fence(&mut self) -> u64 {
+        self.fences += 1;
+        (self.term << 22) + self.fences
+    }
+
+    /// Returns whether this node may give orders now.
+    fn may_order(&self, now: Tick) -> bool {
+        self.leads && now.since(self.confirmed) < RIGHT
+    }
+
+    /// Gives the place up.
+    fn step_down(&mut self) {
+        self.leads = false;
+        self.chief = None;
+        self.moves.clear();
+        self.holds = Holds::default();
+    }
+}
+
+/// Takes or keeps the controller's place, for ever.
+pub async fn run<P: Platform>(node: Rc<Node<P>>) {
+    sleep(START_PAUSE).await;
+    loop {
+        if node.control.borrow().leads {
+            confirm(&node);
+            if node.control.borrow().may_order(node.now()) {
+                grants::round(&node).await;
+            }
+        } else if wants_place(&node) {
+            take_place(&node).await;
+        }
+        sleep(ROUND).await;
+    }
+}
+
+/// Returns whether the controller's place looks vacant and it is this node's turn to take it.
+fn wants_place<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    let now = node.now();
+    if node.leaving.get() || node.store_lost.get() {
+        return false;
+    }
+    let control = node.control.borrow();
+    let silent = now.since(control.heard);
+    let vacant = match &control.chief {
+        None => silent,
+        Some(_) if control.doubt > DOUBTED_AFTER => control.doubt - DOUBTED_AFTER + SILENT_AFTER,
+        Some(_) => silent,
+    };
+    let rank = rank(node, now, &control);
+    let pause = if control.chief.is_some() { SILENT_AFTER } else { Duration::ZERO };
+    vacant > pause + RANK_PAUSE * rank
+}
+
+/// Returns the number of live nodes that come before this one.
+fn rank<P: Platform>(node: &Rc<Node<P>>, now: Tick, control: &Controller) -> u32 {
+    let order = |name: &Name| {
+        let mut hasher = DefaultHasher::new();
+        (name, control.term).hash(&mut hasher);
+        hasher.finish()
+    };
+    let own = order(node.name());
+    let chief = control.chief.as_ref().map(|(name, _)| name);
+    let peers = node.peers.borrow();
+    let others = peers.live(now).filter(|(name, peer)| !peer.beat.leaving && Some(*name) != chief);
+    others.filter(|(name, _)| order(name) < own).count() as u32
+}
+
+/// Tries to become the controller.
+async fn take_place<P: Platform>(node: &Rc<Node<P>>) {
+    let (known, revision) = match read(node).await {
+        Ok(found) => found,
+        Err(error) => return log::debug!("the controller's record cannot be read: {error}"),
+    };
+    let asked = node.now();
+    let record = ControlRecord {
+        node: node.name().to_string(),
+        incarnation: node.incarnation,
+        term: known.term.max(node.control.borrow().term) + 1,
+    };
+    let value = record.encode_to_vec();
+    let written = node.platform.write(Kind::Control, RECORD, revision, &value).await;
+    node.note_store(!matches!(written, Err(StoreError::Silent | StoreError::Refused { .. })));
+    if let Err(error) = written {
+        info!(event = "place_not_taken", term = record.term; "{error}");
+        sleep(RANK_PAUSE.mul_f64(1.0 + fastrand::f64())).await;
+        return;
+    }
+    let owners = crate::follow::learn(node, Kind::Owners).await;
+    crate::follow::replace(node, Kind::Owners, owners);
+    let mut control = node.control.borrow_mut();
+    control.step_down();
+    control.term = record.term;
+    control.leads = true;
+    control.since = node.now();
+    control.confirmed = asked;
+    control.fences = 0;
+    info!(event = "controller", term = record.term, revision; "this node grants keys now");
+}
+
+/// Reads the controller's record and its revision.
+async fn read<P: Platform>(node: &Rc<Node<P>>) -> Result<(ControlRecord, u64), StoreError> {
+    let found = node.platform.read(Kind::Control, RECORD).await;
+    node.note_store(found.is_ok());
+    let Some(object) = found? else { return Ok((ControlRecord::default(), 0)) };
+    let record = ControlRecord::decode(object.value.as_slice()).map_err(|error| {
+        warn!(event = "bad_record"; "the controller's record cannot be read: {error}");
+        StoreError::Malformed
+    });
+    Ok((record.unwrap_or_default(), object.revision))
+}
+
+/// Asks the store in the background whether this node still is the controller.
+fn confirm<P: Platform>(node: &Rc<Node<P>>) {
+    let now = node.now();
+    {
+        let mut control = node.control.borrow_mut();
+        if control.confirming || now.since(control.confirmed) < CONFIRM_EVERY {
+            return;
+        }
+        control.confirming = true;
+    }
+    let node = node.clone();
+    spawn_local(async move {
+        let found = read(&node).await;
+        let mut control = node.control.borrow_mut();
+        control.confirming = false;
+        let Ok((record, _)) = found else { return };
+        if record.term == control.term && record.incarnation == node.incarnation {
+            control.confirmed = now;
+        } else if control.leads {
+            warn!(event = "deposed", term = control.term, other = record.term; "another controller is in place");
+            control.step_down();
+        }
+    });
+}
+
+/// Gives the place up in the store, so that another node takes it at once.
+pub async fn resign<P: Platform>(node: &Rc<Node<P>>) {
+    if !node.control.borrow().leads {
+        return;
+    }
+    let Ok((mut record, revision)) = read(node).await else { return };
+    if record.incarnation != node.incarnation {
+        return;
+    }
+    record.node.clear();
+    record.incarnation = 0;
+    let value = record.encode_to_vec();
+    if node.platform.write(Kind::Control, RECORD, revision, &value).await.is_ok() {
+        info!(event = "resigned", term = record.term; "this node grants keys no more");
+        node.control.borrow_mut().step_down();
+    }
+}
--- /dev/null
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -0,0 +1,484 @@
+//! Grants of keys to servers.
+//!
+//! Keys change hands in this order: the new owner and its fence number are written to the store
+//! with the former owner's name; the former owner is granted the keys once more under a number of
+//! its own and then releases them, so that any older grant still on its way to it is refused; the
+//! new owner gets its grant; the former owner's name is taken out of the store. A new controller
+//! raises all numbers first, which shuts out the orders of the one before it at every server that
+//! can be reached. A former owner that cannot be reached keeps its keys until every grant that it
+//! may have got has run out, including those of an earlier controller, unless no process listens
+//! at its address any more.
+
+use {
+    super::{RIGHT, holds::end_of},
+    crate::{
+        follow,
+        message::OwnersRecord,
+        node::Node,
+        platform::{Grant, Kind, Object, Platform, Reply, StoreError},
+    },
+    log::{info, warn},
+    prost::Message,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{task::spawn_local, time::sleep},
+    whinspring::{
+        name::Name,
+        ranges::{
+            Life, Ownership, Span,
+            balance::{self, Candidate},
+        },
+        time::Tick,
+    },
+};
+
+/// Length of a grant while the store answers.
+const HOLD: Duration = Duration::from_millis(4_000);
+
+/// Time between two grants of the same keys.
+const RENEW: Duration = Duration::from_millis(1_200);
+
+/// Time between two looks at the balance.
+const PLAN_EVERY: Duration = Duration::from_millis(400);
+
+/// Time after taking the place in which servers may still appear.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Time for which finished hand-overs are collected before they are written.
+const COLLECT: Duration = Duration::from_millis(60);
+
+/// Pause before an order is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time for which a server that refuses connections is not used.
+const DOWN_FOR: Duration = Duration::from_millis(1_500);
+
+/// Load assumed of each key, in slots.
+const BASE_LOAD: f64 = 0.000_002;
+
+/// Capacity of a server that has just started, relative to a warm one.
+const COLD_CAPACITY: f64 = 0.5;
+
+/// Does what is due for each service.
+pub async fn round<P: Platform>(node: &Rc<Node<P>>) {
+    let Some(routes) = node.beliefs.borrow().routes.clone() else { return };
+    for (service, traits) in &routes.services {
+        if traits.keyed {
+            tend(node, service).await;
+        }
+    }
+    let now = node.now();
+    node.control.borrow_mut().holds.forget(now);
+}
+
+/// Does what is due for one service.
+async fn tend<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
+    let now = node.now();
+    let known = node.beliefs.borrow().owners.get(service).cloned();
+    let Some((revision, owned)) = known else { return found(node, service).await };
+    let (raised, writing) = {
+        let mut control = node.control.borrow_mut();
+        let term = control.term;
+        let progress = control.moves.entry(service.clone()).or_default();
+        (progress.term == term, progress.writing)
+    };
+    if writing {
+        return;
+    }
+    if !raised {
+        return raise(node, service, revision, &owned).await;
+    }
+    renew(node, service, &owned, now);
+    hand_over(node, service, &owned);
+    settle(node, service, revision, &owned, now).await;
+    rebalance(node, service, now).await;
+}
+
+/// Divides the keys of a service that has no owners yet.
+async fn found<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
+    if node.now() < node.control.borrow().since + SETTLE {
+        return;
+    }
+    let servers = candidates(node, service, node.now());
+    let mut owners: Vec<Life> =
+        servers.into_iter().filter(|server| !server.leaving).map(|server| server.life).collect();
+    if owners.is_empty() {
+        return;
+    }
+    owners.sort();
+    let owned = {
+        let mut control = node.control.borrow_mut();
+        let term = control.term;
+        control.moves.entry(service.clone()).or_default().term = term;
+        Ownership::even(term, &owners, || control.fence())
+    };
+    info!(event = "divided", service = service.as_str(), servers = owners.len(); "keys are divided");
+    write(node, service, 0, owned).await;
+}
+
+/// Raises the fences of all spans after a change of controller.
+async fn raise<P: Platform>(node: &Rc<Node<P>>, service: &Name, revision: u64, owned: &Ownership) {
+    let mut next = owned.clone();
+    {
+        let mut control = node.control.borrow_mut();
+        next.term = control.term;
+        for span in &mut next.spans {
+            span.fence = control.fence();
+        }
+    }
+    let term = next.term;
+    if write(node, service, revision, next).await {
+        let mut control = node.control.borrow_mut();
+        control.moves.entry(service.clone()).or_default().term = term;
+    }
+}
+
+/// Writes the owners of a service; returns whether that is certain to be done.
+async fn write<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    revision: u64,
+    owned: Ownership,
+) -> bool {
+    node.control.borrow_mut().moves.entry(service.clone()).or_default().writing = true;
+    let value = OwnersRecord::from(&owned).encode_to_vec();
+    let written = node.platform.write(Kind::Owners, service, revision, &value).await;
+    node.control.borrow_mut().moves.entry(service.clone()).or_default().writing = false;
+    node.note_store(!matches!(written, Err(StoreError::Silent | StoreError::Refused { .. })));
+    match written {
+        Ok(revision) => {
+            let object = Object { name: service.clone(), revision, value };
+            node.beliefs.borrow_mut().wrote(Kind::Owners, object, &node.platform, node.clock);
+            follow::publish(node, Kind::Owners);
+            node.wake();
+            true
+        }
+        Err(error) => {
+            info!(event = "owners_not_written", service = service.as_str(), revision; "{error}");
+            reread(node, service).await;
+            false
+        }
+    }
+}
+
+/// Reads the owners of a service again after a write whose outcome is not known.
+async fn reread<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
+    if let Ok(Some(object)) = node.platform.read(Kind::Owners, service).await {
+        node.note_store(true);
+        node.beliefs.borrow_mut().wrote(Kind::Owners, object, &node.platform, node.clock);
+        node.wake();
+    }
+}
+
+/// Renews the grants that are due.
+fn renew<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership, now: Tick) {
+    for span in owned.spans.iter().filter(|span| span.former.is_none()) {
+        let due = {
+            let mut control = node.control.borrow_mut();
+            let hold = control.holds.get(service, span);
+            !hold.busy && hold.acked.is_none_or(|at| now.since(at) >= RENEW)
+        };
+        let Some(addr) = address(node, &span.owner) else { continue };
+        if due && !is_down(node, &span.owner, now) {
+            node.control.borrow_mut().holds.get(service, span).busy = true;
+            spawn_local(renew_one(node.clone(), service.clone(), span.clone(), addr));
+        }
+    }
+}
+
+/// Renews one grant.
+async fn renew_one<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span, addr: SocketAddr) {
+    let reply = grant(&node, &service, &span, addr, None).await;
+    if reply == Reply::Fenced {
+        node.metrics.count("grant_fenced");
+        refence(&node, &service, &span).await;
+    }
+}
+
+/// Writes a higher fence for a span whose server has seen a higher one than that of the span.
+async fn refence<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) {
+    if !node.control.borrow().may_order(node.now()) {
+        return;
+    }
+    let known = node.beliefs.borrow().owners.get(service).cloned();
+    let Some((revision, owned)) = known else { return };
+    let mut next = (*owned).clone();
+    let Some(index) = next.spans.iter().position(|other| other == span) else { return };
+    if node.control.borrow_mut().moves.entry(service.clone()).or_default().writing {
+        return;
+    }
+    next.spans[index].fence = node.control.borrow_mut().fence();
+    write(node, service, revision, next).await;
+}
+
+/// Grants a span to its owner, and notes what became of it.
+async fn grant<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    span: &Span,
+    addr: SocketAddr,
+    token: Option<Name>,
+) -> Reply {
+    let hold = hold_time(node);
+    let sent = node.now();
+    if !node.control.borrow().may_order(sent) {
+        node.control.borrow_mut().holds.get(service, span).busy = false;
+        return Reply::Silent;
+    }
+    {
+        let mut control = node.control.borrow_mut();
+        let entry = control.holds.get(service, span);
+        entry.sent = Some(sent);
+        entry.until = entry.until.max(end_of(sent, hold));
+    }
+    let order = Grant { first: span.first, last: span.last, fence: span.fence, hold, token };
+    let reply = node.platform.grant(addr, &order).await;
+    let mut control = node.control.borrow_mut();
+    let entry = control.holds.get(service, span);
+    entry.busy = false;
+    match reply {
+        Reply::Done(_) => entry.acked = Some(sent),
+        Reply::Down => {
+            let now = node.now();
+            control.down.insert(span.owner.clone(), now);
+        }
+        Reply::Fenced | Reply::Silent => node.metrics.count("grant_unanswered"),
+    }
+    reply
+}
+
+/// Returns how long a grant shall hold.
+fn hold_time<P: Platform>(node: &Rc<Node<P>>) -> Duration {
+    let most = Duration::from_millis(node.settings.limits.hold_ms.into());
+    if node.store_lost.get() { most } else { HOLD.min(most) }
+}
+
+/// Starts the hand-overs that are not under way.
+fn hand_over<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
+    for span in owned.spans.iter().filter(|span| span.former.is_some()) {
+        let mut control = node.control.borrow_mut();
+        let progress = control.moves.entry(service.clone()).or_default();
+        if progress.settled.contains(&span.fence) || !progress.busy.insert(span.fence) {
+            continue;
+        }
+        spawn_local(hand_over_one(node.clone(), service.clone(), span.clone()));
+    }
+}
+
+/// Takes a span from its former owner and grants it to the new one.
+async fn hand_over_one<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span) {
+    let token = release(&node, &service, &span).await;
+    let settled = match token {
+        Some(token) => give(&node, &service, &span, token).await,
+        None => false,
+    };
+    let now = node.now();
+    let mut control = node.control.borrow_mut();
+    let Some(progress) = control.moves.get_mut(&service) else { return };
+    progress.busy.remove(&span.fence);
+    if settled {
+        progress.settled.insert(span.fence);
+        progress.oldest.get_or_insert(now);
+    }
+}
+
+/// Grants a span to its new owner; returns whether it did.
+async fn give<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    span: &Span,
+    token: Option<Name>,
+) -> bool {
+    loop {
+        if !is_current(node, service, span) {
+            return false;
+        }
+        let Some(addr) = address(node, &span.owner) else { return true };
+        match grant(node, service, span, addr, token.clone()).await {
+            Reply::Done(_) | Reply::Fenced | Reply::Down => return true,
+            Reply::Silent => sleep(REPEAT_PAUSE).await,
+        }
+    }
+}
+
+/// Takes a span from its former owner; `None` if it is not to be handed over any more.
+async fn release<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    span: &Span,
+) -> Option<Option<Name>> {
+    let former = span.former.as_ref()?;
+    loop {
+        if !is_current(node, service, span) {
+            return None;
+        }
+        if is_reborn(node, former) {
+            return Some(None);
+        }
+        let now = node.now();
+        if let Some(addr) = address(node, former) {
+            match release_once(node, span, addr).await {
+                Reply::Done(token) => return Some(token),
+                Reply::Down => return Some(None),
+                Reply::Fenced => node.metrics.count("release_fenced"),
+                Reply::Silent => {}
+            }
+        }
+        if now > free_at(node, service, span, former) {
+            warn!(event = "waited_out", service = service.as_str(), former = former.server.as_str(), first = span.first, last = span.last; "a former owner was not reached");
+            return Some(None);
+        }
+        sleep(REPEAT_PAUSE).await;
+    }
+}
+
+/// Returns when a former owner that cannot be reached holds a span no more.
+fn free_at<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span, former: &Life) -> Tick {
+    let control = node.control.borrow();
+    let own = control.holds.until(service, former, span.first, span.last);
+    let most = Duration::from_millis(node.settings.limits.hold_ms.into());
+    let before = end_of(control.since + RIGHT, most);
+    if control.term > 1 { own.max(before) } else { own }
+}
+
+/// Tells a former owner once to release a span, under a fence that older grants do not reach.
+async fn release_once<P: Platform>(node: &Rc<Node<P>>, span: &Span, addr: SocketAddr) -> Reply {
+    if !node.control.borrow().may_order(node.now()) {
+        return Reply::Silent;
+    }
+    let order = Grant {
+        first: span.first,
+        last: span.last,
+        fence: span.fence - 1,
+        hold: Duration::from_secs(1),
+        token: None,
+    };
+    match node.platform.grant(addr, &order).await {
+        Reply::Done(_) => node.platform.release(addr, &order).await,
+        other => other,
+    }
+}
+
+/// Returns whether a span still stands as it is, and this node may still give orders.
+fn is_current<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
+    let beliefs = node.beliefs.borrow();
+    let owners = beliefs.owners.get(service);
+    let stands = owners.and_then(|(_, owned)| owned.find(span.first)).is_some_and(|found| {
+        found.first == span.first && found.last == span.last && found.fence == span.fence
+    });
+    stands && node.control.borrow().may_order(node.now())
+}
+
+/// Writes that hand-overs have ended.
+async fn settle<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    revision: u64,
+    owned: &Ownership,
+    now: Tick,
+) {
+    let settled = {
+        let mut control = node.control.borrow_mut();
+        let Some(progress) = control.moves.get_mut(service) else { return };
+        let Some(oldest) = progress.oldest else { return };
+        if now.since(oldest) < COLLECT {
+            return;
+        }
+        progress.oldest = None;
+        std::mem::take(&mut progress.settled)
+    };
+    let mut next = owned.clone();
+    for span in next.spans.iter_mut().filter(|span| settled.contains(&span.fence)) {
+        span.former = None;
+    }
+    if !write(node, service, revision, next).await {
+        let mut control = node.control.borrow_mut();
+        let Some(progress) = control.moves.get_mut(service) else { return };
+        progress.settled.extend(settled);
+        progress.oldest = Some(node.now());
+    }
+}
+
+/// Moves keys if some servers are much busier than others, or must give their keys away.
+async fn rebalance<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) {
+    let known = node.beliefs.borrow().owners.get(service).cloned();
+    let Some((revision, owned)) = known else { return };
+    let servers = candidates(node, service, now);
+    let next = {
+        let mut control = node.control.borrow_mut();
+        let progress = control.moves.entry(service.clone()).or_default();
+        if progress.writing || now.since(progress.planned) < PLAN_EVERY {
+            return;
+        }
+        progress.planned = now;
+        let loads = control.loads.get(service).cloned().unwrap_or_default();
+        let moves = balance::plan(&owned, &servers, &loads, BASE_LOAD);
+        if moves.is_empty() {
+            return;
+        }
+        let mut next = (*owned).clone();
+        for step in moves {
+            for index in next.carve(step.first, step.last) {
+                let bump = control.fence();
+                let fence = control.fence();
+                let span = &mut next.spans[index];
+                if span.former.is_some() || span.owner == step.to {
+                    continue;
+                }
+                debug_assert_eq!(bump + 1, fence);
+                span.former = Some(std::mem::replace(&mut span.owner, step.to.clone()));
+                span.fence = fence;
+                info!(event = "move", service = service.as_str(), first = span.first, last = span.last, to = step.to.server.as_str(), fence, revision; "keys change hands");
+            }
+        }
+        next
+    };
+    write(node, service, revision, next).await;
+}
+
+/// Returns the servers of a service that can own keys.
+fn candidates<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) -> Vec<Candidate> {
+    let beliefs = node.beliefs.borrow();
+    let control = node.control.borrow();
+    let mut found: Vec<Candidate> = beliefs
+        .servers
+        .values()
+        .filter(|server| server.entry.service == *service)
+        .map(|server| {
+            let life = server.life();
+            let slowness = control.slowness.get(&server.name).copied().unwrap_or(1.0);
+            let cold = if now < server.warm { COLD_CAPACITY } else { 1.0 };
+            let capacity = f64::from(server.entry.slots) * cold / slowness.clamp(0.3, 10.0);
+            let down = control.down.get(&life).is_some_and(|at| now.since(*at) < DOWN_FOR);
+            let leaving = server.leaving.is_some() || server.missing.is_some() || down;
+            Candidate { life, capacity, leaving }
+        })
+        .collect();
+    found.sort_by(|a, b| a.life.cmp(&b.life));
+    found
+}
+
+/// Returns whether a server refused connections lately.
+fn is_down<P: Platform>(node: &Rc<Node<P>>, life: &Life, now: Tick) -> bool {
+    let control = node.control.borrow();
+    control.down.get(life).is_some_and(|at| now.since(*at) < DOWN_FOR / 5)
+}
+
+/// Returns whether a server has started again since.
+fn is_reborn<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
+    let beliefs = node.beliefs.borrow();
+    beliefs.servers.get(&life.server).is_some_and(|server| server.entry.born != life.born)
+}
+
+/// Returns the address of a life of a server, also if its entry is gone.
+fn address<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> Option<SocketAddr> {
+    let beliefs = node.beliefs.borrow();
+    let mut control = node.control.borrow_mut();
+    match beliefs.servers.get(&life.server) {
+        Some(server) if server.entry.born == life.born => {
+            control.addresses.insert(life.clone(), server.entry.addr);
+            Some(server.entry.addr)
+        }
+        Some(_) => None,
+        None => control.addresses.get(life).copied(),
+    }
+}
--- /dev/null
+++ b/crates/whinspring-router/src/daemon.rs
@@ -0,0 +1,179 @@
+//! Assembles a node and runs it until a planned stop ends.
+
+use {
+    crate::{
+        control, follow,
+        front::{self, Doors},
+        message::NodeRecord,
+        node::Node,
+        pages::{self, Page},
+        peers,
+        platform::{Kind, Platform},
+        settings::Settings,
+        turns,
+    },
+    log::{info, warn},
+    prost::Message,
+    snafu::{ResultExt, Snafu},
+    std::{io, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpSocket},
+        runtime::Builder,
+        signal::unix::{SignalKind, signal},
+        task::{LocalSet, spawn_local},
+        time::{sleep, timeout},
+    },
+    whinspring::name::Name,
+};
+
+/// Connections that wait to be accepted at most.
+const BACKLOG: u32 = 1_024;
+
+/// Time after the notice of a planned stop in which the balancer lets go.
+const NOTICE: Duration = Duration::from_millis(2_300);
+
+/// Time before the kill at which a planned stop ends in any case.
+const STOP_MARGIN: Duration = Duration::from_millis(250);
+
+/// Time that the last bytes of closing connections get to leave.
+const CLOSE_PAUSE: Duration = Duration::from_millis(30);
+
+/// Time between two tries to write the node's record.
+const RECORD_PAUSE: Duration = Duration::from_millis(300);
+
+/// Why a node could not be started.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The runtime could not be started.
+    #[snafu(display("cannot start: {source}; check the VM's limits"))]
+    Runtime {
+        /// The system's error.
+        source: io::Error,
+    },
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {addr}: {source}; check that nothing else uses it"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
+}
+
+/// Runs a node until SIGTERM or SIGINT has stopped it.
+///
+/// # Errors
+///
+/// Returns an error if the node cannot be started.
+pub fn run<P: Platform>(
+    platform: P,
+    settings: Settings,
+    reload: impl Fn() + 'static,
+) -> Result<(), Error> {
+    let runtime = Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, start(platform, settings, reload))
+}
+
+/// Starts the tasks of a node and waits for its end.
+async fn start<P: Platform>(
+    platform: P,
+    settings: Settings,
+    reload: impl Fn() + 'static,
+) -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
+    let node = Node::new(platform, settings);
+    let settings = &node.settings;
+    let links = listen(settings.peer)?;
+    let ready = listen(settings.ready)?;
+    let metrics = listen(settings.metrics)?;
+    let callers = listen(settings.caller)?;
+    info!(event = "start", node = node.name().as_str(), incarnation = node.incarnation; "started in {}", settings.domain);
+    spawn_local(peers::accept(node.clone(), links));
+    spawn_local(pages::serve(node.clone(), ready, Page::Ready));
+    spawn_local(pages::serve(node.clone(), metrics, Page::Metrics));
+    let doors = Rc::new(Doors::default());
+    let front = spawn_local(front::serve(node.clone(), callers, doors.clone()));
+    spawn_local(register(node.clone()));
+    spawn_local(follow::follow(node.clone(), Kind::Routes));
+    spawn_local(follow::follow(node.clone(), Kind::Servers));
+    spawn_local(follow::sweep(node.clone()));
+    spawn_local(owners(node.clone()));
+    spawn_local(peers::beat(node.clone()));
+    spawn_local(turns::rounds(node.clone()));
+    spawn_local(control::run(node.clone()));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(),
+        }
+    }
+    info!(event = "stopping"; "a planned stop begins");
+    node.leaving.set(true);
+    peers::send_beats(&node, node.now());
+    let grace = node.settings.limits.grace.saturating_sub(STOP_MARGIN);
+    let stop = async {
+        spawn_local({
+            let node = node.clone();
+            async move { control::resign(&node).await }
+        });
+        sleep(NOTICE).await;
+        front.abort();
+        doors.close().await;
+        sleep(CLOSE_PAUSE).await;
+    };
+    if timeout(grace, stop).await.is_err() {
+        warn!(event = "stop_late"; "requests were still in progress at the end of the grace time");
+    }
+    info!(event = "stop"; "stopped");
+    sleep(CLOSE_PAUSE).await;
+    Ok(())
+}
+
+/// Learns the owners of keys once; later changes come from the controller.
+async fn owners<P: Platform>(node: Rc<Node<P>>) {
+    let listing = follow::learn(&node, Kind::Owners).await;
+    follow::replace(&node, Kind::Owners, listing);
+}
+
+/// Makes this node known, and learns the others.
+async fn register<P: Platform>(node: Rc<Node<P>>) {
+    let record = NodeRecord { addr: node.settings.peer.to_string() };
+    let value = record.encode_to_vec();
+    let name = node.name().clone();
+    loop {
+        let known = node.platform.read(Kind::Nodes, &name).await;
+        node.note_store(known.is_ok());
+        let done = match known {
+            Ok(Some(object)) if object.value == value => true,
+            Ok(known) => {
+                let revision = known.map_or(0, |object| object.revision);
+                node.platform.write(Kind::Nodes, &name, revision, &value).await.is_ok()
+            }
+            Err(_) => false,
+        };
+        if done {
+            break;
+        }
+        sleep(RECORD_PAUSE).await;
+    }
+    for object in follow::learn(&node, Kind::Nodes).await.items {
+        let record = NodeRecord::decode(object.value.as_slice());
+        let addr = record.ok().and_then(|record| record.addr.parse().ok());
+        if let Some(addr) = addr {
+            peers::meet(&node, &Name::from(object.name.as_str()), addr);
+        }
+    }
+    peers::send_beats(&node, node.now());
+}
+
+/// Listens on an address.
+fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
+    let socket = TcpSocket::new_v4().context(ListenSnafu { addr })?;
+    socket.set_reuseaddr(true).context(ListenSnafu { addr })?;
+    socket.bind(addr).context(ListenSnafu { addr })?;
+    socket.listen(BACKLOG).context(ListenSnafu { addr })
+}
--- /dev/null
+++ b/crates/whinspring-router/src/lib.rs
@@ -0,0 +1,25 @@
+//! A node of the router on a platform with a shared object store.
+//!
+//! Nodes keep nothing. What must last, the configuration, the servers, the owners of keys and the
+//! controller's place, lies in the store; what nodes tell each other is a hint. An adapter
+//! implements the traits in [`platform`]. All tasks of a node run on one thread.
+
+pub mod answer;
+pub mod beliefs;
+pub mod control;
+pub mod crashes;
+pub mod daemon;
+pub mod flight;
+pub mod follow;
+pub mod front;
+pub mod logs;
+pub mod message;
+pub mod meter;
+pub mod metrics;
+pub mod node;
+pub mod pages;
+pub mod peers;
+pub mod platform;
+pub mod retries;
+pub mod settings;
+pub mod turns;
--- /dev/null
+++ b/crates/whinspring-router/src/logs.rs
@@ -0,0 +1,109 @@
+//! Structured log lines on standard output, bounded and never waited for.
+//!
+//! Lines go through a queue to a thread that writes them. A line that exceeds the rate, or finds
+//! the queue full because nobody reads, is dropped and counted; the count is written with the next
+//! line that gets through.
+
+use {
+    log::{LevelFilter, set_max_level},
+    logforth::{
+        Append, Diagnostic, Error, Layout,
+        layout::JsonLayout,
+        record::{Level, LevelFilter as Filter, Record},
+    },
+    std::{
+        io::{Write, stdout},
+        sync::{
+            Mutex,
+            mpsc::{SyncSender, sync_channel},
+        },
+        thread,
+        time::Instant,
+    },
+};
+
+/// Lines that wait to be written at most.
+const QUEUE: usize = 512;
+
+/// Seconds of lines that may come at once.
+const BURST_S: f64 = 2.0;
+
+/// Sends the process's log lines to standard output.
+///
+/// # Panics
+///
+/// Panics if the thread that writes cannot be started.
+pub fn start(lines: u32) {
+    let (queue, written) = sync_channel::<Vec<u8>>(QUEUE);
+    thread::Builder::new()
+        .name("logs".into())
+        .stack_size(64 << 10)
+        .spawn(move || {
+            let mut out = stdout();
+            while let Ok(line) = written.recv() {
+                let _ = out.write_all(&line);
+            }
+        })
+        .expect("a thread can be started");
+    let rate = f64::from(lines);
+    let bucket = Bucket { left: rate * BURST_S, filled: Instant::now(), dropped: 0 };
+    let append = Bounded { queue, rate, layout: JsonLayout::default(), bucket: Mutex::new(bucket) };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(Filter::MoreSevereEqual(Level::Info)).append(append))
+        .apply();
+    set_max_level(LevelFilter::Info);
+}
+
+/// Appends lines to a bounded queue.
+#[derive(Debug)]
+struct Bounded {
+    /// Lines to be written.
+    queue: SyncSender<Vec<u8>>,
+    /// Lines a second at most.
+    rate: f64,
+    /// Form of a line.
+    layout: JsonLayout,
+    /// Lines that may be written now.
+    bucket: Mutex<Bucket>,
+}
+
+/// Lines that may be written now.
+#[derive(Debug)]
+struct Bucket {
+    /// Number of lines.
+    left: f64,
+    /// When it was last filled.
+    filled: Instant,
+    /// Lines dropped since the last one that was written.
+    dropped: u64,
+}
+
+impl Append for Bounded {
+    fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let Ok(mut bucket) = self.bucket.lock() else { return Ok(()) };
+        let now = Instant::now();
+        let filled = now.duration_since(bucket.filled).as_secs_f64() * self.rate;
+        bucket.left = (bucket.left + filled).min(self.rate * BURST_S);
+        bucket.filled = now;
+        if bucket.left < 1.0 {
+            bucket.dropped += 1;
+            return Ok(());
+        }
+        bucket.left -= 1.0;
+        let mut line = self.layout.format(record, diags)?;
+        line.push(b'\n');
+        if bucket.dropped > 0 {
+            let note = format!("{{\"event\":\"log_dropped\",\"lines\":{}}}\n", bucket.dropped);
+            line.extend_from_slice(note.as_bytes());
+        }
+        match self.queue.try_send(line) {
+            Ok(()) => bucket.dropped = 0,
+            Err(_) => bucket.dropped += 1,
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/whinspring-router/src/message.rs
@@ -0,0 +1,343 @@
+//! What nodes tell each other, and the records that they store.
+//!
+//! Nothing here grants a right: ownership and the controller's term are decided by conditional
+//! writes to the store, and nodes only pass on what they know of them.
+
+use {
+    prost::{Message, Oneof},
+    whinspring::{
+        name::Name,
+        ranges::{Life, Ownership, Span},
+    },
+};
+
+/// One message on a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// What it is about.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    pub body: Option<Body>,
+}
+
+/// The kinds of messages.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// A sign of life.
+    #[prost(message, tag = "1")]
+    Beat(Beat),
+    /// Asks to run a request.
+    #[prost(message, tag = "2")]
+    Ask(AskWire),
+    /// Lets a request run.
+    #[prost(message, tag = "3")]
+    Go(Go),
+    /// Turns a request away.
+    #[prost(message, tag = "4")]
+    Refuse(Refuse),
+    /// A request has left its server, or is not wanted any more.
+    #[prost(message, tag = "5")]
+    Done(Done),
+    /// Asks for an object that the receiver knows at a higher revision.
+    #[prost(message, tag = "6")]
+    Fetch(Fetch),
+    /// Objects as they lie in the store.
+    #[prost(message, tag = "7")]
+    Snapshot(Snapshot),
+    /// A request crashed a server.
+    #[prost(message, tag = "8")]
+    Crash(Crash),
+}
+
+/// A sign of life, with what its node knows and has measured.
+#[derive(Clone, PartialEq, Message)]
+pub struct Beat {
+    /// Name of the node.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Failure domain.
+    #[prost(string, tag = "2")]
+    pub domain: String,
+    /// Address for links.
+    #[prost(string, tag = "3")]
+    pub addr: String,
+    /// Number of this run of the process.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// Whether it is stopping.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Milliseconds since the store last answered it.
+    #[prost(uint32, tag = "6")]
+    pub store_age: u32,
+    /// Revision of the configuration that it knows.
+    #[prost(uint64, tag = "7")]
+    pub routes: u64,
+    /// Revision of the list of servers that it knows.
+    #[prost(uint64, tag = "8")]
+    pub servers: u64,
+    /// Revision of the ownership that it knows, the highest of all services.
+    #[prost(uint64, tag = "9")]
+    pub owners: u64,
+    /// Term of the controller that it knows.
+    #[prost(uint64, tag = "10")]
+    pub term: u64,
+    /// Work of each key since the last beat to the controller.
+    #[prost(message, repeated, tag = "11")]
+    pub keys: Vec<KeyWork>,
+    /// Times of each server since the last beat to the controller.
+    #[prost(message, repeated, tag = "12")]
+    pub paces: Vec<Pace>,
+    /// Whether it is the controller, under `term`.
+    #[prost(bool, tag = "13")]
+    pub leads: bool,
+}
+
+/// Work that a key caused.
+#[derive(Clone, PartialEq, Message)]
+pub struct KeyWork {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Key.
+    #[prost(uint32, tag = "2")]
+    pub key: u32,
+    /// Work, in milliseconds of a usual server.
+    #[prost(uint32, tag = "3")]
+    pub work: u32,
+}
+
+/// How long a server took.
+#[derive(Clone, PartialEq, Message)]
+pub struct Pace {
+    /// Name of the server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+    /// Milliseconds that they took.
+    #[prost(uint32, tag = "3")]
+    pub took: u32,
+    /// Milliseconds that they take usually.
+    #[prost(uint32, tag = "4")]
+    pub usual: u32,
+}
+
+/// Asks a gate to run a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct AskWire {
+    /// Pool that may run it: a server, or a service without keys.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Number of the request at its node.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Urgency; zero is the highest.
+    #[prost(uint32, tag = "3")]
+    pub priority: u32,
+    /// Milliseconds until the target.
+    #[prost(uint32, tag = "4")]
+    pub target: u32,
+    /// Milliseconds until the deadline.
+    #[prost(uint32, tag = "5")]
+    pub deadline: u32,
+    /// Server to be avoided.
+    #[prost(string, tag = "6")]
+    pub avoid: String,
+}
+
+/// Lets a request run.
+#[derive(Clone, PartialEq, Message)]
+pub struct Go {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Server that shall run it.
+    #[prost(string, tag = "2")]
+    pub server: String,
+}
+
+/// Turns a request away.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refuse {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Milliseconds until it may come back.
+    #[prost(uint32, tag = "2")]
+    pub retry: u32,
+}
+
+/// A request has left its server, or is not wanted any more.
+#[derive(Clone, PartialEq, Message)]
+pub struct Done {
+    /// Pool that it was asked of.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Number of the request.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Whether a server ran it to its end.
+    #[prost(bool, tag = "3")]
+    pub ran: bool,
+}
+
+/// Asks for objects.
+#[derive(Clone, PartialEq, Message)]
+pub struct Fetch {
+    /// Number of the kind of object.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+}
+
+/// All objects of a kind.
+#[derive(Clone, PartialEq, Message)]
+pub struct Snapshot {
+    /// Number of the kind of object.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// Revision of the store at which this held.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The objects.
+    #[prost(message, repeated, tag = "3")]
+    pub items: Vec<Item>,
+}
+
+/// One object.
+#[derive(Clone, PartialEq, Message)]
+pub struct Item {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Revision of its last change.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Its value as the store keeps it.
+    #[prost(bytes = "vec", tag = "3")]
+    pub value: Vec<u8>,
+}
+
+/// A server was lost with a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct Crash {
+    /// Fingerprint of the request.
+    #[prost(uint64, tag = "1")]
+    pub print: u64,
+}
+
+/// The stored record of the controller.
+#[derive(Clone, PartialEq, Message)]
+pub struct ControlRecord {
+    /// Name of the node; empty once it has stepped down.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Number of that run of its process.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Term, rising with each controller.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
+}
+
+/// The stored record of a node.
+#[derive(Clone, PartialEq, Message)]
+pub struct NodeRecord {
+    /// Address for links.
+    #[prost(string, tag = "1")]
+    pub addr: String,
+}
+
+/// The stored owners of a service's keys.
+#[derive(Clone, PartialEq, Message)]
+pub struct OwnersRecord {
+    /// Term of the controller that wrote it.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Spans in ascending order.
+    #[prost(message, repeated, tag = "2")]
+    pub spans: Vec<SpanWire>,
+}
+
+/// A span of keys and its owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct SpanWire {
+    /// First key.
+    #[prost(uint32, tag = "1")]
+    pub first: u32,
+    /// Last key.
+    #[prost(uint32, tag = "2")]
+    pub last: u32,
+    /// The owner.
+    #[prost(message, optional, tag = "3")]
+    pub owner: Option<LifeWire>,
+    /// Fence number.
+    #[prost(uint64, tag = "4")]
+    pub fence: u64,
+    /// Former owner that has not released the keys yet.
+    #[prost(message, optional, tag = "5")]
+    pub former: Option<LifeWire>,
+}
+
+/// One life of a server.
+#[derive(Clone, PartialEq, Message)]
+pub struct LifeWire {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// When it started.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+}
+
+impl From<&Life> for LifeWire {
+    fn from(life: &Life) -> Self {
+        Self { server: life.server.to_string(), born: life.born }
+    }
+}
+
+impl From<LifeWire> for Life {
+    fn from(life: LifeWire) -> Self {
+        Self { server: Name::from(life.server), born: life.born }
+    }
+}
+
+impl From<&Ownership> for OwnersRecord {
+    fn from(owned: &Ownership) -> Self {
+        let span = |span: &Span| SpanWire {
+            first: span.first.into(),
+            last: span.last.into(),
+            owner: Some((&span.owner).into()),
+            fence: span.fence,
+            former: span.former.as_ref().map(LifeWire::from),
+        };
+        Self { term: owned.term, spans: owned.spans.iter().map(span).collect() }
+    }
+}
+
+impl TryFrom<OwnersRecord> for Ownership {
+    type Error = Malformed;
+
+    fn try_from(record: OwnersRecord) -> Result<Self, Malformed> {
+        let mut next = 0;
+        let mut spans = Vec::with_capacity(record.spans.len());
+        for span in record.spans {
+            if span.first != next || span.last < span.first {
+                return Err(Malformed);
+            }
+            next = span.last + 1;
+            spans.push(Span {
+                first: u16::try_from(span.first).map_err(|_| Malformed)?,
+                last: u16::try_from(span.last).map_err(|_| Malformed)?,
+                owner: span.owner.ok_or(Malformed)?.into(),
+                fence: span.fence,
+                former: span.former.map(Life::from),
+            });
+        }
+        Ok(Self { term: record.term, spans })
+    }
+}
+
+/// A record that breaks a rule of its kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Malformed;
--- /dev/null
+++ b/crates/whinspring-router/src/peers.rs
@@ -0,0 +1,294 @@
+//! Other nodes: links to them, and which of them are alive.
+//!
+//! Each node opens a link to each other node for what it sends, and reads from the links that
+//! others opened. A node counts as alive while its beats arrive. All of this is a hint.
+
+use {
+    crate::{
+        follow,
+        message::{Beat, Body, Envelope},
+        node::Node,
+        platform::{Kind, Platform},
+        turns,
+    },
+    bytes::Bytes,
+    futures_util::{SinkExt, StreamExt},
+    log::info,
+    prost::Message,
+    socket2::SockRef,
+    std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+    whinspring::{name::Name, time::Tick},
+};
+
+/// Time between two beats.
+pub const BEAT: Duration = Duration::from_millis(250);
+
+/// Silence after which a node counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(900);
+
+/// Silence after which a node is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Longest time to open a link or to write to it.
+const LINK_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time before a link is opened again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Messages that wait for a link at most.
+const QUEUE: usize = 512;
+
+/// Longest message, in bytes.
+const MAX_MESSAGE: usize = 16 << 20;
+
+/// Delay of a beat after which this node counts as having been frozen.
+const FROZEN_AFTER: Duration = Duration::from_millis(500);
+
+/// Another node.
+#[derive(Debug)]
+pub struct Peer {
+    /// Address for links.
+    pub addr: SocketAddr,
+    /// When it was last heard.
+    pub heard: Tick,
+    /// Its last beat.
+    pub beat: Beat,
+    /// Takes messages to it.
+    queue: mpsc::Sender<Envelope>,
+}
+
+/// All other nodes.
+#[derive(Debug, Default)]
+pub struct Peers {
+    /// Nodes by name.
+    pub nodes: HashMap<Name, Peer>,
+    /// When the last beat was sent.
+    beaten: Tick,
+}
+
+impl Peers {
+    /// Queues a message; returns whether there was room.
+    pub fn send(&self, to: &str, message: Envelope) -> bool {
+        self.nodes.get(to).is_some_and(|peer| peer.queue.try_send(message).is_ok())
+    }
+
+    /// Returns whether a node is alive.
+    pub fn is_live(&self, name: &str, now: Tick) -> bool {
+        self.nodes.get(name).is_some_and(|peer| peer.is_live(now))
+    }
+
+    /// Returns the nodes that are alive.
+    pub fn live(&self, now: Tick) -> impl Iterator<Item = (&Name, &Peer)> {
+        self.nodes.iter().filter(move |(_, peer)| peer.is_live(now))
+    }
+}
+
+impl Peer {
+    /// Returns whether the node is alive.
+    pub fn is_live(&self, now: Tick) -> bool {
+        self.beat.incarnation != 0 && now.since(self.heard) < LOST_AFTER
+    }
+}
+
+/// Takes note of a node and opens a link to it.
+pub fn meet<P: Platform>(node: &Rc<Node<P>>, name: &Name, addr: SocketAddr) {
+    if name == node.name() {
+        return;
+    }
+    let mut peers = node.peers.borrow_mut();
+    if peers.nodes.get(name).is_some_and(|peer| peer.addr == addr) {
+        return;
+    }
+    let (queue, messages) = mpsc::channel(QUEUE);
+    let beat = Beat { node: name.to_string(), ..Beat::default() };
+    peers.nodes.insert(name.clone(), Peer { addr, heard: node.now(), beat, queue });
+    spawn_local(write(addr, messages));
+}
+
+/// Writes messages to a node until it is forgotten.
+async fn write(addr: SocketAddr, mut messages: mpsc::Receiver<Envelope>) {
+    loop {
+        let Ok(Ok(socket)) = timeout(LINK_TIMEOUT, TcpStream::connect(addr)).await else {
+            while messages.try_recv().is_ok() {}
+            if messages.is_closed() {
+                return;
+            }
+            sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        let _ = socket.set_nodelay(true);
+        let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(LINK_TIMEOUT));
+        let mut link = Framed::new(socket, codec());
+        loop {
+            let Some(message) = messages.recv().await else { return };
+            let frame = Bytes::from(message.encode_to_vec());
+            if !matches!(timeout(LINK_TIMEOUT, link.send(frame)).await, Ok(Ok(()))) {
+                break;
+            }
+        }
+    }
+}
+
+/// Returns the framing of links.
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE).new_codec()
+}
+
+/// Accepts links of other nodes.
+pub async fn accept<P: Platform>(node: Rc<Node<P>>, listener: TcpListener) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        let _ = socket.set_nodelay(true);
+        spawn_local(read(node.clone(), socket));
+    }
+}
+
+/// Reads messages of a node until its link ends.
+async fn read<P: Platform>(node: Rc<Node<P>>, socket: TcpStream) {
+    let mut link = Framed::new(socket, codec());
+    let mut from = Name::new();
+    loop {
+        let Ok(Some(Ok(frame))) = timeout(FORGET_AFTER, link.next()).await else { return };
+        let Ok(message) = Envelope::decode(frame) else {
+            node.metrics.count("link_malformed");
+            return;
+        };
+        let Some(body) = message.body else { continue };
+        if let Body::Beat(beat) = &body {
+            from = Name::from(beat.node.as_str());
+        }
+        handle(&node, &from, body);
+    }
+}
+
+/// Takes a message of another node.
+fn handle<P: Platform>(node: &Rc<Node<P>>, from: &Name, body: Body) {
+    match body {
+        Body::Beat(beat) => hear(node, from, beat),
+        Body::Ask(ask) => turns::asked(node, from, ask),
+        Body::Done(done) => turns::done(node, from, &done),
+        Body::Go(go) => node.turns.borrow_mut().answer(go.number, Ok(go.server.into())),
+        Body::Refuse(refuse) => {
+            let wait = Duration::from_millis(refuse.retry.into());
+            node.turns.borrow_mut().answer(refuse.number, Err(wait));
+        }
+        Body::Fetch(fetch) => {
+            if let Some(kind) = Kind::from_number(fetch.kind) {
+                let snapshot = node.beliefs.borrow().snapshot(kind);
+                node.send(from, Body::Snapshot(snapshot));
+            }
+        }
+        Body::Snapshot(snapshot) => follow::adopt(node, snapshot),
+        Body::Crash(crash) => node.crashes.borrow_mut().note(node.now(), crash.print),
+    }
+}
+
+/// Takes a sign of life.
+fn hear<P: Platform>(node: &Rc<Node<P>>, from: &Name, beat: Beat) {
+    let Ok(addr) = beat.addr.parse() else { return };
+    meet(node, from, addr);
+    let now = node.now();
+    let behind = {
+        let beliefs = node.beliefs.borrow();
+        let claims = [
+            (Kind::Routes, beat.routes),
+            (Kind::Servers, beat.servers),
+            (Kind::Owners, beat.owners),
+        ];
+        claims.into_iter().find(|(kind, revision)| *revision > beliefs.revision(*kind))
+    };
+    if let Some((kind, _)) = behind {
+        node.send(from, Body::Fetch(crate::message::Fetch { kind: kind.number() }));
+    }
+    let mut restarted = false;
+    {
+        let mut peers = node.peers.borrow_mut();
+        let Some(peer) = peers.nodes.get_mut(from) else { return };
+        if !peer.is_live(now) {
+            info!(event = "peer_up", peer = from.as_str(); "a node is heard");
+        }
+        restarted |= peer.beat.incarnation != 0 && peer.beat.incarnation != beat.incarnation;
+        peer.heard = now;
+        peer.beat = Beat { keys: Vec::new(), paces: Vec::new(), ..beat.clone() };
+    }
+    if restarted {
+        turns::drop_node(node, from);
+    }
+    node.control.borrow_mut().hear(now, from, &beat);
+}
+
+/// Sends beats for ever, and watches who has fallen silent.
+pub async fn beat<P: Platform>(node: Rc<Node<P>>) {
+    let mut lost: Vec<Name> = Vec::new();
+    loop {
+        sleep(BEAT).await;
+        let now = node.now();
+        forgive_freeze(&node, now);
+        send_beats(&node, now);
+        let silent: Vec<Name> = {
+            let mut peers = node.peers.borrow_mut();
+            peers.nodes.retain(|_, peer| now.since(peer.heard) < FORGET_AFTER);
+            let silent = peers.nodes.iter().filter(|(_, peer)| !peer.is_live(now));
+            silent.map(|(name, _)| name.clone()).collect()
+        };
+        for name in silent.iter().filter(|name| !lost.contains(name)) {
+            info!(event = "peer_lost", peer = name.as_str(); "a node has fallen silent");
+            turns::drop_node(&node, name);
+        }
+        lost = silent;
+    }
+}
+
+/// Lets all nodes count as heard if this one was frozen itself.
+fn forgive_freeze<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
+    let mut peers = node.peers.borrow_mut();
+    let late = now.since(peers.beaten) > BEAT + FROZEN_AFTER;
+    peers.beaten = now;
+    if late {
+        peers.nodes.values_mut().for_each(|peer| peer.heard = now);
+    }
+}
+
+/// Sends a beat to each node.
+pub fn send_beats<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
+    let beat = {
+        let beliefs = node.beliefs.borrow();
+        let control = node.control.borrow();
+        Beat {
+            node: node.name().to_string(),
+            domain: node.settings.domain.to_string(),
+            addr: node.settings.peer.to_string(),
+            incarnation: node.incarnation,
+            leaving: node.leaving.get(),
+            store_age: now.since(node.store_heard.get()).as_millis() as u32,
+            routes: beliefs.revision(Kind::Routes),
+            servers: beliefs.revision(Kind::Servers),
+            owners: beliefs.revision(Kind::Owners),
+            term: control.term(),
+            leads: control.leads(),
+            keys: Vec::new(),
+            paces: Vec::new(),
+        }
+    };
+    let (keys, paces) = node.meter.borrow_mut().take();
+    let full = Beat { keys, paces, ..beat.clone() };
+    let controller = node.control.borrow().controller().cloned();
+    let names: Vec<Name> = node.peers.borrow().nodes.keys().cloned().collect();
+    for name in names {
+        let beat = if controller.as_ref() == Some(&name) { full.clone() } else { beat.clone() };
+        node.send(&name, Body::Beat(beat));
+    }
+    if node.control.borrow().leads() {
+        node.control.borrow_mut().measure(now, &full);
+    }
+}
--- /dev/null
+++ b/crates/whinspring-router/src/settings.rs
@@ -0,0 +1,172 @@
+//! Settings of a router node on a shared object store, read from INI text.
+
+use {
+    std::{net::SocketAddr, time::Duration},
+    whinspring::{
+        ini::{self, Fault, NAME_HINT, Reader, Section, parse_name},
+        name::Name,
+    },
+};
+
+/// Settings of one node.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the node's VM.
+    pub name: Name,
+    /// Failure domain of the VM.
+    pub domain: Name,
+    /// Address that callers connect to.
+    pub caller: SocketAddr,
+    /// Address on which the balancer asks whether the node is ready.
+    pub ready: SocketAddr,
+    /// Address that other nodes connect to.
+    pub peer: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+/// Bounds that the platform sets.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Time between the notice of a planned stop and the kill.
+    pub grace: Duration,
+    /// Time after which a leaving server may get no more requests, in milliseconds.
+    pub drain_ms: u32,
+    /// Longest grant of keys, in milliseconds.
+    pub hold_ms: u32,
+    /// Repeated sendings allowed for each request.
+    pub retry_ratio: f64,
+    /// Repeated sendings allowed besides, in each window over all nodes.
+    pub retry_extra: u32,
+    /// Log lines a second at most.
+    pub log_lines: u32,
+}
+
+/// Sections that the settings may have.
+const SECTIONS: &[&str] = &["node", "limits"];
+
+/// What an address may be.
+const ADDR_HINT: &str = "write IP:PORT, such as 10.0.0.4:7000";
+
+impl Settings {
+    /// Reads settings from INI text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the text, in the order of their lines.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let (sections, mut faults) = ini::parse(text);
+        for section in &sections {
+            if !SECTIONS.contains(&section.name.as_str()) {
+                faults.push(unknown(section));
+            }
+        }
+        let settings = read_node(&find(&sections, "node"), &mut faults)
+            .zip(Limits::read(&find(&sections, "limits"), &mut faults))
+            .map(|(settings, limits)| Self { limits, ..settings });
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => {
+                faults.sort_by_key(|fault| fault.line);
+                Err(faults)
+            }
+        }
+    }
+}
+
+/// Lists a section of an unknown name.
+fn unknown(section: &Section) -> Fault {
+    Fault {
+        line: section.line,
+        section: section.name.clone(),
+        key: Name::new(),
+        text: "the section is unknown".into(),
+        hint: format!("known sections: {}", SECTIONS.join(", ")),
+    }
+}
+
+/// Returns the section `name`, empty if it is missing.
+fn find(sections: &[Section], name: &str) -> Section {
+    let found = sections.iter().find(|section| section.name == name);
+    found.cloned().unwrap_or_else(|| Section { name: name.into(), line: 0, entries: Vec::new() })
+}
+
+/// Reads the section `node`.
+fn read_node(section: &Section, faults: &mut Vec<Fault>) -> Option<Settings> {
+    let mut reader = Reader::new(section, faults);
+    let name = reader.required("name", NAME_HINT, parse_name);
+    let domain = reader.required("domain", NAME_HINT, parse_name);
+    let caller = reader.required("caller", ADDR_HINT, parse_addr);
+    let ready = reader.required("ready", ADDR_HINT, parse_addr);
+    let peer = reader.required("peer", ADDR_HINT, parse_addr);
+    let metrics = reader.required("metrics", ADDR_HINT, parse_addr);
+    let store = reader.required("store", ADDR_HINT, parse_addr);
+    reader.close();
+    Some(Settings {
+        name: name?,
+        domain: domain?,
+        caller: caller?,
+        ready: ready?,
+        peer: peer?,
+        metrics: metrics?,
+        store: store?,
+        limits: Limits::default(),
+    })
+}
+
+/// Reads an address.
+fn parse_addr(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            grace: Duration::from_secs(6),
+            drain_ms: 2_000,
+            hold_ms: 10_000,
+            retry_ratio: 0.2,
+            retry_extra: 50,
+            log_lines: 100,
+        }
+    }
+}
+
+impl Limits {
+    /// Reads the section `limits`.
+    fn read(section: &Section, faults: &mut Vec<Fault>) -> Option<Self> {
+        let base = Self::default();
+        let mut reader = Reader::new(section, faults);
+        let grace = reader.optional("grace_s", "write seconds from 1 to 600", parse_seconds);
+        let drain_ms = reader.number("drain_ms", 100..=600_000, base.drain_ms);
+        let hold_ms = reader.number("hold_ms", 1_000..=600_000, base.hold_ms);
+        let retry_ratio = reader.optional("retry_ratio", "write a part from 0 to 1", parse_part);
+        let retry_extra = reader.number("retry_extra", 0..=1_000_000, base.retry_extra);
+        let log_lines = reader.number("log_lines", 1..=10_000, base.log_lines);
+        reader.close();
+        Some(Self {
+            grace: grace.unwrap_or(base.grace),
+            drain_ms: drain_ms?,
+            hold_ms: hold_ms?,
+            retry_ratio: retry_ratio.unwrap_or(base.retry_ratio),
+            retry_extra: retry_extra?,
+            log_lines: log_lines?,
+        })
+    }
+}
+
+/// Reads a time in seconds, with fractions.
+fn parse_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.parse().ok()?;
+    (1.0..=600.0).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
+}
+
+/// Reads a part of one.
+fn parse_part(text: &str) -> Option<f64> {
+    let part: f64 = text.parse().ok()?;
+    (0.0..=1.0).contains(&part).then_some(part)
+}
--- /dev/null
+++ b/crates/whinspring/src/ranges.rs
@@ -0,0 +1,117 @@
+//! Ranges of numeric keys and the servers that own them.
+//!
+//! An [`Ownership`] covers the keys of one service without gaps or overlaps. It is stored whole
+//! under one revision, so that each change is one conditional write. Every span carries the fence
+//! number under which its owner was last granted it; a span that changes hands names its former
+//! owner until that one has released it.
+
+use crate::name::Name;
+
+pub mod balance;
+
+/// Highest key.
+pub const MAX_KEY: u16 = u16::MAX;
+
+/// One life of a backend server: a restart under the same name is another life.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Life {
+    /// Name of the server.
+    pub server: Name,
+    /// When it started, in milliseconds since the Unix epoch; zero if unknown.
+    pub born: u64,
+}
+
+/// Keys from `first` to `last`, both inclusive, and their owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Span {
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// The owner.
+    pub owner: Life,
+    /// Fence number of its grant.
+    pub fence: u64,
+    /// Former owner that has not released the keys yet.
+    pub former: Option<Life>,
+}
+
+impl Span {
+    /// Returns the number of keys.
+    pub fn len(&self) -> u32 {
+        u32::from(self.last - self.first) + 1
+    }
+
+    /// Returns whether the span has no key, which never holds.
+    pub fn is_empty(&self) -> bool {
+        false
+    }
+}
+
+/// The owners of all keys of a service.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Ownership {
+    /// Term of the controller that wrote it.
+    pub term: u64,
+    /// Spans in ascending order.
+    pub spans: Vec<Span>,
+}
+
+impl Ownership {
+    /// Divides all keys evenly among servers.
+    pub fn even(term: u64, owners: &[Life], mut fence: impl FnMut() -> u64) -> Self {
+        let count = owners.len() as u32;
+        let keys = u32::from(MAX_KEY) + 1;
+        let span = |(index, owner): (usize, &Life)| {
+            let first = keys * index as u32 / count;
+            let last = keys * (index as u32 + 1) / count - 1;
+            let owner = owner.clone();
+            Span { first: first as u16, last: last as u16, owner, fence: fence(), former: None }
+        };
+        Self { term, spans: owners.iter().enumerate().map(span).collect() }
+    }
+
+    /// Returns the span of a key.
+    pub fn find(&self, key: u16) -> Option<&Span> {
+        let index = self.spans.partition_point(|span| span.last < key);
+        self.spans.get(index).filter(|span| span.first <= key)
+    }
+
+    /// Splits spans so that `first..=last` is made of whole spans; returns their indices.
+    pub fn carve(&mut self, first: u16, last: u16) -> std::ops::Range<usize> {
+        self.split_before(first);
+        if last < MAX_KEY {
+            self.split_before(last + 1);
+        }
+        let start = self.spans.partition_point(|span| span.last < first);
+        let end = self.spans.partition_point(|span| span.first <= last);
+        start..end
+    }
+
+    /// Joins neighbours of one owner whose fences agree.
+    pub fn join(&mut self) {
+        self.spans.dedup_by(|next, span| {
+            let same = next.owner == span.owner
+                && next.fence == span.fence
+                && next.former.is_none()
+                && span.former.is_none();
+            if same {
+                span.last = next.last;
+            }
+            same
+        });
+    }
+
+    /// Makes a span begin at `key`.
+    fn split_before(&mut self, key: u16) {
+        let index = self.spans.partition_point(|span| span.last < key);
+        let Some(span) = self.spans.get_mut(index) else { return };
+        if span.first >= key {
+            return;
+        }
+        let mut tail = span.clone();
+        span.last = key - 1;
+        tail.first = key;
+        self.spans.insert(index + 1, tail);
+    }
+}
