--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -42,6 +42,8 @@
     pub entry: ServerEntry,
     /// Connections to it.
     pub backend: Rc<Backend>,
+    /// Since when it is known.
+    pub since: Tick,
     /// Since when it has no entry.
     pub missing: Option<Tick>,
     /// Since when it is about to leave.
@@ -230,6 +232,7 @@
             let server = Server {
                 name: object.name.clone(),
                 backend: Rc::new(Backend::new(entry.addr, clock)),
+                since: now,
                 missing: None,
                 leaving: entry.leaving.then_some(now),
                 warm,
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -10,7 +10,7 @@
 //! at its address any more.
 
 use {
-    super::{RIGHT, holds::end_of},
+    super::{RIGHT, holds::end_of, moves},
     crate::{
         follow,
         message::OwnersRecord,
@@ -24,7 +24,7 @@
     whinspring::{
         name::Name,
         ranges::{
-            Life, Ownership, Span,
+            Life, MAX_KEY, Ownership, Span,
             balance::{self, Candidate},
         },
         time::Tick,
@@ -40,8 +40,8 @@
 /// Time between two looks at the balance.
 const PLAN_EVERY: Duration = Duration::from_millis(400);
 
-/// Time after taking the place in which servers may still appear.
-const SETTLE: Duration = Duration::from_millis(300);
+/// Time without a new server after which the keys of a new service are divided.
+const SETTLE: Duration = Duration::from_millis(1_200);
 
 /// Time for which finished hand-overs are collected before they are written.
 const COLLECT: Duration = Duration::from_millis(60);
@@ -52,8 +52,8 @@
 /// Time for which a server that refuses connections is not used.
 const DOWN_FOR: Duration = Duration::from_millis(1_500);
 
-/// Load assumed of each key, in slots.
-const BASE_LOAD: f64 = 0.000_002;
+/// Part of all servers' capacity that is assumed to be spread evenly over the keys.
+const BASE_PART: f64 = 0.25;
 
 /// Capacity of a server that has just started, relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
@@ -95,7 +95,13 @@
 
 /// Divides the keys of a service that has no owners yet.
 async fn found<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
-    if node.now() < node.control.borrow().since + SETTLE {
+    let now = node.now();
+    let newest = {
+        let beliefs = node.beliefs.borrow();
+        let own = beliefs.servers.values().filter(|server| server.entry.service == *service);
+        own.map(|server| server.since).max().unwrap_or(now)
+    };
+    if now < newest.max(node.control.borrow().since) + SETTLE {
         return;
     }
     let servers = candidates(node, service, node.now());
@@ -257,13 +263,18 @@
     for span in owned.spans.iter().filter(|span| span.former.is_some()) {
         let mut control = node.control.borrow_mut();
         let progress = control.moves.entry(service.clone()).or_default();
-        if progress.settled.contains(&span.fence) || !progress.busy.insert(span.fence) {
+        if progress.settled.contains(&key(span)) || !progress.busy.insert(key(span)) {
             continue;
         }
         spawn_local(hand_over_one(node.clone(), service.clone(), span.clone()));
     }
 }
 
+/// Returns what a hand-over is known by.
+fn key(span: &Span) -> moves::Key {
+    moves::Key { first: span.first, last: span.last, fence: span.fence }
+}
+
 /// Takes a span from its former owner and grants it to the new one.
 async fn hand_over_one<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span) {
     let token = release(&node, &service, &span).await;
@@ -274,9 +285,9 @@
     let now = node.now();
     let mut control = node.control.borrow_mut();
     let Some(progress) = control.moves.get_mut(&service) else { return };
-    progress.busy.remove(&span.fence);
+    progress.busy.remove(&key(&span));
     if settled {
-        progress.settled.insert(span.fence);
+        progress.settled.insert(key(&span));
         progress.oldest.get_or_insert(now);
     }
 }
@@ -387,7 +398,7 @@
         std::mem::take(&mut progress.settled)
     };
     let mut next = owned.clone();
-    for span in next.spans.iter_mut().filter(|span| settled.contains(&span.fence)) {
+    for span in next.spans.iter_mut().filter(|span| settled.contains(&key(span))) {
         span.former = None;
     }
     if !write(node, service, revision, next).await {
@@ -411,7 +422,9 @@
         }
         progress.planned = now;
         let loads = control.loads.get(service).cloned().unwrap_or_default();
-        let moves = balance::plan(&owned, &servers, &loads, BASE_LOAD);
+        let capacity: f64 = servers.iter().map(|server| server.capacity).sum();
+        let base = capacity * BASE_PART / (f64::from(MAX_KEY) + 1.0);
+        let moves = balance::plan(&owned, &servers, &loads, base);
         if moves.is_empty() {
             return;
         }
--- a/crates/whinspring-router/src/control/moves.rs
+++ b/crates/whinspring-router/src/control/moves.rs
@@ -2,15 +2,26 @@
 
 use {std::collections::HashSet, whinspring::time::Tick};
 
+/// What a hand-over is known by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Key {
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// Fence number of the new owner.
+    pub fence: u64,
+}
+
 /// Progress of a service's changes of ownership.
 #[derive(Debug, Default)]
 pub struct Progress {
     /// When the balance was last looked at.
     pub planned: Tick,
-    /// Fences of spans whose former owner is being released.
-    pub busy: HashSet<u64>,
-    /// Fences of spans whose new owner has its grant, not yet written.
-    pub settled: HashSet<u64>,
+    /// Hand-overs under way.
+    pub busy: HashSet<Key>,
+    /// Hand-overs that have ended and are not yet written.
+    pub settled: HashSet<Key>,
     /// When the oldest of them was granted.
     pub oldest: Option<Tick>,
     /// Whether a write is on its way.
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -106,7 +106,7 @@
         if let Some(from) = used.get_mut(&span.owner) {
             *from -= load;
         }
-        span.owner = step.to.clone();
+        span.former = Some(std::mem::replace(&mut span.owner, step.to.clone()));
     }
     *used.entry(step.to.clone()).or_default() += load;
 }
