Raise the fence with each order to a former owner, and prove that a server is dead

Change: fence numbers are 64 apart, each order to a former owner uses the next; dead means refused for 400 ms with no answer to any node; a controller named by the record gets time to be heard; failing servers rest, and placing weighs measured time; covered grants end the wait.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -64,6 +64,12 @@
 /// Part of a server's slowness that a new measurement replaces, for each request.
 const PACE_SMOOTHING: f64 = 0.06;
 
+/// Fence numbers between two spans.
+const FENCE_STEP: u64 = 64;
+
+/// Bits of a fence number below the term.
+const TERM_SHIFT: u32 = 28;
+
 /// Name of the controller's record.
 const RECORD: &str = "controller";
 
@@ -96,8 +102,10 @@
     slowness: HashMap<Name, f64>,
     /// Grants and what became of them.
     holds: Holds,
-    /// When servers last refused a connection.
-    down: HashMap<Life, Tick>,
+    /// Servers that refuse connections: since when, and when they last did.
+    down: HashMap<Life, (Tick, Tick)>,
+    /// When servers last answered a request of any node.
+    answered: HashMap<Name, Tick>,
     /// Last known addresses of servers.
     addresses: HashMap<Life, SocketAddr>,
     /// State of each service's moves.
@@ -153,7 +161,9 @@
         }
         for pace in beat.paces.iter().filter(|pace| pace.usual > 0) {
             let ratio = f64::from(pace.took) / f64::from(pace.usual);
-            let known = self.slowness.entry(Name::from(pace.server.as_str())).or_insert(1.0);
+            let server = Name::from(pace.server.as_str());
+            self.answered.insert(server.clone(), now);
+            let known = self.slowness.entry(server).or_insert(1.0);
             let part = 1.0 - (1.0 - PACE_SMOOTHING).powi(pace.count as i32);
             *known += (ratio - *known) * part;
         }
@@ -172,10 +182,11 @@
         }
     }
 
-    /// Returns a fence number above all earlier ones.
+    /// Returns a fence number above all earlier ones; those up to [`FENCE_STEP`] below it are free
+    /// for orders to the former owner.
     fn fence(&mut self) -> u64 {
-        self.fences += 1;
-        (self.term << 22) + self.fences
+        self.fences += FENCE_STEP;
+        (self.term << TERM_SHIFT) + self.fences
     }
 
     /// Returns whether this node may give orders now.
@@ -246,6 +257,9 @@
         Ok(found) => found,
         Err(error) => return log::debug!("the controller's record cannot be read: {error}"),
     };
+    if adopt(node, &known) {
+        return;
+    }
     let asked = node.now();
     let record = ControlRecord {
         node: node.name().to_string(),
@@ -272,6 +286,22 @@
     info!(event = "controller", term = record.term, revision; "this node grants keys now");
 }
 
+/// Takes note of a controller that the record names and that was not known; returns whether there
+/// is one, which then gets the time to be heard.
+fn adopt<P: Platform>(node: &Rc<Node<P>>, record: &ControlRecord) -> bool {
+    let now = node.now();
+    let mut control = node.control.borrow_mut();
+    let newer = record.term > control.term && record.incarnation != 0;
+    if newer && record.incarnation != node.incarnation {
+        control.term = record.term;
+        control.chief = Some((Name::from(record.node.as_str()), record.incarnation));
+        control.heard = now;
+        control.doubt = Duration::ZERO;
+        return true;
+    }
+    false
+}
+
 /// Reads the controller's record and its revision.
 async fn read<P: Platform>(node: &Rc<Node<P>>) -> Result<(ControlRecord, u64), StoreError> {
     let found = node.platform.read(Kind::Control, RECORD).await;
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -10,7 +10,7 @@
 //! at its address any more.
 
 use {
-    super::{RIGHT, holds::end_of, moves},
+    super::{Controller, FENCE_STEP, RIGHT, holds::end_of, moves},
     crate::{
         follow,
         message::OwnersRecord,
@@ -46,6 +46,12 @@
 /// Time for which finished hand-overs are collected before they are written.
 const COLLECT: Duration = Duration::from_millis(60);
 
+/// Length of the grant that shuts older ones out before a release.
+const RELEASE_HOLD: Duration = Duration::from_secs(1);
+
+/// Time for which a server must refuse connections to count as dead.
+const DEAD_AFTER: Duration = Duration::from_millis(400);
+
 /// Pause before an order is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -243,12 +249,9 @@
     entry.busy = false;
     match reply {
         Reply::Done(_) => entry.acked = Some(sent),
-        Reply::Down => {
-            let now = node.now();
-            control.down.insert(span.owner.clone(), now);
-        }
-        Reply::Fenced | Reply::Silent => node.metrics.count("grant_unanswered"),
+        Reply::Down | Reply::Fenced | Reply::Silent => node.metrics.count("grant_unanswered"),
     }
+    control.note_reply(&span.owner, &reply, sent);
     reply
 }
 
@@ -318,6 +321,7 @@
     span: &Span,
 ) -> Option<Option<Name>> {
     let former = span.former.as_ref()?;
+    let mut number = 0;
     loop {
         if !is_current(node, service, span) {
             return None;
@@ -327,9 +331,11 @@
         }
         let now = node.now();
         if let Some(addr) = address(node, former) {
-            match release_once(node, span, addr).await {
+            number = (number + 1).min(FENCE_STEP - 1);
+            match release_once(node, service, span, number, addr).await {
                 Reply::Done(token) => return Some(token),
-                Reply::Down => return Some(None),
+                Reply::Down if is_dead(node, former) => return Some(None),
+                Reply::Down => {}
                 Reply::Fenced => node.metrics.count("release_fenced"),
                 Reply::Silent => {}
             }
@@ -343,27 +349,46 @@
 }
 
 /// Returns when a former owner that cannot be reached holds a span no more.
+///
+/// A server that took a grant of this controller refuses those of earlier ones.
 fn free_at<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span, former: &Life) -> Tick {
     let control = node.control.borrow();
     let own = control.holds.until(service, former, span.first, span.last);
+    if control.term == 1 || control.holds.covers(service, former, span.first, span.last) {
+        return own;
+    }
     let most = Duration::from_millis(node.settings.limits.hold_ms.into());
-    let before = end_of(control.since + RIGHT, most);
-    if control.term > 1 { own.max(before) } else { own }
+    own.max(end_of(control.since + RIGHT, most))
 }
 
 /// Tells a former owner once to release a span, under a fence that older grants do not reach.
-async fn release_once<P: Platform>(node: &Rc<Node<P>>, span: &Span, addr: SocketAddr) -> Reply {
-    if !node.control.borrow().may_order(node.now()) {
+///
+/// Each try has a higher fence than those before it, which may still be on their way.
+async fn release_once<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    span: &Span,
+    number: u64,
+    addr: SocketAddr,
+) -> Reply {
+    let Some(former) = &span.former else { return Reply::Silent };
+    let sent = node.now();
+    if !node.control.borrow().may_order(sent) {
         return Reply::Silent;
     }
-    let order = Grant {
-        first: span.first,
-        last: span.last,
-        fence: span.fence - 1,
-        hold: Duration::from_secs(1),
-        token: None,
-    };
-    match node.platform.grant(addr, &order).await {
+    let fence = span.fence - FENCE_STEP + number;
+    let (first, last, hold) = (span.first, span.last, RELEASE_HOLD);
+    let raised = Span { first, last, fence, owner: former.clone(), former: None };
+    {
+        let mut control = node.control.borrow_mut();
+        let entry = control.holds.get(service, &raised);
+        entry.sent = Some(sent);
+        entry.until = end_of(sent, hold);
+    }
+    let order = Grant { first, last, fence, hold, token: None };
+    let reply = node.platform.grant(addr, &order).await;
+    node.control.borrow_mut().note_reply(former, &reply, sent);
+    match reply {
         Reply::Done(_) => node.platform.release(addr, &order).await,
         other => other,
     }
@@ -431,13 +456,11 @@
         let mut next = (*owned).clone();
         for step in moves {
             for index in next.carve(step.first, step.last) {
-                let bump = control.fence();
                 let fence = control.fence();
                 let span = &mut next.spans[index];
                 if span.former.is_some() || span.owner == step.to {
                     continue;
                 }
-                debug_assert_eq!(bump + 1, fence);
                 span.former = Some(std::mem::replace(&mut span.owner, step.to.clone()));
                 span.fence = fence;
                 info!(event = "move", service = service.as_str(), first = span.first, last = span.last, to = step.to.server.as_str(), fence, revision; "keys change hands");
@@ -461,7 +484,7 @@
             let slowness = control.slowness.get(&server.name).copied().unwrap_or(1.0);
             let cold = if now < server.warm { COLD_CAPACITY } else { 1.0 };
             let capacity = f64::from(server.entry.slots) * cold / slowness.clamp(0.3, 10.0);
-            let down = control.down.get(&life).is_some_and(|at| now.since(*at) < DOWN_FOR);
+            let down = control.down.get(&life).is_some_and(|(_, at)| now.since(*at) < DOWN_FOR);
             let leaving = server.leaving.is_some() || server.missing.is_some() || down;
             Candidate { life, capacity, leaving }
         })
@@ -473,7 +496,29 @@
 /// Returns whether a server refused connections lately.
 fn is_down<P: Platform>(node: &Rc<Node<P>>, life: &Life, now: Tick) -> bool {
     let control = node.control.borrow();
-    control.down.get(life).is_some_and(|at| now.since(*at) < DOWN_FOR / 5)
+    control.down.get(life).is_some_and(|(_, at)| now.since(*at) < DOWN_FOR / 10)
+}
+
+/// Returns whether a server is certain to have ended: it has refused connections for some time,
+/// and has answered no request meanwhile. A server with too many connections refuses them too.
+fn is_dead<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
+    let control = node.control.borrow();
+    let Some((since, _)) = control.down.get(life) else { return false };
+    let answered = control.answered.get(&life.server).copied().unwrap_or_default();
+    node.now().since(*since) >= DEAD_AFTER && answered < *since
+}
+
+impl Controller {
+    /// Notes what a server's reply to an order says of the server.
+    fn note_reply(&mut self, life: &Life, reply: &Reply, sent: Tick) {
+        match reply {
+            Reply::Down => self.down.entry(life.clone()).or_insert((sent, sent)).1 = sent,
+            Reply::Done(_) | Reply::Fenced => {
+                self.down.remove(life);
+            }
+            Reply::Silent => {}
+        }
+    }
 }
 
 /// Returns whether a server has started again since.
--- a/crates/whinspring-router/src/control/holds.rs
+++ b/crates/whinspring-router/src/control/holds.rs
@@ -84,6 +84,26 @@
         self.holds.iter().filter(overlaps).map(|hold| hold.until).max().unwrap_or_default()
     }
 
+    /// Returns whether a server took grants of all of the keys.
+    pub fn covers(&self, service: &Name, owner: &Life, first: u16, last: u16) -> bool {
+        let taken =
+            |hold: &&Hold| hold.service == *service && hold.owner == *owner && hold.acked.is_some();
+        let mut taken: Vec<(u32, u32)> = self
+            .holds
+            .iter()
+            .filter(taken)
+            .map(|hold| (hold.first.into(), hold.last.into()))
+            .collect();
+        taken.sort_unstable();
+        let mut next = u32::from(first);
+        for (from, to) in taken {
+            if from <= next && to >= next {
+                next = to + 1;
+            }
+        }
+        next > u32::from(last)
+    }
+
     /// Forgets grants that have long run out.
     pub fn forget(&mut self, now: Tick) {
         self.holds
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -32,8 +32,8 @@
 /// Time after the notice of a planned stop in which the balancer lets go.
 const NOTICE: Duration = Duration::from_millis(2_300);
 
-/// Time before the kill at which a planned stop ends in any case.
-const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// Part of the grace time before the kill at which a planned stop ends in any case, as a divisor.
+const STOP_MARGIN: u32 = 8;
 
 /// Time that the last bytes of closing connections get to leave.
 const CLOSE_PAUSE: Duration = Duration::from_millis(30);
@@ -114,7 +114,8 @@
     info!(event = "stopping"; "a planned stop begins");
     node.leaving.set(true);
     peers::send_beats(&node, node.now());
-    let grace = node.settings.limits.grace.saturating_sub(STOP_MARGIN);
+    let grace = node.settings.limits.grace;
+    let grace = grace - grace / STOP_MARGIN;
     let stop = async {
         spawn_local({
             let node = node.clone();
--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -30,6 +30,7 @@
     },
     whinspring::{
         code::Code,
+        gate::Ending,
         name::Name,
         routes::{Route, RouteTable},
         time::Tick,
@@ -268,6 +269,7 @@
             turn,
             node: node.clone(),
             backend,
+            ending: Ending::Ran,
             conn: None,
             body: None,
             first: None,
@@ -277,6 +279,7 @@
         };
         let exchange = self.exchange(&mut sent, server);
         let Ok(result) = timeout(left, exchange).await else {
+            sent.turn.ending = Ending::Failed;
             return match sent.conn.is_some() {
                 true => Outcome::Lost(Code::Deadline, "the server did not answer in time"),
                 false => Outcome::NotRun(Code::Expired),
@@ -285,10 +288,14 @@
         match result {
             Ok(response) => self.judge(sent, response).await,
             Err(fault) if fault.is_sent() => {
+                sent.turn.ending = Ending::Failed;
                 spawn_local(look(node.clone(), sent.backend.clone(), print));
                 Outcome::Lost(Code::ServerLost, "the connection to the server broke")
             }
-            Err(_) => Outcome::NotRun(Code::NoOwner),
+            Err(_) => {
+                sent.turn.ending = Ending::Failed;
+                Outcome::NotRun(Code::NoOwner)
+            }
         }
     }
 
@@ -340,10 +347,12 @@
         let (mut parts, body) = response.into_parts();
         let length = body.size_hint().exact();
         sent.body = Some(body);
+        sent.turn.ending = Ending::Failed;
         if parts.headers.get(&names.id) != Some(&self.id) {
             return Outcome::Lost(Code::ServerLost, "the answer belongs to another request");
         }
         if parts.headers.contains_key(&names.not_run) {
+            sent.ending = Ending::Failed;
             sent.drain().await;
             let code = match parts.status {
                 StatusCode::MISDIRECTED_REQUEST => Code::Moved,
@@ -360,8 +369,8 @@
         }
         let failed = parts.status.is_server_error();
         if failed && self.route.idempotent && self.may_repeat(1, true) {
+            sent.ending = Ending::Failed;
             sent.drain().await;
-            sent.turn.ran = true;
             self.node.metrics.count("server_failed");
             return Outcome::Lost(Code::ServerLost, "the server answered with a failure");
         }
@@ -396,6 +405,8 @@
     node: Rc<Node<P>>,
     /// Connections to the server.
     backend: Rc<Backend>,
+    /// How the request ends once its answer has been read.
+    ending: Ending,
     /// The connection that carries it.
     conn: Option<Conn>,
     /// What is still to come.
@@ -473,9 +484,17 @@
     /// Notes that the answer has ended.
     fn finish(&mut self) {
         self.body = None;
-        self.turn.ran = true;
+        self.turn.ending = self.ending;
         let took = self.node.now().since(self.start);
+        if self.ending != Ending::Ran {
+            return self.keep();
+        }
         self.node.meter.borrow_mut().served(&self.route, &self.server, took);
+        self.keep();
+    }
+
+    /// Keeps the connection for other requests.
+    fn keep(&mut self) {
         if let Some(conn) = self.conn.take() {
             let backend = self.backend.clone();
             spawn_local(async move { backend.give_back(conn).await });
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -6,6 +6,7 @@
 use {
     prost::{Message, Oneof},
     whinspring::{
+        gate::Ending,
         name::Name,
         ranges::{Life, Ownership, Span},
     },
@@ -177,9 +178,9 @@
     /// Number of the request.
     #[prost(uint64, tag = "2")]
     pub number: u64,
-    /// Whether a server ran it to its end.
-    #[prost(bool, tag = "3")]
-    pub ran: bool,
+    /// How it ended: zero if it was not sent, one if it ran, two if it failed.
+    #[prost(uint32, tag = "3")]
+    pub ending: u32,
 }
 
 /// Asks for objects.
@@ -290,6 +291,26 @@
     pub born: u64,
 }
 
+impl Done {
+    /// Returns the number of an ending.
+    pub fn number_of(ending: Ending) -> u32 {
+        match ending {
+            Ending::Unused => 0,
+            Ending::Ran => 1,
+            Ending::Failed => 2,
+        }
+    }
+
+    /// Returns how the request ended.
+    pub fn ending(&self) -> Ending {
+        match self.ending {
+            1 => Ending::Ran,
+            2 => Ending::Failed,
+            _ => Ending::Unused,
+        }
+    }
+}
+
 impl From<&Life> for LifeWire {
     fn from(life: &Life) -> Self {
         Self { server: life.server.to_string(), born: life.born }
--- a/crates/whinspring-router/src/turns.rs
+++ b/crates/whinspring-router/src/turns.rs
@@ -21,7 +21,7 @@
         time::{sleep, sleep_until, timeout},
     },
     whinspring::{
-        gate::{Ask, Gate, Ticket, Verdict},
+        gate::{Ask, Ending, Gate, Ticket, Verdict},
         name::Name,
         time::Tick,
     },
@@ -87,14 +87,18 @@
     pool: Name,
     /// Number of the request.
     number: u64,
-    /// Whether a server ran it to its end.
-    pub ran: bool,
+    /// How it ended.
+    pub ending: Ending,
 }
 
 impl<P: Platform> Drop for Turn<P> {
     fn drop(&mut self) {
         self.node.turns.borrow_mut().waiting.remove(&self.number);
-        let done = Done { pool: self.pool.to_string(), number: self.number, ran: self.ran };
+        let done = Done {
+            pool: self.pool.to_string(),
+            number: self.number,
+            ending: Done::number_of(self.ending),
+        };
         let from = self.node.name().clone();
         if self.home == from {
             self::done(&self.node, &from, &done);
@@ -154,7 +158,7 @@
     let own = node.name().clone();
     let sent = home != own && node.send(&home, Body::Ask(ask.clone()));
     let home = if sent { home } else { own.clone() };
-    let turn = Turn { node: node.clone(), home, pool, number, ran: false };
+    let turn = Turn { node: node.clone(), home, pool, number, ending: Ending::Unused };
     if !sent {
         asked(node, &own, ask);
     }
@@ -209,7 +213,7 @@
     let ticket = Ticket { node: from.clone(), number: done.number };
     let now = node.now();
     if let Some(gate) = node.turns.borrow_mut().gates.get_mut(&pool) {
-        gate.done(&ticket, done.ran, now);
+        gate.done(&ticket, done.ending(), now);
     }
     step(node, &pool, now);
 }
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -24,6 +24,21 @@
 /// Longest time until a refused caller may come back.
 const MAX_RETRY: Duration = Duration::from_millis(1_500);
 
+/// Time after which a measured time of an idle server is forgotten.
+const PACE_MEMORY: Duration = Duration::from_secs(4);
+
+/// Part that a request to another failure domain counts as longer, as a divisor.
+const FAR_DIVISOR: u64 = 4;
+
+/// Failures in a row after which a server is given rest.
+const FREE_FAILURES: u32 = 1;
+
+/// Half of the first rest after failures.
+const FIRST_REST: Duration = Duration::from_millis(25);
+
+/// Doublings of the rest at most.
+const MAX_STEPS: u32 = 5;
+
 /// Part of the time to its target that a request may wait in the queue, in hundredths.
 const WAIT_SHARE: u32 = 100;
 
@@ -53,6 +68,17 @@
     pub avoid: Option<Name>,
 }
 
+/// How a request left its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// The server ran it to its end.
+    Ran,
+    /// The server did not run it, or failed it, or fell silent.
+    Failed,
+    /// It was never sent, or the caller went away.
+    Unused,
+}
+
 /// What becomes of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
@@ -77,6 +103,12 @@
     running: HashMap<Ticket, Tick>,
     /// Smoothed time of a request.
     pace: Option<Duration>,
+    /// When the time was last measured.
+    paced: Tick,
+    /// Requests that failed since the last one that ran.
+    failures: u32,
+    /// Point before which no request is sent, after failures.
+    rests: Tick,
 }
 
 /// The queue before a pool of servers.
@@ -104,6 +136,9 @@
                 open,
                 running: HashMap::new(),
                 pace: None,
+                paced: Tick::default(),
+                failures: 0,
+                rests: Tick::default(),
             }),
         }
     }
@@ -119,14 +154,11 @@
     }
 
     /// Notes that a request has left its server.
-    pub fn done(&mut self, ticket: &Ticket, ran: bool, now: Tick) {
+    pub fn done(&mut self, ticket: &Ticket, ending: Ending, now: Tick) {
         self.queue.retain(|ask| ask.ticket != *ticket);
         for lane in &mut self.lanes {
-            let Some(since) = lane.running.remove(ticket) else { continue };
-            if ran {
-                let took = now.since(since);
-                let pace = lane.pace.unwrap_or(took);
-                lane.pace = Some(pace - pace / SMOOTHING + took / SMOOTHING);
+            if let Some(since) = lane.running.remove(ticket) {
+                lane.ended(ending, since, now);
             }
         }
     }
@@ -155,6 +187,9 @@
     pub fn step(&mut self, now: Tick) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
         let pace = self.pace();
+        for lane in &mut self.lanes {
+            lane.forget_pace(now);
+        }
         self.queue.sort_by_key(|ask| (rank(ask, now, pace), ask.target));
         self.start(&mut verdicts, now);
         self.refuse(&mut verdicts, now, pace);
@@ -163,31 +198,28 @@
 
     /// Lets requests through while there is room.
     fn start(&mut self, verdicts: &mut Vec<Verdict>, now: Tick) {
+        let usual = self.pace();
         let mut index = 0;
         while index < self.queue.len() {
             let ask = &self.queue[index];
-            let Some(lane) = self.room(ask) else {
-                if self.lanes.iter().all(|lane| !lane.has_room()) {
-                    return;
-                }
-                index += 1;
-                continue;
-            };
+            let Some(lane) = self.room(ask, usual, now) else { return };
             let ask = self.queue.remove(index);
             let lane = &mut self.lanes[lane];
             lane.running.insert(ask.ticket.clone(), now);
             verdicts.push(Verdict::Go(ask.ticket, lane.server.clone()));
+            index = 0;
         }
     }
 
     /// Returns the best server with room for a request.
-    fn room(&self, ask: &Ask) -> Option<usize> {
-        let key = |lane: &Lane| {
-            let avoided = ask.avoid.as_ref() == Some(&lane.server);
-            let busy = lane.running.len() as u32 * 2 / lane.slots.max(1);
-            (avoided, busy, lane.domain != ask.domain, lane.pace.unwrap_or_default())
+    fn room(&self, ask: &Ask, usual: Duration, now: Tick) -> Option<usize> {
+        let cost = |lane: &Lane| {
+            let pace = lane.pace.unwrap_or(usual).as_micros() as u64;
+            let filled = pace + pace * lane.running.len() as u64 / u64::from(lane.slots.max(1));
+            if lane.domain == ask.domain { filled } else { filled + filled / FAR_DIVISOR }
         };
-        let lanes = self.lanes.iter().enumerate().filter(|(_, lane)| lane.has_room());
+        let lanes = self.lanes.iter().enumerate().filter(|(_, lane)| lane.has_room(now));
+        let key = |lane: &Lane| (ask.avoid.as_ref() == Some(&lane.server), cost(lane));
         lanes.min_by_key(|(_, lane)| key(lane)).map(|(index, _)| index)
     }
 
@@ -223,8 +255,36 @@
 
 impl Lane {
     /// Returns whether another request may be sent.
-    fn has_room(&self) -> bool {
-        self.open && (self.running.len() as u32) < self.slots
+    fn has_room(&self, now: Tick) -> bool {
+        self.open && (self.running.len() as u32) < self.slots && now >= self.rests
+    }
+
+    /// Notes how a request ended.
+    fn ended(&mut self, ending: Ending, since: Tick, now: Tick) {
+        match ending {
+            Ending::Ran => {
+                let took = now.since(since);
+                let pace = self.pace.unwrap_or(took);
+                self.pace = Some(pace - pace / SMOOTHING + took / SMOOTHING);
+                self.paced = now;
+                self.failures = 0;
+            }
+            Ending::Failed => {
+                self.failures += 1;
+                if self.failures > FREE_FAILURES {
+                    let step = (self.failures - FREE_FAILURES).min(MAX_STEPS);
+                    self.rests = now + FIRST_REST * (1 << step);
+                }
+            }
+            Ending::Unused => {}
+        }
+    }
+
+    /// Forgets a measured time that is too old, so that a slow server is tried again.
+    fn forget_pace(&mut self, now: Tick) {
+        if self.running.is_empty() && now.since(self.paced) > PACE_MEMORY {
+            self.pace = None;
+        }
     }
 }
 
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -133,7 +133,7 @@
     let mut by_level: Vec<&&Candidate> = stay.iter().collect();
     by_level.sort_by(|a, b| level(b, used).total_cmp(&level(a, used)));
     let tolerance = if draft.spans.len() > MAX_SPANS { WIDE_TOLERANCE } else { TOLERANCE };
-    for high in by_level.into_iter().take(3) {
+    for high in by_level {
         let gap = level(high, used) - level(low, used);
         if gap < tolerance {
             return None;
