Extend no hold by orders that were not sent, and end a life whose address is another's

Cause: each order to a lost server counted as sent, so its keys were never free; connect timeouts now tell that nothing was sent.

--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -236,12 +236,7 @@
         node.control.borrow_mut().holds.get(service, span).busy = false;
         return Reply::Silent;
     }
-    {
-        let mut control = node.control.borrow_mut();
-        let entry = control.holds.get(service, span);
-        entry.sent = Some(sent);
-        entry.until = entry.until.max(end_of(sent, hold));
-    }
+    let before = node.control.borrow_mut().holds.get(service, span).send(sent, hold);
     let order = Grant { first: span.first, last: span.last, fence: span.fence, hold, token };
     let reply = node.platform.grant(addr, &order).await;
     let mut control = node.control.borrow_mut();
@@ -249,7 +244,8 @@
     entry.busy = false;
     match reply {
         Reply::Done(_) => entry.acked = Some(sent),
-        Reply::Down | Reply::Fenced | Reply::Silent => node.metrics.count("grant_unanswered"),
+        Reply::Down | Reply::Unsent => entry.until = before,
+        Reply::Fenced | Reply::Silent => node.metrics.count("grant_unanswered"),
     }
     control.note_reply(&span.owner, &reply, sent);
     reply
@@ -309,7 +305,7 @@
         let Some(addr) = address(node, &span.owner) else { return true };
         match grant(node, service, span, addr, token.clone()).await {
             Reply::Done(_) | Reply::Fenced | Reply::Down => return true,
-            Reply::Silent => sleep(REPEAT_PAUSE).await,
+            Reply::Unsent | Reply::Silent => sleep(REPEAT_PAUSE).await,
         }
     }
 }
@@ -326,7 +322,7 @@
         if !is_current(node, service, span) {
             return None;
         }
-        if is_reborn(node, former) {
+        if is_over(node, former) {
             return Some(None);
         }
         let now = node.now();
@@ -337,7 +333,7 @@
                 Reply::Down if is_dead(node, former) => return Some(None),
                 Reply::Down => {}
                 Reply::Fenced => node.metrics.count("release_fenced"),
-                Reply::Silent => {}
+                Reply::Unsent | Reply::Silent => {}
             }
         }
         if now > free_at(node, service, span, former) {
@@ -379,15 +375,16 @@
     let fence = span.fence - FENCE_STEP + number;
     let (first, last, hold) = (span.first, span.last, RELEASE_HOLD);
     let raised = Span { first, last, fence, owner: former.clone(), former: None };
+    let before = node.control.borrow_mut().holds.get(service, &raised).send(sent, hold);
+    let order = Grant { first, last, fence, hold, token: None };
+    let reply = node.platform.grant(addr, &order).await;
     {
         let mut control = node.control.borrow_mut();
-        let entry = control.holds.get(service, &raised);
-        entry.sent = Some(sent);
-        entry.until = end_of(sent, hold);
+        if matches!(reply, Reply::Down | Reply::Unsent) {
+            control.holds.get(service, &raised).until = before;
+        }
+        control.note_reply(former, &reply, sent);
     }
-    let order = Grant { first, last, fence, hold, token: None };
-    let reply = node.platform.grant(addr, &order).await;
-    node.control.borrow_mut().note_reply(former, &reply, sent);
     match reply {
         Reply::Done(_) => node.platform.release(addr, &order).await,
         other => other,
@@ -516,15 +513,21 @@
             Reply::Done(_) | Reply::Fenced => {
                 self.down.remove(life);
             }
-            Reply::Silent => {}
+            Reply::Unsent | Reply::Silent => {}
         }
     }
 }
 
-/// Returns whether a server has started again since.
-fn is_reborn<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
+/// Returns whether a life of a server has ended: it has started again since, or another server
+/// has got its address.
+fn is_over<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
     let beliefs = node.beliefs.borrow();
-    beliefs.servers.get(&life.server).is_some_and(|server| server.entry.born != life.born)
+    if let Some(server) = beliefs.servers.get(&life.server) {
+        return server.entry.born != life.born;
+    }
+    let control = node.control.borrow();
+    let Some(addr) = control.addresses.get(life) else { return false };
+    beliefs.servers.values().any(|server| server.entry.addr == *addr)
 }
 
 /// Returns the address of a life of a server, also if its entry is gone.
--- a/crates/whinspring-router/src/control/holds.rs
+++ b/crates/whinspring-router/src/control/holds.rs
@@ -37,6 +37,16 @@
     pub busy: bool,
 }
 
+impl Hold {
+    /// Notes that a grant is sent; returns until when the server may have held the keys before.
+    pub fn send(&mut self, now: Tick, hold: Duration) -> Tick {
+        let before = self.until;
+        self.sent = Some(now);
+        self.until = before.max(end_of(now, hold));
+        before
+    }
+}
+
 /// All grants of a controller.
 #[derive(Debug, Default)]
 pub struct Holds {
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -168,6 +168,8 @@
     Fenced,
     /// No process listens at the server's address.
     Down,
+    /// Nothing was sent.
+    Unsent,
     /// No answer; the order may be carried out later.
     Silent,
 }
