Name the server in each order, and renew nothing at an address that another server has

Ruled out: a life told apart by born, which entries mostly lack. Change: orders carry the server's name, so that another server refuses them; renewals stop once another entry has the address.

--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -190,7 +190,7 @@
             !hold.busy && hold.acked.is_none_or(|at| now.since(at) >= RENEW)
         };
         let Some(addr) = address(node, &span.owner) else { continue };
-        if due && !is_down(node, &span.owner, now) {
+        if due && !is_down(node, &span.owner, now) && !is_over(node, &span.owner) {
             node.control.borrow_mut().holds.get(service, span).busy = true;
             spawn_local(renew_one(node.clone(), service.clone(), span.clone(), addr));
         }
@@ -237,14 +237,16 @@
         return Reply::Silent;
     }
     let before = node.control.borrow_mut().holds.get(service, span).send(sent, hold);
-    let order = Grant { first: span.first, last: span.last, fence: span.fence, hold, token };
+    let server = span.owner.server.clone();
+    let (first, last, fence) = (span.first, span.last, span.fence);
+    let order = Grant { server, first, last, fence, hold, token };
     let reply = node.platform.grant(addr, &order).await;
     let mut control = node.control.borrow_mut();
     let entry = control.holds.get(service, span);
     entry.busy = false;
     match reply {
         Reply::Done(_) => entry.acked = Some(sent),
-        Reply::Down | Reply::Unsent => entry.until = before,
+        Reply::Down | Reply::Unsent | Reply::Replaced => entry.until = before,
         Reply::Fenced | Reply::Silent => node.metrics.count("grant_unanswered"),
     }
     control.note_reply(&span.owner, &reply, sent);
@@ -304,7 +306,7 @@
         }
         let Some(addr) = address(node, &span.owner) else { return true };
         match grant(node, service, span, addr, token.clone()).await {
-            Reply::Done(_) | Reply::Fenced | Reply::Down => return true,
+            Reply::Done(_) | Reply::Fenced | Reply::Down | Reply::Replaced => return true,
             Reply::Unsent | Reply::Silent => sleep(REPEAT_PAUSE).await,
         }
     }
@@ -330,6 +332,7 @@
             number = (number + 1).min(FENCE_STEP - 1);
             match release_once(node, service, span, number, addr).await {
                 Reply::Done(token) => return Some(token),
+                Reply::Replaced => return Some(None),
                 Reply::Down if is_dead(node, former) => return Some(None),
                 Reply::Down => {}
                 Reply::Fenced => node.metrics.count("release_fenced"),
@@ -376,11 +379,12 @@
     let (first, last, hold) = (span.first, span.last, RELEASE_HOLD);
     let raised = Span { first, last, fence, owner: former.clone(), former: None };
     let before = node.control.borrow_mut().holds.get(service, &raised).send(sent, hold);
-    let order = Grant { first, last, fence, hold, token: None };
+    let server = former.server.clone();
+    let order = Grant { server, first, last, fence, hold, token: None };
     let reply = node.platform.grant(addr, &order).await;
     {
         let mut control = node.control.borrow_mut();
-        if matches!(reply, Reply::Down | Reply::Unsent) {
+        if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced) {
             control.holds.get(service, &raised).until = before;
         }
         control.note_reply(former, &reply, sent);
@@ -509,7 +513,9 @@
     /// Notes what a server's reply to an order says of the server.
     fn note_reply(&mut self, life: &Life, reply: &Reply, sent: Tick) {
         match reply {
-            Reply::Down => self.down.entry(life.clone()).or_insert((sent, sent)).1 = sent,
+            Reply::Down | Reply::Replaced => {
+                self.down.entry(life.clone()).or_insert((sent, sent)).1 = sent
+            }
             Reply::Done(_) | Reply::Fenced => {
                 self.down.remove(life);
             }
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -147,6 +147,8 @@
 /// A grant of keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grant {
+    /// Name of the server.
+    pub server: Name,
     /// First key.
     pub first: u16,
     /// Last key.
@@ -168,6 +170,8 @@
     Fenced,
     /// No process listens at the server's address.
     Down,
+    /// Another server has the address.
+    Replaced,
     /// Nothing was sent.
     Unsent,
     /// No answer; the order may be carried out later.
