Act only on owners of the own term, and ask most nodes before a server counts as dead

Change: owners of a later term depose the controller; a server is dead if two thirds of the nodes are refused by it and none got an answer.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -104,6 +104,8 @@
     holds: Holds,
     /// Servers that refuse connections: since when, and when they last did.
     down: HashMap<Life, (Tick, Tick)>,
+    /// What other nodes found at servers' addresses.
+    pub(crate) looks: HashMap<SocketAddr, grants::Look>,
     /// When servers last answered a request of any node.
     answered: HashMap<Name, Tick>,
     /// Last known addresses of servers.
@@ -131,8 +133,7 @@
     /// Takes a sign of life of another node.
     pub fn hear(&mut self, now: Tick, from: &Name, beat: &Beat) {
         if beat.term > self.term && self.leads {
-            warn!(event = "deposed", term = self.term, other = beat.term; "another controller is in place");
-            self.step_down();
+            self.depose(beat.term);
         }
         if beat.leads && beat.term >= self.term {
             self.term = beat.term;
@@ -194,6 +195,12 @@
         self.leads && now.since(self.confirmed) < RIGHT
     }
 
+    /// Gives the place up to a controller of a later term.
+    fn depose(&mut self, term: u64) {
+        warn!(event = "deposed", term = self.term, other = term; "another controller is in place");
+        self.step_down();
+    }
+
     /// Gives the place up.
     fn step_down(&mut self) {
         self.leads = false;
@@ -333,8 +340,7 @@
         if record.term == control.term && record.incarnation == node.incarnation {
             control.confirmed = now;
         } else if control.leads {
-            warn!(event = "deposed", term = control.term, other = record.term; "another controller is in place");
-            control.step_down();
+            control.depose(record.term);
         }
     });
 }
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -13,14 +13,18 @@
     super::{Controller, FENCE_STEP, RIGHT, holds::end_of, moves},
     crate::{
         follow,
-        message::OwnersRecord,
+        message::{Body, LookAt, Looked, OwnersRecord},
         node::Node,
         platform::{Grant, Kind, Object, Platform, Reply, StoreError},
     },
     log::{info, warn},
     prost::Message,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{task::spawn_local, time::sleep},
+    std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::TcpStream,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
     whinspring::{
         name::Name,
         ranges::{
@@ -52,6 +56,12 @@
 /// Time for which a server must refuse connections to count as dead.
 const DEAD_AFTER: Duration = Duration::from_millis(400);
 
+/// Time between two questions to all nodes about a server.
+const LOOK_EVERY: Duration = Duration::from_millis(700);
+
+/// Longest time to try a server's address for another node.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Pause before an order is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -81,24 +91,32 @@
     let now = node.now();
     let known = node.beliefs.borrow().owners.get(service).cloned();
     let Some((revision, owned)) = known else { return found(node, service).await };
-    let (raised, writing) = {
+    {
         let mut control = node.control.borrow_mut();
-        let term = control.term;
-        let progress = control.moves.entry(service.clone()).or_default();
-        (progress.term == term, progress.writing)
-    };
-    if writing {
-        return;
+        if owned.term > control.term {
+            return control.depose(owned.term);
+        }
+        if control.moves.entry(service.clone()).or_default().writing {
+            return;
+        }
     }
-    if !raised {
+    let Some((revision, owned)) = own(node, service) else {
         return raise(node, service, revision, &owned).await;
-    }
+    };
     renew(node, service, &owned, now);
     hand_over(node, service, &owned);
     settle(node, service, revision, &owned, now).await;
     rebalance(node, service, now).await;
 }
 
+/// Returns the owners of a service and their revision if this controller wrote them. Those of a
+/// later controller are not this one's to act on.
+fn own<P: Platform>(node: &Rc<Node<P>>, service: &Name) -> Option<(u64, Rc<Ownership>)> {
+    let beliefs = node.beliefs.borrow();
+    let found = beliefs.owners.get(service)?;
+    (found.1.term == node.control.borrow().term).then(|| found.clone())
+}
+
 /// Divides the keys of a service that has no owners yet.
 async fn found<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
     let now = node.now();
@@ -120,7 +138,6 @@
     let owned = {
         let mut control = node.control.borrow_mut();
         let term = control.term;
-        control.moves.entry(service.clone()).or_default().term = term;
         Ownership::even(term, &owners, || control.fence())
     };
     info!(event = "divided", service = service.as_str(), servers = owners.len(); "keys are divided");
@@ -137,11 +154,7 @@
             span.fence = control.fence();
         }
     }
-    let term = next.term;
-    if write(node, service, revision, next).await {
-        let mut control = node.control.borrow_mut();
-        control.moves.entry(service.clone()).or_default().term = term;
-    }
+    write(node, service, revision, next).await;
 }
 
 /// Writes the owners of a service; returns whether that is certain to be done.
@@ -211,8 +224,7 @@
     if !node.control.borrow().may_order(node.now()) {
         return;
     }
-    let known = node.beliefs.borrow().owners.get(service).cloned();
-    let Some((revision, owned)) = known else { return };
+    let Some((revision, owned)) = own(node, service) else { return };
     let mut next = (*owned).clone();
     let Some(index) = next.spans.iter().position(|other| other == span) else { return };
     if node.control.borrow_mut().moves.entry(service.clone()).or_default().writing {
@@ -333,8 +345,8 @@
             match release_once(node, service, span, number, addr).await {
                 Reply::Done(token) => return Some(token),
                 Reply::Replaced => return Some(None),
-                Reply::Down if is_dead(node, former) => return Some(None),
-                Reply::Down => {}
+                Reply::Down if is_dead(node, former, addr) => return Some(None),
+                Reply::Down => ask_around(node, addr),
                 Reply::Fenced => node.metrics.count("release_fenced"),
                 Reply::Unsent | Reply::Silent => {}
             }
@@ -397,9 +409,8 @@
 
 /// Returns whether a span still stands as it is, and this node may still give orders.
 fn is_current<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
-    let beliefs = node.beliefs.borrow();
-    let owners = beliefs.owners.get(service);
-    let stands = owners.and_then(|(_, owned)| owned.find(span.first)).is_some_and(|found| {
+    let Some((_, owned)) = own(node, service) else { return false };
+    let stands = owned.find(span.first).is_some_and(|found| {
         found.first == span.first && found.last == span.last && found.fence == span.fence
     });
     stands && node.control.borrow().may_order(node.now())
@@ -437,8 +448,7 @@
 
 /// Moves keys if some servers are much busier than others, or must give their keys away.
 async fn rebalance<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) {
-    let known = node.beliefs.borrow().owners.get(service).cloned();
-    let Some((revision, owned)) = known else { return };
+    let Some((revision, owned)) = own(node, service) else { return };
     let servers = candidates(node, service, now);
     let next = {
         let mut control = node.control.borrow_mut();
@@ -501,12 +511,66 @@
 }
 
 /// Returns whether a server is certain to have ended: it has refused connections for some time,
-/// and has answered no request meanwhile. A server with too many connections refuses them too.
-fn is_dead<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
+/// most nodes found the same, and none got an answer meanwhile. A server refuses some nodes also
+/// when it has too many connections, or when it is cut off from them.
+fn is_dead<P: Platform>(node: &Rc<Node<P>>, life: &Life, addr: SocketAddr) -> bool {
+    let now = node.now();
     let control = node.control.borrow();
     let Some((since, _)) = control.down.get(life) else { return false };
     let answered = control.answered.get(&life.server).copied().unwrap_or_default();
-    node.now().since(*since) >= DEAD_AFTER && answered < *since
+    let looks = control.looks.get(&addr);
+    let alone = node.peers.borrow().live(now).count() + 1;
+    let agreed = looks.map_or(0, |look| look.refused.len()) + 1;
+    let reached = looks.is_some_and(|look| look.reached);
+    now.since(*since) >= DEAD_AFTER && answered < *since && !reached && agreed * 3 > alone * 2
+}
+
+/// Asks all nodes whether a server refuses them too.
+fn ask_around<P: Platform>(node: &Rc<Node<P>>, addr: SocketAddr) {
+    let now = node.now();
+    {
+        let mut control = node.control.borrow_mut();
+        let look = control.looks.entry(addr).or_default();
+        if look.asked != Tick::default() && now.since(look.asked) < LOOK_EVERY {
+            return;
+        }
+        *look = Look { asked: now, ..Look::default() };
+    }
+    let names: Vec<Name> = node.peers.borrow().nodes.keys().cloned().collect();
+    for name in names {
+        node.send(&name, Body::Look(LookAt { addr: addr.to_string() }));
+    }
+}
+
+/// Tries a server's address for another node, and tells it the result.
+pub async fn look_at<P: Platform>(node: Rc<Node<P>>, asker: Name, addr: SocketAddr) {
+    let refused = match timeout(LOOK_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) => false,
+        Err(_) => return,
+    };
+    node.send(&asker, Body::Looked(Looked { addr: addr.to_string(), refused }));
+}
+
+/// What other nodes found at a server's address.
+#[derive(Debug, Default)]
+pub struct Look {
+    /// When they were asked.
+    asked: Tick,
+    /// Nodes that were refused.
+    refused: HashSet<Name>,
+    /// Whether a node was not refused.
+    reached: bool,
+}
+
+impl Look {
+    /// Takes what a node found.
+    pub fn note(&mut self, from: &Name, refused: bool) {
+        if refused {
+            self.refused.insert(from.clone());
+        }
+        self.reached |= !refused;
+    }
 }
 
 impl Controller {
@@ -514,7 +578,9 @@
     fn note_reply(&mut self, life: &Life, reply: &Reply, sent: Tick) {
         match reply {
             Reply::Down | Reply::Replaced => {
-                self.down.entry(life.clone()).or_insert((sent, sent)).1 = sent
+                let known = self.down.entry(life.clone()).or_insert((sent, sent));
+                let lapsed = sent.since(known.1) > DOWN_FOR;
+                *known = (if lapsed { sent } else { known.0 }, sent);
             }
             Reply::Done(_) | Reply::Fenced => {
                 self.down.remove(life);
--- a/crates/whinspring-router/src/control/moves.rs
+++ b/crates/whinspring-router/src/control/moves.rs
@@ -26,6 +26,4 @@
     pub oldest: Option<Tick>,
     /// Whether a write is on its way.
     pub writing: bool,
-    /// Term for which all fences were raised.
-    pub term: u64,
 }
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it is about.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<Body>,
 }
 
@@ -47,6 +47,12 @@
     /// A request crashed a server.
     #[prost(message, tag = "8")]
     Crash(Crash),
+    /// Asks whether a server refuses connections.
+    #[prost(message, tag = "9")]
+    Look(LookAt),
+    /// Tells whether a server refuses connections.
+    #[prost(message, tag = "10")]
+    Looked(Looked),
 }
 
 /// A sign of life, with what its node knows and has measured.
@@ -227,6 +233,25 @@
     pub print: u64,
 }
 
+/// Asks whether a server refuses connections.
+#[derive(Clone, PartialEq, Message)]
+pub struct LookAt {
+    /// Address of the server.
+    #[prost(string, tag = "1")]
+    pub addr: String,
+}
+
+/// Tells whether a server refuses connections.
+#[derive(Clone, PartialEq, Message)]
+pub struct Looked {
+    /// Address of the server.
+    #[prost(string, tag = "1")]
+    pub addr: String,
+    /// Whether it does.
+    #[prost(bool, tag = "2")]
+    pub refused: bool,
+}
+
 /// The stored record of the controller.
 #[derive(Clone, PartialEq, Message)]
 pub struct ControlRecord {
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        control::grants,
         follow,
         message::{Beat, Body, Envelope},
         node::Node,
@@ -189,6 +190,17 @@
             }
         }
         Body::Snapshot(snapshot) => follow::adopt(node, snapshot),
+        Body::Look(look) => {
+            if let Ok(addr) = look.addr.parse() {
+                spawn_local(grants::look_at(node.clone(), from.clone(), addr));
+            }
+        }
+        Body::Looked(looked) => {
+            if let Ok(addr) = looked.addr.parse() {
+                let mut control = node.control.borrow_mut();
+                control.looks.entry(addr).or_default().note(from, looked.refused);
+            }
+        }
         Body::Crash(crash) => node.crashes.borrow_mut().note(node.now(), crash.print),
     }
 }
