Split whinspring-http from the daemon, so that nodes start without calibrating a clock

Change: connections, clock and headers are a crate of their own; the router no longer links the daemon.

--- a/crates/whinspring-daemon/src/caller.rs
+++ b/crates/whinspring-daemon/src/caller.rs
@@ -3,8 +3,6 @@
 //! Each request is checked, forwarded and answered, with the result code on every answer. A
 //! caller that goes away is noticed while its request waits, and cancels it.
 
-pub use self::{conn::Conn, door::Acceptor};
-
 use {
     self::{
         answer::{Body, answer, refuse, stamp},
@@ -22,6 +20,7 @@
     std::{convert::Infallible, io, net::TcpListener, sync::Arc, thread, time::Duration},
     tokio::{sync::oneshot, time::sleep},
     whinspring::{code::Code, name::Name, request::Refusal},
+    whinspring_http::caller::{Acceptor, Conn},
     xitca_http::{
         HttpServiceBuilder,
         config::HttpServiceConfig,
@@ -32,7 +31,6 @@
 };
 
 mod answer;
-mod conn;
 mod door;
 mod intake;
 pub(crate) mod request;
@@ -208,7 +206,7 @@
     let mut headers = parts.headers;
     let parent = trace::context(&headers);
     let span = Span::root("entry", parent);
-    headers.insert(crate::headers::TRACEPARENT, trace::header(&span, parent));
+    headers.insert(whinspring_http::headers::TRACEPARENT, trace::header(&span, parent));
     request::clean(&mut headers);
     let inquiry = Inquiry {
         method: parts.method,
--- a/crates/whinspring-daemon/src/caller/answer.rs
+++ b/crates/whinspring-daemon/src/caller/answer.rs
@@ -1,7 +1,6 @@
 //! Answers to callers.
 
 use {
-    super::conn::{Busy, Conn},
     crate::{
         exchange::{Answer, Part},
         headers::{CLASS, CODE, RETRY_MS},
@@ -20,6 +19,7 @@
         task::{Context, Poll, ready},
     },
     whinspring::{code::Code, request::Refusal},
+    whinspring_http::caller::{Busy, Conn},
     whinspring_wire::link::Head,
     xitca_http::body::{self, Frame, SizeHint},
 };
--- a/crates/whinspring-daemon/src/caller/door.rs
+++ b/crates/whinspring-daemon/src/caller/door.rs
@@ -1,12 +1,12 @@
 //! Where callers' connections come in, and how they are closed without a cut.
 
 use {
-    super::conn::{Conn, Socket},
     crate::metrics::Metrics,
     socket2::SockRef,
-    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::watch, time::sleep},
     tokio_util::sync::CancellationToken,
+    whinspring_http::caller::Conn,
     xitca_io::net::TcpStream,
     xitca_service::{Service, ready::ReadyService},
 };
@@ -132,24 +132,3 @@
         self.inner.ready().await
     }
 }
-
-/// Puts a [`Socket`] before what speaks HTTP.
-pub struct Acceptor;
-
-impl Service for Acceptor {
-    type Response = Acceptor;
-    type Error = Infallible;
-
-    async fn call(&self, (): ()) -> Result<Acceptor, Infallible> {
-        Ok(Acceptor)
-    }
-}
-
-impl Service<TcpStream> for Acceptor {
-    type Response = Socket;
-    type Error = Infallible;
-
-    async fn call(&self, stream: TcpStream) -> Result<Socket, Infallible> {
-        Ok(Socket::new(stream, Conn::current()))
-    }
-}
--- a/crates/whinspring-daemon/src/caller/intake.rs
+++ b/crates/whinspring-daemon/src/caller/intake.rs
@@ -1,7 +1,6 @@
 //! The body of a caller's request.
 
 use {
-    super::conn::Conn,
     crate::{exchange::Uplink, serve::Source},
     bytes::{Bytes, BytesMut},
     http::{
@@ -18,6 +17,7 @@
     },
     tokio::time::{Instant, timeout, timeout_at},
     whinspring::{code::Code, request::Refusal},
+    whinspring_http::caller::Conn,
     xitca_http::{
         RequestBody,
         body::{Body, Frame},
--- a/crates/whinspring-daemon/src/journal.rs
+++ b/crates/whinspring-daemon/src/journal.rs
@@ -4,7 +4,6 @@
 //! shard of its id, so that one look finds them.
 
 use {
-    crate::clock::Clock,
     parking_lot::Mutex,
     std::{collections::VecDeque, hash::Hasher},
     twox_hash::XxHash3_64,
@@ -15,6 +14,7 @@
         request::Target,
         time::Wall,
     },
+    whinspring_http::clock::Clock,
 };
 
 /// Parts of the journal that are locked apart.
--- a/crates/whinspring-daemon/src/lib.rs
+++ b/crates/whinspring-daemon/src/lib.rs
@@ -3,12 +3,10 @@
 pub mod admin;
 pub mod backend;
 pub mod caller;
-pub mod clock;
 pub mod control;
 pub mod daemon;
 pub mod exchange;
 mod handover;
-pub mod headers;
 pub mod held;
 pub mod journal;
 pub mod keys;
@@ -18,3 +16,5 @@
 pub mod serve;
 pub mod shared;
 mod trace;
+
+pub use whinspring_http::{clock, headers};
--- a/crates/whinspring-daemon/src/trace.rs
+++ b/crates/whinspring-daemon/src/trace.rs
@@ -1,12 +1,12 @@
 //! W3C trace context: taken over from the caller or created, and passed on.
 
 use {
-    crate::headers::TRACEPARENT,
     fastrace::{
         Span,
         collector::{SpanContext, SpanId},
     },
     http::{HeaderMap, HeaderValue},
+    whinspring_http::headers::TRACEPARENT,
 };
 
 /// Returns the trace context of a request, or a new one.
--- a/crates/whinspring-daemon/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Fault, Upstream,
+        Fault, Rest, Upstream,
         guard::{Gate, Guard},
     },
     crate::clock::Clock,
@@ -38,11 +38,11 @@
 
 /// A connection, driven by the task that uses it.
 #[derive(Debug)]
-pub struct Conn {
+pub struct Conn<R: Rest> {
     /// Sends requests.
-    sender: SendRequest<Upstream>,
+    sender: SendRequest<Upstream<R>>,
     /// Reads and writes the socket; `None` once it has ended.
-    driver: Option<Pin<Box<Connection<Guard, Upstream>>>>,
+    driver: Option<Pin<Box<Connection<Guard, Upstream<R>>>>>,
     /// Whether the present request may be written.
     gate: Arc<Gate>,
     /// Address of the server.
@@ -53,7 +53,7 @@
     reused: bool,
 }
 
-impl Conn {
+impl<R: Rest> Conn<R> {
     /// Opens a connection.
     pub async fn open(addr: SocketAddr, clock: Clock) -> Result<Self, Fault> {
         let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
@@ -106,7 +106,7 @@
     /// Fails if the connection fails, or if no byte was written before `until`.
     pub async fn send(
         &mut self,
-        request: Request<Upstream>,
+        request: Request<Upstream<R>>,
         until: Tick,
     ) -> Result<Response<Incoming>, Fault> {
         self.gate.set(until);
@@ -169,7 +169,7 @@
     }
 
     /// Brings the connection to rest after an answer; returns whether it can be used again.
-    pub(super) async fn settle(&mut self) -> bool {
+    pub async fn settle(&mut self) -> bool {
         self.used = Instant::now();
         poll_fn(|cx| {
             self.drive(cx);
@@ -190,7 +190,10 @@
 }
 
 /// Reads and writes a socket as far as possible.
-fn drive(driver: &mut Option<Pin<Box<Connection<Guard, Upstream>>>>, cx: &mut Context<'_>) {
+fn drive<R: Rest>(
+    driver: &mut Option<Pin<Box<Connection<Guard, Upstream<R>>>>>,
+    cx: &mut Context<'_>,
+) {
     let ended = driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready());
     if ended {
         *driver = None;
--- a/crates/whinspring-daemon/src/backend/upstream.rs
+++ b/crates/whinspring-http/src/backend/upstream.rs
@@ -1,7 +1,6 @@
 //! The body of a request to a backend server.
 
 use {
-    crate::exchange::Upload,
     bytes::Bytes,
     http_body::{Body, Frame, SizeHint},
     std::{
@@ -11,18 +10,45 @@
     },
 };
 
+/// The part of a body that is still to come.
+pub trait Rest: Unpin + 'static {
+    /// Polls for the next bytes; `None` after the last.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Broken>>;
+
+    /// Returns whether the last bytes have been handed out.
+    fn is_done(&self) -> bool;
+}
+
+/// The rest of a body broke off.
+#[derive(Debug, Clone, Copy)]
+pub struct Broken;
+
+/// The rest of bodies that always arrive whole.
+#[derive(Debug)]
+pub enum Nothing {}
+
+impl Rest for Nothing {
+    fn poll_next(&mut self, _: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Broken>> {
+        match *self {}
+    }
+
+    fn is_done(&self) -> bool {
+        match *self {}
+    }
+}
+
 /// The body of a request to a backend server.
 #[derive(Debug)]
-pub struct Upstream {
+pub struct Upstream<R> {
     /// Bytes that have arrived already.
     first: Option<Bytes>,
     /// Bytes that are still to come.
-    rest: Option<Upload>,
+    rest: Option<R>,
     /// Length of the whole body, if it is known.
     length: Option<u64>,
 }
 
-impl Upstream {
+impl<R: Rest> Upstream<R> {
     /// Returns an empty body.
     pub fn empty() -> Self {
         Self::whole(Bytes::new())
@@ -36,13 +62,13 @@
     }
 
     /// Returns a body whose rest is still to come.
-    pub fn partial(first: Bytes, rest: Upload, length: Option<u64>) -> Self {
+    pub fn partial(first: Bytes, rest: R, length: Option<u64>) -> Self {
         let first = (!first.is_empty()).then_some(first);
         Self { first, rest: Some(rest), length }
     }
 }
 
-impl Body for Upstream {
+impl<R: Rest> Body for Upstream<R> {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -66,7 +92,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        let rest = self.rest.as_ref().is_none_or(Upload::is_done);
+        let rest = self.rest.as_ref().is_none_or(R::is_done);
         self.first.is_none() && rest
     }
 
--- a/crates/whinspring-daemon/src/caller/conn.rs
+++ b/crates/whinspring-http/src/caller.rs
@@ -5,6 +5,7 @@
     socket2::SockRef,
     std::{
         cell::Cell,
+        convert::Infallible,
         future::poll_fn,
         io,
         mem::MaybeUninit,
@@ -17,6 +18,7 @@
         io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut},
         net,
     },
+    xitca_service::Service,
 };
 
 task_local! {
@@ -172,3 +174,24 @@
         self.stream.shutdown(direction)
     }
 }
+
+/// Puts a [`Socket`] before what speaks HTTP.
+pub struct Acceptor;
+
+impl Service for Acceptor {
+    type Response = Acceptor;
+    type Error = Infallible;
+
+    async fn call(&self, (): ()) -> Result<Acceptor, Infallible> {
+        Ok(Acceptor)
+    }
+}
+
+impl Service<net::TcpStream> for Acceptor {
+    type Response = Socket;
+    type Error = Infallible;
+
+    async fn call(&self, stream: net::TcpStream) -> Result<Socket, Infallible> {
+        Ok(Socket::new(stream, Conn::current()))
+    }
+}
--- a/crates/whinspring-router/src/answer.rs
+++ b/crates/whinspring-router/src/answer.rs
@@ -85,7 +85,7 @@
         let status = self.status.unwrap_or(self.code.status());
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = response.headers_mut();
-        headers.insert(whinspring_daemon::headers::CODE, (self.code as u16).into());
+        headers.insert(whinspring_http::headers::CODE, (self.code as u16).into());
         if let Some(retry) = self.retry {
             let text = format!("{:.3}", retry.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
@@ -98,7 +98,7 @@
 
 /// Removes from a server's answer what the connection to the caller sets itself.
 pub fn clean(headers: &mut http::HeaderMap) {
-    whinspring_daemon::headers::strip_hop(headers);
+    whinspring_http::headers::strip_hop(headers);
     headers.remove(CONTENT_LENGTH);
 }
 
--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -23,7 +23,10 @@
         routes::RouteTable,
         time::Tick,
     },
-    whinspring_daemon::{backend::Backend, clock::Clock},
+    whinspring_http::{
+        backend::{Backend, Nothing},
+        clock::Clock,
+    },
 };
 
 /// Time for which a server without an entry is still used: entries that lapsed while the store
@@ -41,7 +44,7 @@
     /// How it describes itself.
     pub entry: ServerEntry,
     /// Connections to it.
-    pub backend: Rc<Backend>,
+    pub backend: Rc<Backend<Nothing>>,
     /// Since when it is known.
     pub since: Tick,
     /// Since when it has no entry.
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -56,6 +56,9 @@
 /// Time for which a server must refuse connections to count as dead.
 const DEAD_AFTER: Duration = Duration::from_millis(400);
 
+/// The same for a server that was about to leave: it refuses connections before its last work ends.
+const LEFT_AFTER: Duration = Duration::from_millis(2_000);
+
 /// Time between two questions to all nodes about a server.
 const LOOK_EVERY: Duration = Duration::from_millis(700);
 
@@ -515,6 +518,13 @@
 /// when it has too many connections, or when it is cut off from them.
 fn is_dead<P: Platform>(node: &Rc<Node<P>>, life: &Life, addr: SocketAddr) -> bool {
     let now = node.now();
+    let stays = node
+        .beliefs
+        .borrow()
+        .servers
+        .get(&life.server)
+        .is_some_and(|server| server.leaving.is_none() && server.missing.is_none());
+    let after = if stays { DEAD_AFTER } else { LEFT_AFTER };
     let control = node.control.borrow();
     let Some((since, _)) = control.down.get(life) else { return false };
     let answered = control.answered.get(&life.server).copied().unwrap_or_default();
@@ -522,7 +532,7 @@
     let alone = node.peers.borrow().live(now).count() + 1;
     let agreed = looks.map_or(0, |look| look.refused.len()) + 1;
     let reached = looks.is_some_and(|look| look.reached);
-    now.since(*since) >= DEAD_AFTER && answered < *since && !reached && agreed * 3 > alone * 2
+    now.since(*since) >= after && answered < *since && !reached && agreed * 3 > alone * 2
 }
 
 /// Asks all nodes whether a server refuses them too.
--- a/crates/whinspring-router/src/control/holds.rs
+++ b/crates/whinspring-router/src/control/holds.rs
@@ -1,8 +1,12 @@
 //! Which grants were sent, and until when a server may still hold keys.
 
 use {
-    std::time::Duration,
-    whinspring::{name::Name, ranges::Life, time::Tick},
+    std::{collections::HashMap, time::Duration},
+    whinspring::{
+        name::Name,
+        ranges::{Life, Span},
+        time::Tick,
+    },
 };
 
 /// Time by which a server's clock may stretch a grant, as a divisor of it.
@@ -12,19 +16,11 @@
 const WAY: Duration = Duration::from_millis(300);
 
 /// Time after which a grant that is renewed no more is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(40);
+const FORGET_AFTER: Duration = Duration::from_secs(20);
 
 /// A grant of a span of keys to one life of a server.
 #[derive(Debug)]
 pub struct Hold {
-    /// Service of the keys.
-    pub service: Name,
-    /// First key.
-    pub first: u16,
-    /// Last key.
-    pub last: u16,
-    /// Fence number.
-    pub fence: u64,
     /// The server.
     pub owner: Life,
     /// When it was last sent, answered or not.
@@ -47,63 +43,41 @@
     }
 }
 
+/// First key, last key and fence number of a grant.
+type Place = (u16, u16, u64);
+
 /// All grants of a controller.
 #[derive(Debug, Default)]
 pub struct Holds {
-    /// Grants in no order.
-    holds: Vec<Hold>,
+    /// Grants by service and place.
+    services: HashMap<Name, HashMap<Place, Hold>>,
 }
 
 impl Holds {
     /// Returns the grant of a span, new if there is none.
-    pub fn get(&mut self, service: &Name, span: &whinspring::ranges::Span) -> &mut Hold {
-        let same = |hold: &Hold| {
-            hold.first == span.first
-                && hold.last == span.last
-                && hold.fence == span.fence
-                && hold.service == *service
-        };
-        let index = match self.holds.iter().position(same) {
-            Some(index) => index,
-            None => {
-                self.holds.push(Hold {
-                    service: service.clone(),
-                    first: span.first,
-                    last: span.last,
-                    fence: span.fence,
-                    owner: span.owner.clone(),
-                    sent: None,
-                    until: Tick::default(),
-                    acked: None,
-                    busy: false,
-                });
-                self.holds.len() - 1
-            }
-        };
-        &mut self.holds[index]
+    pub fn get(&mut self, service: &Name, span: &Span) -> &mut Hold {
+        let holds = self.services.entry(service.clone()).or_default();
+        holds.entry((span.first, span.last, span.fence)).or_insert_with(|| Hold {
+            owner: span.owner.clone(),
+            sent: None,
+            until: Tick::default(),
+            acked: None,
+            busy: false,
+        })
     }
 
     /// Returns until when a server may hold any of the keys.
     pub fn until(&self, service: &Name, owner: &Life, first: u16, last: u16) -> Tick {
-        let overlaps = |hold: &&Hold| {
-            hold.service == *service
-                && hold.owner == *owner
-                && hold.first <= last
-                && hold.last >= first
-        };
-        self.holds.iter().filter(overlaps).map(|hold| hold.until).max().unwrap_or_default()
+        let holds = self.of(service, owner);
+        let over = holds.filter(|((from, to, _), _)| *from <= last && *to >= first);
+        over.map(|(_, hold)| hold.until).max().unwrap_or_default()
     }
 
     /// Returns whether a server took grants of all of the keys.
     pub fn covers(&self, service: &Name, owner: &Life, first: u16, last: u16) -> bool {
-        let taken =
-            |hold: &&Hold| hold.service == *service && hold.owner == *owner && hold.acked.is_some();
-        let mut taken: Vec<(u32, u32)> = self
-            .holds
-            .iter()
-            .filter(taken)
-            .map(|hold| (hold.first.into(), hold.last.into()))
-            .collect();
+        let taken = self.of(service, owner).filter(|(_, hold)| hold.acked.is_some());
+        let mut taken: Vec<(u32, u32)> =
+            taken.map(|((from, to, _), _)| (u32::from(*from), u32::from(*to))).collect();
         taken.sort_unstable();
         let mut next = u32::from(first);
         for (from, to) in taken {
@@ -116,8 +90,20 @@
 
     /// Forgets grants that have long run out.
     pub fn forget(&mut self, now: Tick) {
-        self.holds
-            .retain(|hold| hold.busy || hold.sent.is_none_or(|at| now.since(at) < FORGET_AFTER));
+        let lasts = |hold: &Hold| hold.sent.is_none_or(|at| now.since(at) < FORGET_AFTER);
+        for holds in self.services.values_mut() {
+            holds.retain(|_, hold| hold.busy || lasts(hold));
+        }
+    }
+
+    /// Returns the grants of a server.
+    fn of<'a>(
+        &'a self,
+        service: &Name,
+        owner: &'a Life,
+    ) -> impl Iterator<Item = (&'a Place, &'a Hold)> {
+        let holds = self.services.get(service).into_iter().flatten();
+        holds.filter(move |(_, hold)| hold.owner == *owner)
     }
 }
 
--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -35,8 +35,8 @@
         routes::{Route, RouteTable},
         time::Tick,
     },
-    whinspring_daemon::{
-        backend::{Backend, Conn, Fault, Upstream},
+    whinspring_http::{
+        backend::{Backend, Conn, Fault, Nothing, Upstream},
         headers::strip_hop,
     },
 };
@@ -324,7 +324,7 @@
     }
 
     /// Builds the request for a server.
-    fn request(&self, server: &Name) -> Request<Upstream> {
+    fn request(&self, server: &Name) -> Request<Upstream<Nothing>> {
         let mut request = Request::new(Upstream::whole(self.body.clone()));
         *request.method_mut() = self.method.clone();
         if let Ok(uri) = self.path.parse() {
@@ -404,11 +404,11 @@
     /// The node.
     node: Rc<Node<P>>,
     /// Connections to the server.
-    backend: Rc<Backend>,
+    backend: Rc<Backend<Nothing>>,
     /// How the request ends once its answer has been read.
     ending: Ending,
     /// The connection that carries it.
-    conn: Option<Conn>,
+    conn: Option<Conn<Nothing>>,
     /// What is still to come.
     body: Option<Incoming>,
     /// Bytes that have been read already.
@@ -503,7 +503,7 @@
 }
 
 /// Looks whether a server died with a request, and tells the other nodes if so.
-async fn look<P: Platform>(node: Rc<Node<P>>, backend: Rc<Backend>, print: u64) {
+async fn look<P: Platform>(node: Rc<Node<P>>, backend: Rc<Backend<Nothing>>, print: u64) {
     sleep(LOOK_PAUSE).await;
     if !matches!(backend.open().await, Err(Fault::Refused)) {
         return;
--- a/crates/whinspring-router/src/front.rs
+++ b/crates/whinspring-router/src/front.rs
@@ -20,7 +20,7 @@
     },
     tokio_util::sync::CancellationToken,
     whinspring::{code::Code, name::Name},
-    whinspring_daemon::caller::{Acceptor, Conn},
+    whinspring_http::caller::{Acceptor, Conn},
     xitca_http::{
         HttpServiceBuilder, RequestBody,
         body::{Body as _, Frame},
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -22,7 +22,7 @@
     },
     tokio::sync::Notify,
     whinspring::{name::Name, time::Tick},
-    whinspring_daemon::clock::Clock,
+    whinspring_http::clock::Clock,
 };
 
 /// One node of the router.
