--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -18,6 +18,9 @@
 /// Longest time that a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
 
+/// Time in which changes gather before they are asked for again.
+const GATHER: Duration = Duration::from_millis(250);
+
 /// Time between two tries after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -63,6 +66,7 @@
                     let dialect = &node.platform;
                     node.beliefs.borrow_mut().change(kind, changes, dialect, node.clock);
                     node.wake();
+                    sleep(GATHER).await;
                 }
             }
             Err(StoreError::Compacted) => {
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -28,7 +28,7 @@
 const PACE_MEMORY: Duration = Duration::from_secs(4);
 
 /// Part that a request to another failure domain counts as longer, as a divisor.
-const FAR_DIVISOR: u64 = 4;
+const FAR_DIVISOR: u64 = 1;
 
 /// Failures in a row after which a server is given rest.
 const FREE_FAILURES: u32 = 1;
@@ -39,8 +39,8 @@
 /// Doublings of the rest at most.
 const MAX_STEPS: u32 = 5;
 
-/// Part of the time to its target that a request may wait in the queue, in hundredths.
-const WAIT_SHARE: u32 = 100;
+/// Part of the time to its deadline that a request may wait in the queue, in hundredths.
+const WAIT_SHARE: u32 = 60;
 
 /// Number of a request at a gate: the node it came from and its number there.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -231,10 +231,8 @@
         let mut kept = Vec::with_capacity(self.queue.len());
         for ask in self.queue.drain(..) {
             let wait = each * (ahead + 1);
-            let late = rank(&ask, now, pace).0;
-            let limit = if late { ask.deadline } else { ask.target };
-            let limit = limit.since(now).saturating_sub(pace) * WAIT_SHARE / 100;
-            if slots == 0 || wait > limit || (late && wait > limit / 2) {
+            let limit = ask.deadline.since(now).saturating_sub(pace) * WAIT_SHARE / 100;
+            if slots == 0 || wait > limit {
                 let retry = (each * (ahead + 1)).clamp(MIN_RETRY, MAX_RETRY);
                 verdicts.push(Verdict::Refuse(ask.ticket, retry));
             } else {
