Join neighbouring spans of one owner, and say how even the load is

Change: above three spans a server neighbours of one owner are joined under a new fence; renewals every 1.4 s; a line every two seconds with the lowest, middle and highest load.

--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -39,7 +39,7 @@
 const HOLD: Duration = Duration::from_millis(4_000);
 
 /// Time between two grants of the same keys.
-const RENEW: Duration = Duration::from_millis(1_200);
+const RENEW: Duration = Duration::from_millis(1_400);
 
 /// Time between two looks at the balance.
 const PLAN_EVERY: Duration = Duration::from_millis(400);
@@ -47,6 +47,12 @@
 /// Time without a new server after which the keys of a new service are divided.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
+/// Spans for each server above which neighbours of one owner are joined.
+const JOIN_ABOVE: usize = 3;
+
+/// Time between two log lines on the balance.
+const TELL_EVERY: Duration = Duration::from_secs(2);
+
 /// Time for which finished hand-overs are collected before they are written.
 const COLLECT: Duration = Duration::from_millis(60);
 
@@ -455,6 +461,7 @@
     let servers = candidates(node, service, now);
     let next = {
         let mut control = node.control.borrow_mut();
+        let control = &mut *control;
         let progress = control.moves.entry(service.clone()).or_default();
         if progress.writing || now.since(progress.planned) < PLAN_EVERY {
             return;
@@ -463,11 +470,18 @@
         let loads = control.loads.get(service).cloned().unwrap_or_default();
         let capacity: f64 = servers.iter().map(|server| server.capacity).sum();
         let base = capacity * BASE_PART / (f64::from(MAX_KEY) + 1.0);
+        if now.since(progress.told) >= TELL_EVERY {
+            progress.told = now;
+            let levels = balance::levels(&owned, &servers, &loads, base);
+            let (low, high) = (levels.first().copied(), levels.last().copied());
+            info!(event = "balance", service = service.as_str(), servers = levels.len(), spans = owned.spans.len(), low:? = low, median:? = levels.get(levels.len() / 2), high:? = high, revision; "load of servers for their capacity");
+        }
         let moves = balance::plan(&owned, &servers, &loads, base);
-        if moves.is_empty() {
+        let mut next = (*owned).clone();
+        let joined = next.spans.len() > JOIN_ABOVE * servers.len() && next.join(|| control.fence());
+        if moves.is_empty() && !joined {
             return;
         }
-        let mut next = (*owned).clone();
         for step in moves {
             for index in next.carve(step.first, step.last) {
                 let fence = control.fence();
--- a/crates/whinspring-router/src/control/moves.rs
+++ b/crates/whinspring-router/src/control/moves.rs
@@ -18,6 +18,8 @@
 pub struct Progress {
     /// When the balance was last looked at.
     pub planned: Tick,
+    /// When a line on the balance was last logged.
+    pub told: Tick,
     /// Hand-overs under way.
     pub busy: HashSet<Key>,
     /// Hand-overs that have ended and are not yet written.
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -42,6 +42,11 @@
         u32::from(self.last - self.first) + 1
     }
 
+    /// Returns whether the next span has the same owner and neither changes hands.
+    fn joins(&self, next: &Self) -> bool {
+        self.owner == next.owner && self.former.is_none() && next.former.is_none()
+    }
+
     /// Returns whether the span has no key, which never holds.
     pub fn is_empty(&self) -> bool {
         false
@@ -88,18 +93,34 @@
         start..end
     }
 
-    /// Joins neighbours of one owner whose fences agree.
-    pub fn join(&mut self) {
-        self.spans.dedup_by(|next, span| {
-            let same = next.owner == span.owner
-                && next.fence == span.fence
-                && next.former.is_none()
-                && span.former.is_none();
-            if same {
-                span.last = next.last;
+    /// Joins neighbours of one owner under a new fence each; returns whether there were any.
+    pub fn join(&mut self, mut fence: impl FnMut() -> u64) -> bool {
+        let before = self.spans.len();
+        let mut joined: Vec<Span> = Vec::with_capacity(before);
+        let mut grown = false;
+        for span in self.spans.drain(..) {
+            match joined.last_mut() {
+                Some(last) if last.joins(&span) => {
+                    last.last = span.last;
+                    grown = true;
+                }
+                _ => {
+                    if let Some(last) = joined.last_mut()
+                        && std::mem::take(&mut grown)
+                    {
+                        last.fence = fence();
+                    }
+                    joined.push(span);
+                }
             }
-            same
-        });
+        }
+        if let Some(last) = joined.last_mut()
+            && grown
+        {
+            last.fence = fence();
+        }
+        self.spans = joined;
+        self.spans.len() != before
     }
 
     /// Makes a span begin at `key`.
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -16,12 +16,15 @@
 /// Difference of utilization below which nothing moves.
 const TOLERANCE: f64 = 0.12;
 
-/// Spans of a service above which only the largest differences are worth a further split.
-const MAX_SPANS: usize = 400;
+/// Spans for each server above which only the largest differences are worth a further split.
+const MAX_SPANS: usize = 6;
 
 /// Difference that is worth a move above [`MAX_SPANS`].
 const WIDE_TOLERANCE: f64 = 0.4;
 
+/// Capacity that is assumed of the slowest server.
+const LEAST_CAPACITY: f64 = 0.01;
+
 /// A server that can own keys.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -72,6 +75,19 @@
     moves
 }
 
+/// Returns the load for its capacity of each server that stays, in ascending order.
+pub fn levels(owned: &Ownership, servers: &[Candidate], loads: &KeyLoads, base: f64) -> Vec<f64> {
+    let stay = servers.iter().filter(|server| !server.leaving);
+    let level = |server: &Candidate| {
+        let own = owned.spans.iter().filter(|span| span.owner == server.life);
+        let load: f64 = own.map(|span| load_of(loads, base, span.first, span.last)).sum();
+        load / server.capacity.max(LEAST_CAPACITY)
+    };
+    let mut levels: Vec<f64> = stay.map(level).collect();
+    levels.sort_by(f64::total_cmp);
+    levels
+}
+
 /// Gives away the keys of servers that leave or are gone.
 fn evacuate(
     draft: &mut Ownership,
@@ -118,7 +134,7 @@
 
 /// Returns the load of a server for its capacity.
 fn level(server: &Candidate, used: &HashMap<Life, f64>) -> f64 {
-    used.get(&server.life).copied().unwrap_or_default() / server.capacity.max(0.01)
+    used.get(&server.life).copied().unwrap_or_default() / server.capacity.max(LEAST_CAPACITY)
 }
 
 /// Returns the move that relieves the busiest server, if one is worth it.
@@ -132,7 +148,8 @@
     let low = idlest(stay, used)?;
     let mut by_level: Vec<&&Candidate> = stay.iter().collect();
     by_level.sort_by(|a, b| level(b, used).total_cmp(&level(a, used)));
-    let tolerance = if draft.spans.len() > MAX_SPANS { WIDE_TOLERANCE } else { TOLERANCE };
+    let tolerance =
+        if draft.spans.len() > MAX_SPANS * stay.len() { WIDE_TOLERANCE } else { TOLERANCE };
     for high in by_level {
         let gap = level(high, used) - level(low, used);
         if gap < tolerance {
