Leave inherited hand-overs alone until the earlier controller's orders have ended; test owners by seeds

Cause, found by the new seeded test: a controller that took over in the middle of a hand-over granted the keys once more to the former owner while the new owner held them already (seed 3), and an order of the earlier controller that was still on its way was taken under a lower fence number (seeds 11, 26). Ruled out: shutting out the new owner first; the former then takes the late order instead. Change: only a controller confirmed within 2.5 s hands keys over; its successor starts with inherited hand-overs one second after the earlier one is known to be quiet, or after those 2.5 s, and lets the former owner hold them for 300 ms only.

--- a/crates/whinspring-http/src/clock.rs
+++ b/crates/whinspring-http/src/clock.rs
@@ -6,25 +6,43 @@
 use {
     rustix::time::{ClockId, clock_gettime},
     std::time::{Duration, SystemTime, UNIX_EPOCH},
+    tokio::time::Instant,
     whinspring::time::{Tick, Wall},
 };
 
 /// Reads boot time and calendar time.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    /// Boot time at the start of the process.
-    start: Duration,
+    /// What is read.
+    source: Source,
+}
+
+/// What a clock reads.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    /// Boot time, with that at the start of the process.
+    Boot(Duration),
+    /// Time of the runtime, which tests move by hand.
+    Runtime(Instant),
 }
 
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Self {
-        Self { start: boot_time() }
+        Self { source: Source::Boot(boot_time()) }
+    }
+
+    /// Starts a clock that follows the time of the runtime, for tests.
+    pub fn of_runtime() -> Self {
+        Self { source: Source::Runtime(Instant::now()) }
     }
 
     /// Returns the time since the start.
     pub fn now(&self) -> Tick {
-        let span = boot_time().saturating_sub(self.start);
+        let span = match self.source {
+            Source::Boot(start) => boot_time().saturating_sub(start),
+            Source::Runtime(start) => start.elapsed(),
+        };
         Tick(span.as_micros() as u64)
     }
 
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -52,6 +52,12 @@
 /// of the store of nine seconds.
 pub const RIGHT: Duration = Duration::from_secs(12);
 
+/// Time without a confirmation after which a controller hands no keys over.
+const MOVE_RIGHT: Duration = Duration::from_millis(2_500);
+
+/// Time that an order may take on its way.
+const ORDER_WAY: Duration = Duration::from_millis(1_000);
+
 /// Time without a confirmation after which other nodes may try to take the place.
 const DOUBTED_AFTER: Duration = Duration::from_millis(3_500);
 
@@ -88,6 +94,10 @@
     leads: bool,
     /// Since when it is.
     since: Tick,
+    /// Name and incarnation of the controller before this one.
+    previous: Option<(Name, u64)>,
+    /// Since when the controller before this one is known to give no orders.
+    quiet: Option<Tick>,
     /// When the store last confirmed it.
     confirmed: Tick,
     /// Whether a confirmation is on its way.
@@ -144,6 +154,11 @@
         if self.leads {
             self.measure(now, beat);
         }
+        let previous = self.previous.as_ref().filter(|(name, _)| name == from);
+        let over = |run: u64| run != beat.incarnation || (!beat.leads && beat.term >= self.term);
+        if self.quiet.is_none() && previous.is_some_and(|(_, run)| over(*run)) {
+            self.quiet = Some(now);
+        }
         let chief = self.chief.as_ref();
         if chief
             .is_some_and(|(name, run)| name == from && (*run != beat.incarnation || beat.leaving))
@@ -195,6 +210,23 @@
         self.leads && now.since(self.confirmed) < RIGHT
     }
 
+    /// Returns whether this node may hand keys over now.
+    fn may_move(&self, now: Tick) -> bool {
+        self.leads && now.since(self.confirmed) < MOVE_RIGHT
+    }
+
+    /// Returns whether no order of the controller before this one about a hand-over can still
+    /// arrive.
+    fn is_alone(&self, now: Tick) -> bool {
+        let quiet = self.quiet.unwrap_or(self.since + MOVE_RIGHT);
+        now > quiet + ORDER_WAY
+    }
+
+    /// Returns when the controller before this one gave its last order at the latest.
+    fn last_order(&self) -> Tick {
+        self.quiet.unwrap_or(self.since + RIGHT)
+    }
+
     /// Gives the place up to a controller of a later term.
     fn depose(&mut self, term: u64) {
         warn!(event = "deposed", term = self.term, other = term; "another controller is in place");
@@ -288,6 +320,8 @@
     control.term = record.term;
     control.leads = true;
     control.since = node.now();
+    control.quiet = (known.incarnation == 0).then_some(control.since);
+    control.previous = Some((Name::from(known.node), known.incarnation));
     control.confirmed = asked;
     control.fences = 0;
     info!(event = "controller", term = record.term, revision; "this node grants keys now");
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -10,7 +10,7 @@
 //! at its address any more.
 
 use {
-    super::{Controller, FENCE_STEP, RIGHT, holds::end_of, moves},
+    super::{Controller, FENCE_STEP, holds::end_of, moves},
     crate::{
         follow,
         message::{Body, LookAt, Looked, OwnersRecord},
@@ -59,6 +59,9 @@
 /// Length of the grant that shuts older ones out before a release.
 const RELEASE_HOLD: Duration = Duration::from_secs(1);
 
+/// The same where the next owner may hold the keys already.
+const INHERITED_HOLD: Duration = Duration::from_millis(300);
+
 /// Time for which a server must refuse connections to count as dead.
 const DEAD_AFTER: Duration = Duration::from_millis(400);
 
@@ -162,6 +165,8 @@
         for span in &mut next.spans {
             span.fence = control.fence();
         }
+        let progress = control.moves.entry(service.clone()).or_default();
+        progress.inherited = next.spans.iter().filter(|s| s.former.is_some()).map(key).collect();
     }
     write(node, service, revision, next).await;
 }
@@ -282,7 +287,11 @@
 
 /// Starts the hand-overs that are not under way.
 fn hand_over<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
+    let now = node.now();
     for span in owned.spans.iter().filter(|span| span.former.is_some()) {
+        if is_inherited(node, service, span) && !node.control.borrow().is_alone(now) {
+            continue;
+        }
         let mut control = node.control.borrow_mut();
         let progress = control.moves.entry(service.clone()).or_default();
         if progress.settled.contains(&key(span)) || !progress.busy.insert(key(span)) {
@@ -326,6 +335,10 @@
             return false;
         }
         let Some(addr) = address(node, &span.owner) else { return true };
+        if !node.control.borrow().may_move(node.now()) {
+            sleep(REPEAT_PAUSE).await;
+            continue;
+        }
         match grant(node, service, span, addr, token.clone()).await {
             Reply::Done(_) | Reply::Fenced | Reply::Down | Reply::Replaced => return true,
             Reply::Unsent | Reply::Silent => sleep(REPEAT_PAUSE).await,
@@ -351,7 +364,7 @@
         let now = node.now();
         if let Some(addr) = address(node, former) {
             number = (number + 1).min(FENCE_STEP - 1);
-            match release_once(node, service, span, number, addr).await {
+            match release_once(node, service, span, number, former, addr).await {
                 Reply::Done(token) => return Some(token),
                 Reply::Replaced => return Some(None),
                 Reply::Down if is_dead(node, former, addr) => return Some(None),
@@ -378,7 +391,7 @@
         return own;
     }
     let most = Duration::from_millis(node.settings.limits.hold_ms.into());
-    own.max(end_of(control.since + RIGHT, most))
+    own.max(end_of(control.last_order(), most))
 }
 
 /// Tells a former owner once to release a span, under a fence that older grants do not reach.
@@ -389,31 +402,56 @@
     service: &Name,
     span: &Span,
     number: u64,
+    former: &Life,
+    addr: SocketAddr,
+) -> Reply {
+    match raise_once(node, service, span, number, former, addr).await {
+        Reply::Done(_) => {
+            let server = former.server.clone();
+            let (first, last) = (span.first, span.last);
+            let fence = span.fence - FENCE_STEP + number;
+            let order = Grant { server, first, last, fence, hold: Duration::ZERO, token: None };
+            node.platform.release(addr, &order).await
+        }
+        other => other,
+    }
+}
+
+/// Grants a span to a server for a short time, so that it refuses all older grants.
+async fn raise_once<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    span: &Span,
+    number: u64,
+    life: &Life,
     addr: SocketAddr,
 ) -> Reply {
-    let Some(former) = &span.former else { return Reply::Silent };
     let sent = node.now();
-    if !node.control.borrow().may_order(sent) {
-        return Reply::Silent;
+    if !node.control.borrow().may_move(sent) {
+        return Reply::Unsent;
     }
     let fence = span.fence - FENCE_STEP + number;
-    let (first, last, hold) = (span.first, span.last, RELEASE_HOLD);
-    let raised = Span { first, last, fence, owner: former.clone(), former: None };
+    let hold = if is_inherited(node, service, span) { INHERITED_HOLD } else { RELEASE_HOLD };
+    let (first, last) = (span.first, span.last);
+    let raised = Span { first, last, fence, owner: life.clone(), former: None };
     let before = node.control.borrow_mut().holds.get(service, &raised).send(sent, hold);
-    let server = former.server.clone();
+    let server = life.server.clone();
     let order = Grant { server, first, last, fence, hold, token: None };
     let reply = node.platform.grant(addr, &order).await;
-    {
-        let mut control = node.control.borrow_mut();
-        if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced) {
-            control.holds.get(service, &raised).until = before;
-        }
-        control.note_reply(former, &reply, sent);
-    }
-    match reply {
-        Reply::Done(_) => node.platform.release(addr, &order).await,
-        other => other,
+    let mut control = node.control.borrow_mut();
+    if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced) {
+        control.holds.get(service, &raised).until = before;
     }
+    control.note_reply(life, &reply, sent);
+    reply
+}
+
+/// Returns whether an earlier controller began a hand-over, so that the new owner may hold its keys
+/// already.
+fn is_inherited<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
+    let control = node.control.borrow();
+    let progress = control.moves.get(service);
+    progress.is_some_and(|progress| progress.inherited.contains(&key(span)))
 }
 
 /// Returns whether a span still stands as it is, and this node may still give orders.
--- a/crates/whinspring-router/src/control/moves.rs
+++ b/crates/whinspring-router/src/control/moves.rs
@@ -20,6 +20,8 @@
     pub planned: Tick,
     /// When a line on the balance was last logged.
     pub told: Tick,
+    /// Hand-overs that an earlier controller began and may have ended.
+    pub inherited: HashSet<Key>,
     /// Hand-overs under way.
     pub busy: HashSet<Key>,
     /// Hand-overs that have ended and are not yet written.
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -24,6 +24,7 @@
         time::{sleep, timeout},
     },
     whinspring::name::Name,
+    whinspring_http::clock::Clock,
 };
 
 /// Connections that wait to be accepted at most.
@@ -84,7 +85,7 @@
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
-    let node = Node::new(platform, settings);
+    let node = Node::new(platform, settings, Clock::start());
     let settings = &node.settings;
     let links = listen(settings.peer)?;
     let ready = listen(settings.ready)?;
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -65,10 +65,10 @@
 
 impl<P: Platform> Node<P> {
     /// Creates the state of a node.
-    pub fn new(platform: P, settings: Settings) -> Rc<Self> {
+    pub fn new(platform: P, settings: Settings, clock: Clock) -> Rc<Self> {
         Rc::new(Self {
             platform,
-            clock: Clock::start(),
+            clock,
             settings,
             incarnation: fastrand::u64(1..),
             beliefs: RefCell::default(),
--- /dev/null
+++ b/crates/whinspring-router/tests/owners/seeds.rs
@@ -0,0 +1,76 @@
+//! Faults that a seed picks, in series and overlapping.
+
+use {
+    crate::fake::{Odds, World, pass, start, tell},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{cell::RefCell, rc::Rc},
+    tokio::task::{LocalSet, spawn_local},
+};
+
+/// Seeds that are always run.
+const SEEDS: u64 = 60;
+
+/// Servers of a run.
+const SERVERS: usize = 8;
+
+/// Servers that a run may lose.
+const MOST_LOST: usize = 5;
+
+/// Runs the faults of a seed; returns what broke.
+fn run(seed: u64) -> Vec<String> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    fastrand::seed(seed);
+    LocalSet::new().block_on(&runtime, async {
+        let world = World::new(seed, SERVERS);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = vec![start(&world, "n1"), start(&world, "n2"), start(&world, "n3")];
+        let deaf = Rc::new(RefCell::new(false));
+        spawn_local(tell(nodes.clone(), deaf.clone()));
+        pass(5_000).await;
+        let mut lost = 0;
+        for _ in 0..25 {
+            pass(rng.random_range(50..2_500)).await;
+            let index = rng.random_range(0..SERVERS);
+            let node = &nodes[rng.random_range(0..nodes.len())];
+            let mut world = world.borrow_mut();
+            match rng.random_range(0..11) {
+                0 => world.store_down = true,
+                1 | 2 => world.store_down = false,
+                3 => world.cut.push(node.name().clone()),
+                4 | 5 => world.cut.clear(),
+                6 => *deaf.borrow_mut() = true,
+                7 => *deaf.borrow_mut() = false,
+                8 => {
+                    let (late, slow) = (rng.random_range(0..60), rng.random_range(0..40));
+                    world.odds = Odds { late, slow, lost: 20 };
+                }
+                9 => world.odds = Odds::default(),
+                _ if lost >= MOST_LOST => {}
+                _ => {
+                    lost += 1;
+                    match rng.random_range(0..3) {
+                        0 => world.leave(index),
+                        1 => world.list(index, false),
+                        _ => {
+                            world.darken(index, true);
+                            world.list(index, false);
+                        }
+                    }
+                }
+            }
+        }
+        pass(20_000).await;
+        let faults = world.borrow().faults.clone();
+        faults
+    })
+}
+
+#[test]
+fn each_key_has_one_owner() {
+    for seed in 0..SEEDS {
+        let faults = run(seed);
+        assert!(faults.is_empty(), "seed {seed}: {:?}", &faults[..faults.len().min(3)]);
+    }
+}
--- /dev/null
+++ b/crates/whinspring-router/tests/owners/sessions.rs
@@ -0,0 +1,151 @@
+//! Single faults, one after the other.
+
+use {
+    crate::fake::{Odds, World, pass, start, tell},
+    std::{cell::RefCell, rc::Rc},
+    tokio::task::{LocalSet, spawn_local},
+};
+
+/// Runs a session on the runtime's own time.
+fn session<F: Future<Output = ()> + 'static>(work: F) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    fastrand::seed(7);
+    LocalSet::new().block_on(&runtime, work);
+}
+
+/// Checks that nothing broke.
+fn check(world: &Rc<RefCell<World>>) {
+    assert_eq!(world.borrow().faults, Vec::<String>::new());
+}
+
+#[test]
+fn keys_are_divided_once_servers_have_appeared() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        for index in 0..4 {
+            assert_eq!(world.borrow().share(index), 0.25, "server {index}");
+        }
+        check(&world);
+    });
+}
+
+#[test]
+fn grants_outlast_an_outage_of_the_store() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().store_down = true;
+        for _ in 0..9 {
+            pass(1_000).await;
+            assert_eq!(world.borrow().share(0), 0.25);
+        }
+        world.borrow_mut().store_down = false;
+        pass(3_000).await;
+        assert_eq!(world.borrow().share(0), 0.25);
+        check(&world);
+    });
+}
+
+#[test]
+fn a_controller_without_the_store_ends_its_grants() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().store_down = true;
+        pass(24_000).await;
+        assert_eq!(world.borrow().share(0), 0.0);
+    });
+}
+
+#[test]
+fn a_leaving_server_hands_its_keys_over() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().leave(1);
+        pass(1_300).await;
+        assert_eq!(world.borrow().share(1), 0.0);
+        let held: f64 = (0..4).map(|index| world.borrow().share(index)).sum();
+        assert_eq!(held, 1.0);
+        check(&world);
+    });
+}
+
+#[test]
+fn keys_of_a_dark_server_are_held_again_once_its_grant_has_run_out() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().darken(2, true);
+        world.borrow_mut().list(2, false);
+        pass(8_000).await;
+        let held: f64 = [0, 1, 3].iter().map(|index| world.borrow().share(*index)).sum();
+        assert_eq!(held, 1.0);
+        check(&world);
+    });
+}
+
+/// A controller that the store turns away goes on beside its successor until it hears of it.
+#[test]
+fn two_controllers_never_grant_a_key_twice() {
+    session(async {
+        let world = World::new(1, 6);
+        let nodes = vec![start(&world, "n1"), start(&world, "n2")];
+        let deaf = Rc::new(RefCell::new(false));
+        spawn_local(tell(nodes.clone(), deaf.clone()));
+        pass(5_000).await;
+        let first = nodes.iter().position(|node| node.control.borrow().leads()).unwrap();
+        let name = nodes[first].name().clone();
+        *deaf.borrow_mut() = true;
+        world.borrow_mut().cut.push(name);
+        pass(3_000).await;
+        assert!(nodes[1 - first].control.borrow().leads());
+        world.borrow_mut().leave(0);
+        world.borrow_mut().leave(1);
+        pass(3_000).await;
+        world.borrow_mut().cut.clear();
+        *deaf.borrow_mut() = false;
+        pass(15_000).await;
+        check(&world);
+    });
+}
+
+#[test]
+fn orders_that_are_carried_out_late_break_nothing() {
+    session(async {
+        let world = World::new(3, 6);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().odds = Odds { late: 50, ..Odds::default() };
+        world.borrow_mut().leave(0);
+        pass(2_000).await;
+        world.borrow_mut().leave(1);
+        pass(20_000).await;
+        check(&world);
+    });
+}
+
+#[test]
+fn orders_that_arrive_after_their_sender_gave_up_break_nothing() {
+    for seed in 0..10 {
+        session(async move {
+            let world = World::new(seed, 6);
+            start(&world, "n1");
+            pass(4_000).await;
+            world.borrow_mut().odds = Odds { slow: 40, ..Odds::default() };
+            for index in 0..4 {
+                world.borrow_mut().leave(index);
+                pass(2_500).await;
+            }
+            pass(5_000).await;
+            check(&world);
+        });
+    }
+}
--- /dev/null
+++ b/crates/whinspring/tests/ranges.rs
@@ -0,0 +1,188 @@
+//! Owners of ranges, and which keys change hands under load that is made up by a seed.
+
+use {
+    proptest::{prelude::*, test_runner::Config},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::collections::BTreeMap,
+    whinspring::ranges::{
+        Life, MAX_KEY, Ownership,
+        balance::{Candidate, KeyLoads, levels, plan},
+    },
+};
+
+/// Load assumed of each key.
+const BASE: f64 = 0.000_1;
+
+fn life(index: usize) -> Life {
+    Life { server: format!("s{index:02}").into(), born: 0 }
+}
+
+fn candidates(capacities: &[f64]) -> Vec<Candidate> {
+    let candidate = |(index, capacity): (usize, &f64)| Candidate {
+        life: life(index),
+        capacity: *capacity,
+        leaving: false,
+    };
+    capacities.iter().enumerate().map(candidate).collect()
+}
+
+fn even(count: usize) -> Ownership {
+    let owners: Vec<Life> = (0..count).map(life).collect();
+    let mut fence = 0;
+    Ownership::even(1, &owners, || {
+        fence += 64;
+        fence
+    })
+}
+
+/// Checks that spans cover all keys without gaps or overlaps.
+fn check_cover(owned: &Ownership) {
+    let mut next = 0u32;
+    for span in &owned.spans {
+        assert_eq!(u32::from(span.first), next);
+        assert!(span.last >= span.first);
+        next = u32::from(span.last) + 1;
+    }
+    assert_eq!(next, u32::from(MAX_KEY) + 1);
+}
+
+/// Carries moves out, and ends all hand-overs.
+fn carry_out(owned: &mut Ownership, moves: &[whinspring::ranges::balance::Move]) {
+    for step in moves {
+        for index in owned.carve(step.first, step.last) {
+            owned.spans[index].owner = step.to.clone();
+        }
+    }
+    check_cover(owned);
+}
+
+/// A class of keys is hot: 60 neighbours get as much load as two servers can do.
+fn hot_loads(seed: u64) -> KeyLoads {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let start = rng.random_range(0..60_000u16);
+    let mut loads: KeyLoads = BTreeMap::new();
+    for key in start..start + 60 {
+        loads.insert(key, 4.0 / 60.0 * rng.random_range(0.5..1.5));
+    }
+    for _ in 0..500 {
+        *loads.entry(rng.random_range(0..=MAX_KEY)).or_default() += 0.012;
+    }
+    loads
+}
+
+#[test]
+fn a_hot_range_is_spread_in_two_rounds() {
+    for seed in 0..20 {
+        let servers = candidates(&[2.0, 1.4, 2.8, 2.0, 1.4, 2.8, 2.0, 1.4, 2.8, 2.0]);
+        let loads = hot_loads(seed);
+        let mut owned = even(10);
+        let before = levels(&owned, &servers, &loads, BASE);
+        for _ in 0..2 {
+            let moves = plan(&owned, &servers, &loads, BASE);
+            carry_out(&mut owned, &moves);
+        }
+        let after = levels(&owned, &servers, &loads, BASE);
+        let (high, mean) = (after[9], after.iter().sum::<f64>() / 10.0);
+        assert!(before[9] > 1.0, "seed {seed}: the load is not hot");
+        assert!(high < mean + 0.25, "seed {seed}: {after:?}");
+    }
+}
+
+#[test]
+fn few_keys_move_for_a_hot_range() {
+    for seed in 0..20 {
+        let servers = candidates(&[2.0; 10]);
+        let moves = plan(&even(10), &servers, &hot_loads(seed), BASE);
+        let keys: u32 = moves.iter().map(|step| u32::from(step.last - step.first) + 1).sum();
+        assert!(keys < 16_000, "seed {seed}: {keys} keys");
+    }
+}
+
+#[test]
+fn an_even_load_moves_nothing() {
+    let servers = candidates(&[2.0; 10]);
+    let loads: KeyLoads = (0..=MAX_KEY).step_by(64).map(|key| (key, 0.01)).collect();
+    assert_eq!(plan(&even(10), &servers, &loads, BASE), []);
+}
+
+#[test]
+fn a_leaving_server_gives_all_its_keys_away() {
+    let mut servers = candidates(&[2.0; 4]);
+    servers[1].leaving = true;
+    let mut owned = even(4);
+    let moves = plan(&owned, &servers, &KeyLoads::new(), BASE);
+    carry_out(&mut owned, &moves);
+    assert!(owned.spans.iter().all(|span| span.owner != life(1)));
+}
+
+#[test]
+fn a_server_that_joins_gets_keys() {
+    let servers = candidates(&[2.0; 5]);
+    let owned = even(4);
+    let loads: KeyLoads = (0..=MAX_KEY).step_by(64).map(|key| (key, 0.004)).collect();
+    let moves = plan(&owned, &servers, &loads, BASE);
+    assert!(moves.iter().any(|step| step.to == life(4)), "{moves:?}");
+}
+
+/// Two moves of one round must not split a span that is on its way already: both pieces would
+/// have one fence number, and the end of one hand-over would count for both.
+#[test]
+fn a_run_that_moves_is_not_moved_again_in_the_round() {
+    for seed in 0..50 {
+        let servers = candidates(&[2.0, 1.4, 2.8, 2.0, 1.4, 2.8, 2.0, 1.4, 2.8, 2.0]);
+        let moves = plan(&even(10), &servers, &hot_loads(seed), BASE);
+        for (index, step) in moves.iter().enumerate() {
+            for other in &moves[index + 1..] {
+                let apart = step.last < other.first || other.last < step.first;
+                assert!(apart, "seed {seed}: {step:?} and {other:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn neighbours_of_one_owner_are_joined_under_a_new_fence() {
+    let mut owned = even(3);
+    owned.carve(100, 200);
+    owned.carve(30_000, 30_100);
+    let mut fence = 10_000;
+    assert!(owned.join(|| {
+        fence += 64;
+        fence
+    }));
+    check_cover(&owned);
+    assert_eq!(owned.spans.len(), 3);
+    assert!(owned.spans[0].fence > 10_000 && owned.spans[1].fence > 10_000);
+    assert_eq!(owned.spans[2].fence, 192);
+    assert!(!owned.join(|| unreachable!("nothing is left to join")));
+}
+
+#[test]
+fn a_span_that_changes_hands_is_not_joined() {
+    let mut owned = even(2);
+    owned.carve(0, 99);
+    owned.spans[0].former = Some(life(1));
+    assert!(!owned.join(|| unreachable!("nothing can be joined")));
+    assert_eq!(owned.spans.len(), 3);
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 200, ..Config::default() })]
+
+    #[test]
+    fn carving_keeps_the_cover_and_the_owners(runs in prop::collection::vec(any::<(u16, u16)>(), 1..20)) {
+        let whole = even(7);
+        let mut owned = whole.clone();
+        for (one, other) in runs {
+            let (first, last) = (one.min(other), one.max(other));
+            let range = owned.carve(first, last);
+            prop_assert_eq!(owned.spans[range.start].first, first);
+            prop_assert_eq!(owned.spans[range.end - 1].last, last);
+            check_cover(&owned);
+            for key in [first, last] {
+                prop_assert_eq!(&owned.find(key).unwrap().owner, &whole.find(key).unwrap().owner);
+            }
+        }
+    }
+}
