Pass changed owners on alone, and fetch from one node at a time

Change: owners go as changed spans; what a node claims to know is the revision of the last change of that kind; one fetch a kind and second, after 250 ms; beats every 500 ms among more than 24 other nodes.

--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -103,10 +103,14 @@
     }
 
     /// Takes all objects of a kind over, unless newer ones are known; returns whether it did.
+    ///
+    /// The store's revision rises with each change of any kind, so that what is claimed to be known
+    /// of a kind is the revision of its own last change, or `claim` where another node said so.
     pub fn replace(
         &mut self,
         kind: Kind,
         listing: Listing,
+        claim: Option<u64>,
         dialect: &impl Dialect,
         clock: Clock,
     ) -> bool {
@@ -114,7 +118,8 @@
         if listing.revision < raw.revision {
             return false;
         }
-        raw.revision = listing.revision;
+        let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or_default();
+        raw.revision = raw.revision.max(claim.unwrap_or(newest));
         raw.items = listing.items.into_iter().map(|item| (item.name.clone(), item)).collect();
         self.decode(kind, dialect, clock);
         true
@@ -126,7 +131,8 @@
             return;
         }
         let raw = self.raw.entry(kind.number()).or_default();
-        raw.revision = raw.revision.max(changes.revision);
+        let newest = changes.events.iter().map(|(object, _)| object.revision).max();
+        raw.revision = raw.revision.max(newest.unwrap_or_default());
         for (object, gone) in changes.events {
             let known = raw.items.get(&object.name).map_or(0, |item| item.revision);
             if object.revision < known {
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -36,9 +36,6 @@
 /// Time between two looks at what is to be done.
 const ROUND: Duration = Duration::from_millis(100);
 
-/// Silence of the controller after which another node takes its place.
-const SILENT_AFTER: Duration = Duration::from_millis(900);
-
 /// Time after the start of the process before it looks for a controller.
 const START_PAUSE: Duration = Duration::from_millis(600);
 
@@ -86,6 +83,8 @@
     chief: Option<(Name, u64)>,
     /// When the controller was last heard.
     heard: Tick,
+    /// Silence after which it counts as lost.
+    silence: Duration,
     /// Time since the controller's last confirmation, as it said.
     doubt: Duration,
     /// Highest term known.
@@ -149,6 +148,7 @@
             self.term = beat.term;
             self.chief = Some((from.clone(), beat.incarnation));
             self.heard = now;
+            self.silence = beat.lost_after();
             self.doubt = Duration::from_millis(beat.store_age.into());
         }
         if self.leads {
@@ -268,11 +268,11 @@
     let silent = now.since(control.heard);
     let vacant = match &control.chief {
         None => silent,
-        Some(_) if control.doubt > DOUBTED_AFTER => control.doubt - DOUBTED_AFTER + SILENT_AFTER,
+        Some(_) if control.doubt > DOUBTED_AFTER => control.doubt - DOUBTED_AFTER + control.silence,
         Some(_) => silent,
     };
     let rank = rank(node, now, &control);
-    let pause = if control.chief.is_some() { SILENT_AFTER } else { Duration::ZERO };
+    let pause = if control.chief.is_some() { control.silence } else { Duration::ZERO };
     vacant > pause + RANK_PAUSE * rank
 }
 
@@ -337,6 +337,7 @@
         control.term = record.term;
         control.chief = Some((Name::from(record.node.as_str()), record.incarnation));
         control.heard = now;
+        control.silence = Beat::default().lost_after();
         control.doubt = Duration::ZERO;
         return true;
     }
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -186,8 +186,10 @@
     match written {
         Ok(revision) => {
             let object = Object { name: service.clone(), revision, value };
+            let before = node.beliefs.borrow().owners.get(service).cloned();
             node.beliefs.borrow_mut().wrote(Kind::Owners, object, &node.platform, node.clock);
-            follow::publish(node, Kind::Owners);
+            let after = (revision, Rc::new(owned));
+            follow::publish(node, service, &before.unwrap_or_default(), &after);
             node.wake();
             true
         }
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -5,14 +5,18 @@
 
 use {
     crate::{
-        message::{Body, Snapshot},
+        message::{Body, Moved, OwnersRecord, Snapshot, SpanWire},
         node::Node,
         platform::{Kind, Listing, Object, Platform, StoreError},
     },
     log::info,
+    prost::Message,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
-    whinspring::name::Name,
+    whinspring::{
+        name::Name,
+        ranges::{Ownership, Span},
+    },
 };
 
 /// Longest time that a watch waits for a change.
@@ -88,7 +92,12 @@
 
 /// Takes a listing over.
 pub fn replace<P: Platform>(node: &Rc<Node<P>>, kind: Kind, listing: Listing) {
-    node.beliefs.borrow_mut().replace(kind, listing, &node.platform, node.clock);
+    take(node, kind, listing, None);
+}
+
+/// Takes a listing over that is claimed to hold at a revision.
+fn take<P: Platform>(node: &Rc<Node<P>>, kind: Kind, listing: Listing, claim: Option<u64>) {
+    node.beliefs.borrow_mut().replace(kind, listing, claim, &node.platform, node.clock);
     node.wake();
 }
 
@@ -105,16 +114,46 @@
         value: item.value,
     });
     let listing = Listing { revision: snapshot.revision, items: items.collect() };
-    replace(node, kind, listing);
+    take(node, kind, listing, Some(snapshot.revision));
 }
 
-/// Passes what this node knows on to all others.
-pub fn publish<P: Platform>(node: &Rc<Node<P>>, kind: Kind) {
-    let snapshot = node.beliefs.borrow().snapshot(kind);
+/// Tells all other nodes how the owners of a service have changed.
+pub fn publish<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    before: &(u64, Rc<Ownership>),
+    after: &(u64, Rc<Ownership>),
+) {
+    let moved = Moved {
+        service: service.to_string(),
+        base: before.0,
+        revision: after.0,
+        term: after.1.term,
+        spans: after.1.changed(&before.1).iter().map(SpanWire::from).collect(),
+    };
     let names: Vec<Name> = node.peers.borrow().nodes.keys().cloned().collect();
     for name in names {
-        node.send(&name, Body::Snapshot(snapshot.clone()));
+        node.send(&name, Body::Moved(moved.clone()));
+    }
+}
+
+/// Takes a change of owners over, if it was made to what this node knows.
+pub fn follow_move<P: Platform>(node: &Rc<Node<P>>, moved: Moved) {
+    let service = Name::from(moved.service);
+    let known = node.beliefs.borrow().owners.get(&service).cloned();
+    let Some((revision, owned)) = known else { return };
+    let spans: Result<Vec<Span>, _> = moved.spans.into_iter().map(Span::try_from).collect();
+    let Ok(spans) = spans else { return node.metrics.count("link_malformed") };
+    if revision != moved.base {
+        return;
     }
+    let mut next = (*owned).clone();
+    next.term = moved.term;
+    next.apply(spans);
+    let value = OwnersRecord::from(&next).encode_to_vec();
+    let object = Object { name: service, revision: moved.revision, value };
+    node.beliefs.borrow_mut().wrote(Kind::Owners, object, &node.platform, node.clock);
+    node.wake();
 }
 
 /// Forgets servers that are gone, for ever.
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -5,6 +5,7 @@
 
 use {
     prost::{Message, Oneof},
+    std::time::Duration,
     whinspring::{
         gate::Ending,
         name::Name,
@@ -16,7 +17,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it is about.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<Body>,
 }
 
@@ -53,6 +54,9 @@
     /// Tells whether a server refuses connections.
     #[prost(message, tag = "10")]
     Looked(Looked),
+    /// Owners that have changed.
+    #[prost(message, tag = "11")]
+    Moved(Moved),
 }
 
 /// A sign of life, with what its node knows and has measured.
@@ -97,6 +101,23 @@
     /// Whether it is the controller, under `term`.
     #[prost(bool, tag = "13")]
     pub leads: bool,
+    /// Milliseconds between two beats of its node.
+    #[prost(uint32, tag = "14")]
+    pub every: u32,
+}
+
+/// Beats that may be missing before their node counts as lost, in tenths.
+const MISSING_TENTHS: u32 = 36;
+
+/// Shortest silence after which a node counts as lost.
+const LOST_AFTER: Duration = Duration::from_millis(900);
+
+impl Beat {
+    /// Returns the silence after which its node counts as lost.
+    pub fn lost_after(&self) -> Duration {
+        let missing = u64::from(self.every * MISSING_TENTHS / 10);
+        LOST_AFTER.max(Duration::from_millis(missing))
+    }
 }
 
 /// Work that a key caused.
@@ -211,6 +232,26 @@
     pub items: Vec<Item>,
 }
 
+/// Owners of a service that have changed.
+#[derive(Clone, PartialEq, Message)]
+pub struct Moved {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Revision that the change was made to.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    /// Revision of the change.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Term of the controller.
+    #[prost(uint64, tag = "4")]
+    pub term: u64,
+    /// The spans that are not as they were.
+    #[prost(message, repeated, tag = "5")]
+    pub spans: Vec<SpanWire>,
+}
+
 /// One object.
 #[derive(Clone, PartialEq, Message)]
 pub struct Item {
@@ -350,14 +391,33 @@
 
 impl From<&Ownership> for OwnersRecord {
     fn from(owned: &Ownership) -> Self {
-        let span = |span: &Span| SpanWire {
+        Self { term: owned.term, spans: owned.spans.iter().map(SpanWire::from).collect() }
+    }
+}
+
+impl From<&Span> for SpanWire {
+    fn from(span: &Span) -> Self {
+        Self {
             first: span.first.into(),
             last: span.last.into(),
             owner: Some((&span.owner).into()),
             fence: span.fence,
             former: span.former.as_ref().map(LifeWire::from),
-        };
-        Self { term: owned.term, spans: owned.spans.iter().map(span).collect() }
+        }
+    }
+}
+
+impl TryFrom<SpanWire> for Span {
+    type Error = Malformed;
+
+    fn try_from(span: SpanWire) -> Result<Self, Malformed> {
+        Ok(Self {
+            first: u16::try_from(span.first).map_err(|_| Malformed)?,
+            last: u16::try_from(span.last).map_err(|_| Malformed)?,
+            owner: span.owner.ok_or(Malformed)?.into(),
+            fence: span.fence,
+            former: span.former.map(Life::from),
+        })
     }
 }
 
@@ -372,13 +432,7 @@
                 return Err(Malformed);
             }
             next = span.last + 1;
-            spans.push(Span {
-                first: u16::try_from(span.first).map_err(|_| Malformed)?,
-                last: u16::try_from(span.last).map_err(|_| Malformed)?,
-                owner: span.owner.ok_or(Malformed)?.into(),
-                fence: span.fence,
-                former: span.former.map(Life::from),
-            });
+            spans.push(span.try_into()?);
         }
         Ok(Self { term: record.term, spans })
     }
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -29,10 +29,19 @@
 };
 
 /// Time between two beats.
-pub const BEAT: Duration = Duration::from_millis(250);
+const BEAT: Duration = Duration::from_millis(250);
 
-/// Silence after which a node counts as lost.
-const LOST_AFTER: Duration = Duration::from_millis(900);
+/// The same among many nodes.
+const SLOW_BEAT: Duration = Duration::from_millis(500);
+
+/// Other nodes above which beats are slow.
+const MANY_NODES: usize = 24;
+
+/// Time for which this node must be behind before it asks another.
+const FETCH_AFTER: Duration = Duration::from_millis(250);
+
+/// Time between two questions for the same kind.
+const FETCH_EVERY: Duration = Duration::from_millis(1_000);
 
 /// Silence after which a node is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -72,6 +81,8 @@
     pub nodes: HashMap<Name, Peer>,
     /// When the last beat was sent.
     beaten: Tick,
+    /// Since when this node is behind on a kind, and when it last asked for it.
+    behind: HashMap<u32, (Tick, Tick)>,
 }
 
 impl Peers {
@@ -80,6 +91,25 @@
         self.nodes.get(to).is_some_and(|peer| peer.queue.try_send(message).is_ok())
     }
 
+    /// Returns whether a kind is to be fetched from a node that knows it at a higher revision: not
+    /// at once, as the store mostly tells, and not from several nodes at the same time.
+    fn may_fetch(&mut self, now: Tick, kind: Kind) -> bool {
+        let (since, asked) = self.behind.entry(kind.number()).or_insert((now, Tick::default()));
+        if now.since(*since) > FETCH_EVERY {
+            *since = now;
+        }
+        let due = now.since(*since) >= FETCH_AFTER && now.since(*asked) >= FETCH_EVERY;
+        if due {
+            *asked = now;
+        }
+        due
+    }
+
+    /// Returns the time between two beats.
+    fn interval(&self) -> Duration {
+        if self.nodes.len() > MANY_NODES { SLOW_BEAT } else { BEAT }
+    }
+
     /// Returns whether a node is alive.
     pub fn is_live(&self, name: &str, now: Tick) -> bool {
         self.nodes.get(name).is_some_and(|peer| peer.is_live(now))
@@ -94,7 +124,7 @@
 impl Peer {
     /// Returns whether the node is alive.
     pub fn is_live(&self, now: Tick) -> bool {
-        self.beat.incarnation != 0 && now.since(self.heard) < LOST_AFTER
+        self.beat.incarnation != 0 && now.since(self.heard) < self.beat.lost_after()
     }
 }
 
@@ -201,6 +231,7 @@
                 control.looks.entry(addr).or_default().note(from, looked.refused);
             }
         }
+        Body::Moved(moved) => follow::follow_move(node, moved),
         Body::Crash(crash) => node.crashes.borrow_mut().note(node.now(), crash.print),
     }
 }
@@ -219,7 +250,9 @@
         ];
         claims.into_iter().find(|(kind, revision)| *revision > beliefs.revision(*kind))
     };
-    if let Some((kind, _)) = behind {
+    if let Some((kind, _)) = behind
+        && node.peers.borrow_mut().may_fetch(now, kind)
+    {
         node.send(from, Body::Fetch(crate::message::Fetch { kind: kind.number() }));
     }
     let mut restarted = false;
@@ -243,7 +276,8 @@
 pub async fn beat<P: Platform>(node: Rc<Node<P>>) {
     let mut lost: Vec<Name> = Vec::new();
     loop {
-        sleep(BEAT).await;
+        let interval = node.peers.borrow().interval();
+        sleep(interval).await;
         let now = node.now();
         forgive_freeze(&node, now);
         send_beats(&node, now);
@@ -264,7 +298,7 @@
 /// Lets all nodes count as heard if this one was frozen itself.
 fn forgive_freeze<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
     let mut peers = node.peers.borrow_mut();
-    let late = now.since(peers.beaten) > BEAT + FROZEN_AFTER;
+    let late = now.since(peers.beaten) > SLOW_BEAT + FROZEN_AFTER;
     peers.beaten = now;
     if late {
         peers.nodes.values_mut().for_each(|peer| peer.heard = now);
@@ -290,6 +324,7 @@
             leads: control.leads(),
             keys: Vec::new(),
             paces: Vec::new(),
+            every: node.peers.borrow().interval().as_millis() as u32,
         }
     };
     let (keys, paces) = node.meter.borrow_mut().take();
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -93,6 +93,20 @@
         start..end
     }
 
+    /// Returns the spans that are not in `before` as they are here.
+    pub fn changed(&self, before: &Self) -> Vec<Span> {
+        let same = |span: &&Span| before.find(span.first) != Some(*span);
+        self.spans.iter().filter(same).cloned().collect()
+    }
+
+    /// Takes changed spans over.
+    pub fn apply(&mut self, changed: Vec<Span>) {
+        for span in changed {
+            let range = self.carve(span.first, span.last);
+            self.spans.splice(range, [span]);
+        }
+    }
+
     /// Joins neighbours of one owner under a new fence each; returns whether there were any.
     pub fn join(&mut self, mut fence: impl FnMut() -> u64) -> bool {
         let before = self.spans.len();
