--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -513,8 +513,10 @@
         if now.since(progress.told) >= TELL_EVERY {
             progress.told = now;
             let levels = balance::levels(&owned, &servers, &loads, base);
-            let (low, high) = (levels.first().copied(), levels.last().copied());
-            info!(event = "balance", service = service.as_str(), servers = levels.len(), spans = owned.spans.len(), low:? = low, median:? = levels.get(levels.len() / 2), high:? = high, revision; "load of servers for their capacity");
+            let level = |index: usize| levels.get(index).copied().unwrap_or_default();
+            let (low, median) = (level(0), level(levels.len() / 2));
+            let high = level(levels.len().saturating_sub(1));
+            info!(event = "balance", service = service.as_str(), servers = levels.len(), spans = owned.spans.len(), low, median, high, revision; "load of servers for their capacity");
         }
         let moves = balance::plan(&owned, &servers, &loads, base);
         let mut next = (*owned).clone();
--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -138,7 +138,7 @@
             };
             avoid = Some(server.clone());
             let again = self.may_repeat(sendings, ran);
-            info!(event = "sending_failed", id = self.id(), server = server.as_str(), key:? = self.key, service = self.service.as_str(), code = code as u16, ran, again, sendings; "{why}");
+            info!(event = "sending_failed", id = self.id(), server = server.as_str(), key = self.key_text(), routes = self.table.version, service = self.service.as_str(), code = code as u16, ran, again, sendings; "{why}");
             if !again && ran {
                 return Err(Refusal::from(code));
             }
@@ -154,6 +154,11 @@
         self.id.to_str().unwrap_or_default()
     }
 
+    /// Returns the key for log lines.
+    fn key_text(&self) -> String {
+        self.key.map(|key| key.to_string()).unwrap_or_default()
+    }
+
     /// Returns the result for a request that may have run and gets no further.
     fn lost(&self, code: Code) -> Code {
         if code == Code::Expired { Code::Deadline } else { Code::ServerLost }
@@ -201,13 +206,13 @@
             let asked = node.now();
             let left = self.end.since(asked);
             let Ok((turn, answer)) = timeout(left, turns::wait(node, &wish)).await else {
-                info!(event = "expired", id = self.id(), pool = pool.as_str(); "no turn came in time");
+                info!(event = "expired", id = self.id(), routes = self.table.version, pool = pool.as_str(); "no turn came in time");
                 return Err(Refusal::later(Code::Expired, RETRY_LATER));
             };
             node.metrics.waited(node.now().since(asked));
             let server = answer.map_err(|retry| {
                 node.metrics.count("refused_by_gate");
-                info!(event = "refused", id = self.id(), pool = pool.as_str(), retry_ms = retry.as_millis() as u64, priority = self.route.priority; "the wait would be too long");
+                info!(event = "refused", id = self.id(), pool = pool.as_str(), retry_ms = retry.as_millis() as u64, routes = self.table.version, priority = self.route.priority; "the wait would be too long");
                 Refusal::later(Code::Overloaded, retry)
             })?;
             let still = self.key.is_none_or(|key| self.owns(key, &server));
@@ -230,10 +235,11 @@
         let node = &self.node;
         loop {
             let mut known = None;
-            let mut fence = 0;
+            let (mut fence, mut revision) = (0, 0);
             {
                 let beliefs = node.beliefs.borrow();
                 let owned = beliefs.owners.get(&self.service);
+                revision = owned.map_or(revision, |(revision, _)| *revision);
                 if let Some(span) = owned.and_then(|(_, owned)| owned.find(key)) {
                     fence = span.fence;
                     let server = beliefs.servers.get(&span.owner.server);
@@ -248,7 +254,7 @@
             }
             let now = node.now();
             if now >= patience || now >= self.end {
-                info!(event = "no_owner", id = self.id(), service = self.service.as_str(), key, fence; "the key has no serving owner");
+                info!(event = "no_owner", id = self.id(), service = self.service.as_str(), key, fence, revision; "the key has no serving owner");
                 return Err(Refusal::later(Code::NoOwner, RETRY_LATER));
             }
             turns::changed(node, patience.min(self.end)).await;
--- a/crates/whinspring-router/src/front.rs
+++ b/crates/whinspring-router/src/front.rs
@@ -176,7 +176,7 @@
 ) -> Response<Body<P>> {
     let mut response = refusal.answer();
     let text = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
-    info!(event = "answered", id = text, code = refusal.code as u16, status = response.status().as_u16(), retry:? = refusal.retry; "{}", refusal.code.text());
+    info!(event = "answered", id = text, code = refusal.code as u16, status = response.status().as_u16(), retry_ms = refusal.retry.unwrap_or_default().as_millis() as u64; "{}", refusal.code.text());
     if let Some(id) = id {
         response.headers_mut().insert(node.platform.headers().id.clone(), id.clone());
     }
