--- a/crates/whinspring-http/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -36,13 +36,16 @@
 /// Longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Reads and writes a socket; `None` once it has ended.
+type Driver<R> = Option<Pin<Box<Connection<Guard, Upstream<R>>>>>;
+
 /// A connection, driven by the task that uses it.
 #[derive(Debug)]
 pub struct Conn<R: Rest> {
     /// Sends requests.
     sender: SendRequest<Upstream<R>>,
     /// Reads and writes the socket; `None` once it has ended.
-    driver: Option<Pin<Box<Connection<Guard, Upstream<R>>>>>,
+    driver: Driver<R>,
     /// Whether the present request may be written.
     gate: Arc<Gate>,
     /// Address of the server.
@@ -190,10 +193,7 @@
 }
 
 /// Reads and writes a socket as far as possible.
-fn drive<R: Rest>(
-    driver: &mut Option<Pin<Box<Connection<Guard, Upstream<R>>>>>,
-    cx: &mut Context<'_>,
-) {
+fn drive<R: Rest>(driver: &mut Driver<R>, cx: &mut Context<'_>) {
     let ended = driver.as_mut().is_some_and(|driver| driver.as_mut().poll(cx).is_ready());
     if ended {
         *driver = None;
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -95,7 +95,17 @@
     pub lost: u32,
 }
 
+/// Random numbers of a seed.
+pub struct Dice(ChaCha8Rng);
+
+impl Default for Dice {
+    fn default() -> Self {
+        Self(ChaCha8Rng::seed_from_u64(0))
+    }
+}
+
 /// All that controllers act on.
+#[derive(Default)]
 pub struct World {
     pub objects: BTreeMap<(u32, Name), Object>,
     pub revision: u64,
@@ -104,7 +114,7 @@
     pub cut: Vec<Name>,
     pub store_down: bool,
     pub odds: Odds,
-    pub rng: ChaCha8Rng,
+    pub rng: Dice,
     /// What broke.
     pub faults: Vec<String>,
     /// Ends of all grants ever taken: server, range, fence, since, until.
@@ -121,7 +131,7 @@
             cut: Vec::new(),
             store_down: false,
             odds: Odds::default(),
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng: Dice(ChaCha8Rng::seed_from_u64(seed)),
             faults: Vec::new(),
             history: Vec::new(),
         }))
@@ -276,9 +286,9 @@
         let (dark, slow, delay) = {
             let mut world = self.world.borrow_mut();
             let Odds { late, slow, .. } = world.odds;
-            let late = world.rng.random_ratio(late, 100);
-            let slow = world.rng.random_ratio(slow, 100);
-            let delay = world.rng.random_range(if slow { 550..900 } else { 2_000..12_000 });
+            let late = world.rng.0.random_ratio(late, 100);
+            let slow = world.rng.0.random_ratio(slow, 100);
+            let delay = world.rng.0.random_range(if slow { 550..900 } else { 2_000..12_000 });
             let delay = (late || slow).then(|| Duration::from_millis(delay));
             (world.servers[&target].dark, slow, delay)
         };
@@ -359,7 +369,7 @@
         let object = Object { name: name.into(), revision, value: value.to_vec() };
         world.objects.insert(key, object);
         let lost = world.odds.lost;
-        match world.rng.random_ratio(lost, 100) {
+        match world.rng.0.random_ratio(lost, 100) {
             true => Err(StoreError::Silent),
             false => Ok(revision),
         }
--- a/crates/whinspring-router/tests/owners/seeds.rs
+++ b/crates/whinspring-router/tests/owners/seeds.rs
@@ -50,8 +50,9 @@
                 _ if lost >= MOST_LOST => {}
                 _ => {
                     lost += 1;
-                    match rng.random_range(0..3) {
+                    match rng.random_range(0..4) {
                         0 => world.leave(index),
+                        3 => world.crash(index),
                         1 => world.list(index, false),
                         _ => {
                             world.darken(index, true);
@@ -62,8 +63,7 @@
             }
         }
         pass(20_000).await;
-        let faults = world.borrow().faults.clone();
-        faults
+        world.take().faults
     })
 }
 
--- a/crates/whinspring-router/tests/owners/sessions.rs
+++ b/crates/whinspring-router/tests/owners/sessions.rs
@@ -92,6 +92,20 @@
     });
 }
 
+#[test]
+fn keys_of_a_crashed_server_are_held_again_within_two_seconds() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().crash(2);
+        pass(2_000).await;
+        let held: f64 = [0, 1, 3].iter().map(|index| world.borrow().share(*index)).sum();
+        assert_eq!(held, 1.0);
+        check(&world);
+    });
+}
+
 /// A controller that the store turns away goes on beside its successor until it hears of it.
 #[test]
 fn two_controllers_never_grant_a_key_twice() {
--- /dev/null
+++ b/crates/whinspring-router/tests/parts.rs
@@ -0,0 +1,106 @@
+//! Settings, the retry budget, crashing requests and records on links.
+
+use {
+    prost::Message,
+    std::time::Duration,
+    whinspring::{
+        ranges::{Life, Ownership},
+        time::Tick,
+    },
+    whinspring_router::{
+        crashes::Crashes, message::OwnersRecord, retries::Retries, settings::Settings,
+    },
+};
+
+const SETTINGS: &str = "[node]\nname = n1\ndomain = a\ncaller = 10.0.0.1:80\nready = 10.0.0.1:81\n\
+    peer = 10.0.0.1:82\nmetrics = 10.0.0.1:83\nstore = 10.0.0.9:1\n";
+
+#[test]
+fn settings_have_defaults() {
+    let settings = Settings::parse(SETTINGS).unwrap();
+    assert_eq!(settings.limits.grace, Duration::from_secs(6));
+    let text = format!("{SETTINGS}[limits]\ngrace_s = 2.5\nretry_ratio = 0.3\n");
+    let limits = Settings::parse(&text).unwrap().limits;
+    assert_eq!((limits.grace, limits.retry_ratio), (Duration::from_millis(2_500), 0.3));
+}
+
+#[test]
+fn every_fault_of_the_settings_is_listed() {
+    let text = "[node]\nname = n1\nstore = here\ncolour = red\n[limits]\nretry_ratio = 7\n[more]\n";
+    let faults = Settings::parse(text).unwrap_err();
+    let named = |key: &str| faults.iter().any(|fault| fault.key == key);
+    for key in ["store", "colour", "retry_ratio", "domain", "caller", "ready", "peer", "metrics"] {
+        assert!(named(key), "{key}: {faults:?}");
+    }
+    assert!(faults.iter().any(|fault| fault.section == "more"), "{faults:?}");
+}
+
+/// All nodes together keep to the budget, also if each uses its part to the end.
+#[test]
+fn nodes_share_the_retry_budget() {
+    const NODES: usize = 8;
+    let mut again = 0;
+    for node in 0..NODES {
+        let mut retries = Retries::default();
+        for index in 0..1_000u64 {
+            let now = Tick::from_millis(index * 10 + node as u64);
+            retries.request(now, &"s".into());
+            again += u32::from(retries.allow(now, &"s".into(), NODES, 0.2, 56));
+        }
+    }
+    assert!(again <= 8_000 / 5 + 56, "{again}");
+    assert!(again > 1_000, "{again}");
+}
+
+#[test]
+fn a_request_that_crashes_servers_is_refused() {
+    let mut crashes = Crashes::default();
+    let now = Tick::from_millis(1);
+    crashes.note(now, 7);
+    assert!(!crashes.is_refused(now, 7));
+    crashes.note(now, 7);
+    assert!(crashes.is_refused(now, 7) && !crashes.is_refused(now, 8));
+    assert!(!crashes.is_refused(now + Duration::from_secs(61), 7));
+}
+
+fn owners() -> Ownership {
+    let lives: Vec<Life> =
+        (0..3).map(|index| Life { server: format!("s{index}").into(), born: index }).collect();
+    let mut fence = 0;
+    Ownership::even(4, &lives, || {
+        fence += 64;
+        fence
+    })
+}
+
+#[test]
+fn owners_survive_the_store() {
+    let mut owned = owners();
+    owned.spans[1].former = Some(Life { server: "s9".into(), born: 9 });
+    let bytes = OwnersRecord::from(&owned).encode_to_vec();
+    let record = OwnersRecord::decode(bytes.as_slice()).unwrap();
+    assert_eq!(Ownership::try_from(record).unwrap(), owned);
+}
+
+#[test]
+fn owners_with_a_gap_are_refused() {
+    let mut record = OwnersRecord::from(&owners());
+    record.spans.remove(1);
+    assert!(Ownership::try_from(record).is_err());
+}
+
+#[test]
+fn a_change_of_owners_is_passed_on_alone() {
+    let before = owners();
+    let mut after = before.clone();
+    let range = after.carve(30_000, 30_100);
+    for span in &mut after.spans[range] {
+        span.former = Some(std::mem::replace(&mut span.owner, before.spans[0].owner.clone()));
+        span.fence = 9_000;
+    }
+    let changed = after.changed(&before);
+    assert!(changed.len() <= 3, "{changed:?}");
+    let mut other = before;
+    other.apply(changed);
+    assert_eq!(other.spans, after.spans);
+}
--- /dev/null
+++ b/crates/whinspring-router/tests/path/answers.rs
@@ -0,0 +1,167 @@
+//! Whole answers, and those that are none.
+
+use {
+    crate::rig::run,
+    std::time::Duration,
+    tokio::{io::AsyncWriteExt, time::sleep},
+};
+
+/// Returns the value of the id header.
+fn id_of(request: &str) -> &str {
+    let line = request.lines().find(|line| line.starts_with("x-id: "));
+    line.map_or("", |line| &line[6..])
+}
+
+fn good(request: &str) -> Option<String> {
+    let id = id_of(request);
+    Some(format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 5\r\n\r\nhello"))
+}
+
+fn ask(method: &str, path: &str, id: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nx-deadline: 1500\r\nx-other: 1\r\n\r\n"
+    )
+}
+
+#[test]
+fn a_whole_answer_is_passed_on() {
+    run(good, |rig| async move {
+        let answer = rig.ask(&ask("GET", "/safe/1?a=b", "i1")).await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.contains("x-seal: s") && answer.ends_with("\r\n\r\nhello"), "{answer}");
+        let seen = rig.seen.borrow()[0].clone();
+        assert!(seen.starts_with("GET /safe/1?a=b HTTP/1.1\r\n"), "{seen}");
+        for line in ["x-id: i1", "x-target: s1", "x-other: 1", "host: a.example"] {
+            assert!(seen.contains(line), "{line}: {seen}");
+        }
+        let deadline = seen.lines().find_map(|line| line.strip_prefix("x-deadline: "));
+        let deadline: u64 = deadline.unwrap().parse().unwrap();
+        assert!((1..=1_500).contains(&deadline), "{deadline}");
+    });
+}
+
+#[test]
+fn requests_without_a_route_get_404() {
+    run(good, |rig| async move {
+        let answer = rig.ask(&ask("GET", "/other/1", "i1")).await;
+        assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+        assert!(rig.seen.borrow().is_empty());
+    });
+}
+
+#[test]
+fn without_a_configuration_there_is_only_503() {
+    run(good, |rig| async move {
+        rig.node.beliefs.borrow_mut().routes = None;
+        let answer = rig.ask(&ask("GET", "/safe/1", "i1")).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    });
+}
+
+#[test]
+fn a_body_over_the_limit_gets_413() {
+    run(good, |rig| async move {
+        let request =
+            ask("POST", "/once/1", "i1").replace("\r\n\r\n", "\r\ncontent-length: 101\r\n\r\n");
+        let answer = rig.ask(&(request + &"b".repeat(101))).await;
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+        assert!(rig.seen.borrow().is_empty());
+    });
+}
+
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    let crossed = |_: &str| {
+        Some(
+            "HTTP/1.1 200 OK\r\nx-id: zz\r\nx-seal: s\r\ncontent-length: 5\r\n\r\nwrong".to_owned(),
+        )
+    };
+    run(crossed, |rig| async move {
+        let answer = rig.ask(&ask("POST", "/once/1", "i1")).await;
+        assert!(answer.starts_with("HTTP/1.1 502") && !answer.contains("wrong"), "{answer}");
+        assert_eq!(rig.seen.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn a_success_without_proof_reaches_nobody() {
+    let bare = |request: &str| {
+        let id = id_of(request);
+        Some(format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nbare"))
+    };
+    run(bare, |rig| async move {
+        let answer = rig.ask(&ask("POST", "/once/1", "i1")).await;
+        assert!(answer.starts_with("HTTP/1.1 502") && !answer.contains("bare"), "{answer}");
+    });
+}
+
+#[test]
+fn a_request_that_may_have_run_is_sent_once() {
+    run(
+        |_| None,
+        |rig| async move {
+            let answer = rig.ask(&ask("POST", "/once/1", "i1")).await;
+            assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+            assert_eq!(rig.seen.borrow().len(), 1);
+        },
+    );
+}
+
+#[test]
+fn an_idempotent_request_is_sent_once_more() {
+    run(
+        |_| None,
+        |rig| async move {
+            let answer = rig.ask(&ask("GET", "/safe/1", "i1")).await;
+            assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+            assert_eq!(rig.seen.borrow().len(), 2);
+        },
+    );
+}
+
+#[test]
+fn a_request_that_did_not_run_is_refused_with_a_time_to_come_back() {
+    let shed = |request: &str| {
+        let id = id_of(request);
+        Some(format!("HTTP/1.1 503 No\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"))
+    };
+    run(shed, |rig| async move {
+        let answer = rig.ask(&ask("POST", "/once/1", "i1")).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("retry-after: 0."), "{answer}");
+    });
+}
+
+#[test]
+fn an_answer_that_breaks_off_is_not_passed_on_as_whole() {
+    let cut = |request: &str| {
+        let id = id_of(request);
+        Some(format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: 9\r\nconnection: close\r\n\r\nhalf"
+        ))
+    };
+    run(cut, |rig| async move {
+        let answer = rig.ask(&ask("POST", "/once/1", "i1").replace("1500", "400")).await;
+        assert!(answer.starts_with("HTTP/1.1 50") && !answer.contains("half"), "{answer}");
+        assert_eq!(rig.seen.borrow().iter().filter(|seen| *seen != "gone").count(), 1);
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_its_request() {
+    run(
+        |_| Some("wait".to_owned()),
+        |rig| async move {
+            let mut socket = rig.connect().await;
+            socket.write_all(ask("GET", "/safe/1", "i1").as_bytes()).await.unwrap();
+            while rig.seen.borrow().is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            drop(socket);
+            while rig.seen.borrow().len() < 2 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert_eq!(rig.seen.borrow()[1], "gone");
+        },
+    );
+}
--- /dev/null
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -0,0 +1,4 @@
+//! Requests over real sockets: what callers get, and what servers see.
+
+mod answers;
+mod rig;
--- /dev/null
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -0,0 +1,239 @@
+//! A node with one server that answers as a test says.
+
+use {
+    http::HeaderName,
+    std::{
+        cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::{LocalSet, spawn_local},
+        time::timeout,
+    },
+    whinspring::{
+        name::Name,
+        routes::{Limits, Part, Route, RouteTable, Service},
+    },
+    whinspring_http::clock::Clock,
+    whinspring_router::{
+        follow,
+        front::{self, Doors},
+        node::Node,
+        platform::{
+            Changes, Dialect, Grant, Headers, Kind, Listing, Object, Orders, Reply, ServerEntry,
+            Store, StoreError,
+        },
+        settings::{Limits as Bounds, Settings},
+        turns,
+    },
+};
+
+/// Time after which a test has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A platform without a store, with one server.
+pub struct Platform {
+    headers: Headers,
+    server: SocketAddr,
+}
+
+impl Store for Platform {
+    async fn list(&self, _: Kind) -> Result<Listing, StoreError> {
+        Err(StoreError::Silent)
+    }
+
+    async fn watch(&self, _: Kind, _: u64, _: Duration) -> Result<Changes, StoreError> {
+        Err(StoreError::Silent)
+    }
+
+    async fn read(&self, _: Kind, _: &str) -> Result<Option<Object>, StoreError> {
+        Err(StoreError::Silent)
+    }
+
+    async fn write(&self, _: Kind, _: &str, _: u64, _: &[u8]) -> Result<u64, StoreError> {
+        Err(StoreError::Silent)
+    }
+
+    async fn remove(&self, _: Kind, _: &str) -> Result<(), StoreError> {
+        Err(StoreError::Silent)
+    }
+}
+
+impl Orders for Platform {
+    async fn grant(&self, _: SocketAddr, _: &Grant) -> Reply {
+        Reply::Unsent
+    }
+
+    async fn release(&self, _: SocketAddr, _: &Grant) -> Reply {
+        Reply::Unsent
+    }
+}
+
+impl Dialect for Platform {
+    fn headers(&self) -> &Headers {
+        &self.headers
+    }
+
+    fn ready_path(&self) -> &str {
+        "/ready"
+    }
+
+    fn routes(&self, _: &Object) -> Option<RouteTable> {
+        None
+    }
+
+    fn server(&self, _: &Object) -> Option<ServerEntry> {
+        Some(ServerEntry {
+            service: "plain".into(),
+            addr: self.server,
+            domain: "a".into(),
+            slots: 2,
+            leaving: false,
+            cold: Duration::ZERO,
+            born: 0,
+        })
+    }
+}
+
+/// What a server does with the bytes of one request; `None` closes the connection.
+pub type Script = fn(&str) -> Option<String>;
+
+/// A running node and what its server saw.
+pub struct Rig {
+    pub node: Rc<Node<Platform>>,
+    pub seen: Rc<RefCell<Vec<String>>>,
+    front: SocketAddr,
+}
+
+impl Rig {
+    /// Starts a node whose server follows a script.
+    async fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = listener.local_addr().unwrap();
+        let seen = Rc::new(RefCell::new(Vec::new()));
+        spawn_local(serve(listener, script, seen.clone()));
+        let node = Node::new(platform(server), settings(), Clock::start());
+        node.beliefs.borrow_mut().routes = Some(Arc::new(table()));
+        let entry = Object { name: "s1".into(), revision: 1, value: Vec::new() };
+        follow::replace(&node, Kind::Servers, Listing { revision: 1, items: vec![entry] });
+        let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let front = callers.local_addr().unwrap();
+        spawn_local(front::serve(node.clone(), callers, Rc::new(Doors::default())));
+        spawn_local(turns::rounds(node.clone()));
+        Self { node, seen, front }
+    }
+
+    /// Opens a connection of a caller.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.front).await.unwrap()
+    }
+
+    /// Sends a request on a connection of its own and returns all that comes back.
+    pub async fn ask(&self, request: &str) -> String {
+        let mut socket = self.connect().await;
+        socket.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        while !is_whole(&answer) {
+            if socket.read_buf(&mut answer).await.unwrap_or(0) == 0 {
+                break;
+            }
+        }
+        String::from_utf8(answer).unwrap()
+    }
+}
+
+/// Returns whether an answer with a length has arrived whole.
+fn is_whole(answer: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(answer).to_ascii_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    length.is_some_and(|length| body.len() >= length.trim().parse::<usize>().unwrap())
+}
+
+/// Runs a test on one thread.
+pub fn run<F: Future<Output = ()>>(script: Script, test: impl FnOnce(Rig) -> F) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let rig = Rig::start(script).await;
+        timeout(PATIENCE, test(rig)).await.expect("the test hangs");
+    });
+}
+
+/// Accepts connections of the node.
+async fn serve(listener: TcpListener, script: Script, seen: Rc<RefCell<Vec<String>>>) {
+    while let Ok((socket, _)) = listener.accept().await {
+        spawn_local(follow_script(socket, script, seen.clone()));
+    }
+}
+
+/// Answers the requests on a connection.
+async fn follow_script(mut socket: TcpStream, script: Script, seen: Rc<RefCell<Vec<String>>>) {
+    let mut bytes = Vec::new();
+    loop {
+        let end = |bytes: &[u8]| bytes.windows(4).any(|window| window == b"\r\n\r\n");
+        while !end(&bytes) {
+            if socket.read_buf(&mut bytes).await.unwrap_or(0) == 0 {
+                if !bytes.is_empty() {
+                    seen.borrow_mut().push("gone".into());
+                }
+                return;
+            }
+        }
+        let request = String::from_utf8(std::mem::take(&mut bytes)).unwrap();
+        seen.borrow_mut().push(request.clone());
+        match script(&request) {
+            Some(answer) if answer == "wait" => {
+                let _ = socket.read_buf(&mut bytes).await;
+                seen.borrow_mut().push("gone".into());
+                return;
+            }
+            Some(answer) => socket.write_all(answer.as_bytes()).await.unwrap(),
+            None => return,
+        }
+    }
+}
+
+fn platform(server: SocketAddr) -> Platform {
+    let headers = Headers {
+        id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-deadline"),
+        target: HeaderName::from_static("x-target"),
+        seal: HeaderName::from_static("x-seal"),
+        not_run: HeaderName::from_static("x-not-run"),
+        key: HeaderName::from_static("x-key"),
+    };
+    Platform { headers, server }
+}
+
+fn settings() -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 1));
+    Settings {
+        name: "n1".into(),
+        domain: "a".into(),
+        caller: any,
+        ready: any,
+        peer: any,
+        metrics: any,
+        store: any,
+        limits: Bounds::default(),
+    }
+}
+
+fn table() -> RouteTable {
+    let route = |prefix: &str, idempotent| Route {
+        name: prefix.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        idempotent,
+        timeout: Duration::from_millis(2_000),
+        target: Duration::from_millis(500),
+        priority: 1,
+        parts: vec![Part { service: "plain".into(), weight: 1 }],
+        attempts: 2,
+    };
+    let services = HashMap::from([(Name::from("plain"), Service { keyed: false })]);
+    let limits = Limits { body: 100, ..Limits::default() };
+    RouteTable::new(1, vec![route("/safe/", true), route("/once/", false)], services, limits)
+}
