Ask the retry budget once a request, and mend what read badly

Cause: a failed idempotent request asked the budget twice, and where the second was refused the server's own answer had been thrown away already. Read in the diff. Change: the answer is given up only once the next sending is granted; heads over the configured limit get 431; fields, a trait method and a type's length that nobody used are gone.

--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -88,8 +88,6 @@
     pub start: Tick,
     /// When the caller must have its answer.
     pub end: Tick,
-    /// Whether the end is that of the route and not of the caller.
-    pub by_route: bool,
 }
 
 /// How one sending ended.
@@ -100,6 +98,8 @@
     NotRun(Code),
     /// It may have run.
     Lost(Code, &'static str),
+    /// The server failed it, and it is to be sent once more.
+    Again(Code, &'static str),
 }
 
 impl<P: Platform> Flight<P> {
@@ -127,17 +127,20 @@
                 Err(refusal) => return Err(refusal),
             };
             sendings += 1;
-            let outcome = self.send(&server, turn, print).await;
-            let (code, why) = match outcome {
+            let outcome = self.send(&server, turn, sendings, print).await;
+            avoid = Some(server.clone());
+            let (code, why, again) = match outcome {
                 Outcome::Answer(response) => return Ok(response),
-                Outcome::NotRun(code) => (code, "not run"),
+                Outcome::NotRun(code) => (code, "not run", self.may_repeat(sendings, ran)),
                 Outcome::Lost(code, why) => {
                     ran = true;
-                    (code, why)
+                    (code, why, self.may_repeat(sendings, ran))
+                }
+                Outcome::Again(code, why) => {
+                    ran = true;
+                    (code, why, true)
                 }
             };
-            avoid = Some(server.clone());
-            let again = self.may_repeat(sendings, ran);
             info!(event = "sending_failed", id = self.id(), server = server.as_str(), key = self.key_text(), routes = self.table.version, service = self.service.as_str(), code = code as u16, ran, again, sendings; "{why}");
             if !again && ran {
                 return Err(Refusal::from(code));
@@ -262,7 +265,7 @@
     }
 
     /// Sends the request to a server and reads the start of the answer.
-    async fn send(&self, server: &Name, turn: Turn<P>, print: u64) -> Outcome<P> {
+    async fn send(&self, server: &Name, turn: Turn<P>, sendings: u32, print: u64) -> Outcome<P> {
         let node = &self.node;
         let backend = {
             let beliefs = node.beliefs.borrow();
@@ -292,7 +295,7 @@
             };
         };
         match result {
-            Ok(response) => self.judge(sent, response).await,
+            Ok(response) => self.judge(sent, response, sendings).await,
             Err(fault) if fault.is_sent() => {
                 sent.turn.ending = Ending::Failed;
                 spawn_local(look(node.clone(), sent.backend.clone(), print));
@@ -348,7 +351,12 @@
     }
 
     /// Judges the head of an answer.
-    async fn judge(&self, mut sent: Sent<P>, response: Response<Incoming>) -> Outcome<P> {
+    async fn judge(
+        &self,
+        mut sent: Sent<P>,
+        response: Response<Incoming>,
+        sendings: u32,
+    ) -> Outcome<P> {
         let names = self.node.platform.headers().clone();
         let (mut parts, body) = response.into_parts();
         let length = body.size_hint().exact();
@@ -374,11 +382,11 @@
             return Outcome::Lost(Code::ServerLost, "the answer lacks the server's proof");
         }
         let failed = parts.status.is_server_error();
-        if failed && self.route.idempotent && self.may_repeat(1, true) {
+        if failed && self.may_repeat(sendings, true) {
             sent.ending = Ending::Failed;
             sent.drain().await;
             self.node.metrics.count("server_failed");
-            return Outcome::Lost(Code::ServerLost, "the server answered with a failure");
+            return Outcome::Again(Code::ServerLost, "the server answered with a failure");
         }
         clean(&mut parts.headers);
         let whole = length.is_none_or(|length| length <= WHOLE_BYTES);
@@ -522,11 +530,10 @@
     }
 }
 
-/// Returns the end of a request, and whether it is that of the route.
-pub fn end_of(start: Tick, route: &Route, deadline: Option<u64>) -> (Tick, bool) {
+/// Returns when a caller must have its answer.
+pub fn end_of(start: Tick, route: &Route, deadline: Option<u64>) -> Tick {
     let caller = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    let by_route = route.timeout < caller;
-    (start + route.timeout.min(caller).saturating_sub(REACH), by_route)
+    start + route.timeout.min(caller).saturating_sub(REACH)
 }
 
 /// Returns the headers that are passed on to a server.
--- a/crates/whinspring-router/src/front.rs
+++ b/crates/whinspring-router/src/front.rs
@@ -55,9 +55,6 @@
 /// Time after which a caller may come back to another node.
 const MOVE_ON: Duration = Duration::from_millis(200);
 
-/// Longest path, in bytes.
-const MAX_PATH: usize = 16 << 10;
-
 /// Open connections of callers.
 #[derive(Debug, Default)]
 pub struct Doors {
@@ -195,7 +192,7 @@
         return Err(Refusal::later(Code::NotReady, MOVE_ON));
     };
     let bytes = read(body, &parts.headers, table.limits.body).await?;
-    let path = check(&parts)?;
+    let path = check(&parts, table.limits.head)?;
     let names = node.platform.headers();
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = table.find(host, parts.uri.path()).cloned().ok_or(Code::NoService)?;
@@ -205,7 +202,7 @@
         true => Some(number(&parts.headers, &names.key).ok_or(Code::NoKey)?),
         false => None,
     };
-    let (end, by_route) = end_of(start, &route, number(&parts.headers, &names.deadline));
+    let end = end_of(start, &route, number(&parts.headers, &names.deadline));
     let headers = passed_on(parts.headers, &[&names.deadline, &names.target]);
     let flight = Flight {
         node: node.clone(),
@@ -220,13 +217,12 @@
         id,
         start,
         end,
-        by_route,
     };
     flight.run().await
 }
 
-/// Checks the form of a request; returns path and query.
-fn check(parts: &Parts) -> Result<Name, Refusal> {
+/// Checks the form of a request, whose head may have `most` bytes; returns path and query.
+fn check(parts: &Parts, most: usize) -> Result<Name, Refusal> {
     let one_host = parts.headers.get_all(HOST).iter().count() == 1;
     if parts.version != Version::HTTP_11 || !one_host {
         return Err(Code::BadRequest.into());
@@ -235,8 +231,9 @@
     if !path.starts_with('/') {
         return Err(Code::BadRequest.into());
     }
-    if path.len() > MAX_PATH {
-        return Err(Refusal::with_status(Code::BadRequest, 414));
+    let head = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    if path.len() + head.sum::<usize>() > most {
+        return Err(Refusal::with_status(Code::BadRequest, 431));
     }
     Ok(Name::from(path))
 }
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -120,9 +120,6 @@
         expect: u64,
         value: &[u8],
     ) -> impl Future<Output = Result<u64, StoreError>>;
-
-    /// Removes an object.
-    fn remove(&self, kind: Kind, name: &str) -> impl Future<Output = Result<(), StoreError>>;
 }
 
 /// A backend server as it describes itself.
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -374,10 +374,6 @@
             false => Ok(revision),
         }
     }
-
-    async fn remove(&self, _: Kind, _: &str) -> Result<(), StoreError> {
-        Ok(())
-    }
 }
 
 impl Dialect for Platform {
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -54,10 +54,6 @@
     async fn write(&self, _: Kind, _: &str, _: u64, _: &[u8]) -> Result<u64, StoreError> {
         Err(StoreError::Silent)
     }
-
-    async fn remove(&self, _: Kind, _: &str) -> Result<(), StoreError> {
-        Err(StoreError::Silent)
-    }
 }
 
 impl Orders for Platform {
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -38,7 +38,7 @@
 
 impl Span {
     /// Returns the number of keys.
-    pub fn len(&self) -> u32 {
+    pub fn keys(&self) -> u32 {
         u32::from(self.last - self.first) + 1
     }
 
@@ -46,11 +46,6 @@
     fn joins(&self, next: &Self) -> bool {
         self.owner == next.owner && self.former.is_none() && next.former.is_none()
     }
-
-    /// Returns whether the span has no key, which never holds.
-    pub fn is_empty(&self) -> bool {
-        false
-    }
 }
 
 /// The owners of all keys of a service.
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -197,7 +197,7 @@
             }
         }
         if busy.is_empty() && base > 0.0 {
-            let keys = ((want / base) as u32).min(span.len());
+            let keys = ((want / base) as u32).min(span.keys());
             if keys > 0 && best.is_none() {
                 let last = u32::from(span.first) + keys - 1;
                 best = Some((0.0, span.first, last as u16));
