--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -2,7 +2,7 @@
 //!
 //! One node at a time is the controller, named with a rising term in a record that is changed by
 //! conditional writes only. A controller that has lost its place may not know it; what keeps its
-//! late orders harmless is explained in [`grants`].
+//! late orders harmless is explained in `grants` and `handover`.
 
 use {
     crate::{
@@ -27,9 +27,11 @@
     },
 };
 
-pub mod grants;
+mod grants;
+mod handover;
 mod holds;
 mod moves;
+pub mod servers;
 
 use self::holds::Holds;
 
@@ -111,7 +113,7 @@
     /// Servers that refuse connections: since when, and when they last did.
     down: HashMap<Life, (Tick, Tick)>,
     /// What other nodes found at servers' addresses.
-    pub(crate) looks: HashMap<SocketAddr, grants::Look>,
+    pub(crate) looks: HashMap<SocketAddr, servers::Look>,
     /// When servers last answered a request of any node.
     answered: HashMap<Name, Tick>,
     /// Last known addresses of servers.
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -1,36 +1,28 @@
-//! Grants of keys to servers.
+//! Grants of keys to servers: what is due for each service.
 //!
-//! Keys change hands in this order: the new owner and its fence number are written to the store
-//! with the former owner's name; the former owner is granted the keys once more under a number of
-//! its own and then releases them, so that any older grant still on its way to it is refused; the
-//! new owner gets its grant; the former owner's name is taken out of the store. A new controller
+//! Owners and fence numbers are written to the store before servers are told. A new controller
 //! raises all numbers first, which shuts out the orders of the one before it at every server that
-//! can be reached. A former owner that cannot be reached keeps its keys until every grant that it
-//! may have got has run out, including those of an earlier controller, unless no process listens
-//! at its address any more.
+//! can be reached. Grants are renewed while the controller may give orders, and finished
+//! hand-overs are written together.
 
 use {
-    super::{Controller, FENCE_STEP, holds::end_of, moves},
+    super::{
+        handover::{hand_over, key},
+        servers::{address, candidates, is_down, is_over},
+    },
     crate::{
         follow,
-        message::{Body, LookAt, Looked, OwnersRecord},
+        message::OwnersRecord,
         node::Node,
         platform::{Grant, Kind, Object, Platform, Reply, StoreError},
     },
-    log::{info, warn},
+    log::info,
     prost::Message,
-    std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{
-        net::TcpStream,
-        task::spawn_local,
-        time::{sleep, timeout},
-    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::task::spawn_local,
     whinspring::{
         name::Name,
-        ranges::{
-            Life, MAX_KEY, Ownership, Span,
-            balance::{self, Candidate},
-        },
+        ranges::{Life, MAX_KEY, Ownership, Span, balance},
         time::Tick,
     },
 };
@@ -56,36 +48,9 @@
 /// Time for which finished hand-overs are collected before they are written.
 const COLLECT: Duration = Duration::from_millis(60);
 
-/// Length of the grant that shuts older ones out before a release.
-const RELEASE_HOLD: Duration = Duration::from_secs(1);
-
-/// The same where the next owner may hold the keys already.
-const INHERITED_HOLD: Duration = Duration::from_millis(300);
-
-/// Time for which a server must refuse connections to count as dead.
-const DEAD_AFTER: Duration = Duration::from_millis(400);
-
-/// The same for a server that was about to leave: it refuses connections before its last work ends.
-const LEFT_AFTER: Duration = Duration::from_millis(2_000);
-
-/// Time between two questions to all nodes about a server.
-const LOOK_EVERY: Duration = Duration::from_millis(700);
-
-/// Longest time to try a server's address for another node.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Pause before an order is repeated.
-const REPEAT_PAUSE: Duration = Duration::from_millis(150);
-
-/// Time for which a server that refuses connections is not used.
-const DOWN_FOR: Duration = Duration::from_millis(1_500);
-
 /// Part of all servers' capacity that is assumed to be spread evenly over the keys.
 const BASE_PART: f64 = 0.25;
 
-/// Capacity of a server that has just started, relative to a warm one.
-const COLD_CAPACITY: f64 = 0.5;
-
 /// Does what is due for each service.
 pub async fn round<P: Platform>(node: &Rc<Node<P>>) {
     let Some(routes) = node.beliefs.borrow().routes.clone() else { return };
@@ -123,7 +88,7 @@
 
 /// Returns the owners of a service and their revision if this controller wrote them. Those of a
 /// later controller are not this one's to act on.
-fn own<P: Platform>(node: &Rc<Node<P>>, service: &Name) -> Option<(u64, Rc<Ownership>)> {
+pub(super) fn own<P: Platform>(node: &Rc<Node<P>>, service: &Name) -> Option<(u64, Rc<Ownership>)> {
     let beliefs = node.beliefs.borrow();
     let found = beliefs.owners.get(service)?;
     (found.1.term == node.control.borrow().term).then(|| found.clone())
@@ -252,7 +217,7 @@
 }
 
 /// Grants a span to its owner, and notes what became of it.
-async fn grant<P: Platform>(
+pub(super) async fn grant<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
     span: &Span,
@@ -288,192 +253,15 @@
 }
 
 /// Returns the longest time for which servers take a grant.
-fn longest_hold<P: Platform>(node: &Rc<Node<P>>) -> Duration {
+pub(super) fn longest_hold<P: Platform>(node: &Rc<Node<P>>) -> Duration {
     Duration::from_millis(node.settings.limits.hold_ms.into())
 }
 
 /// Returns the length of a grant while the store answers.
-fn short_hold<P: Platform>(node: &Rc<Node<P>>) -> Duration {
+pub(super) fn short_hold<P: Platform>(node: &Rc<Node<P>>) -> Duration {
     HOLD.min(longest_hold(node))
 }
 
-/// Starts the hand-overs that are not under way.
-fn hand_over<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
-    let now = node.now();
-    for span in owned.spans.iter().filter(|span| span.former.is_some()) {
-        if is_inherited(node, service, span) && !node.control.borrow().is_alone(now) {
-            continue;
-        }
-        let mut control = node.control.borrow_mut();
-        let progress = control.moves.entry(service.clone()).or_default();
-        if progress.settled.contains(&key(span)) || !progress.busy.insert(key(span)) {
-            continue;
-        }
-        spawn_local(hand_over_one(node.clone(), service.clone(), span.clone()));
-    }
-}
-
-/// Returns what a hand-over is known by.
-fn key(span: &Span) -> moves::Key {
-    moves::Key { first: span.first, last: span.last, fence: span.fence }
-}
-
-/// Takes a span from its former owner and grants it to the new one.
-async fn hand_over_one<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span) {
-    let token = release(&node, &service, &span).await;
-    let settled = match token {
-        Some(token) => give(&node, &service, &span, token).await,
-        None => false,
-    };
-    let now = node.now();
-    let mut control = node.control.borrow_mut();
-    let Some(progress) = control.moves.get_mut(&service) else { return };
-    progress.busy.remove(&key(&span));
-    if settled {
-        progress.settled.insert(key(&span));
-        progress.oldest.get_or_insert(now);
-    }
-}
-
-/// Grants a span to its new owner; returns whether it did.
-async fn give<P: Platform>(
-    node: &Rc<Node<P>>,
-    service: &Name,
-    span: &Span,
-    token: Option<Name>,
-) -> bool {
-    loop {
-        if !is_current(node, service, span) {
-            return false;
-        }
-        let Some(addr) = address(node, &span.owner) else { return true };
-        if !node.control.borrow().may_move(node.now()) {
-            sleep(REPEAT_PAUSE).await;
-            continue;
-        }
-        match grant(node, service, span, addr, short_hold(node), token.clone()).await {
-            Reply::Done(_) | Reply::Fenced | Reply::Down | Reply::Replaced => return true,
-            Reply::Unsent | Reply::Silent => sleep(REPEAT_PAUSE).await,
-        }
-    }
-}
-
-/// Takes a span from its former owner; `None` if it is not to be handed over any more.
-async fn release<P: Platform>(
-    node: &Rc<Node<P>>,
-    service: &Name,
-    span: &Span,
-) -> Option<Option<Name>> {
-    let former = span.former.as_ref()?;
-    let mut number = 0;
-    loop {
-        if !is_current(node, service, span) {
-            return None;
-        }
-        if is_over(node, former) {
-            return Some(None);
-        }
-        let now = node.now();
-        if let Some(addr) = address(node, former) {
-            number = (number + 1).min(FENCE_STEP - 1);
-            match release_once(node, service, span, number, former, addr).await {
-                Reply::Done(token) => return Some(token),
-                Reply::Replaced => return Some(None),
-                Reply::Down if is_dead(node, former, addr) => return Some(None),
-                Reply::Down => ask_around(node, addr),
-                Reply::Fenced => node.metrics.count("release_fenced"),
-                Reply::Unsent | Reply::Silent => {}
-            }
-        }
-        if now > free_at(node, service, span, former) {
-            warn!(event = "waited_out", service = service.as_str(), former = former.server.as_str(), first = span.first, last = span.last; "a former owner was not reached");
-            return Some(None);
-        }
-        sleep(REPEAT_PAUSE).await;
-    }
-}
-
-/// Returns when a former owner that cannot be reached holds a span no more.
-///
-/// A server that took a grant of this controller refuses those of earlier ones.
-fn free_at<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span, former: &Life) -> Tick {
-    let control = node.control.borrow();
-    let own = control.holds.until(service, former, span.first, span.last);
-    if control.term == 1 || control.holds.covers(service, former, span.first, span.last) {
-        return own;
-    }
-    own.max(end_of(control.last_order(), longest_hold(node)))
-}
-
-/// Tells a former owner once to release a span, under a fence that older grants do not reach.
-///
-/// Each try has a higher fence than those before it, which may still be on their way.
-async fn release_once<P: Platform>(
-    node: &Rc<Node<P>>,
-    service: &Name,
-    span: &Span,
-    number: u64,
-    former: &Life,
-    addr: SocketAddr,
-) -> Reply {
-    match raise_once(node, service, span, number, former, addr).await {
-        Reply::Done(_) => {
-            let server = former.server.clone();
-            let (first, last) = (span.first, span.last);
-            let fence = span.fence - FENCE_STEP + number;
-            let order = Grant { server, first, last, fence, hold: Duration::ZERO, token: None };
-            node.platform.release(addr, &order).await
-        }
-        other => other,
-    }
-}
-
-/// Grants a span to a server for a short time, so that it refuses all older grants.
-async fn raise_once<P: Platform>(
-    node: &Rc<Node<P>>,
-    service: &Name,
-    span: &Span,
-    number: u64,
-    life: &Life,
-    addr: SocketAddr,
-) -> Reply {
-    let sent = node.now();
-    if !node.control.borrow().may_move(sent) {
-        return Reply::Unsent;
-    }
-    let fence = span.fence - FENCE_STEP + number;
-    let hold = if is_inherited(node, service, span) { INHERITED_HOLD } else { RELEASE_HOLD };
-    let (first, last) = (span.first, span.last);
-    let raised = Span { first, last, fence, owner: life.clone(), former: None };
-    let before = node.control.borrow_mut().holds.get(service, &raised).send(sent, hold);
-    let server = life.server.clone();
-    let order = Grant { server, first, last, fence, hold, token: None };
-    let reply = node.platform.grant(addr, &order).await;
-    let mut control = node.control.borrow_mut();
-    if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced) {
-        control.holds.get(service, &raised).until = before;
-    }
-    control.note_reply(life, &reply, sent);
-    reply
-}
-
-/// Returns whether an earlier controller began a hand-over, so that the new owner may hold its keys
-/// already.
-fn is_inherited<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
-    let control = node.control.borrow();
-    let progress = control.moves.get(service);
-    progress.is_some_and(|progress| progress.inherited.contains(&key(span)))
-}
-
-/// Returns whether a span still stands as it is, and this node may still give orders.
-fn is_current<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
-    let Some((_, owned)) = own(node, service) else { return false };
-    let stands = owned.find(span.first).is_some_and(|found| {
-        found.first == span.first && found.last == span.last && found.fence == span.fence
-    });
-    stands && node.control.borrow().may_order(node.now())
-}
-
 /// Writes that hand-overs have ended.
 async fn settle<P: Platform>(
     node: &Rc<Node<P>>,
@@ -549,144 +337,3 @@
     };
     write(node, service, revision, next).await;
 }
-
-/// Returns the servers of a service that can own keys.
-fn candidates<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) -> Vec<Candidate> {
-    let beliefs = node.beliefs.borrow();
-    let control = node.control.borrow();
-    let mut found: Vec<Candidate> = beliefs
-        .servers
-        .values()
-        .filter(|server| server.entry.service == *service)
-        .map(|server| {
-            let life = server.life();
-            let slowness = control.slowness.get(&server.name).copied().unwrap_or(1.0);
-            let cold = if now < server.warm { COLD_CAPACITY } else { 1.0 };
-            let capacity = f64::from(server.entry.slots) * cold / slowness.clamp(0.3, 10.0);
-            let down = control.down.get(&life).is_some_and(|(_, at)| now.since(*at) < DOWN_FOR);
-            let leaving = server.leaving.is_some() || server.missing.is_some() || down;
-            Candidate { life, capacity, leaving }
-        })
-        .collect();
-    found.sort_by(|a, b| a.life.cmp(&b.life));
-    found
-}
-
-/// Returns whether a server refused connections lately.
-fn is_down<P: Platform>(node: &Rc<Node<P>>, life: &Life, now: Tick) -> bool {
-    let control = node.control.borrow();
-    control.down.get(life).is_some_and(|(_, at)| now.since(*at) < DOWN_FOR / 10)
-}
-
-/// Returns whether a server is certain to have ended: it has refused connections for some time,
-/// most nodes found the same, and none got an answer meanwhile. A server refuses some nodes also
-/// when it has too many connections, or when it is cut off from them.
-fn is_dead<P: Platform>(node: &Rc<Node<P>>, life: &Life, addr: SocketAddr) -> bool {
-    let now = node.now();
-    let stays = node
-        .beliefs
-        .borrow()
-        .servers
-        .get(&life.server)
-        .is_some_and(|server| server.leaving.is_none() && server.missing.is_none());
-    let after = if stays { DEAD_AFTER } else { LEFT_AFTER };
-    let control = node.control.borrow();
-    let Some((since, _)) = control.down.get(life) else { return false };
-    let answered = control.answered.get(&life.server).copied().unwrap_or_default();
-    let looks = control.looks.get(&addr);
-    let alone = node.peers.borrow().live(now).count() + 1;
-    let agreed = looks.map_or(0, |look| look.refused.len()) + 1;
-    let reached = looks.is_some_and(|look| look.reached);
-    now.since(*since) >= after && answered < *since && !reached && agreed * 3 > alone * 2
-}
-
-/// Asks all nodes whether a server refuses them too.
-fn ask_around<P: Platform>(node: &Rc<Node<P>>, addr: SocketAddr) {
-    let now = node.now();
-    {
-        let mut control = node.control.borrow_mut();
-        let look = control.looks.entry(addr).or_default();
-        if look.asked != Tick::default() && now.since(look.asked) < LOOK_EVERY {
-            return;
-        }
-        *look = Look { asked: now, ..Look::default() };
-    }
-    let names: Vec<Name> = node.peers.borrow().nodes.keys().cloned().collect();
-    for name in names {
-        node.send(&name, Body::Look(LookAt { addr: addr.to_string() }));
-    }
-}
-
-/// Tries a server's address for another node, and tells it the result.
-pub async fn look_at<P: Platform>(node: Rc<Node<P>>, asker: Name, addr: SocketAddr) {
-    let refused = match timeout(LOOK_TIMEOUT, TcpStream::connect(addr)).await {
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) => false,
-        Err(_) => return,
-    };
-    node.send(&asker, Body::Looked(Looked { addr: addr.to_string(), refused }));
-}
-
-/// What other nodes found at a server's address.
-#[derive(Debug, Default)]
-pub struct Look {
-    /// When they were asked.
-    asked: Tick,
-    /// Nodes that were refused.
-    refused: HashSet<Name>,
-    /// Whether a node was not refused.
-    reached: bool,
-}
-
-impl Look {
-    /// Takes what a node found.
-    pub fn note(&mut self, from: &Name, refused: bool) {
-        if refused {
-            self.refused.insert(from.clone());
-        }
-        self.reached |= !refused;
-    }
-}
-
-impl Controller {
-    /// Notes what a server's reply to an order says of the server.
-    fn note_reply(&mut self, life: &Life, reply: &Reply, sent: Tick) {
-        match reply {
-            Reply::Down | Reply::Replaced => {
-                let known = self.down.entry(life.clone()).or_insert((sent, sent));
-                let lapsed = sent.since(known.1) > DOWN_FOR;
-                *known = (if lapsed { sent } else { known.0 }, sent);
-            }
-            Reply::Done(_) | Reply::Fenced => {
-                self.down.remove(life);
-            }
-            Reply::Unsent | Reply::Silent => {}
-        }
-    }
-}
-
-/// Returns whether a life of a server has ended: it has started again since, or another server
-/// has got its address.
-fn is_over<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
-    let beliefs = node.beliefs.borrow();
-    if let Some(server) = beliefs.servers.get(&life.server) {
-        return server.entry.born != life.born;
-    }
-    let control = node.control.borrow();
-    let Some(addr) = control.addresses.get(life) else { return false };
-    beliefs.servers.values().any(|server| server.entry.addr == *addr)
-}
-
-/// Returns the address of a life of a server, also if its entry is gone.
-fn address<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> Option<SocketAddr> {
-    let beliefs = node.beliefs.borrow();
-    let mut control = node.control.borrow_mut();
-    match beliefs.servers.get(&life.server) {
-        Some(server) if server.entry.born == life.born => {
-            control.addresses.insert(life.clone(), server.entry.addr);
-            Some(server.entry.addr)
-        }
-        Some(_) => None,
-        None => control.addresses.get(life).copied(),
-    }
-}
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        control::grants,
+        control::servers,
         follow,
         message::{Beat, Body, Envelope},
         node::Node,
@@ -222,7 +222,7 @@
         Body::Snapshot(snapshot) => follow::adopt(node, snapshot),
         Body::Look(look) => {
             if let Ok(addr) = look.addr.parse() {
-                spawn_local(grants::look_at(node.clone(), from.clone(), addr));
+                spawn_local(servers::look_at(node.clone(), from.clone(), addr));
             }
         }
         Body::Looked(looked) => {
--- a/crates/whinspring-router/src/settings.rs
+++ b/crates/whinspring-router/src/settings.rs
@@ -60,13 +60,9 @@
     /// Returns every fault of the text, in the order of their lines.
     pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
         let (sections, mut faults) = ini::parse(text);
-        for section in &sections {
-            if !SECTIONS.contains(&section.name.as_str()) {
-                faults.push(unknown(section));
-            }
-        }
-        let settings = read_node(&find(&sections, "node"), &mut faults)
-            .zip(Limits::read(&find(&sections, "limits"), &mut faults))
+        ini::refuse_unknown(&sections, SECTIONS, &mut faults);
+        let settings = read_node(&ini::find(&sections, "node"), &mut faults)
+            .zip(Limits::read(&ini::find(&sections, "limits"), &mut faults))
             .map(|(settings, limits)| Self { limits, ..settings });
         match settings {
             Some(settings) if faults.is_empty() => Ok(settings),
@@ -78,23 +74,6 @@
     }
 }
 
-/// Lists a section of an unknown name.
-fn unknown(section: &Section) -> Fault {
-    Fault {
-        line: section.line,
-        section: section.name.clone(),
-        key: Name::new(),
-        text: "the section is unknown".into(),
-        hint: format!("known sections: {}", SECTIONS.join(", ")),
-    }
-}
-
-/// Returns the section `name`, empty if it is missing.
-fn find(sections: &[Section], name: &str) -> Section {
-    let found = sections.iter().find(|section| section.name == name);
-    found.cloned().unwrap_or_else(|| Section { name: name.into(), line: 0, entries: Vec::new() })
-}
-
 /// Reads the section `node`.
 fn read_node(section: &Section, faults: &mut Vec<Fault>) -> Option<Settings> {
     let mut reader = Reader::new(section, faults);
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -13,7 +13,7 @@
         time::Duration,
     },
     tokio::{
-        task::spawn_local,
+        task::{LocalSet, spawn_local},
         time::{Instant, sleep, sleep_until},
     },
     whinspring::{
@@ -494,3 +494,11 @@
 pub async fn pass(ms: u64) {
     sleep_until(Instant::now() + Duration::from_millis(ms)).await;
 }
+
+/// Runs work on the runtime's own time, which moves on when all wait.
+pub fn on_moved_time<F: Future>(seed: u64, work: F) -> F::Output {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().start_paused(true).build().unwrap();
+    fastrand::seed(seed);
+    LocalSet::new().block_on(&runtime, work)
+}
--- a/crates/whinspring-router/tests/owners/seeds.rs
+++ b/crates/whinspring-router/tests/owners/seeds.rs
@@ -1,11 +1,12 @@
 //! Faults that a seed picks, in series and overlapping.
 
 use {
-    crate::fake::{Odds, World, pass, start, tell},
+    crate::fake::{Odds, Platform, World, on_moved_time, pass, start, tell},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{cell::RefCell, rc::Rc},
-    tokio::task::{LocalSet, spawn_local},
+    tokio::task::spawn_local,
+    whinspring_router::node::Node,
 };
 
 /// Seeds that are always run.
@@ -17,18 +18,31 @@
 /// Servers that a run may lose.
 const MOST_LOST: usize = 5;
 
-/// Runs the faults of a seed; returns what broke.
-fn run(seed: u64) -> Vec<String> {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build().unwrap();
-    fastrand::seed(seed);
-    LocalSet::new().block_on(&runtime, async {
+/// Three nodes and their servers, after the keys were divided.
+struct Scene {
+    world: Rc<RefCell<World>>,
+    nodes: Vec<Rc<Node<Platform>>>,
+    /// Whether the nodes do not hear each other.
+    deaf: Rc<RefCell<bool>>,
+    rng: ChaCha8Rng,
+}
+
+impl Scene {
+    async fn start(seed: u64) -> Self {
         let world = World::new(seed, SERVERS);
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let rng = ChaCha8Rng::seed_from_u64(seed);
         let nodes = vec![start(&world, "n1"), start(&world, "n2"), start(&world, "n3")];
         let deaf = Rc::new(RefCell::new(false));
         spawn_local(tell(nodes.clone(), deaf.clone()));
         pass(5_000).await;
+        Self { world, nodes, deaf, rng }
+    }
+}
+
+/// Runs the faults of a seed; returns what broke.
+fn run(seed: u64) -> Vec<String> {
+    on_moved_time(seed, async move {
+        let Scene { world, nodes, deaf, mut rng } = Scene::start(seed).await;
         let mut lost = 0;
         for _ in 0..25 {
             pass(rng.random_range(50..2_500)).await;
@@ -77,16 +91,8 @@
 
 /// Controllers change in the middle of hand-overs whose orders are carried out late.
 fn run_late(seed: u64) -> Vec<String> {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build().unwrap();
-    fastrand::seed(seed);
-    LocalSet::new().block_on(&runtime, async {
-        let world = World::new(seed, SERVERS);
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let nodes = vec![start(&world, "n1"), start(&world, "n2"), start(&world, "n3")];
-        let deaf = Rc::new(RefCell::new(false));
-        spawn_local(tell(nodes.clone(), deaf.clone()));
-        pass(5_000).await;
+    on_moved_time(seed, async move {
+        let Scene { world, nodes, deaf, mut rng } = Scene::start(seed).await;
         world.borrow_mut().odds = Odds { late: 50, ..Odds::default() };
         for index in 0..MOST_LOST {
             world.borrow_mut().leave(index);
--- a/crates/whinspring-router/tests/owners/sessions.rs
+++ b/crates/whinspring-router/tests/owners/sessions.rs
@@ -1,17 +1,14 @@
 //! Single faults, one after the other.
 
 use {
-    crate::fake::{Odds, World, pass, start, tell},
+    crate::fake::{Odds, World, on_moved_time, pass, start, tell},
     std::{cell::RefCell, rc::Rc},
-    tokio::task::{LocalSet, spawn_local},
+    tokio::task::spawn_local,
 };
 
 /// Runs a session on the runtime's own time.
-fn session<F: Future<Output = ()> + 'static>(work: F) {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_all().start_paused(true).build().unwrap();
-    fastrand::seed(7);
-    LocalSet::new().block_on(&runtime, work);
+fn session<F: Future<Output = ()>>(work: F) {
+    on_moved_time(7, work);
 }
 
 /// Checks that nothing broke.
--- a/crates/whinspring/src/ini.rs
+++ b/crates/whinspring/src/ini.rs
@@ -274,6 +274,29 @@
     }
 }
 
+/// Lists a fault for each section that is not `known`.
+pub fn refuse_unknown(sections: &[Section], known: &[&str], faults: &mut Vec<Fault>) {
+    for section in sections {
+        if known.contains(&section.name.as_str()) {
+            continue;
+        }
+        faults.push(Fault {
+            line: section.line,
+            section: section.name.clone(),
+            key: Name::new(),
+            text: "the section is unknown".into(),
+            hint: format!("known sections: {}", known.join(", ")),
+        });
+    }
+}
+
+/// Returns the section `name`, empty if it is missing.
+pub fn find(sections: &[Section], name: &str) -> Section {
+    let found = sections.iter().find(|section| section.name == name);
+    let empty = || Section { name: name.into(), line: 0, entries: Vec::new() };
+    found.cloned().unwrap_or_else(empty)
+}
+
 /// Returns `text` if it can name a node, service, server or domain.
 ///
 /// Names go into object paths and metric labels: 1 to 63 letters, digits, `-` or `_`.
--- a/crates/whinspring/src/settings.rs
+++ b/crates/whinspring/src/settings.rs
@@ -35,10 +35,10 @@
     /// Returns every fault of the text, in the order of their lines.
     pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
         let (sections, mut faults) = ini::parse(text);
-        refuse_unknown(&sections, &mut faults);
-        let node = Node::read(&find(&sections, "node"), &mut faults);
-        let limits = Limits::read(&find(&sections, "limits"), &mut faults);
-        let log = Log::read(&find(&sections, "log"), &mut faults);
+        ini::refuse_unknown(&sections, SECTIONS, &mut faults);
+        let node = Node::read(&ini::find(&sections, "node"), &mut faults);
+        let limits = Limits::read(&ini::find(&sections, "limits"), &mut faults);
+        let log = Log::read(&ini::find(&sections, "log"), &mut faults);
         if let (Some(node), Some(limits), Some(log)) = (node, limits, log)
             && faults.is_empty()
         {
@@ -52,29 +52,6 @@
 /// Sections that the settings may have.
 const SECTIONS: &[&str] = &["node", "limits", "log"];
 
-/// Lists a fault for each section of another name.
-fn refuse_unknown(sections: &[Section], faults: &mut Vec<Fault>) {
-    for section in sections {
-        if SECTIONS.iter().any(|known| *known == section.name) {
-            continue;
-        }
-        faults.push(Fault {
-            line: section.line,
-            section: section.name.clone(),
-            key: Name::new(),
-            text: "the section is unknown".into(),
-            hint: format!("known sections: {}", SECTIONS.join(", ")),
-        });
-    }
-}
-
-/// Returns the section `name`, empty if it is missing.
-fn find(sections: &[Section], name: &str) -> Section {
-    let found = sections.iter().find(|section| section.name == name);
-    let empty = || Section { name: name.into(), line: 0, entries: Vec::new() };
-    found.cloned().unwrap_or_else(empty)
-}
-
 /// Who and where a node is.
 #[derive(Debug, Clone)]
 pub struct Node {
