End a life at its address also while its entry still stands; tests for three earlier findings

Cause: writing the missing test for renewals at the address of a lost server showed that the guard did not hold while the lost server's own entry had not lapsed yet. Change: a server that came later to the same address ends the life. Tests: a server that answers requests is not dead, a leaving one is not dead at once, and one at another's address gets no keys of it; each seen red with its check taken out.

--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -157,12 +157,16 @@
 /// has got its address.
 pub(super) fn is_over<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
     let beliefs = node.beliefs.borrow();
-    if let Some(server) = beliefs.servers.get(&life.server) {
-        return server.entry.born != life.born;
+    let own = beliefs.servers.get(&life.server);
+    if own.is_some_and(|server| server.entry.born != life.born) {
+        return true;
     }
     let control = node.control.borrow();
-    let Some(addr) = control.addresses.get(life) else { return false };
-    beliefs.servers.values().any(|server| server.entry.addr == *addr)
+    let known = own.map(|server| server.entry.addr);
+    let Some(addr) = known.or_else(|| control.addresses.get(life).copied()) else { return false };
+    let since = own.map(|server| server.since).unwrap_or_default();
+    let mut others = beliefs.servers.values().filter(|server| server.name != life.server);
+    others.any(|server| server.entry.addr == addr && server.since > since)
 }
 
 /// Returns the address of a life of a server, also if its entry is gone.
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -58,6 +58,8 @@
     /// Highest fence seen, by range.
     seen: Vec<(u16, u16, u64)>,
     down: bool,
+    /// It refuses connections, but holds on to its keys.
+    full: bool,
     dark: bool,
     /// Its entry is in the store.
     listed: bool,
@@ -154,6 +156,25 @@
         self.servers.get_mut(&name(index)).unwrap().dark = dark;
     }
 
+    /// A server refuses connections, but holds on to its keys.
+    pub fn fill(&mut self, index: usize) {
+        self.servers.get_mut(&name(index)).unwrap().full = true;
+    }
+
+    /// A server ends, and another one gets its address; that one takes orders meant for the first.
+    pub fn replace(&mut self, index: usize) {
+        self.crash(index);
+        let next = Server { listed: true, ..Server::default() };
+        self.servers.insert(successor(index), next);
+    }
+
+    /// Returns the server that has an address now.
+    fn at(&self, addr: SocketAddr) -> Name {
+        let index = usize::from(addr.port() - 1_000);
+        let next = successor(index);
+        if self.servers.contains_key(&next) { next } else { name(index) }
+    }
+
     /// A server's entry goes or comes back.
     pub fn list(&mut self, index: usize, listed: bool) {
         self.servers.get_mut(&name(index)).unwrap().listed = listed;
@@ -191,7 +212,7 @@
     fn take(&mut self, target: &Name, grant: &Grant, arrived: Instant) -> Reply {
         let now = Instant::now();
         let server = self.servers.get_mut(target).unwrap();
-        if server.down {
+        if server.down || server.full {
             return Reply::Down;
         }
         let over = |first: u16, last: u16| first <= grant.last && last >= grant.first;
@@ -257,6 +278,11 @@
     Name::from(format!("s{index:02}"))
 }
 
+/// Returns the name of the server that gets the address of another.
+pub fn successor(index: usize) -> Name {
+    Name::from(format!("r{index:02}"))
+}
+
 /// Returns the address of a server.
 fn addr(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 1_000 + index as u16))
@@ -270,10 +296,6 @@
 }
 
 impl Platform {
-    fn server(addr: SocketAddr) -> Name {
-        name(usize::from(addr.port() - 1_000))
-    }
-
     /// Gives an order, which may go wrong.
     async fn order(
         &self,
@@ -281,7 +303,7 @@
         grant: &Grant,
         act: fn(&mut World, &Name, &Grant, Instant) -> Reply,
     ) -> Reply {
-        let target = Self::server(addr);
+        let target = self.world.borrow().at(addr);
         let arrived = Instant::now();
         let (dark, slow, delay) = {
             let mut world = self.world.borrow_mut();
--- a/crates/whinspring-router/tests/owners/sessions.rs
+++ b/crates/whinspring-router/tests/owners/sessions.rs
@@ -4,6 +4,7 @@
     crate::fake::{Odds, World, on_moved_time, pass, start, tell},
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
+    whinspring_router::message::{Beat, Pace},
 };
 
 /// Runs a session on the runtime's own time.
@@ -103,6 +104,58 @@
     });
 }
 
+/// A server with too many connections refuses them like one that has ended.
+#[test]
+fn a_server_that_answers_requests_is_not_dead() {
+    session(async {
+        let world = World::new(1, 4);
+        let node = start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().fill(2);
+        let pace = Pace { server: "s02".into(), count: 1, took: 100, usual: 100 };
+        let beat = Beat { paces: vec![pace], ..Beat::default() };
+        for _ in 0..15 {
+            pass(200).await;
+            node.control.borrow_mut().measure(node.now(), &beat);
+        }
+        assert_eq!(world.borrow().share(2), 0.25);
+        check(&world);
+    });
+}
+
+/// A leaving server refuses connections while its last work ends.
+#[test]
+fn a_leaving_server_is_not_dead_at_once() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().leave(1);
+        world.borrow_mut().fill(1);
+        pass(1_800).await;
+        check(&world);
+        world.borrow_mut().crash(1);
+        pass(3_000).await;
+        let held: f64 = [0, 2, 3].iter().map(|index| world.borrow().share(*index)).sum();
+        assert_eq!(held, 1.0);
+        check(&world);
+    });
+}
+
+#[test]
+fn a_server_at_the_address_of_a_lost_one_gets_no_keys_of_it() {
+    session(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        pass(4_000).await;
+        world.borrow_mut().replace(2);
+        pass(2_500).await;
+        world.borrow_mut().list(2, false);
+        pass(10_000).await;
+        check(&world);
+    });
+}
+
 /// A controller that the store turns away goes on beside its successor until it hears of it.
 #[test]
 fn two_controllers_never_grant_a_key_twice() {
