Never call a request not run that may have run

Cause: an idempotent request whose first sending may have run, and whose second the server shed, got that refusal's 503. Found in the last read of the diff; unrepeatable requests are not concerned. Test: a_request_that_may_have_run_is_never_called_not_run, red before the change (503).

--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -29,7 +29,7 @@
         time::{sleep, timeout},
     },
     whinspring::{
-        code::Code,
+        code::{Class, Code},
         gate::Ending,
         name::Name,
         routes::{Route, RouteTable},
@@ -143,7 +143,8 @@
             };
             info!(event = "sending_failed", id = self.id(), server = server.as_str(), key = self.key_text(), routes = self.table.version, service = self.service.as_str(), code = code as u16, ran, again, sendings; "{why}");
             if !again && ran {
-                return Err(Refusal::from(code));
+                let refused = code.class() == Class::NotRun;
+                return Err(Refusal::from(if refused { self.lost(code) } else { code }));
             }
             if !again {
                 return Err(Refusal::later(code, RETRY_LATER));
--- a/crates/whinspring-router/tests/path/answers.rs
+++ b/crates/whinspring-router/tests/path/answers.rs
@@ -119,6 +119,23 @@
     );
 }
 
+/// The first sending may have run, so that the second one's refusal must not reach the caller.
+#[test]
+fn a_request_that_may_have_run_is_never_called_not_run() {
+    use std::sync::atomic::{AtomicBool, Ordering};
+    static SENT: AtomicBool = AtomicBool::new(false);
+    let script = |request: &str| {
+        let id = id_of(request);
+        let shed = "HTTP/1.1 503 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n";
+        SENT.swap(true, Ordering::Relaxed).then(|| format!("{shed}x-id: {id}\r\n\r\n"))
+    };
+    run(script, |rig| async move {
+        let answer = rig.ask(&ask("GET", "/safe/1", "i1")).await;
+        assert_eq!(rig.seen.borrow().len(), 2);
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    });
+}
+
 #[test]
 fn a_request_that_did_not_run_is_refused_with_a_time_to_come_back() {
     let shed = |request: &str| {
