Notice links that are silent in one direction; ask again for what a broken link lost

Cause 1, from the logs ("no turn came in time" for minutes): a link passes nothing any more while the other node's own link goes on, so that its node is heard, counts as alive, and the requests for its gates wait until their ends. Cause 2: a link that is reset loses the message that a request has left its server; the gate keeps the place for 15 s, and two such losses close a server with two slots.

Ruled out: the store, the controller and the servers (they answered; owners were in place).

Change: beats echo when the last beat of the receiver was sent; without an echo for 1.15 s a node does not count as alive and gets a new link. A request without an answer asks its gate again after 0.6 s under the same number, and a gate asks nodes each second for requests that have been at servers for a second.

Also: `explain` and `history` of the operators' client read log files; log lines never wait for a reader (test); setting `advertised`; the relay cuts one direction.

--- a/crates/whinspring-bench/src/fleet/process.rs
+++ b/crates/whinspring-bench/src/fleet/process.rs
@@ -145,6 +145,11 @@
         self.signal(libc::SIGCONT)
     }
 
+    /// Tells it that its settings have changed (SIGHUP).
+    pub fn hang_up(&self) -> Result<(), Error> {
+        self.signal(libc::SIGHUP)
+    }
+
     /// Returns the processor time of its living threads of this name.
     pub fn thread_time(&self, name: &str) -> Duration {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.pid));
--- a/crates/whinspring-cli/src/command.rs
+++ b/crates/whinspring-cli/src/command.rs
@@ -220,13 +220,21 @@
         .help("Id of the caller's request")
         .required(true)
         .value_parser(word());
+    let logs = || {
+        let help = "Log of nodes to read in place of asking them, repeatable";
+        path("log", "FILE", help).long("log").required(false).action(ArgAction::Append)
+    };
     [
         Command::new("status").about("Show nodes, services and servers"),
         Command::new("owners").about("Show who owns a key").args([key(), service()]),
-        Command::new("history")
-            .about("Show who owned a key when, and why it changed")
-            .args([key(), service()]),
-        Command::new("explain").about("Show what happened to a request, hop by hop").arg(id),
+        Command::new("history").about("Show who owned a key when, and why it changed").args([
+            key(),
+            service(),
+            logs(),
+        ]),
+        Command::new("explain")
+            .about("Show what happened to a request, hop by hop")
+            .args([id, logs()]),
         Command::new("doctor").about("Show what is wrong now, worst first, and what mends it"),
     ]
 }
--- a/crates/whinspring-cli/src/lib.rs
+++ b/crates/whinspring-cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod exit;
 pub mod intent;
+pub mod log;
 pub mod node;
 pub mod options;
 pub mod plans;
--- /dev/null
+++ b/crates/whinspring-cli/src/log.rs
@@ -0,0 +1,194 @@
+//! Log files of nodes, read to explain a request or the past of a key.
+//!
+//! A line is a JSON object, with or without a prefix such as the name of its node. Lines that hold
+//! no such object are counted and left out.
+
+use {
+    crate::error::{Error, UnreadableSnafu},
+    serde::{Deserialize, Serialize},
+    serde_json::{Map, Value},
+    snafu::ResultExt,
+    std::{fs, path::Path},
+};
+
+/// Time before a request in which changes may have caused its fate, in milliseconds.
+const BEFORE_MS: u64 = 5_000;
+
+/// Time after a request in which its cause may show, in milliseconds.
+const AFTER_MS: u64 = 2_000;
+
+/// Lines about its surroundings that are shown at most.
+const MOST_AROUND: usize = 20;
+
+/// Events that change what a node believes of everything.
+const GENERAL: &[&str] = &[
+    "store_lost",
+    "store_regained",
+    "controller",
+    "deposed",
+    "resigned",
+    "peer_lost",
+    "link_reopened",
+    "start",
+    "stopping",
+    "log_dropped",
+];
+
+/// A line of a log.
+#[derive(Debug, Clone, Serialize)]
+pub struct Line {
+    /// Where it comes from: its prefix, or the name of the file.
+    pub source: String,
+    /// When it was written, in milliseconds of the day.
+    pub at_ms: u64,
+    /// What kind of event it tells of.
+    pub event: String,
+    /// What it says.
+    pub message: String,
+    /// What the event rested on.
+    pub facts: Map<String, Value>,
+}
+
+/// The lines of log files.
+#[derive(Debug, Default)]
+pub struct Log {
+    /// Lines in order of time.
+    pub lines: Vec<Line>,
+    /// Lines that could not be read.
+    pub unread: usize,
+}
+
+/// A line as a node writes it.
+#[derive(Debug, Deserialize)]
+struct Written {
+    #[serde(default)]
+    timestamp: String,
+    #[serde(default)]
+    message: String,
+    #[serde(default)]
+    kvs: Map<String, Value>,
+}
+
+impl Log {
+    /// Reads log files.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read.
+    pub fn read<'a>(paths: impl IntoIterator<Item = &'a Path>) -> Result<Self, Error> {
+        let mut log = Self::default();
+        for path in paths {
+            let text = fs::read_to_string(path).context(UnreadableSnafu { path })?;
+            let name = path.file_stem().unwrap_or_default().to_string_lossy();
+            log.add(&name, &text);
+        }
+        log.lines.sort_by_key(|line| line.at_ms);
+        Ok(log)
+    }
+
+    /// Adds the text of a file.
+    fn add(&mut self, name: &str, text: &str) {
+        let mut at_ms = 0;
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            match parse(name, line, at_ms) {
+                Some(line) => {
+                    at_ms = line.at_ms;
+                    self.lines.push(line);
+                }
+                None => self.unread += 1,
+            }
+        }
+    }
+
+    /// Returns the lines about a request.
+    pub fn request(&self, id: &str) -> Vec<Line> {
+        let about = |line: &&Line| line.text("id") == Some(id);
+        self.lines.iter().filter(about).cloned().collect()
+    }
+
+    /// Returns the lines that may tell why the events of a request came about.
+    pub fn around(&self, story: &[Line]) -> Vec<Line> {
+        let (Some(first), Some(last)) = (story.first(), story.last()) else { return Vec::new() };
+        let span = first.at_ms.saturating_sub(BEFORE_MS)..=last.at_ms + AFTER_MS;
+        let near = self.lines.iter().filter(|line| span.contains(&line.at_ms));
+        let bears =
+            |line: &&Line| line.text("id").is_none() && story.iter().any(|it| line.bears_on(it));
+        let found: Vec<Line> = near.filter(bears).cloned().collect();
+        found[found.len().saturating_sub(MOST_AROUND)..].to_vec()
+    }
+
+    /// Returns the changes of a key's owner.
+    pub fn key(&self, key: u64, service: Option<&str>) -> Vec<Line> {
+        let about = |line: &&Line| {
+            let of = service.is_none_or(|name| line.text("service") == Some(name));
+            of && (line.covers(key) || line.event == "divided")
+        };
+        self.lines.iter().filter(about).cloned().collect()
+    }
+}
+
+impl Line {
+    /// Returns a fact as text.
+    fn text(&self, name: &str) -> Option<&str> {
+        self.facts.get(name)?.as_str()
+    }
+
+    /// Returns a fact as a number.
+    fn number(&self, name: &str) -> Option<u64> {
+        let fact = self.facts.get(name)?;
+        fact.as_u64().or_else(|| fact.as_str()?.parse().ok())
+    }
+
+    /// Returns whether it tells of a span of keys with this one.
+    fn covers(&self, key: u64) -> bool {
+        let span = self.number("first").zip(self.number("last"));
+        span.is_some_and(|(first, last)| (first..=last).contains(&key))
+    }
+
+    /// Returns whether it may have to do with what became of a request.
+    fn bears_on(&self, other: &Self) -> bool {
+        if GENERAL.contains(&self.event.as_str()) {
+            return true;
+        }
+        if other.number("key").is_some_and(|key| self.covers(key)) {
+            return true;
+        }
+        let server = other.text("server").or(other.text("pool"));
+        let same_server =
+            [self.text("server"), self.text("to"), self.text("former"), self.text("pool")];
+        if server.is_some() && same_server.contains(&server) {
+            return true;
+        }
+        let waited = ["refused", "expired"].contains(&other.event.as_str());
+        match self.event.as_str() {
+            "balance" => waited,
+            "routes" => other.number("routes").is_some(),
+            _ => false,
+        }
+    }
+}
+
+/// Reads one line; one without a time belongs to the one before it.
+fn parse(name: &str, line: &str, before_ms: u64) -> Option<Line> {
+    let start = line.find('{')?;
+    let written: Written = serde_json::from_str(&line[start..]).ok()?;
+    let prefix = line[..start].trim();
+    let mut facts = written.kvs;
+    let event = facts.remove("event")?.as_str()?.to_string();
+    Some(Line {
+        source: if prefix.is_empty() { name.into() } else { prefix.into() },
+        at_ms: millis(&written.timestamp).unwrap_or(before_ms),
+        event,
+        message: written.message,
+        facts,
+    })
+}
+
+/// Reads the milliseconds of the day from a timestamp such as `2026-12-04T00:03:39.249364+00:00`.
+fn millis(timestamp: &str) -> Option<u64> {
+    let (_, time) = timestamp.split_once('T')?;
+    let hour: u64 = time.get(0..2)?.parse().ok()?;
+    let minute: u64 = time.get(3..5)?.parse().ok()?;
+    let second: f64 = time.get(6..12).or(time.get(6..8))?.parse().ok()?;
+    Some((hour * 60 + minute) * 60_000 + (second * 1_000.0) as u64)
+}
--- a/crates/whinspring-cli/src/run.rs
+++ b/crates/whinspring-cli/src/run.rs
@@ -6,11 +6,12 @@
         error::{Error, UnwritableSnafu},
         exit::Exit,
         intent::{self, name},
+        log::Log,
         node::{self, escape},
         options::Options,
         plans, query,
         store::Store,
-        view::{Changes, Explanation, Form, Lost, Plans, Progress, Proposed, View},
+        view::{Changes, Explanation, Form, Lost, Past, Plans, Progress, Proposed, Story, View},
     },
     clap::{ArgMatches, Command},
     snafu::ResultExt,
@@ -247,6 +248,15 @@
     out: &mut Output<W>,
 ) -> Result<Exit, Error> {
     let id = name(args, "id");
+    if let Some(log) = read_logs(args)? {
+        let story = Story::new(&log, &id);
+        if story.lines.is_empty() {
+            let hint = "give the logs of all nodes; answers of servers are counted, not logged";
+            return Err(Error::Unknown { what: format!("request {id}"), hint });
+        }
+        out.print(&story);
+        return Ok(Exit::Done);
+    }
     let path = format!("/explain?id={}", escape(&id));
     let explanation = Explanation::new(&id, node::ask(options.nodes()?, &path).await?);
     if explanation.events.is_empty() {
@@ -265,6 +275,15 @@
 ) -> Result<Exit, Error> {
     let key = name(args, "key");
     let service = args.get_one::<Name>("service").map(Name::as_str);
+    if let Some(log) = read_logs(args)? {
+        let past = key.parse().ok().map(|number| Past::new(&log, number, service));
+        let Some(past) = past.filter(|past| !past.lines.is_empty()) else {
+            let hint = "keys are numbers; give the logs of all nodes, as any may grant keys";
+            return Err(Error::Unknown { what: format!("a past of key {key}"), hint });
+        };
+        out.print(&past);
+        return Ok(Exit::Done);
+    }
     let path = format!("/history?key={}", escape(&key));
     let changes = Changes::new(&key, service, node::ask(options.nodes()?, &path).await?);
     if changes.changes.is_empty() {
@@ -275,6 +294,12 @@
     Ok(Exit::Done)
 }
 
+/// Reads the logs that a command names, if it names any.
+fn read_logs(args: &ArgMatches) -> Result<Option<Log>, Error> {
+    let Some(paths) = args.get_many::<PathBuf>("log") else { return Ok(None) };
+    Log::read(paths.map(PathBuf::as_path)).map(Some)
+}
+
 /// Prints the main man page, or writes one page a command into a folder.
 fn manual<W: Write>(args: &ArgMatches, out: &mut Output<W>) -> Result<Exit, Error> {
     match args.get_one::<PathBuf>("folder") {
--- a/crates/whinspring-cli/src/view.rs
+++ b/crates/whinspring-cli/src/view.rs
@@ -1,5 +1,6 @@
 //! Results as people or programs read them.
 
+mod log;
 mod plan;
 mod status;
 mod trail;
@@ -7,6 +8,7 @@
 use {crate::error::Error, serde::Serialize, std::fmt::Display};
 
 pub use {
+    log::{Past, Story},
     plan::{Lost, Plans, Progress, Proposed},
     status::{Diagnosis, Owners, Status},
     trail::{Changes, Explanation, Step},
--- /dev/null
+++ b/crates/whinspring-cli/src/view/log.rs
@@ -0,0 +1,98 @@
+//! What log files tell, as it is printed.
+
+use {
+    crate::{
+        log::{Line, Log},
+        text::wrap,
+    },
+    serde::Serialize,
+    serde_json::Value,
+    std::fmt::{self, Display, Formatter},
+    whinspring::code::Code,
+};
+
+/// A request as log files tell it.
+#[derive(Debug, Serialize)]
+pub struct Story {
+    /// Id of the request.
+    pub id: String,
+    /// What happened to it, in order of time.
+    pub lines: Vec<Line>,
+    /// What else happened that may be the cause.
+    pub around: Vec<Line>,
+}
+
+impl Story {
+    /// Finds the story of a request.
+    pub fn new(log: &Log, id: &str) -> Self {
+        let lines = log.request(id);
+        let around = log.around(&lines);
+        Self { id: id.into(), lines, around }
+    }
+}
+
+impl Display for Story {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&wrap("request ", "  ", &self.id))?;
+        write_lines(f, &self.lines)?;
+        if !self.around.is_empty() {
+            f.write_str("around it:\n")?;
+        }
+        write_lines(f, &self.around)
+    }
+}
+
+/// The past of a key as log files tell it.
+#[derive(Debug, Serialize)]
+pub struct Past {
+    /// The key.
+    pub key: u64,
+    /// The changes of its owner, in order of time.
+    pub lines: Vec<Line>,
+}
+
+impl Past {
+    /// Finds the past of a key.
+    pub fn new(log: &Log, key: u64, service: Option<&str>) -> Self {
+        Self { key, lines: log.key(key, service) }
+    }
+}
+
+impl Display for Past {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&wrap("key ", "  ", &self.key.to_string()))?;
+        write_lines(f, &self.lines)
+    }
+}
+
+/// Writes lines, each with the time of the day and its node.
+fn write_lines(f: &mut Formatter<'_>, lines: &[Line]) -> fmt::Result {
+    for line in lines {
+        let first = format!("  {} {} {}: ", time(line.at_ms), line.source, line.event);
+        let facts: Vec<String> = line.facts.iter().filter_map(fact).collect();
+        f.write_str(&wrap(&first, "    ", &format!("{} ({})", line.message, facts.join(", "))))?;
+    }
+    Ok(())
+}
+
+/// Returns a fact as text, result codes with their class; `None` for what the heading says.
+fn fact((name, value): (&String, &Value)) -> Option<String> {
+    let text = match value {
+        Value::String(text) => text.clone(),
+        value => value.to_string(),
+    };
+    if name == "id" || text.is_empty() {
+        return None;
+    }
+    let code = (name == "code").then(|| text.parse().ok().and_then(Code::from_number)).flatten();
+    Some(match code {
+        Some(code) => format!("{name} {text} {}", code.class().as_str()),
+        None => format!("{name} {text}"),
+    })
+}
+
+/// Returns a time of the day, such as `20:41:07.250`.
+fn time(at_ms: u64) -> String {
+    let (second, ms) = (at_ms / 1_000, at_ms % 1_000);
+    format!("{:02}:{:02}:{:02}.{ms:03}", second / 3_600, second / 60 % 60, second % 60)
+}
--- /dev/null
+++ b/crates/whinspring-cli/tests/logs.rs
@@ -0,0 +1,45 @@
+//! Requests and keys explained from log files of a day on the platform.
+
+use {
+    std::path::Path,
+    whinspring_cli::{
+        log::Log,
+        view::{Past, Story},
+    },
+};
+
+/// Returns the logs of two nodes: some prefixed as a collector does, and one line that is broken.
+fn logs() -> Log {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/logs");
+    Log::read([folder.join("node-0.log").as_path(), folder.join("node-1.log").as_path()]).unwrap()
+}
+
+#[test]
+fn a_request_without_an_owner_is_explained_by_the_move_of_its_key() {
+    insta::assert_snapshot!(Story::new(&logs(), "6dbd920af54dc152"));
+}
+
+#[test]
+fn a_refused_request_is_explained_by_what_happened_to_its_server() {
+    insta::assert_snapshot!(Story::new(&logs(), "32c832eee1c8d540"));
+}
+
+#[test]
+fn a_request_that_may_have_run_is_explained_by_the_loss_of_its_server() {
+    insta::assert_snapshot!(Story::new(&logs(), "5ee96e049de0ae0d"));
+}
+
+#[test]
+fn the_past_of_a_key_is_told_in_order() {
+    insta::assert_snapshot!(Past::new(&logs(), 48_275, Some("desk")));
+}
+
+#[test]
+fn lines_that_cannot_be_read_are_counted() {
+    assert_eq!(logs().unread, 1);
+}
+
+#[test]
+fn a_request_that_no_log_knows_has_no_story() {
+    assert!(Story::new(&logs(), "0000000000000000").lines.is_empty());
+}
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -143,7 +143,7 @@
 
 /// Makes this node known, and learns the others.
 async fn register<P: Platform>(node: Rc<Node<P>>) {
-    let record = NodeRecord { addr: node.settings.peer.to_string() };
+    let record = NodeRecord { addr: node.settings.advertised.to_string() };
     let value = record.encode_to_vec();
     let name = node.name().clone();
     loop {
--- a/crates/whinspring-router/src/logs.rs
+++ b/crates/whinspring-router/src/logs.rs
@@ -25,6 +25,9 @@
 /// Lines that wait to be written at most.
 const QUEUE: usize = 512;
 
+/// Stack of the thread that writes, in bytes.
+const STACK: usize = 64 << 10;
+
 /// Seconds of lines that may come at once.
 const BURST_S: f64 = 2.0;
 
@@ -34,20 +37,7 @@
 ///
 /// Panics if the thread that writes cannot be started.
 pub fn start(lines: u32) {
-    let (queue, written) = sync_channel::<Vec<u8>>(QUEUE);
-    thread::Builder::new()
-        .name("logs".into())
-        .stack_size(64 << 10)
-        .spawn(move || {
-            let mut out = stdout();
-            while let Ok(line) = written.recv() {
-                let _ = out.write_all(&line);
-            }
-        })
-        .expect("a thread can be started");
-    let rate = f64::from(lines);
-    let bucket = Bucket { left: rate * BURST_S, filled: Instant::now(), dropped: 0 };
-    let append = Bounded { queue, rate, layout: JsonLayout::default(), bucket: Mutex::new(bucket) };
+    let append = Bounded::new(lines, stdout());
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(Filter::MoreSevereEqual(Level::Info)).append(append))
         .apply();
@@ -56,7 +46,7 @@
 
 /// Appends lines to a bounded queue.
 #[derive(Debug)]
-struct Bounded {
+pub struct Bounded {
     /// Lines to be written.
     queue: SyncSender<Vec<u8>>,
     /// Lines a second at most.
@@ -78,6 +68,29 @@
     dropped: u64,
 }
 
+impl Bounded {
+    /// Creates a queue whose lines a thread writes to `out`, at most `lines` a second.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the thread cannot be started.
+    pub fn new(lines: u32, mut out: impl Write + Send + 'static) -> Self {
+        let (queue, written) = sync_channel::<Vec<u8>>(QUEUE);
+        thread::Builder::new()
+            .name("logs".into())
+            .stack_size(STACK)
+            .spawn(move || {
+                while let Ok(line) = written.recv() {
+                    let _ = out.write_all(&line);
+                }
+            })
+            .expect("a thread can be started");
+        let rate = f64::from(lines);
+        let bucket = Bucket { left: rate * BURST_S, filled: Instant::now(), dropped: 0 };
+        Self { queue, rate, layout: JsonLayout::default(), bucket: Mutex::new(bucket) }
+    }
+}
+
 impl Append for Bounded {
     fn append(&self, record: &Record<'_>, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
         let Ok(mut bucket) = self.bucket.lock() else { return Ok(()) };
@@ -93,8 +106,7 @@
         let mut line = self.layout.format(record, diags)?;
         line.push(b'\n');
         if bucket.dropped > 0 {
-            let note = format!("{{\"event\":\"log_dropped\",\"lines\":{}}}\n", bucket.dropped);
-            line.extend_from_slice(note.as_bytes());
+            line.extend_from_slice(dropped(bucket.dropped).as_bytes());
         }
         match self.queue.try_send(line) {
             Ok(()) => bucket.dropped = 0,
@@ -107,3 +119,9 @@
         Ok(())
     }
 }
+
+/// Returns the line that tells how many were dropped.
+fn dropped(lines: u64) -> String {
+    let kvs = format!("{{\"event\":\"log_dropped\",\"lines\":{lines}}}");
+    format!("{{\"level\":\"WARN\",\"message\":\"lines were dropped\",\"kvs\":{kvs}}}\n")
+}
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it is about.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -57,6 +57,9 @@
     /// Owners that have changed.
     #[prost(message, tag = "11")]
     Moved(Moved),
+    /// Asks whether requests are still at their servers.
+    #[prost(message, tag = "12")]
+    Check(Check),
 }
 
 /// A sign of life, with what its node knows and has measured.
@@ -104,6 +107,13 @@
     /// Milliseconds between two beats of its node.
     #[prost(uint32, tag = "14")]
     pub every: u32,
+    /// When it was sent, in milliseconds of its node's clock.
+    #[prost(uint64, tag = "15")]
+    pub sent: u64,
+    /// When the last beat was sent that its node has heard from the receiver, in milliseconds of
+    /// the receiver's clock.
+    #[prost(uint64, tag = "16")]
+    pub echo: u64,
 }
 
 /// Beats that may be missing before their node counts as lost, in tenths.
@@ -118,6 +128,11 @@
         let missing = u64::from(self.every * MISSING_TENTHS / 10);
         LOST_AFTER.max(Duration::from_millis(missing))
     }
+
+    /// Returns the time without an echo after which its node hears nothing of the receiver.
+    pub fn deaf_after(&self) -> Duration {
+        self.lost_after() + Duration::from_millis(self.every.into())
+    }
 }
 
 /// Work that a key caused.
@@ -210,6 +225,17 @@
     pub ending: u32,
 }
 
+/// Asks whether requests are still at their servers.
+#[derive(Clone, PartialEq, Message)]
+pub struct Check {
+    /// Pool that they were asked of.
+    #[prost(string, tag = "1")]
+    pub pool: String,
+    /// Numbers of the requests at their node.
+    #[prost(uint64, repeated, tag = "2")]
+    pub numbers: Vec<u64>,
+}
+
 /// Asks for objects.
 #[derive(Clone, PartialEq, Message)]
 pub struct Fetch {
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -1,7 +1,8 @@
 //! Other nodes: links to them, and which of them are alive.
 //!
 //! Each node opens a link to each other node for what it sends, and reads from the links that
-//! others opened. A node counts as alive while its beats arrive. All of this is a hint.
+//! others opened. A node counts as alive while its beats arrive and echo those of this node: a
+//! connection may fall silent in one direction only. All of this is a hint.
 
 use {
     crate::{
@@ -52,6 +53,9 @@
 /// Time before a link is opened again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time between two links that are opened because a node hears nothing.
+const REOPEN_EVERY: Duration = Duration::from_millis(1_000);
+
 /// Messages that wait for a link at most.
 const QUEUE: usize = 512;
 
@@ -68,6 +72,10 @@
     pub addr: SocketAddr,
     /// When it was last heard.
     pub heard: Tick,
+    /// When the last beat was sent to it that it is known to have heard.
+    echoed: Tick,
+    /// When the link to it was opened.
+    opened: Tick,
     /// Its last beat.
     pub beat: Beat,
     /// Takes messages to it.
@@ -124,8 +132,30 @@
 impl Peer {
     /// Returns whether the node is alive.
     pub fn is_live(&self, now: Tick) -> bool {
+        self.is_heard(now) && now.since(self.echoed) < self.beat.deaf_after()
+    }
+
+    /// Returns whether its beats arrive.
+    fn is_heard(&self, now: Tick) -> bool {
         self.beat.incarnation != 0 && now.since(self.heard) < self.beat.lost_after()
     }
+
+    /// Returns whether its beats arrive, and what is sent to it does not.
+    fn is_deaf(&self, now: Tick) -> bool {
+        self.is_heard(now) && now.since(self.echoed) >= self.beat.deaf_after()
+    }
+
+    /// Takes a beat of the node.
+    fn hear(&mut self, now: Tick, beat: &Beat) {
+        let echo = Tick::from_millis(beat.echo);
+        if self.beat.incarnation != beat.incarnation {
+            self.echoed = now;
+        } else if echo <= now {
+            self.echoed = self.echoed.max(echo);
+        }
+        self.heard = now;
+        self.beat = Beat { keys: Vec::new(), paces: Vec::new(), ..beat.clone() };
+    }
 }
 
 /// Takes note of a node and opens a link to it.
@@ -137,10 +167,18 @@
     if peers.nodes.get(name).is_some_and(|peer| peer.addr == addr) {
         return;
     }
-    let (queue, messages) = mpsc::channel(QUEUE);
+    let now = node.now();
     let beat = Beat { node: name.to_string(), ..Beat::default() };
-    peers.nodes.insert(name.clone(), Peer { addr, heard: node.now(), beat, queue });
+    let queue = open(addr);
+    let peer = Peer { addr, heard: now, echoed: now, opened: now, beat, queue };
+    peers.nodes.insert(name.clone(), peer);
+}
+
+/// Opens a link; it is closed when what takes its messages is dropped.
+fn open(addr: SocketAddr) -> mpsc::Sender<Envelope> {
+    let (queue, messages) = mpsc::channel(QUEUE);
     spawn_local(write(addr, messages));
+    queue
 }
 
 /// Writes messages to a node until it is forgotten.
@@ -208,6 +246,7 @@
         Body::Beat(beat) => hear(node, from, beat),
         Body::Ask(ask) => turns::asked(node, from, ask),
         Body::Done(done) => turns::done(node, from, &done),
+        Body::Check(check) => turns::checked(node, from, &check),
         Body::Go(go) => node.turns.borrow_mut().answer(go.number, Ok(go.server.into())),
         Body::Refuse(refuse) => {
             let wait = Duration::from_millis(refuse.retry.into());
@@ -263,8 +302,7 @@
             info!(event = "peer_up", peer = from.as_str(); "a node is heard");
         }
         restarted |= peer.beat.incarnation != 0 && peer.beat.incarnation != beat.incarnation;
-        peer.heard = now;
-        peer.beat = Beat { keys: Vec::new(), paces: Vec::new(), ..beat.clone() };
+        peer.hear(now, &beat);
     }
     if restarted {
         turns::drop_node(node, from);
@@ -280,6 +318,7 @@
         sleep(interval).await;
         let now = node.now();
         forgive_freeze(&node, now);
+        reopen_deaf(&node, now);
         send_beats(&node, now);
         let silent: Vec<Name> = {
             let mut peers = node.peers.borrow_mut();
@@ -301,7 +340,22 @@
     let late = now.since(peers.beaten) > SLOW_BEAT + FROZEN_AFTER;
     peers.beaten = now;
     if late {
-        peers.nodes.values_mut().for_each(|peer| peer.heard = now);
+        for peer in peers.nodes.values_mut() {
+            peer.heard = now;
+            peer.echoed = now;
+        }
+    }
+}
+
+/// Opens new links to the nodes that hear nothing of this one.
+fn reopen_deaf<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
+    let mut peers = node.peers.borrow_mut();
+    let deaf = peers.nodes.iter_mut().filter(|(_, peer)| peer.is_deaf(now));
+    for (name, peer) in deaf.filter(|(_, peer)| now.since(peer.opened) >= REOPEN_EVERY) {
+        let silence = now.since(peer.echoed).as_millis() as u64;
+        info!(event = "link_reopened", peer = name.as_str(), silence_ms = silence; "a node is heard and hears nothing");
+        peer.queue = open(peer.addr);
+        peer.opened = now;
     }
 }
 
@@ -313,7 +367,7 @@
         Beat {
             node: node.name().to_string(),
             domain: node.settings.domain.to_string(),
-            addr: node.settings.peer.to_string(),
+            addr: node.settings.advertised.to_string(),
             incarnation: node.incarnation,
             leaving: node.leaving.get(),
             store_age: now.since(node.store_heard.get()).as_millis() as u32,
@@ -325,16 +379,20 @@
             keys: Vec::new(),
             paces: Vec::new(),
             every: node.peers.borrow().interval().as_millis() as u32,
+            sent: now.as_millis(),
+            echo: 0,
         }
     };
     let (keys, paces) = node.meter.borrow_mut().take();
     let full = Beat { keys, paces, ..beat.clone() };
     let controller = node.control.borrow().controller().cloned();
-    let names: Vec<Name> = node.peers.borrow().nodes.keys().cloned().collect();
-    for name in names {
-        let beat = if controller.as_ref() == Some(&name) { full.clone() } else { beat.clone() };
-        node.send(&name, Body::Beat(beat));
+    let peers = node.peers.borrow();
+    for (name, peer) in &peers.nodes {
+        let beat = if controller.as_ref() == Some(name) { &full } else { &beat };
+        let beat = Beat { echo: peer.beat.sent, ..beat.clone() };
+        peers.send(name, Envelope { body: Some(Body::Beat(beat)) });
     }
+    drop(peers);
     if node.control.borrow().leads() {
         node.control.borrow_mut().measure(now, &full);
     }
--- a/crates/whinspring-router/src/settings.rs
+++ b/crates/whinspring-router/src/settings.rs
@@ -19,8 +19,10 @@
     pub caller: SocketAddr,
     /// Address on which the balancer asks whether the node is ready.
     pub ready: SocketAddr,
-    /// Address that other nodes connect to.
+    /// Address on which links of other nodes are accepted.
     pub peer: SocketAddr,
+    /// Address that other nodes connect to, which leads to `peer`.
+    pub advertised: SocketAddr,
     /// Address of the metrics.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
@@ -82,6 +84,7 @@
     let caller = reader.required("caller", ADDR_HINT, parse_addr);
     let ready = reader.required("ready", ADDR_HINT, parse_addr);
     let peer = reader.required("peer", ADDR_HINT, parse_addr);
+    let advertised = reader.optional("advertised", ADDR_HINT, parse_addr);
     let metrics = reader.required("metrics", ADDR_HINT, parse_addr);
     let store = reader.required("store", ADDR_HINT, parse_addr);
     reader.close();
@@ -91,6 +94,7 @@
         caller: caller?,
         ready: ready?,
         peer: peer?,
+        advertised: advertised.or(peer)?,
         metrics: metrics?,
         store: store?,
         limits: Limits::default(),
--- a/crates/whinspring-router/src/turns.rs
+++ b/crates/whinspring-router/src/turns.rs
@@ -3,15 +3,19 @@
 //! The node is drawn from those that are alive by the pool's name, so that all nodes name the
 //! same one without agreeing on it. Where they differ, or where the node falls silent, requests
 //! go through a gate of their own node; servers hold a short queue for what that lets through.
+//!
+//! A link that breaks loses what was on its way. A request that gets no answer is asked again, and
+//! a gate asks the nodes of requests that have been at their servers for long whether they still
+//! are.
 
 use {
     crate::{
-        message::{AskWire, Body, Done, Go, Refuse},
+        message::{AskWire, Body, Check, Done, Go, Refuse},
         node::Node,
         platform::Platform,
     },
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         hash::{DefaultHasher, Hash, Hasher},
         rc::Rc,
         time::Duration,
@@ -30,6 +34,13 @@
 /// Time between two looks at whether a gate's node is alive.
 const CHECK: Duration = Duration::from_millis(150);
 
+/// Time without an answer after which a gate is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(600);
+
+/// Time after which a gate asks whether a request is still at its server, and between two such
+/// questions.
+const CHECK_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Time between two rounds of all gates of a node.
 const ROUND: Duration = Duration::from_millis(100);
 
@@ -49,8 +60,12 @@
     gates: HashMap<Name, Gate>,
     /// Requests of this node that wait.
     waiting: HashMap<u64, oneshot::Sender<Answer>>,
+    /// Requests of this node that wait or are at a server.
+    held: HashSet<u64>,
     /// Number of the last request.
     last: u64,
+    /// When requests at servers were last asked for.
+    checked: Tick,
 }
 
 impl Turns {
@@ -93,7 +108,11 @@
 
 impl<P: Platform> Drop for Turn<P> {
     fn drop(&mut self) {
-        self.node.turns.borrow_mut().waiting.remove(&self.number);
+        {
+            let mut turns = self.node.turns.borrow_mut();
+            turns.waiting.remove(&self.number);
+            turns.held.remove(&self.number);
+        }
         let done = Done {
             pool: self.pool.to_string(),
             number: self.number,
@@ -116,12 +135,17 @@
 ) -> (Turn<P>, Result<Name, Duration>) {
     let home = home(node, &wish.pool);
     let (mut turn, mut answer) = enter(node, wish, home);
+    let mut asked = node.now();
     loop {
         match timeout(CHECK, &mut answer).await {
             Ok(Ok(answer)) => return (turn, answer),
             Ok(Err(_)) => return (turn, Err(CHECK)),
             Err(_) => {}
         }
+        if node.now().since(asked) >= ASK_AGAIN {
+            asked = node.now();
+            turn.home = ask(node, wish, &turn.home, turn.number);
+        }
         let alone = turn.home == *node.name();
         if !alone && !node.peers.borrow().is_live(&turn.home, node.now()) {
             node.metrics.count("gate_bypassed");
@@ -131,7 +155,7 @@
     }
 }
 
-/// Asks a gate.
+/// Gives a request a number and asks a gate.
 fn enter<P: Platform>(
     node: &Rc<Node<P>>,
     wish: &Wish,
@@ -143,26 +167,31 @@
         turns.last += 1;
         let number = turns.last;
         turns.waiting.insert(number, send);
+        turns.held.insert(number);
         number
     };
+    let home = ask(node, wish, &home, number);
     let pool = wish.pool.clone();
+    (Turn { node: node.clone(), home, pool, number, ending: Ending::Unused }, answer)
+}
+
+/// Asks the gate of a node, or that of this node if there is no link to it; returns which.
+fn ask<P: Platform>(node: &Rc<Node<P>>, wish: &Wish, home: &Name, number: u64) -> Name {
     let now = node.now();
     let ask = AskWire {
-        pool: pool.to_string(),
+        pool: wish.pool.to_string(),
         number,
         priority: wish.priority.into(),
         target: wish.target.since(now).as_millis() as u32,
         deadline: wish.deadline.since(now).as_millis() as u32,
         avoid: wish.avoid.clone().unwrap_or_default().to_string(),
     };
-    let own = node.name().clone();
-    let sent = home != own && node.send(&home, Body::Ask(ask.clone()));
-    let home = if sent { home } else { own.clone() };
-    let turn = Turn { node: node.clone(), home, pool, number, ending: Ending::Unused };
-    if !sent {
-        asked(node, &own, ask);
+    let own = node.name();
+    if home != own && node.send(home, Body::Ask(ask.clone())) {
+        return home.clone();
     }
-    (turn, answer)
+    asked(node, own, ask);
+    own.clone()
 }
 
 /// Returns the node that has the gate of a pool.
@@ -201,10 +230,19 @@
         avoid: (!ask.avoid.is_empty()).then(|| ask.avoid.into()),
     };
     refresh(node, &pool);
-    if let Some(gate) = node.turns.borrow_mut().gates.get_mut(&pool) {
-        gate.ask(ask);
+    let placed = {
+        let mut turns = node.turns.borrow_mut();
+        let Some(gate) = turns.gates.get_mut(&pool) else { return };
+        let placed = gate.placed(&ask.ticket).cloned();
+        if placed.is_none() {
+            gate.ask(ask.clone());
+        }
+        placed
+    };
+    match placed {
+        Some(server) => tell(node, Verdict::Go(ask.ticket, server)),
+        None => step(node, &pool, now),
     }
-    step(node, &pool, now);
 }
 
 /// Takes note that a request has left its server.
@@ -230,20 +268,60 @@
         None => return,
     };
     for verdict in verdicts {
-        let (ticket, answer) = match verdict {
-            Verdict::Go(ticket, server) => (ticket, Ok(server)),
-            Verdict::Refuse(ticket, retry) => (ticket, Err(retry)),
-        };
-        if ticket.node == *node.name() {
-            node.turns.borrow_mut().answer(ticket.number, answer);
-            continue;
+        tell(node, verdict);
+    }
+}
+
+/// Tells the node of a request what was decided.
+fn tell<P: Platform>(node: &Rc<Node<P>>, verdict: Verdict) {
+    let (ticket, answer) = match verdict {
+        Verdict::Go(ticket, server) => (ticket, Ok(server)),
+        Verdict::Refuse(ticket, retry) => (ticket, Err(retry)),
+    };
+    let number = ticket.number;
+    if ticket.node == *node.name() {
+        node.turns.borrow_mut().answer(number, answer);
+        return;
+    }
+    let body = match answer {
+        Ok(server) => Body::Go(Go { number, server: server.to_string() }),
+        Err(retry) => Body::Refuse(Refuse { number, retry: retry.as_millis() as u32 }),
+    };
+    node.send(&ticket.node, body);
+}
+
+/// Tells a gate which of the requests that it asks for have left their servers.
+pub fn checked<P: Platform>(node: &Rc<Node<P>>, from: &Name, check: &Check) {
+    let gone: Vec<u64> = {
+        let turns = node.turns.borrow();
+        check.numbers.iter().copied().filter(|number| !turns.held.contains(number)).collect()
+    };
+    for number in gone {
+        node.metrics.count("end_told_again");
+        let ending = Done::number_of(Ending::Unused);
+        node.send(from, Body::Done(Done { pool: check.pool.clone(), number, ending }));
+    }
+}
+
+/// Asks the nodes of requests that have been at their servers for long whether they still are.
+fn check<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
+    let mut asked: HashMap<(Name, Name), Vec<u64>> = HashMap::new();
+    {
+        let mut turns = node.turns.borrow_mut();
+        if now.since(turns.checked) < CHECK_AFTER {
+            return;
         }
-        let number = ticket.number;
-        let body = match answer {
-            Ok(server) => Body::Go(Go { number, server: server.to_string() }),
-            Err(retry) => Body::Refuse(Refuse { number, retry: retry.as_millis() as u32 }),
-        };
-        node.send(&ticket.node, body);
+        turns.checked = now;
+        for (pool, gate) in &turns.gates {
+            let others = gate.placed_before(now - CHECK_AFTER).filter(|it| it.node != *node.name());
+            for ticket in others {
+                let numbers = asked.entry((ticket.node.clone(), pool.clone())).or_default();
+                numbers.push(ticket.number);
+            }
+        }
+    }
+    for ((name, pool), numbers) in asked {
+        node.send(&name, Body::Check(Check { pool: pool.to_string(), numbers }));
     }
 }
 
@@ -274,6 +352,7 @@
     loop {
         sleep(ROUND).await;
         let now = node.now();
+        check(&node, now);
         let pools: Vec<Name> = {
             let mut turns = node.turns.borrow_mut();
             turns.gates.values_mut().for_each(|gate| gate.expire(now - MISSED_AFTER));
--- /dev/null
+++ b/crates/whinspring-router/tests/logs.rs
@@ -0,0 +1,107 @@
+//! Log lines: bounded, and never waited for.
+
+use {
+    logforth::{
+        Append,
+        record::{Level, Record},
+    },
+    std::{
+        io::{self, Write},
+        sync::{Arc, Condvar, Mutex},
+        time::{Duration, Instant},
+    },
+    whinspring_router::logs::Bounded,
+};
+
+/// Lines that a test writes.
+const LINES: usize = 5_000;
+
+/// Time that they may take while nobody reads.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// A reader that takes nothing until it is let go.
+#[derive(Debug, Clone, Default)]
+struct Stalled(Arc<(Mutex<State>, Condvar)>);
+
+#[derive(Debug, Default)]
+struct State {
+    goes: bool,
+    text: Vec<u8>,
+}
+
+impl Stalled {
+    fn let_go(&self) {
+        self.0.0.lock().unwrap().goes = true;
+        self.0.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.0.0.lock().unwrap().text.clone()).unwrap()
+    }
+
+    /// Waits until the text holds something.
+    fn wait_for(&self, part: &str) {
+        let end = Instant::now() + LIMIT * 5;
+        while !self.text().contains(part) {
+            assert!(Instant::now() < end, "{part} is missing: {}", self.text());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let (state, changed) = &*self.0;
+        let mut state = changed.wait_while(state.lock().unwrap(), |state| !state.goes).unwrap();
+        state.text.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn append(logs: &Bounded, text: &str) {
+    let builder = Record::builder().level(Level::Info);
+    logs.append(&builder.payload(format_args!("{text}")).build(), &[]).unwrap();
+}
+
+#[test]
+fn a_reader_that_stalls_delays_nobody() {
+    let reader = Stalled::default();
+    let logs = Bounded::new(1_000_000, reader.clone());
+    let start = Instant::now();
+    for number in 0..LINES {
+        append(&logs, &format!("line {number}."));
+    }
+    assert!(start.elapsed() < LIMIT, "{:?}", start.elapsed());
+    reader.let_go();
+    reader.wait_for("line 0.");
+    reader.wait_for("line 500.");
+    append(&logs, "the last line");
+    reader.wait_for("the last line");
+    let text = reader.text();
+    let written = text.matches("\"line ").count();
+    assert!(written < LINES, "the queue is bounded");
+    let dropped = LINES - written;
+    assert!(text.contains(&format!("\"lines\":{dropped}}}")), "{dropped}: {text}");
+}
+
+#[test]
+fn lines_beyond_the_rate_are_dropped_and_counted() {
+    let reader = Stalled::default();
+    reader.let_go();
+    let logs = Bounded::new(10, reader.clone());
+    for number in 0..100 {
+        append(&logs, &format!("line {number}."));
+    }
+    std::thread::sleep(Duration::from_millis(250));
+    append(&logs, "the last line");
+    reader.wait_for("the last line");
+    let text = reader.text();
+    let written = text.matches("\"line ").count();
+    assert!((20..=25).contains(&written), "two seconds' worth may come at once: {written}");
+    let dropped = 100 - written;
+    assert!(text.contains(&format!("\"event\":\"log_dropped\",\"lines\":{dropped}")), "{text}");
+}
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -444,6 +444,7 @@
         caller: any,
         ready: any,
         peer: any,
+        advertised: any,
         metrics: any,
         store: any,
         limits: Bounds::default(),
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -1,4 +1,5 @@
 //! Requests over real sockets: what callers get, and what servers see.
 
 mod answers;
+mod links;
 mod rig;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -211,6 +211,7 @@
         caller: any,
         ready: any,
         peer: any,
+        advertised: any,
         metrics: any,
         store: any,
         limits: Bounds::default(),
--- a/crates/whinspring-standin/src/relay.rs
+++ b/crates/whinspring-standin/src/relay.rs
@@ -24,6 +24,17 @@
 /// Reads that may be under way in each direction.
 const READS: usize = 64;
 
+/// Directions of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// From who connected to the target.
+    Forth,
+    /// From the target to who connected.
+    Back,
+    /// Both.
+    Both,
+}
+
 /// What the relay does to connections; each is known by its number.
 #[derive(Debug, Default, Clone, Copy)]
 struct State {
@@ -33,8 +44,8 @@
     cut: u64,
     /// Connections below this number pass nothing any more.
     stalled: u64,
-    /// Whether no connection passes anything, for now.
-    blocked: bool,
+    /// Directions in which no connection passes anything, for now.
+    blocked: [bool; 2],
     /// Delay each way.
     delay: Duration,
 }
@@ -76,7 +87,15 @@
 
     /// Stops or resumes passing anything on all connections, as a network partition does.
     pub fn block(&self, blocked: bool) {
-        self.state.send_modify(|state| state.blocked = blocked);
+        self.block_way(Way::Both, blocked);
+    }
+
+    /// Stops or resumes passing anything in one direction.
+    pub fn block_way(&self, way: Way, blocked: bool) {
+        self.state.send_modify(|state| match way {
+            Way::Both => state.blocked = [blocked; 2],
+            way => state.blocked[way as usize] = blocked,
+        });
     }
 
     /// Sets the delay each way.
@@ -128,8 +147,8 @@
         _ = watcher.wait_for(|state| number < state.cut) => Ok(()),
         both = async {
             tokio::try_join!(
-                carry(near_read, far_write, number, state.clone()),
-                carry(far_read, near_write, number, state.clone()),
+                carry(near_read, far_write, Way::Forth, number, state.clone()),
+                carry(far_read, near_write, Way::Back, number, state.clone()),
             )
         } => both.map(|_| ()),
     }
@@ -139,11 +158,12 @@
 async fn carry(
     from: OwnedReadHalf,
     to: OwnedWriteHalf,
+    way: Way,
     number: u64,
     state: watch::Receiver<State>,
 ) -> io::Result<()> {
     let (sender, receiver) = mpsc::channel(READS);
-    tokio::try_join!(take(from, sender, state.clone()), give(to, receiver, number, state))?;
+    tokio::try_join!(take(from, sender, state.clone()), give(to, receiver, way, number, state))?;
     Ok(())
 }
 
@@ -169,21 +189,22 @@
 async fn give(
     mut to: OwnedWriteHalf,
     mut receiver: mpsc::Receiver<Piece>,
+    way: Way,
     number: u64,
     mut state: watch::Receiver<State>,
 ) -> io::Result<()> {
     while let Some(piece) = receiver.recv().await {
         sleep_until(piece.due).await;
-        passes(number, &mut state).await;
+        passes(way, number, &mut state).await;
         to.write_all(&piece.data).await?;
     }
-    passes(number, &mut state).await;
+    passes(way, number, &mut state).await;
     to.shutdown().await
 }
 
 /// Waits until the connection passes something; for ever if it is stalled.
-async fn passes(number: u64, state: &mut watch::Receiver<State>) {
-    let passing = state.wait_for(|state| number >= state.stalled && !state.blocked);
+async fn passes(way: Way, number: u64, state: &mut watch::Receiver<State>) {
+    let passing = state.wait_for(|state| number >= state.stalled && !state.blocked[way as usize]);
     if passing.await.is_err() {
         pending::<()>().await;
     }
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -148,9 +148,23 @@
         self.lanes.retain(|lane| keep(&lane.server));
     }
 
-    /// Takes a request in; it is decided by the next [`Gate::step`].
+    /// Takes a request in, unless it waits already; it is decided by the next [`Gate::step`].
     pub fn ask(&mut self, ask: Ask) {
-        self.queue.push(ask);
+        if !self.queue.iter().any(|other| other.ticket == ask.ticket) {
+            self.queue.push(ask);
+        }
+    }
+
+    /// Returns the server that a request was let through to and has not left.
+    pub fn placed(&self, ticket: &Ticket) -> Option<&Name> {
+        let lane = self.lanes.iter().find(|lane| lane.running.contains_key(ticket));
+        lane.map(|lane| &lane.server)
+    }
+
+    /// Returns the requests that were let through before a point and have not left.
+    pub fn placed_before(&self, point: Tick) -> impl Iterator<Item = &Ticket> {
+        let running = self.lanes.iter().flat_map(|lane| &lane.running);
+        running.filter(move |(_, since)| **since < point).map(|(ticket, _)| ticket)
     }
 
     /// Notes that a request has left its server.
--- a/crates/whinspring/src/time.rs
+++ b/crates/whinspring/src/time.rs
@@ -21,6 +21,11 @@
         Self(ms * 1_000)
     }
 
+    /// Returns the milliseconds since the start of the process.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
     /// Returns the time passed since `earlier`, zero if `earlier` is later.
     pub fn since(self, earlier: Tick) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
