Name the node first on each link

Cause: a link knows its node by the first beat; what was sent before it after a link was opened anew came from nobody, so that a request of nobody took a place, its turn went nowhere, and nobody could be asked whether it was over.

Change: the first message on a link names its node; anything before it is counted as malformed and dropped. Test: a request as the first message on a fresh link gets its turn (tests/path/links.rs).

--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it is about.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -60,6 +60,9 @@
     /// Asks whether requests are still at their servers.
     #[prost(message, tag = "12")]
     Check(Check),
+    /// Tells who sends on the link; the first message on it.
+    #[prost(message, tag = "13")]
+    Hello(Hello),
 }
 
 /// A sign of life, with what its node knows and has measured.
@@ -225,6 +228,14 @@
     pub ending: u32,
 }
 
+/// Tells who sends on a link.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// Name of the node.
+    #[prost(string, tag = "1")]
+    pub node: String,
+}
+
 /// Asks whether requests are still at their servers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Check {
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -8,7 +8,7 @@
     crate::{
         control::servers,
         follow,
-        message::{Beat, Body, Envelope},
+        message::{Beat, Body, Envelope, Hello},
         node::Node,
         platform::{Kind, Platform},
         turns,
@@ -169,20 +169,21 @@
     }
     let now = node.now();
     let beat = Beat { node: name.to_string(), ..Beat::default() };
-    let queue = open(addr);
+    let queue = open(node.name().clone(), addr);
     let peer = Peer { addr, heard: now, echoed: now, opened: now, beat, queue };
     peers.nodes.insert(name.clone(), peer);
 }
 
-/// Opens a link; it is closed when what takes its messages is dropped.
-fn open(addr: SocketAddr) -> mpsc::Sender<Envelope> {
+/// Opens a link of a node; it is closed when what takes its messages is dropped.
+fn open(own: Name, addr: SocketAddr) -> mpsc::Sender<Envelope> {
     let (queue, messages) = mpsc::channel(QUEUE);
-    spawn_local(write(addr, messages));
+    spawn_local(write(own, addr, messages));
     queue
 }
 
 /// Writes messages to a node until it is forgotten.
-async fn write(addr: SocketAddr, mut messages: mpsc::Receiver<Envelope>) {
+async fn write(own: Name, addr: SocketAddr, mut messages: mpsc::Receiver<Envelope>) {
+    let hello = Envelope { body: Some(Body::Hello(Hello { node: own.to_string() })) };
     loop {
         let Ok(Ok(socket)) = timeout(LINK_TIMEOUT, TcpStream::connect(addr)).await else {
             while messages.try_recv().is_ok() {}
@@ -195,16 +196,20 @@
         let _ = socket.set_nodelay(true);
         let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(LINK_TIMEOUT));
         let mut link = Framed::new(socket, codec());
-        loop {
+        let mut passes = pass(&mut link, &hello).await;
+        while passes {
             let Some(message) = messages.recv().await else { return };
-            let frame = Bytes::from(message.encode_to_vec());
-            if !matches!(timeout(LINK_TIMEOUT, link.send(frame)).await, Ok(Ok(()))) {
-                break;
-            }
+            passes = pass(&mut link, &message).await;
         }
     }
 }
 
+/// Writes one message; returns whether the link took it.
+async fn pass(link: &mut Framed<TcpStream, LengthDelimitedCodec>, message: &Envelope) -> bool {
+    let frame = Bytes::from(message.encode_to_vec());
+    matches!(timeout(LINK_TIMEOUT, link.send(frame)).await, Ok(Ok(())))
+}
+
 /// Returns the framing of links.
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE).new_codec()
@@ -232,11 +237,11 @@
             node.metrics.count("link_malformed");
             return;
         };
-        let Some(body) = message.body else { continue };
-        if let Body::Beat(beat) = &body {
-            from = Name::from(beat.node.as_str());
+        match message.body {
+            Some(Body::Hello(hello)) => from = Name::from(hello.node),
+            Some(body) if !from.is_empty() => handle(&node, &from, body),
+            _ => node.metrics.count("link_malformed"),
         }
-        handle(&node, &from, body);
     }
 }
 
@@ -271,6 +276,7 @@
             }
         }
         Body::Moved(moved) => follow::follow_move(node, moved),
+        Body::Hello(_) => {}
         Body::Crash(crash) => node.crashes.borrow_mut().note(node.now(), crash.print),
     }
 }
@@ -354,7 +360,7 @@
     for (name, peer) in deaf.filter(|(_, peer)| now.since(peer.opened) >= REOPEN_EVERY) {
         let silence = now.since(peer.echoed).as_millis() as u64;
         info!(event = "link_reopened", peer = name.as_str(), silence_ms = silence; "a node is heard and hears nothing");
-        peer.queue = open(peer.addr);
+        peer.queue = open(node.name().clone(), peer.addr);
         peer.opened = now;
     }
 }
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -19,7 +19,7 @@
     tokio_util::codec::{Framed, LengthDelimitedCodec},
     whinspring::name::Name,
     whinspring_router::{
-        message::{AskWire, Beat, Body, Check, Done, Envelope},
+        message::{AskWire, Beat, Body, Check, Done, Envelope, Hello},
         peers,
     },
 };
@@ -42,6 +42,8 @@
 struct Other {
     name: String,
     listener: TcpListener,
+    /// Where the node under test takes links.
+    target: SocketAddr,
     link: Link,
     /// When the last beat was sent that it has heard.
     echo: u64,
@@ -58,12 +60,20 @@
         let mut names = (2..).map(|number| format!("n{number}"));
         let name = names.find(|name| (score(name) > score(OWN)) == has_gate).unwrap();
         let own = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = own.local_addr().unwrap();
+        let target = own.local_addr().unwrap();
         spawn_local(peers::accept(rig.node.clone(), own));
         spawn_local(peers::beat(rig.node.clone()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let link = framed(TcpStream::connect(addr).await.unwrap());
-        Self { name, listener, link, echo: 0 }
+        let link = framed(TcpStream::connect(target).await.unwrap());
+        let mut other = Self { name, listener, target, link, echo: 0 };
+        other.send(Body::Hello(Hello { node: other.name.clone() })).await;
+        other
+    }
+
+    /// Opens its link anew.
+    async fn reconnect(&mut self) {
+        self.link = framed(TcpStream::connect(self.target).await.unwrap());
+        self.send(Body::Hello(Hello { node: self.name.clone() })).await;
     }
 
     /// Sends a beat that echoes what was heard.
@@ -103,7 +113,10 @@
     /// Accepts a link of the node under test.
     async fn accept(&mut self) -> Link {
         let (socket, _) = timeout(NOTICED, self.listener.accept()).await.expect("no link").unwrap();
-        framed(socket)
+        let mut link = framed(socket);
+        let Body::Hello(hello) = read(&mut link).await else { panic!("no name") };
+        assert_eq!(hello.node, OWN);
+        link
     }
 
     /// Reads a beat of the node under test.
@@ -243,3 +256,20 @@
         },
     );
 }
+
+/// A link that is opened anew carries requests before its first beat.
+#[test]
+fn a_node_is_known_by_the_first_message_on_its_link() {
+    run(
+        |_| None,
+        |rig| async move {
+            let mut other = Other::join(&rig, false).await;
+            other.beat().await;
+            let mut link = other.accept().await;
+            other.reconnect().await;
+            other.send(ask(1)).await;
+            let Body::Go(go) = other.next(&mut link).await else { panic!("no turn") };
+            assert_eq!(go.number, 1);
+        },
+    );
+}
