--- a/crates/whinspring-http/src/backend.rs
+++ b/crates/whinspring-http/src/backend.rs
@@ -36,10 +36,21 @@
 pub struct Backend<R: Rest> {
     /// Clock of the process.
     clock: Clock,
+    /// How its connections end.
+    close: Close,
     /// What is known of the server and its connections.
     state: Mutex<State<R>>,
 }
 
+/// How a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Close {
+    /// What was sent still arrives.
+    Orderly,
+    /// By a reset: what has not arrived yet is lost.
+    Reset,
+}
+
 /// The server and its idle connections.
 #[derive(Debug)]
 struct State<R: Rest> {
@@ -55,7 +66,13 @@
     /// Creates an empty set of connections to the server at `addr`.
     pub fn new(addr: SocketAddr, clock: Clock) -> Self {
         let state = State { addr, host: host(addr), idle: VecDeque::new() };
-        Self { clock, state: Mutex::new(state) }
+        Self { clock, close: Close::Orderly, state: Mutex::new(state) }
+    }
+
+    /// Sets how connections end.
+    #[must_use]
+    pub fn closing(self, close: Close) -> Self {
+        Self { close, ..self }
     }
 
     /// Sets the address of the server; a change drops the idle connections.
@@ -95,7 +112,12 @@
     /// Fails if the server takes no connection.
     pub async fn open(&self) -> Result<Conn<R>, Fault> {
         let addr = self.state.lock().addr;
-        Conn::open(addr, self.clock).await
+        Conn::open(addr, self.clock, self.close).await
+    }
+
+    /// Drops the connections that have been idle for too long to be used again.
+    pub fn sweep(&self) {
+        self.state.lock().drop_old();
     }
 
     /// Drops the idle connections, as one of them may have fallen silent unseen.
@@ -121,14 +143,21 @@
     /// Takes the connection that was used last, if it is not too old.
     fn pop(&self, oldest: Duration) -> Option<Conn<R>> {
         let mut state = self.state.lock();
-        while state.idle.front().is_some_and(|conn| conn.age() >= IDLE_TIMEOUT) {
-            state.idle.pop_front();
-        }
+        state.drop_old();
         let fresh = state.idle.back().is_some_and(|conn| conn.age() < oldest);
         if fresh { state.idle.pop_back() } else { None }
     }
 }
 
+impl<R: Rest> State<R> {
+    /// Drops the connections that have been idle for too long.
+    fn drop_old(&mut self) {
+        while self.idle.front().is_some_and(|conn| conn.age() >= IDLE_TIMEOUT) {
+            self.idle.pop_front();
+        }
+    }
+}
+
 /// Returns the value of the host header of requests to `addr`.
 fn host(addr: SocketAddr) -> HeaderValue {
     HeaderValue::from_str(&addr.to_string()).expect("an address is visible ASCII")
--- a/crates/whinspring-http/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Fault, Rest, Upstream,
+        Close, Fault, Rest, Upstream,
         guard::{Gate, Guard},
     },
     crate::clock::Clock,
@@ -58,17 +58,14 @@
 
 impl<R: Rest> Conn<R> {
     /// Opens a connection.
-    pub async fn open(addr: SocketAddr, clock: Clock) -> Result<Self, Fault> {
+    pub async fn open(addr: SocketAddr, clock: Clock, close: Close) -> Result<Self, Fault> {
         let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let socket = socket.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let socket = socket.map_err(|error| match error.kind() {
             io::ErrorKind::ConnectionRefused => Fault::Refused,
             _ => Fault::Unreachable,
         })?;
-        let tuned = socket
-            .set_nodelay(true)
-            .and_then(|()| SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKED_TIMEOUT)));
-        tuned.map_err(|_| Fault::Unreachable)?;
+        tune(&socket, close).map_err(|_| Fault::Unreachable)?;
         let gate = Gate::new(clock);
         let guard = Guard::new(socket, gate.clone());
         let handshake = Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(guard).await;
@@ -199,3 +196,13 @@
         *driver = None;
     }
 }
+
+/// Sets the options of a socket.
+fn tune(socket: &TcpStream, close: Close) -> io::Result<()> {
+    socket.set_nodelay(true)?;
+    let socket = SockRef::from(socket);
+    if close == Close::Reset {
+        socket.set_linger(Some(Duration::ZERO))?;
+    }
+    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+}
--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -65,8 +65,10 @@
 /// Objects of one kind as the store sent them.
 #[derive(Debug, Default)]
 struct Raw {
-    /// Revision at which they held.
+    /// Revision of the last change of the kind.
     revision: u64,
+    /// Revision of the store up to which no change of the kind is left out.
+    upto: u64,
     /// The objects.
     items: BTreeMap<Name, Object>,
 }
@@ -93,13 +95,13 @@
     /// Returns all objects of a kind, to pass on.
     pub fn snapshot(&self, kind: Kind) -> Snapshot {
         let Some(raw) = self.raw.get(&kind.number()) else { return Snapshot::default() };
-        let item = |object: &Object| Item {
-            name: object.name.to_string(),
-            revision: object.revision,
-            value: object.value.clone(),
-        };
-        let items = raw.items.values().map(item).collect();
-        Snapshot { kind: kind.number(), revision: raw.revision, items }
+        let items = raw.items.values().map(Item::from).collect();
+        Snapshot { kind: kind.number(), revision: raw.revision, items, upto: raw.upto }
+    }
+
+    /// Returns the revision of the store up to which no change of a kind is left out.
+    pub fn upto(&self, kind: Kind) -> u64 {
+        self.raw.get(&kind.number()).map_or(0, |raw| raw.upto)
     }
 
     /// Takes all objects of a kind over, unless newer ones are known; returns whether it did.
@@ -115,9 +117,10 @@
         clock: Clock,
     ) -> bool {
         let raw = self.raw.entry(kind.number()).or_default();
-        if listing.revision < raw.revision {
+        if listing.revision < raw.upto {
             return false;
         }
+        raw.upto = listing.revision;
         let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or_default();
         raw.revision = raw.revision.max(claim.unwrap_or(newest));
         raw.items = listing.items.into_iter().map(|item| (item.name.clone(), item)).collect();
@@ -131,6 +134,7 @@
             return;
         }
         let raw = self.raw.entry(kind.number()).or_default();
+        raw.upto = raw.upto.max(changes.revision);
         let newest = changes.events.iter().map(|(object, _)| object.revision).max();
         raw.revision = raw.revision.max(newest.unwrap_or_default());
         for (object, gone) in changes.events {
@@ -211,7 +215,10 @@
     }
 
     /// Forgets servers that are gone; returns whether there were any.
+    ///
+    /// Drops connections that have been idle for too long, too.
     pub fn sweep(&mut self, now: Tick, store_back: Tick) -> bool {
+        self.servers.values().for_each(|server| server.backend.sweep());
         let before = self.servers.len();
         self.servers.retain(|_, server| {
             let Some(since) = server.missing else { return true };
--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -525,10 +525,7 @@
     }
     info!(event = "died_with", print; "a server died while it ran a request");
     node.crashes.borrow_mut().note(node.now(), print);
-    let names: Vec<Name> = node.peers.borrow().nodes.keys().cloned().collect();
-    for name in names {
-        node.send(&name, message::Body::Crash(Crash { print }));
-    }
+    node.send_all(message::Body::Crash(Crash { print }));
 }
 
 /// Returns when a caller must have its answer.
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -1,17 +1,23 @@
 //! Following of the store: each kind is listed once and then watched.
 //!
-//! A node that the store does not serve, or whose watch has fallen silent, learns the same objects
-//! from a node that knows a higher revision.
+//! Among many nodes a few watch and tell the others what has changed; they are drawn by the names
+//! of the nodes that are alive, so that nobody has to agree on them. A node that the store does
+//! not serve, or that has missed a change, learns the same objects from a node that is ahead.
 
 use {
     crate::{
-        message::{Body, Moved, OwnersRecord, Snapshot, SpanWire},
+        message::{Body, Changed, Item, Moved, OwnersRecord, Snapshot, SpanWire},
         node::Node,
-        platform::{Kind, Listing, Object, Platform, StoreError},
+        peers,
+        platform::{Changes, Kind, Listing, Object, Platform, StoreError},
     },
     log::info,
     prost::Message,
-    std::{rc::Rc, time::Duration},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::time::sleep,
     whinspring::{
         name::Name,
@@ -25,6 +31,18 @@
 /// Time in which changes gather before they are asked for again.
 const GATHER: Duration = Duration::from_millis(250);
 
+/// Nodes up to which each watches the store itself.
+const ALL_WATCH: usize = 24;
+
+/// Nodes that watch the store among more than these.
+const WATCHERS: usize = 8;
+
+/// Time after a listing in which the other nodes become known.
+const MEET: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks whether this node is to watch the store.
+const WATCH_CHECK: Duration = Duration::from_millis(500);
+
 /// Time between two tries after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -59,17 +77,22 @@
     }
 }
 
-/// Watches a kind until its history is gone.
+/// Watches a kind until its history is gone, or lets others tell of it.
 async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut revision: u64) {
+    sleep(MEET).await;
     loop {
+        if let Some(answered) = watched_by_others(node) {
+            node.note_store(answered);
+            sleep(WATCH_CHECK).await;
+            revision = revision.max(node.beliefs.borrow().upto(kind));
+            continue;
+        }
         match node.platform.watch(kind, revision, WATCH_WAIT).await {
             Ok(changes) => {
                 node.note_store(true);
                 revision = revision.max(changes.revision);
                 if !changes.events.is_empty() {
-                    let dialect = &node.platform;
-                    node.beliefs.borrow_mut().change(kind, changes, dialect, node.clock);
-                    node.wake();
+                    note(node, kind, changes);
                     sleep(GATHER).await;
                 }
             }
@@ -82,6 +105,67 @@
     }
 }
 
+/// Returns, if other nodes watch the store for this one, whether it answers any of them.
+fn watched_by_others<P: Platform>(node: &Rc<Node<P>>) -> Option<bool> {
+    let peers = node.peers.borrow();
+    let order = |name: &Name| {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        hasher.finish()
+    };
+    let now = node.now();
+    let live = peers.live(now).filter(|(_, peer)| !peer.beat.leaving);
+    let mut others: Vec<(u64, bool)> =
+        live.map(|(name, peer)| (order(name), !peer.beat.cut_off)).collect();
+    if others.len() < ALL_WATCH {
+        return None;
+    }
+    others.sort_unstable();
+    let (last, _) = others[WATCHERS - 1];
+    let answered = others[..WATCHERS].iter().any(|(_, answered)| *answered);
+    (order(node.name()) > last && answered).then_some(answered)
+}
+
+/// Takes changes over, and tells them to the nodes that do not watch.
+fn note<P: Platform>(node: &Rc<Node<P>>, kind: Kind, changes: Changes) {
+    let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
+    let base = node.beliefs.borrow().upto(kind);
+    let changed = Changed {
+        kind: kind.number(),
+        base,
+        upto: changes.revision,
+        items: changes.events.iter().map(item).collect(),
+    };
+    node.beliefs.borrow_mut().change(kind, changes, &node.platform, node.clock);
+    node.wake();
+    if node.peers.borrow().nodes.len() >= ALL_WATCH {
+        node.send_all(Body::Changed(changed));
+    }
+}
+
+/// Takes changes over that a node tells of which watches; asks it for everything if some are
+/// missing in between.
+pub fn follow_change<P: Platform>(node: &Rc<Node<P>>, from: &Name, changed: Changed) {
+    let Some(kind) = Kind::from_number(changed.kind) else { return };
+    let known = node.beliefs.borrow().upto(kind);
+    if changed.upto <= known {
+        return;
+    }
+    if changed.base > known {
+        node.metrics.count("change_missed");
+        peers::fetch(node, from, kind);
+        return;
+    }
+    let event = |item: Item| {
+        let gone = item.gone;
+        (Object::from(item), gone)
+    };
+    let events = changed.items.into_iter().map(event).collect();
+    let changes = Changes { revision: changed.upto, events };
+    node.beliefs.borrow_mut().change(kind, changes, &node.platform, node.clock);
+    node.wake();
+}
+
 /// Notes a failed call and waits.
 async fn failed<P: Platform>(node: &Rc<Node<P>>, kind: Kind, error: StoreError) {
     node.note_store(false);
@@ -104,16 +188,16 @@
 /// Takes what another node knows, if it is newer.
 pub fn adopt<P: Platform>(node: &Rc<Node<P>>, snapshot: Snapshot) {
     let Some(kind) = Kind::from_number(snapshot.kind) else { return };
-    if snapshot.revision <= node.beliefs.borrow().revision(kind) {
+    let known = {
+        let beliefs = node.beliefs.borrow();
+        (beliefs.revision(kind), beliefs.upto(kind))
+    };
+    if (snapshot.revision, snapshot.upto) <= known || snapshot.upto < known.1 {
         return;
     }
     node.metrics.count("adopted");
-    let items = snapshot.items.into_iter().map(|item| Object {
-        name: Name::from(item.name),
-        revision: item.revision,
-        value: item.value,
-    });
-    let listing = Listing { revision: snapshot.revision, items: items.collect() };
+    let items = snapshot.items.into_iter().map(Object::from);
+    let listing = Listing { revision: snapshot.upto, items: items.collect() };
     take(node, kind, listing, Some(snapshot.revision));
 }
 
@@ -131,10 +215,7 @@
         term: after.1.term,
         spans: after.1.changed(&before.1).iter().map(SpanWire::from).collect(),
     };
-    let names: Vec<Name> = node.peers.borrow().nodes.keys().cloned().collect();
-    for name in names {
-        node.send(&name, Body::Moved(moved.clone()));
-    }
+    node.send_all(Body::Moved(moved));
 }
 
 /// Takes a change of owners over, if it was made to what this node knows.
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -4,6 +4,8 @@
 //! writes to the store, and nodes only pass on what they know of them.
 
 use {
+    crate::platform::Object,
+    bytes::Bytes,
     prost::{Message, Oneof},
     std::time::Duration,
     whinspring::{
@@ -17,8 +19,28 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// What it is about.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15")]
     pub body: Option<Body>,
+    /// When the last beat was sent that the sender has heard from the receiver, in milliseconds of
+    /// the receiver's clock.
+    #[prost(uint64, tag = "14")]
+    pub echo: u64,
+}
+
+impl Envelope {
+    /// Returns a message as it is written to links.
+    pub fn frame(body: Body) -> Bytes {
+        Self { body: Some(body), echo: 0 }.encode_to_vec().into()
+    }
+
+    /// Returns a written message with an echo: fields of a message may follow each other anywhere.
+    pub fn with_echo(frame: &Bytes, echo: u64) -> Bytes {
+        let tail = Self { body: None, echo };
+        let mut bytes = Vec::with_capacity(frame.len() + tail.encoded_len());
+        bytes.extend_from_slice(frame);
+        bytes.extend(tail.encode_to_vec());
+        bytes.into()
+    }
 }
 
 /// The kinds of messages.
@@ -63,6 +85,9 @@
     /// Tells who sends on the link; the first message on it.
     #[prost(message, tag = "13")]
     Hello(Hello),
+    /// Objects that have changed in the store.
+    #[prost(message, tag = "15")]
+    Changed(Changed),
 }
 
 /// A sign of life, with what its node knows and has measured.
@@ -113,10 +138,9 @@
     /// When it was sent, in milliseconds of its node's clock.
     #[prost(uint64, tag = "15")]
     pub sent: u64,
-    /// When the last beat was sent that its node has heard from the receiver, in milliseconds of
-    /// the receiver's clock.
-    #[prost(uint64, tag = "16")]
-    pub echo: u64,
+    /// Whether the store did not answer its last call.
+    #[prost(bool, tag = "16")]
+    pub cut_off: bool,
 }
 
 /// Beats that may be missing before their node counts as lost, in tenths.
@@ -261,12 +285,32 @@
     /// Number of the kind of object.
     #[prost(uint32, tag = "1")]
     pub kind: u32,
-    /// Revision of the store at which this held.
+    /// Revision of the last change of the kind.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
     /// The objects.
     #[prost(message, repeated, tag = "3")]
     pub items: Vec<Item>,
+    /// Revision of the store up to which no change of the kind is left out.
+    #[prost(uint64, tag = "4")]
+    pub upto: u64,
+}
+
+/// Objects of a kind that have changed.
+#[derive(Clone, PartialEq, Message)]
+pub struct Changed {
+    /// Number of the kind of object.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// Revision of the store that the changes follow; none of the kind is left out after it.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    /// Revision of the store up to which they go.
+    #[prost(uint64, tag = "3")]
+    pub upto: u64,
+    /// The changed objects in order.
+    #[prost(message, repeated, tag = "4")]
+    pub items: Vec<Item>,
 }
 
 /// Owners of a service that have changed.
@@ -301,6 +345,9 @@
     /// Its value as the store keeps it.
     #[prost(bytes = "vec", tag = "3")]
     pub value: Vec<u8>,
+    /// Whether it is gone.
+    #[prost(bool, tag = "4")]
+    pub gone: bool,
 }
 
 /// A server was lost with a request.
@@ -414,6 +461,23 @@
     }
 }
 
+impl From<&Object> for Item {
+    fn from(object: &Object) -> Self {
+        Self {
+            name: object.name.to_string(),
+            revision: object.revision,
+            value: object.value.clone(),
+            gone: false,
+        }
+    }
+}
+
+impl From<Item> for Object {
+    fn from(item: Item) -> Self {
+        Self { name: Name::from(item.name), revision: item.revision, value: item.value }
+    }
+}
+
 impl From<&Life> for LifeWire {
     fn from(life: &Life) -> Self {
         Self { server: life.server.to_string(), born: life.born }
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -114,7 +114,12 @@
 
     /// Sends a message to another node, if there is a link to it.
     pub fn send(&self, to: &str, body: Body) -> bool {
-        self.peers.borrow().send(to, Envelope { body: Some(body) })
+        self.peers.borrow().send(to, Envelope::frame(body))
+    }
+
+    /// Sends a message to all other nodes.
+    pub fn send_all(&self, body: Body) {
+        self.peers.borrow().send_all(&Envelope::frame(body));
     }
 
     /// Wakes whoever waits for beliefs to change.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -8,12 +8,12 @@
     crate::{
         control::servers,
         follow,
-        message::{Beat, Body, Envelope, Hello},
+        message::{Beat, Body, Envelope, Fetch, Hello},
         node::Node,
         platform::{Kind, Platform},
         turns,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
     log::info,
     prost::Message,
@@ -25,7 +25,7 @@
         task::spawn_local,
         time::{sleep, timeout},
     },
-    tokio_util::codec::{Framed, LengthDelimitedCodec},
+    tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
     whinspring::{name::Name, time::Tick},
 };
 
@@ -59,6 +59,9 @@
 /// Messages that wait for a link at most.
 const QUEUE: usize = 512;
 
+/// Bytes that a link sets aside for messages at first.
+const LINK_BUFFER: usize = 1 << 10;
+
 /// Longest message, in bytes.
 const MAX_MESSAGE: usize = 16 << 20;
 
@@ -79,7 +82,7 @@
     /// Its last beat.
     pub beat: Beat,
     /// Takes messages to it.
-    queue: mpsc::Sender<Envelope>,
+    queue: mpsc::Sender<Bytes>,
 }
 
 /// All other nodes.
@@ -95,8 +98,15 @@
 
 impl Peers {
     /// Queues a message; returns whether there was room.
-    pub fn send(&self, to: &str, message: Envelope) -> bool {
-        self.nodes.get(to).is_some_and(|peer| peer.queue.try_send(message).is_ok())
+    pub fn send(&self, to: &str, frame: Bytes) -> bool {
+        self.nodes.get(to).is_some_and(|peer| peer.queue.try_send(frame).is_ok())
+    }
+
+    /// Queues a message to all nodes; one whose queue is full misses it.
+    pub fn send_all(&self, frame: &Bytes) {
+        for peer in self.nodes.values() {
+            let _ = peer.queue.try_send(frame.clone());
+        }
     }
 
     /// Returns whether a kind is to be fetched from a node that knows it at a higher revision: not
@@ -146,8 +156,7 @@
     }
 
     /// Takes a beat of the node.
-    fn hear(&mut self, now: Tick, beat: &Beat) {
-        let echo = Tick::from_millis(beat.echo);
+    fn hear(&mut self, now: Tick, beat: &Beat, echo: Tick) {
         if self.beat.incarnation != beat.incarnation {
             self.echoed = now;
         } else if echo <= now {
@@ -175,15 +184,15 @@
 }
 
 /// Opens a link of a node; it is closed when what takes its messages is dropped.
-fn open(own: Name, addr: SocketAddr) -> mpsc::Sender<Envelope> {
+fn open(own: Name, addr: SocketAddr) -> mpsc::Sender<Bytes> {
     let (queue, messages) = mpsc::channel(QUEUE);
     spawn_local(write(own, addr, messages));
     queue
 }
 
 /// Writes messages to a node until it is forgotten.
-async fn write(own: Name, addr: SocketAddr, mut messages: mpsc::Receiver<Envelope>) {
-    let hello = Envelope { body: Some(Body::Hello(Hello { node: own.to_string() })) };
+async fn write(own: Name, addr: SocketAddr, mut messages: mpsc::Receiver<Bytes>) {
+    let hello = Envelope::frame(Body::Hello(Hello { node: own.to_string() }));
     loop {
         let Ok(Ok(socket)) = timeout(LINK_TIMEOUT, TcpStream::connect(addr)).await else {
             while messages.try_recv().is_ok() {}
@@ -195,19 +204,22 @@
         };
         let _ = socket.set_nodelay(true);
         let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(LINK_TIMEOUT));
-        let mut link = Framed::new(socket, codec());
-        let mut passes = pass(&mut link, &hello).await;
+        let mut link = FramedWrite::new(socket, codec());
+        let mut passes = pass(&mut link, hello.clone()).await;
         while passes {
-            let Some(message) = messages.recv().await else { return };
-            passes = pass(&mut link, &message).await;
+            let Some(frame) = messages.recv().await else { return };
+            passes = pass(&mut link, frame).await;
         }
     }
 }
 
 /// Writes one message; returns whether the link took it.
-async fn pass(link: &mut Framed<TcpStream, LengthDelimitedCodec>, message: &Envelope) -> bool {
-    let frame = Bytes::from(message.encode_to_vec());
-    matches!(timeout(LINK_TIMEOUT, link.send(frame)).await, Ok(Ok(())))
+async fn pass(link: &mut FramedWrite<TcpStream, LengthDelimitedCodec>, frame: Bytes) -> bool {
+    let taken = matches!(timeout(LINK_TIMEOUT, link.send(frame)).await, Ok(Ok(())));
+    if link.write_buffer().capacity() > LINK_BUFFER {
+        *link.write_buffer_mut() = BytesMut::new();
+    }
+    taken
 }
 
 /// Returns the framing of links.
@@ -229,7 +241,7 @@
 
 /// Reads messages of a node until its link ends.
 async fn read<P: Platform>(node: Rc<Node<P>>, socket: TcpStream) {
-    let mut link = Framed::new(socket, codec());
+    let mut link = FramedRead::with_capacity(socket, codec(), LINK_BUFFER);
     let mut from = Name::new();
     loop {
         let Ok(Some(Ok(frame))) = timeout(FORGET_AFTER, link.next()).await else { return };
@@ -239,6 +251,9 @@
         };
         match message.body {
             Some(Body::Hello(hello)) => from = Name::from(hello.node),
+            Some(Body::Beat(beat)) if !from.is_empty() => {
+                hear(&node, &from, beat, Tick::from_millis(message.echo));
+            }
             Some(body) if !from.is_empty() => handle(&node, &from, body),
             _ => node.metrics.count("link_malformed"),
         }
@@ -248,7 +263,7 @@
 /// Takes a message of another node.
 fn handle<P: Platform>(node: &Rc<Node<P>>, from: &Name, body: Body) {
     match body {
-        Body::Beat(beat) => hear(node, from, beat),
+        Body::Beat(_) | Body::Hello(_) => {}
         Body::Ask(ask) => turns::asked(node, from, ask),
         Body::Done(done) => turns::done(node, from, &done),
         Body::Check(check) => turns::checked(node, from, &check),
@@ -276,13 +291,20 @@
             }
         }
         Body::Moved(moved) => follow::follow_move(node, moved),
-        Body::Hello(_) => {}
+        Body::Changed(changed) => follow::follow_change(node, from, changed),
         Body::Crash(crash) => node.crashes.borrow_mut().note(node.now(), crash.print),
     }
 }
 
+/// Asks a node that is ahead for all objects of a kind, unless one was asked just now.
+pub fn fetch<P: Platform>(node: &Rc<Node<P>>, from: &Name, kind: Kind) {
+    if node.peers.borrow_mut().may_fetch(node.now(), kind) {
+        node.send(from, Body::Fetch(Fetch { kind: kind.number() }));
+    }
+}
+
 /// Takes a sign of life.
-fn hear<P: Platform>(node: &Rc<Node<P>>, from: &Name, beat: Beat) {
+fn hear<P: Platform>(node: &Rc<Node<P>>, from: &Name, beat: Beat, echo: Tick) {
     let Ok(addr) = beat.addr.parse() else { return };
     meet(node, from, addr);
     let now = node.now();
@@ -295,10 +317,8 @@
         ];
         claims.into_iter().find(|(kind, revision)| *revision > beliefs.revision(*kind))
     };
-    if let Some((kind, _)) = behind
-        && node.peers.borrow_mut().may_fetch(now, kind)
-    {
-        node.send(from, Body::Fetch(crate::message::Fetch { kind: kind.number() }));
+    if let Some((kind, _)) = behind {
+        fetch(node, from, kind);
     }
     let mut restarted = false;
     {
@@ -308,7 +328,7 @@
             info!(event = "peer_up", peer = from.as_str(); "a node is heard");
         }
         restarted |= peer.beat.incarnation != 0 && peer.beat.incarnation != beat.incarnation;
-        peer.hear(now, &beat);
+        peer.hear(now, &beat, echo);
     }
     if restarted {
         turns::drop_node(node, from);
@@ -386,19 +406,20 @@
             paces: Vec::new(),
             every: node.peers.borrow().interval().as_millis() as u32,
             sent: now.as_millis(),
-            echo: 0,
+            cut_off: node.store_lost.get(),
         }
     };
     let (keys, paces) = node.meter.borrow_mut().take();
-    let full = Beat { keys, paces, ..beat.clone() };
+    let frame = Envelope::frame(Body::Beat(beat.clone()));
+    let full = Beat { keys, paces, ..beat };
     let controller = node.control.borrow().controller().cloned();
-    let peers = node.peers.borrow();
-    for (name, peer) in &peers.nodes {
-        let beat = if controller.as_ref() == Some(name) { &full } else { &beat };
-        let beat = Beat { echo: peer.beat.sent, ..beat.clone() };
-        peers.send(name, Envelope { body: Some(Body::Beat(beat)) });
+    for (name, peer) in &node.peers.borrow().nodes {
+        let frame = match &controller {
+            Some(controller) if controller == name => &Envelope::frame(Body::Beat(full.clone())),
+            _ => &frame,
+        };
+        let _ = peer.queue.try_send(Envelope::with_echo(frame, peer.beat.sent));
     }
-    drop(peers);
     if node.control.borrow().leads() {
         node.control.borrow_mut().measure(now, &full);
     }
--- /dev/null
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -0,0 +1,122 @@
+//! Who watches the store among many nodes, and how the others follow.
+
+use {
+    crate::{
+        links::Other,
+        rig::{Rig, run},
+    },
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        time::Duration,
+    },
+    tokio::{task::spawn_local, time::sleep},
+    whinspring::name::Name,
+    whinspring_router::{
+        follow,
+        message::{Body, Changed, Item, Snapshot},
+        platform::Kind,
+    },
+};
+
+/// Other nodes.
+const OTHERS: usize = 30;
+
+/// Time in which a node decides whether it watches.
+const SETTLED: Duration = Duration::from_millis(2_500);
+
+/// Time in which a beat is heard.
+const HEARD: Duration = Duration::from_millis(100);
+
+/// Time between beats of the others, in milliseconds: they are heard once and count for long.
+const RARE: u32 = 60_000;
+
+/// Returns names of which so many come before the node under test among those that may watch.
+fn names(before: usize) -> Vec<String> {
+    let score = |name: &str| {
+        let mut hasher = DefaultHasher::new();
+        Name::from(name).hash(&mut hasher);
+        hasher.finish()
+    };
+    let own = score("n1");
+    let all = || (2..).map(|number| format!("n{number}"));
+    let first = all().filter(|name| score(name) < own).take(before);
+    let rest = all().filter(|name| score(name) > own).take(OTHERS - before);
+    first.chain(rest).collect()
+}
+
+/// Joins other nodes, none of which the store serves if `cut_off`.
+async fn join(rig: &Rig, before: usize, cut_off: bool) -> Vec<Other> {
+    let mut others = Vec::new();
+    for name in names(before) {
+        let mut other = Other::join_as(rig, name).await;
+        other.cut_off = cut_off;
+        other.every = RARE;
+        other.send_beat().await;
+        others.push(other);
+    }
+    sleep(HEARD).await;
+    others
+}
+
+fn item(name: &str, revision: u64) -> Item {
+    Item { name: name.into(), revision, value: Vec::new(), gone: false }
+}
+
+fn servers(rig: &Rig) -> Vec<String> {
+    let beliefs = rig.node.beliefs.borrow();
+    let present = beliefs.servers.values().filter(|server| server.missing.is_none());
+    let mut names: Vec<String> = present.map(|server| server.name.to_string()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn few_of_many_nodes_watch_the_store() {
+    for (before, cut_off, watches) in [(7, false, true), (8, false, false), (8, true, true)] {
+        run(
+            |_| None,
+            move |rig| async move {
+                let _others = join(&rig, before, cut_off).await;
+                spawn_local(follow::follow(rig.node.clone(), Kind::Servers));
+                sleep(SETTLED).await;
+                let watched = rig.node.platform.watches.get() > 0;
+                assert_eq!(watched, watches, "{before} before it, cut off {cut_off}");
+            },
+        );
+    }
+}
+
+#[test]
+fn changes_are_taken_over_in_order_and_without_gaps() {
+    run(
+        |_| None,
+        |rig| async move {
+            let mut other = Other::join(&rig, true).await;
+            other.every = RARE;
+            other.beat().await;
+            let mut link = other.accept().await;
+            let kind = Kind::Servers.number();
+            let gone = Item { gone: true, ..item("s1", 12) };
+            let items = vec![item("s2", 10), gone];
+            other.send(Body::Changed(Changed { kind, base: 1, upto: 14, items })).await;
+            other.beat().await;
+            assert_eq!(servers(&rig), ["s2"]);
+            let late = vec![item("s1", 9)];
+            other.send(Body::Changed(Changed { kind, base: 1, upto: 13, items: late })).await;
+            other.beat().await;
+            assert_eq!(servers(&rig), ["s2"], "what is known already is left out");
+            for _ in 0..5 {
+                let items = vec![item("s4", 30)];
+                other.send(Body::Changed(Changed { kind, base: 20, upto: 31, items })).await;
+                sleep(Duration::from_millis(300)).await;
+            }
+            let Body::Fetch(fetch) = other.next(&mut link).await else { panic!("no question") };
+            assert_eq!(fetch.kind, kind, "something is missing between 14 and 20");
+            assert_eq!(servers(&rig), ["s2"]);
+            let items = vec![item("s3", 17), item("s4", 30)];
+            other.send(Body::Snapshot(Snapshot { kind, revision: 30, items, upto: 31 })).await;
+            other.beat().await;
+            assert_eq!(servers(&rig), ["s3", "s4"]);
+        },
+    );
+}
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -30,7 +30,7 @@
 /// Time between two beats of the other node.
 const EVERY: Duration = Duration::from_millis(100);
 
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
+pub type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// Name of the node under test.
 const OWN: &str = "n1";
@@ -39,8 +39,12 @@
 const POOL: &str = "plain";
 
 /// Another node of which a test decides what it hears.
-struct Other {
+pub struct Other {
     name: String,
+    /// Whether it says that the store does not answer it.
+    pub cut_off: bool,
+    /// Milliseconds between its beats, as it says.
+    pub every: u32,
     listener: TcpListener,
     /// Where the node under test takes links.
     target: SocketAddr,
@@ -51,7 +55,7 @@
 
 impl Other {
     /// Joins the node under test, which has the gate of the pool or not.
-    async fn join(rig: &Rig, has_gate: bool) -> Self {
+    pub async fn join(rig: &Rig, has_gate: bool) -> Self {
         let score = |name: &str| {
             let mut hasher = DefaultHasher::new();
             (Name::from(name), Name::from(POOL)).hash(&mut hasher);
@@ -59,13 +63,18 @@
         };
         let mut names = (2..).map(|number| format!("n{number}"));
         let name = names.find(|name| (score(name) > score(OWN)) == has_gate).unwrap();
+        spawn_local(peers::beat(rig.node.clone()));
+        Self::join_as(rig, name).await
+    }
+
+    /// Joins the node under test under a name.
+    pub async fn join_as(rig: &Rig, name: String) -> Self {
         let own = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let target = own.local_addr().unwrap();
         spawn_local(peers::accept(rig.node.clone(), own));
-        spawn_local(peers::beat(rig.node.clone()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let link = framed(TcpStream::connect(target).await.unwrap());
-        let mut other = Self { name, listener, target, link, echo: 0 };
+        let mut other = Self { name, cut_off: false, every: 250, listener, target, link, echo: 0 };
         other.send(Body::Hello(Hello { node: other.name.clone() })).await;
         other
     }
@@ -76,29 +85,39 @@
         self.send(Body::Hello(Hello { node: self.name.clone() })).await;
     }
 
+    /// Sends a beat and waits until it has been heard.
+    pub async fn beat(&mut self) {
+        self.send_beat().await;
+        sleep(EVERY).await;
+    }
+
     /// Sends a beat that echoes what was heard.
-    async fn beat(&mut self) {
+    pub async fn send_beat(&mut self) {
         let beat = Beat {
             node: self.name.clone(),
             domain: "a".into(),
             addr: self.addr().to_string(),
             incarnation: 7,
-            every: 250,
-            echo: self.echo,
+            every: self.every,
+            cut_off: self.cut_off,
             ..Beat::default()
         };
-        self.send(Body::Beat(beat)).await;
-        sleep(EVERY).await;
+        let echo = self.echo;
+        self.write(Envelope { body: Some(Body::Beat(beat)), echo }).await;
     }
 
     /// Sends a message.
-    async fn send(&mut self, body: Body) {
-        let message = Envelope { body: Some(body) };
+    pub async fn send(&mut self, body: Body) {
+        self.write(Envelope { body: Some(body), echo: 0 }).await;
+    }
+
+    /// Writes a message to its link.
+    async fn write(&mut self, message: Envelope) {
         self.link.send(Bytes::from(message.encode_to_vec())).await.unwrap();
     }
 
     /// Returns the next message that is no beat; beats go on meanwhile.
-    async fn next(&mut self, link: &mut Link) -> Body {
+    pub async fn next(&mut self, link: &mut Link) -> Body {
         let end = Instant::now() + NOTICED;
         loop {
             assert!(Instant::now() < end, "no message");
@@ -111,7 +130,7 @@
     }
 
     /// Accepts a link of the node under test.
-    async fn accept(&mut self) -> Link {
+    pub async fn accept(&mut self) -> Link {
         let (socket, _) = timeout(NOTICED, self.listener.accept()).await.expect("no link").unwrap();
         let mut link = framed(socket);
         let Body::Hello(hello) = read(&mut link).await else { panic!("no name") };
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -3,7 +3,12 @@
 use {
     http::HeaderName,
     std::{
-        cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -34,16 +39,19 @@
 
 /// A platform without a store, with one server.
 pub struct Platform {
+    /// Watches that were begun.
+    pub watches: Cell<u32>,
     headers: Headers,
     server: SocketAddr,
 }
 
 impl Store for Platform {
     async fn list(&self, _: Kind) -> Result<Listing, StoreError> {
-        Err(StoreError::Silent)
+        Ok(Listing { revision: 1, items: Vec::new() })
     }
 
     async fn watch(&self, _: Kind, _: u64, _: Duration) -> Result<Changes, StoreError> {
+        self.watches.set(self.watches.get() + 1);
         Err(StoreError::Silent)
     }
 
@@ -200,7 +208,7 @@
         not_run: HeaderName::from_static("x-not-run"),
         key: HeaderName::from_static("x-key"),
     };
-    Platform { headers, server }
+    Platform { watches: Cell::new(0), headers, server }
 }
 
 fn settings() -> Settings {
