Spread hot ranges over hundreds of servers within rounds; the controller is a node with processor time

The controller was whichever node came first, also one with a tenth of a core.

Ruled out: the store's calls and the number of renewals (0.07 of a core at the busiest node).

Change: moves of a round rise with the servers; one move fills a server to 0.9 at most; a controller leaves its place to a node with twice its processor time while nothing moves (setting `cores`); entries of servers are read when they change only, and told of one by one up to eight.

--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -36,6 +36,9 @@
 /// Time for which a server without an entry is still used while the store answers.
 const GONE_GRACE: Duration = Duration::from_millis(300);
 
+/// Servers that come at once and are told of one by one.
+const MOST_TOLD: u32 = 8;
+
 /// A backend server.
 #[derive(Debug)]
 pub struct Server {
@@ -123,8 +126,11 @@
         raw.upto = listing.revision;
         let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or_default();
         raw.revision = raw.revision.max(claim.unwrap_or(newest));
+        let known = std::mem::take(&mut raw.items);
         raw.items = listing.items.into_iter().map(|item| (item.name.clone(), item)).collect();
-        self.decode(kind, dialect, clock);
+        let is_new = |item: &&Object| known.get(&item.name) != Some(*item);
+        let fresh: Vec<Object> = raw.items.values().filter(is_new).cloned().collect();
+        self.decode(kind, &fresh, dialect, clock);
         true
     }
 
@@ -137,6 +143,7 @@
         raw.upto = raw.upto.max(changes.revision);
         let newest = changes.events.iter().map(|(object, _)| object.revision).max();
         raw.revision = raw.revision.max(newest.unwrap_or_default());
+        let mut fresh = Vec::new();
         for (object, gone) in changes.events {
             let known = raw.items.get(&object.name).map_or(0, |item| item.revision);
             if object.revision < known {
@@ -145,10 +152,11 @@
             if gone {
                 raw.items.remove(&object.name);
             } else {
-                raw.items.insert(object.name.clone(), object);
+                raw.items.insert(object.name.clone(), object.clone());
+                fresh.push(object);
             }
         }
-        self.decode(kind, dialect, clock);
+        self.decode(kind, &fresh, dialect, clock);
     }
 
     /// Takes one object over that this node has just written.
@@ -157,20 +165,19 @@
         self.change(kind, Changes { revision, events: vec![(object, false)] }, dialect, clock);
     }
 
-    /// Reads the objects of a kind.
-    fn decode(&mut self, kind: Kind, dialect: &impl Dialect, clock: Clock) {
+    /// Reads the objects of a kind that are new or have changed.
+    fn decode(&mut self, kind: Kind, fresh: &[Object], dialect: &impl Dialect, clock: Clock) {
         match kind {
-            Kind::Routes => self.decode_routes(dialect),
-            Kind::Servers => self.decode_servers(dialect, clock),
-            Kind::Owners => self.decode_owners(),
+            Kind::Routes => self.decode_routes(fresh, dialect),
+            Kind::Servers => self.decode_servers(fresh, dialect, clock),
+            Kind::Owners => self.decode_owners(fresh),
             Kind::Control | Kind::Nodes => {}
         }
     }
 
     /// Reads the configuration.
-    fn decode_routes(&mut self, dialect: &impl Dialect) {
-        let Some(raw) = self.raw.get(&Kind::Routes.number()) else { return };
-        for object in raw.items.values() {
+    fn decode_routes(&mut self, fresh: &[Object], dialect: &impl Dialect) {
+        for object in fresh {
             let Some(table) = dialect.routes(object) else { continue };
             let known = self.routes.as_ref().map_or(0, |routes| routes.version);
             if table.version > known || self.routes.is_none() {
@@ -181,12 +188,17 @@
     }
 
     /// Reads the servers.
-    fn decode_servers(&mut self, dialect: &impl Dialect, clock: Clock) {
+    fn decode_servers(&mut self, fresh: &[Object], dialect: &impl Dialect, clock: Clock) {
         let now = clock.now();
         let Some(raw) = self.raw.get(&Kind::Servers.number()) else { return };
-        for object in raw.items.values() {
+        let mut come = 0;
+        for object in fresh {
             let Some(entry) = dialect.server(object) else { continue };
-            note_server(&mut self.servers, object, entry, clock);
+            come +=
+                u32::from(note_server(&mut self.servers, object, entry, clock, come < MOST_TOLD));
+        }
+        if come > MOST_TOLD {
+            info!(event = "servers", come, known = self.servers.len(), revision = raw.revision; "many servers have come");
         }
         for server in self.servers.values_mut() {
             if !raw.items.contains_key(&server.name) && server.missing.is_none() {
@@ -197,9 +209,8 @@
     }
 
     /// Reads the owners.
-    fn decode_owners(&mut self) {
-        let Some(raw) = self.raw.get(&Kind::Owners.number()) else { return };
-        for object in raw.items.values() {
+    fn decode_owners(&mut self, fresh: &[Object]) {
+        for object in fresh {
             let known = self.owners.get(&object.name).map_or(0, |(revision, _)| *revision);
             if object.revision <= known {
                 continue;
@@ -228,13 +239,14 @@
     }
 }
 
-/// Takes a server's entry over.
+/// Takes a server's entry over; returns whether a server or a life of one has come.
 fn note_server(
     servers: &mut HashMap<Name, Server>,
     object: &Object,
     entry: ServerEntry,
     clock: Clock,
-) {
+    tells: bool,
+) -> bool {
     let now = clock.now();
     let warm = now + entry.cold;
     match servers.get_mut(&object.name) {
@@ -242,9 +254,12 @@
             server.missing = None;
             server.leaving = if entry.leaving { server.leaving.or(Some(now)) } else { None };
             server.entry = entry;
+            false
         }
         _ => {
-            info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.born, revision = object.revision; "a server has come");
+            if tells {
+                info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.born, revision = object.revision; "a server has come");
+            }
             let server = Server {
                 name: object.name.clone(),
                 backend: Rc::new(Backend::new(entry.addr, clock)),
@@ -255,6 +270,7 @@
                 entry,
             };
             servers.insert(object.name.clone(), server);
+            true
         }
     }
 }
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -8,11 +8,13 @@
     crate::{
         message::{Beat, ControlRecord},
         node::Node,
+        peers,
         platform::{Kind, Platform, StoreError},
     },
     log::{info, warn},
     prost::Message,
     std::{
+        cmp::Reverse,
         collections::HashMap,
         hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
@@ -72,6 +74,12 @@
 /// Bits of a fence number below the term.
 const TERM_SHIFT: u32 = 28;
 
+/// Times as much processor time for which the place is left to another node.
+const STRONGER: u32 = 2;
+
+/// Time for which a controller keeps its place in any case.
+const PLACE_KEPT: Duration = Duration::from_secs(3);
+
 /// Name of the controller's record.
 const RECORD: &str = "controller";
 
@@ -160,10 +168,9 @@
         if self.quiet.is_none() && previous.is_some_and(|(_, run)| over(*run)) {
             self.quiet = Some(now);
         }
-        let chief = self.chief.as_ref();
-        if chief
-            .is_some_and(|(name, run)| name == from && (*run != beat.incarnation || beat.leaving))
-        {
+        let resigned = beat.leaving || (!beat.leads && beat.term >= self.term);
+        let chief = self.chief.as_ref().filter(|(name, _)| name == from);
+        if chief.is_some_and(|(_, run)| *run != beat.incarnation || resigned) {
             self.chief = None;
         }
     }
@@ -237,6 +244,7 @@
     /// Gives the place up.
     fn step_down(&mut self) {
         self.leads = false;
+        self.resigning = false;
         self.chief = None;
         self.moves.clear();
         self.holds = Holds::default();
@@ -249,6 +257,9 @@
     loop {
         if node.control.borrow().leads {
             confirm(&node);
+            if hands_place_on(&node) {
+                resign(&node).await;
+            }
             if node.control.borrow().may_order(node.now()) {
                 grants::round(&node).await;
             }
@@ -259,6 +270,19 @@
     }
 }
 
+/// Returns whether the controller is to leave its place to a node with more processor time.
+fn hands_place_on<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    let now = node.now();
+    let control = node.control.borrow();
+    let settled = now.since(control.since) > PLACE_KEPT && control.may_move(now);
+    settled && !control.resigning && !is_busy(&control) && is_weak(node, now)
+}
+
+/// Returns whether hand-overs are under way.
+fn is_busy(control: &Controller) -> bool {
+    control.moves.values().any(moves::Progress::is_busy)
+}
+
 /// Returns whether the controller's place looks vacant and it is this node's turn to take it.
 fn wants_place<P: Platform>(node: &Rc<Node<P>>) -> bool {
     let now = node.now();
@@ -277,18 +301,27 @@
     vacant > pause + RANK_PAUSE * rank
 }
 
-/// Returns the number of live nodes that come before this one.
+/// Returns the number of live nodes that come before this one: those with more processor time, and
+/// an order drawn for each term among equals.
 fn rank<P: Platform>(node: &Rc<Node<P>>, now: Tick, control: &Controller) -> u32 {
-    let order = |name: &Name| {
+    let order = |name: &Name, share: u32| {
         let mut hasher = DefaultHasher::new();
         (name, control.term).hash(&mut hasher);
-        hasher.finish()
+        (Reverse(share), hasher.finish())
     };
-    let own = order(node.name());
+    let own = order(node.name(), node.settings.limits.share_percent);
     let chief = control.chief.as_ref().map(|(name, _)| name);
     let peers = node.peers.borrow();
     let others = peers.live(now).filter(|(name, peer)| !peer.beat.leaving && Some(*name) != chief);
-    others.filter(|(name, _)| order(name) < own).count() as u32
+    others.filter(|(name, peer)| order(name, peer.beat.share) < own).count() as u32
+}
+
+/// Returns whether a node with much more processor time is there to be the controller.
+fn is_weak<P: Platform>(node: &Rc<Node<P>>, now: Tick) -> bool {
+    let share = node.settings.limits.share_percent;
+    let peers = node.peers.borrow();
+    let mut others = peers.live(now).filter(|(_, peer)| !peer.beat.leaving && !peer.beat.cut_off);
+    others.any(|(_, peer)| peer.beat.share >= share * STRONGER)
 }
 
 /// Tries to become the controller.
@@ -388,15 +421,18 @@
         return;
     }
     node.control.borrow_mut().resigning = true;
-    let Ok((mut record, revision)) = read(node).await else { return };
+    let Ok((mut record, revision)) = read(node).await else {
+        node.control.borrow_mut().resigning = node.leaving.get();
+        return;
+    };
     if record.incarnation != node.incarnation {
         return;
     }
     record.node.clear();
     record.incarnation = 0;
     let value = record.encode_to_vec();
-    if node.platform.write(Kind::Control, RECORD, revision, &value).await.is_ok() {
-        info!(event = "resigned", term = record.term; "this node grants keys no more");
-        node.control.borrow_mut().step_down();
-    }
+    let written = node.platform.write(Kind::Control, RECORD, revision, &value).await.is_ok();
+    info!(event = "resigned", term = record.term, written; "this node grants keys no more");
+    node.control.borrow_mut().step_down();
+    peers::send_beats(node, node.now());
 }
--- a/crates/whinspring-router/src/control/moves.rs
+++ b/crates/whinspring-router/src/control/moves.rs
@@ -31,3 +31,10 @@
     /// Whether a write is on its way.
     pub writing: bool,
 }
+
+impl Progress {
+    /// Returns whether a hand-over has begun and its end is not written yet.
+    pub fn is_busy(&self) -> bool {
+        self.writing || !self.busy.is_empty() || !self.settled.is_empty()
+    }
+}
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -1,14 +1,14 @@
 //! Following of the store: each kind is listed once and then watched.
 //!
-//! Among many nodes a few watch and tell the others what has changed; they are drawn by the names
-//! of the nodes that are alive, so that nobody has to agree on them. A node that the store does
+//! Among many nodes a few in each failure domain watch and tell the others there what has changed;
+//! they are drawn by the names of the nodes that are alive, so that nobody has to agree on them. A node that the store does
 //! not serve, or that has missed a change, learns the same objects from a node that is ahead.
 
 use {
     crate::{
-        message::{Body, Changed, Item, Moved, OwnersRecord, Snapshot, SpanWire},
+        message::{Body, Changed, Envelope, Item, Moved, OwnersRecord, Snapshot, SpanWire},
         node::Node,
-        peers,
+        peers::{self, Peer},
         platform::{Changes, Kind, Listing, Object, Platform, StoreError},
     },
     log::info,
@@ -34,8 +34,8 @@
 /// Nodes up to which each watches the store itself.
 const ALL_WATCH: usize = 24;
 
-/// Nodes that watch the store among more than these.
-const WATCHERS: usize = 8;
+/// Nodes in each failure domain that watch the store among more than these.
+const WATCHERS: usize = 2;
 
 /// Time after a listing in which the other nodes become known.
 const MEET: Duration = Duration::from_millis(1_000);
@@ -113,20 +113,21 @@
         name.hash(&mut hasher);
         hasher.finish()
     };
-    let now = node.now();
-    let live = peers.live(now).filter(|(_, peer)| !peer.beat.leaving);
-    let mut others: Vec<(u64, bool)> =
-        live.map(|(name, peer)| (order(name), !peer.beat.cut_off)).collect();
-    if others.len() < ALL_WATCH {
+    if peers.nodes.len() < ALL_WATCH {
         return None;
     }
+    let near = |peer: &Peer| !peer.beat.leaving && peer.beat.domain == *node.settings.domain;
+    let live = peers.live(node.now()).filter(|(_, peer)| near(peer));
+    let mut others: Vec<(u64, bool)> =
+        live.map(|(name, peer)| (order(name), !peer.beat.cut_off)).collect();
     others.sort_unstable();
-    let (last, _) = others[WATCHERS - 1];
-    let answered = others[..WATCHERS].iter().any(|(_, answered)| *answered);
+    let watchers = others.get(..WATCHERS)?;
+    let (last, _) = watchers[WATCHERS - 1];
+    let answered = watchers.iter().any(|(_, answered)| *answered);
     (order(node.name()) > last && answered).then_some(answered)
 }
 
-/// Takes changes over, and tells them to the nodes that do not watch.
+/// Takes changes over, and tells them to the nodes of the same failure domain.
 fn note<P: Platform>(node: &Rc<Node<P>>, kind: Kind, changes: Changes) {
     let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
     let base = node.beliefs.borrow().upto(kind);
@@ -138,8 +139,9 @@
     };
     node.beliefs.borrow_mut().change(kind, changes, &node.platform, node.clock);
     node.wake();
-    if node.peers.borrow().nodes.len() >= ALL_WATCH {
-        node.send_all(Body::Changed(changed));
+    let peers = node.peers.borrow();
+    if peers.nodes.len() >= ALL_WATCH {
+        peers.send_near(&node.settings.domain, &Envelope::frame(Body::Changed(changed)));
     }
 }
 
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -141,6 +141,9 @@
     /// Whether the store did not answer its last call.
     #[prost(bool, tag = "16")]
     pub cut_off: bool,
+    /// Processor time that its node may use, in hundredths of a core.
+    #[prost(uint32, tag = "17")]
+    pub share: u32,
 }
 
 /// Beats that may be missing before their node counts as lost, in tenths.
@@ -158,7 +161,7 @@
 
     /// Returns the time without an echo after which its node hears nothing of the receiver.
     pub fn deaf_after(&self) -> Duration {
-        self.lost_after() + Duration::from_millis(self.every.into())
+        self.lost_after() * 2 + Duration::from_millis(self.every.into())
     }
 }
 
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -53,9 +53,6 @@
 /// Time before a link is opened again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time between two links that are opened because a node hears nothing.
-const REOPEN_EVERY: Duration = Duration::from_millis(1_000);
-
 /// Messages that wait for a link at most.
 const QUEUE: usize = 512;
 
@@ -109,6 +106,13 @@
         }
     }
 
+    /// Queues a message to the nodes of a failure domain.
+    pub fn send_near(&self, domain: &str, frame: &Bytes) {
+        for peer in self.nodes.values().filter(|peer| peer.beat.domain == domain) {
+            let _ = peer.queue.try_send(frame.clone());
+        }
+    }
+
     /// Returns whether a kind is to be fetched from a node that knows it at a higher revision: not
     /// at once, as the store mostly tells, and not from several nodes at the same time.
     fn may_fetch(&mut self, now: Tick, kind: Kind) -> bool {
@@ -155,8 +159,8 @@
         self.is_heard(now) && now.since(self.echoed) >= self.beat.deaf_after()
     }
 
-    /// Takes a beat of the node.
-    fn hear(&mut self, now: Tick, beat: &Beat, echo: Tick) {
+    /// Takes a beat of the node, and when the last beat was sent to it that it has heard.
+    pub fn hear(&mut self, now: Tick, beat: &Beat, echo: Tick) {
         if self.beat.incarnation != beat.incarnation {
             self.echoed = now;
         } else if echo <= now {
@@ -377,7 +381,7 @@
 fn reopen_deaf<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
     let mut peers = node.peers.borrow_mut();
     let deaf = peers.nodes.iter_mut().filter(|(_, peer)| peer.is_deaf(now));
-    for (name, peer) in deaf.filter(|(_, peer)| now.since(peer.opened) >= REOPEN_EVERY) {
+    for (name, peer) in deaf.filter(|(_, peer)| now.since(peer.opened) >= peer.beat.deaf_after()) {
         let silence = now.since(peer.echoed).as_millis() as u64;
         info!(event = "link_reopened", peer = name.as_str(), silence_ms = silence; "a node is heard and hears nothing");
         peer.queue = open(node.name().clone(), peer.addr);
@@ -407,6 +411,7 @@
             every: node.peers.borrow().interval().as_millis() as u32,
             sent: now.as_millis(),
             cut_off: node.store_lost.get(),
+            share: node.settings.limits.share_percent,
         }
     };
     let (keys, paces) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/settings.rs
+++ b/crates/whinspring-router/src/settings.rs
@@ -46,6 +46,9 @@
     pub retry_extra: u32,
     /// Log lines a second at most.
     pub log_lines: u32,
+    /// Processor time that the node may use, in hundredths of a core: the controller is a node that
+    /// has much.
+    pub share_percent: u32,
 }
 
 /// Sections that the settings may have.
@@ -115,6 +118,7 @@
             retry_ratio: 0.2,
             retry_extra: 50,
             log_lines: 100,
+            share_percent: 100,
         }
     }
 }
@@ -129,6 +133,7 @@
         let hold_ms = reader.number("hold_ms", 1_000..=600_000, base.hold_ms);
         let retry_ratio = reader.optional("retry_ratio", "write a part from 0 to 1", parse_part);
         let retry_extra = reader.number("retry_extra", 0..=1_000_000, base.retry_extra);
+        let cores = reader.optional("cores", "write cores from 0.01 to 1024", parse_cores);
         let log_lines = reader.number("log_lines", 1..=10_000, base.log_lines);
         reader.close();
         Some(Self {
@@ -138,6 +143,7 @@
             retry_ratio: retry_ratio.unwrap_or(base.retry_ratio),
             retry_extra: retry_extra?,
             log_lines: log_lines?,
+            share_percent: cores.unwrap_or(base.share_percent),
         })
     }
 }
@@ -148,6 +154,12 @@
     (1.0..=600.0).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
 }
 
+/// Reads a number of cores, with fractions; returns hundredths.
+fn parse_cores(text: &str) -> Option<u32> {
+    let cores: f64 = text.parse().ok()?;
+    (0.01..=1_024.0).contains(&cores).then_some((cores * 100.0) as u32)
+}
+
 /// Reads a part of one.
 fn parse_part(text: &str) -> Option<f64> {
     let part: f64 = text.parse().ok()?;
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -10,9 +10,13 @@
     std::collections::{BTreeMap, HashMap},
 };
 
-/// Moves in one round at most.
+/// Moves in one round at most, among few servers.
 const MAX_MOVES: usize = 12;
 
+/// The same among many, as a divisor of their number: load that has shifted must be spread over
+/// as large a part of them within as many rounds.
+const MOVES_DIVISOR: usize = 3;
+
 /// Difference of utilization below which nothing moves.
 const TOLERANCE: f64 = 0.12;
 
@@ -22,6 +26,13 @@
 /// Difference that is worth a move above [`MAX_SPANS`].
 const WIDE_TOLERANCE: f64 = 0.4;
 
+/// Utilization up to which one move fills a server: a hot range goes to several at once, and none of
+/// them is overloaded in turn.
+const FULL: f64 = 0.9;
+
+/// Utilization that must be left below [`FULL`]; where all servers are busy, differences are halved.
+const LEAST_ROOM: f64 = 0.2;
+
 /// Capacity that is assumed of the slowest server.
 const LEAST_CAPACITY: f64 = 0.01;
 
@@ -67,7 +78,7 @@
         }
     }
     evacuate(&mut draft, &stay, &mut used, loads, base, &mut moves);
-    for _ in 0..MAX_MOVES {
+    for _ in 0..MAX_MOVES.max(stay.len() / MOVES_DIVISOR) {
         let Some(step) = improve(&draft, &stay, &used, loads, base) else { break };
         apply(&mut draft, &mut used, loads, base, &step);
         moves.push(step);
@@ -155,8 +166,10 @@
         if gap < tolerance {
             return None;
         }
-        let share = low.capacity * high.capacity / (low.capacity + high.capacity);
-        if let Some((first, last)) = best_run(draft, &high.life, loads, base, gap * share) {
+        let half = gap * low.capacity * high.capacity / (low.capacity + high.capacity);
+        let room = FULL - level(low, used);
+        let want = if room < LEAST_ROOM { half } else { half.min(room * low.capacity) };
+        if let Some((first, last)) = best_run(draft, &high.life, loads, base, want) {
             return Some(Move { first, last, to: low.life.clone() });
         }
     }
--- a/crates/whinspring/tests/ranges.rs
+++ b/crates/whinspring/tests/ranges.rs
@@ -89,6 +89,27 @@
     }
 }
 
+/// The same among hundreds of servers: most of the load lies on one server's keys at first, and a
+/// few rounds spread it over a large part of the others.
+#[test]
+fn a_hot_range_is_spread_over_hundreds_of_servers_in_four_rounds() {
+    const SERVERS: usize = 360;
+    let servers = candidates(&[2.0; SERVERS]);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..5 {
+        let first = rng.random_range(0..65_000u16);
+        let key = |number: u16| (first + number, rng.random_range(0.4..0.8));
+        let loads: KeyLoads = (0..180).map(key).collect();
+        let mut owned = even(SERVERS);
+        for _ in 0..4 {
+            let moves = plan(&owned, &servers, &loads, BASE);
+            carry_out(&mut owned, &moves);
+        }
+        let high = *levels(&owned, &servers, &loads, BASE).last().unwrap();
+        assert!(high < 0.8, "{high}");
+    }
+}
+
 #[test]
 fn few_keys_move_for_a_hot_range() {
     for seed in 0..20 {
