--- a/crates/whinspring-cli/tests/commands.rs
+++ b/crates/whinspring-cli/tests/commands.rs
@@ -267,7 +267,7 @@
 fn commands_named_in_the_docs_exist() {
     let pages = [
         include_str!("../../../README.md"),
-        include_str!("../../../docs/OPERATING.md"),
+        include_str!("../../../docs/OPERATIONS.md"),
         include_str!("../../../docs/CONFIG.md"),
         include_str!("../../../docs/RESULTS.md"),
     ];
--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -6,8 +6,9 @@
 
 use {
     crate::{
-        message::{Item, OwnersRecord, Snapshot},
+        message::{Item, Snapshot},
         platform::{Changes, Dialect, Kind, Listing, Object, ServerEntry},
+        record::OwnersRecord,
     },
     log::info,
     prost::Message,
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -12,9 +12,9 @@
     },
     crate::{
         follow,
-        message::OwnersRecord,
         node::Node,
         platform::{Grant, Kind, Object, Platform, Reply, StoreError},
+        record::OwnersRecord,
     },
     log::info,
     prost::Message,
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -4,11 +4,11 @@
     crate::{
         control, follow,
         front::{self, Doors},
-        message::NodeRecord,
         node::Node,
         pages::{self, Page},
         peers,
         platform::{Kind, Platform},
+        record::NodeRecord,
         settings::Settings,
         turns,
     },
--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -1,6 +1,9 @@
 //! One request, from its head to the start of its answer.
 
+pub use self::sent::Sent;
+
 use {
+    self::sent::{Collected, WHOLE_BYTES},
     crate::{
         answer::{Body, Refusal, clean},
         message::{self, Crash},
@@ -8,7 +11,7 @@
         platform::Platform,
         turns::{self, Turn, Wish},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{
         HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
         header::{EXPECT, HOST},
@@ -18,10 +21,8 @@
     log::{debug, info},
     std::{
         hash::{DefaultHasher, Hash, Hasher},
-        io,
         rc::Rc,
         sync::Arc,
-        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
@@ -36,20 +37,19 @@
         time::Tick,
     },
     whinspring_http::{
-        backend::{Backend, Conn, Fault, Nothing, Upstream},
+        backend::{Backend, Fault, Nothing, Upstream},
         headers::strip_hop,
     },
 };
 
+mod sent;
+
 /// Time that the final answer may take to the caller.
 const REACH: Duration = Duration::from_millis(15);
 
 /// Time for which a caller without a deadline is assumed to wait.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
-/// Body bytes of an answer that are read whole before it is passed on.
-const WHOLE_BYTES: u64 = 32 << 10;
-
 /// Longest wait for a key that has no owner at present.
 const OWNER_WAIT: Duration = Duration::from_millis(350);
 
@@ -358,7 +358,7 @@
         response: Response<Incoming>,
         sendings: u32,
     ) -> Outcome<P> {
-        let names = self.node.platform.headers().clone();
+        let names = self.node.platform.headers();
         let (mut parts, body) = response.into_parts();
         let length = body.size_hint().exact();
         sent.body = Some(body);
@@ -412,111 +412,6 @@
     }
 }
 
-/// A request at a server, until its answer has been read.
-pub struct Sent<P: Platform> {
-    /// Its turn at the gate.
-    turn: Turn<P>,
-    /// The node.
-    node: Rc<Node<P>>,
-    /// Connections to the server.
-    backend: Rc<Backend<Nothing>>,
-    /// How the request ends once its answer has been read.
-    ending: Ending,
-    /// The connection that carries it.
-    conn: Option<Conn<Nothing>>,
-    /// What is still to come.
-    body: Option<Incoming>,
-    /// Bytes that have been read already.
-    first: Option<Bytes>,
-    /// Its route.
-    route: Name,
-    /// The server.
-    server: Name,
-    /// When it was sent.
-    start: Tick,
-}
-
-/// What was read of a short answer.
-enum Collected {
-    /// All of it.
-    Whole(Bytes),
-    /// The first bytes of a longer one.
-    More(Bytes),
-    /// It broke off.
-    Broken,
-}
-
-impl<P: Platform> Sent<P> {
-    /// Polls for the next bytes of the answer.
-    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(Ok(first)));
-        }
-        let (Some(conn), Some(body)) = (&mut self.conn, &mut self.body) else {
-            return Poll::Ready(None);
-        };
-        match ready!(conn.poll_next(body, cx)) {
-            Ok(Some(bytes)) => Poll::Ready(Some(Ok(bytes))),
-            Ok(None) => {
-                self.finish();
-                Poll::Ready(None)
-            }
-            Err(_) => {
-                self.conn = None;
-                Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
-            }
-        }
-    }
-
-    /// Reads an answer, or the start of a long one.
-    async fn collect(&mut self, length: Option<u64>) -> Collected {
-        let mut all = BytesMut::with_capacity(length.unwrap_or(0) as usize);
-        loop {
-            let (Some(conn), Some(body)) = (&mut self.conn, &mut self.body) else {
-                return Collected::Broken;
-            };
-            match conn.next(body).await {
-                Ok(Some(bytes)) => all.extend_from_slice(&bytes),
-                Ok(None) => {
-                    self.finish();
-                    return Collected::Whole(all.freeze());
-                }
-                Err(_) => return Collected::Broken,
-            }
-            if all.len() as u64 > WHOLE_BYTES {
-                return Collected::More(all.freeze());
-            }
-        }
-    }
-
-    /// Reads the rest of an answer that is not passed on.
-    async fn drain(&mut self) {
-        if let Collected::More(_) = self.collect(None).await {
-            self.conn = None;
-        }
-    }
-
-    /// Notes that the answer has ended.
-    fn finish(&mut self) {
-        self.body = None;
-        self.turn.ending = self.ending;
-        let took = self.node.now().since(self.start);
-        if self.ending != Ending::Ran {
-            return self.keep();
-        }
-        self.node.meter.borrow_mut().served(&self.route, &self.server, took);
-        self.keep();
-    }
-
-    /// Keeps the connection for other requests.
-    fn keep(&mut self) {
-        if let Some(conn) = self.conn.take() {
-            let backend = self.backend.clone();
-            spawn_local(async move { backend.give_back(conn).await });
-        }
-    }
-}
-
 /// Looks whether a server died with a request, and tells the other nodes if so.
 async fn look<P: Platform>(node: Rc<Node<P>>, backend: Rc<Backend<Nothing>>, print: u64) {
     sleep(LOOK_PAUSE).await;
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -6,10 +6,11 @@
 
 use {
     crate::{
-        message::{Body, Changed, Envelope, Item, Moved, OwnersRecord, Snapshot, SpanWire},
+        message::{Body, Changed, Envelope, Item, Moved, Snapshot},
         node::Node,
         peers::{self, Peer},
         platform::{Changes, Kind, Listing, Object, Platform, StoreError},
+        record::{OwnersRecord, SpanWire},
     },
     log::info,
     prost::Message,
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pages;
 pub mod peers;
 pub mod platform;
+pub mod record;
 pub mod retries;
 pub mod settings;
 pub mod turns;
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -24,13 +24,14 @@
     whinspring_http::clock::Clock,
     whinspring_router::{
         control, follow,
-        message::{Beat, OwnersRecord},
+        message::Beat,
         node::Node,
         peers,
         platform::{
             Changes, Dialect, Grant, Headers, Kind, Listing, Object, Orders, Reply, ServerEntry,
             Store, StoreError,
         },
+        record::OwnersRecord,
         settings::{Limits as Bounds, Settings},
     },
 };
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -8,7 +8,7 @@
         time::Tick,
     },
     whinspring_router::{
-        crashes::Crashes, message::OwnersRecord, retries::Retries, settings::Settings,
+        crashes::Crashes, record::OwnersRecord, retries::Retries, settings::Settings,
     },
 };
 
