--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -108,7 +108,8 @@
         self.raw.get(&kind.number()).map_or(0, |raw| raw.upto)
     }
 
-    /// Takes all objects of a kind over, unless newer ones are known; returns whether it did.
+    /// Takes all objects of a kind over, unless newer ones are known; returns what has changed by
+    /// that, `true` for objects that are gone.
     ///
     /// The store's revision rises with each change of any kind, so that what is claimed to be known
     /// of a kind is the revision of its own last change, or `claim` where another node said so.
@@ -119,10 +120,10 @@
         claim: Option<u64>,
         dialect: &impl Dialect,
         clock: Clock,
-    ) -> bool {
+    ) -> Vec<(Object, bool)> {
         let raw = self.raw.entry(kind.number()).or_default();
         if listing.revision < raw.upto {
-            return false;
+            return Vec::new();
         }
         raw.upto = listing.revision;
         let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or_default();
@@ -131,8 +132,11 @@
         raw.items = listing.items.into_iter().map(|item| (item.name.clone(), item)).collect();
         let is_new = |item: &&Object| known.get(&item.name) != Some(*item);
         let fresh: Vec<Object> = raw.items.values().filter(is_new).cloned().collect();
+        let gone = known.into_values().filter(|item| !raw.items.contains_key(&item.name));
+        let mut changes: Vec<(Object, bool)> = gone.map(|item| (item, true)).collect();
+        changes.extend(fresh.iter().cloned().map(|item| (item, false)));
         self.decode(kind, &fresh, dialect, clock);
-        true
+        changes
     }
 
     /// Takes changes of a kind over.
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -117,6 +117,11 @@
     peers::send_beats(&node, node.now());
     let grace = node.settings.limits.grace;
     let grace = grace - grace / STOP_MARGIN;
+    let hurried = node.clone();
+    spawn_local(async move {
+        sleep(grace - grace / STOP_MARGIN).await;
+        hurried.end_waiting();
+    });
     let stop = async {
         spawn_local({
             let node = node.clone();
--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -209,7 +209,15 @@
             };
             let asked = node.now();
             let left = self.end.since(asked);
-            let Ok((turn, answer)) = timeout(left, turns::wait(node, &wish)).await else {
+            let waited = tokio::select! {
+                biased;
+                waited = timeout(left, turns::wait(node, &wish)) => waited,
+                () = node.hurried() => {
+                    info!(event = "refused_stopping", id = self.id(), pool = pool.as_str(); "the node stops");
+                    return Err(Refusal::later(Code::Leaving, RETRY_LATER));
+                }
+            };
+            let Ok((turn, answer)) = waited else {
                 info!(event = "expired", id = self.id(), routes = self.table.version, pool = pool.as_str(); "no turn came in time");
                 return Err(Refusal::later(Code::Expired, RETRY_LATER));
             };
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -57,7 +57,11 @@
             Ok(listing) => {
                 node.note_store(true);
                 let revision = listing.revision;
-                replace(&node, kind, listing);
+                let base = node.beliefs.borrow().upto(kind);
+                let changes = replace(&node, kind, listing);
+                if base > 0 {
+                    tell(&node, kind, base, revision, &changes);
+                }
                 watch(&node, kind, revision).await;
             }
             Err(error) => failed(&node, kind, error).await,
@@ -130,20 +134,29 @@
 
 /// Takes changes over, and tells them to the nodes of the same failure domain.
 fn note<P: Platform>(node: &Rc<Node<P>>, kind: Kind, changes: Changes) {
-    let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
     let base = node.beliefs.borrow().upto(kind);
-    let changed = Changed {
-        kind: kind.number(),
-        base,
-        upto: changes.revision,
-        items: changes.events.iter().map(item).collect(),
-    };
+    tell(node, kind, base, changes.revision, &changes.events);
     node.beliefs.borrow_mut().change(kind, changes, &node.platform, node.clock);
     node.wake();
+}
+
+/// Tells the nodes of the same failure domain what has changed between two revisions, if there are
+/// so many nodes that not all of them watch.
+fn tell<P: Platform>(
+    node: &Rc<Node<P>>,
+    kind: Kind,
+    base: u64,
+    upto: u64,
+    changes: &[(Object, bool)],
+) {
     let peers = node.peers.borrow();
-    if peers.nodes.len() >= ALL_WATCH {
-        peers.send_near(&node.settings.domain, &Envelope::frame(Body::Changed(changed)));
+    if peers.nodes.len() < ALL_WATCH {
+        return;
     }
+    let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
+    let items = changes.iter().map(item).collect();
+    let changed = Changed { kind: kind.number(), base, upto, items };
+    peers.send_near(&node.settings.domain, &Envelope::frame(Body::Changed(changed)));
 }
 
 /// Takes changes over that a node tells of which watches; asks it for everything if some are
@@ -177,15 +190,27 @@
     sleep(RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
 }
 
-/// Takes a listing over.
-pub fn replace<P: Platform>(node: &Rc<Node<P>>, kind: Kind, listing: Listing) {
-    take(node, kind, listing, None);
+/// Takes a listing over; returns what has changed by that, `true` for objects that are gone.
+pub fn replace<P: Platform>(
+    node: &Rc<Node<P>>,
+    kind: Kind,
+    listing: Listing,
+) -> Vec<(Object, bool)> {
+    take(node, kind, listing, None)
 }
 
 /// Takes a listing over that is claimed to hold at a revision.
-fn take<P: Platform>(node: &Rc<Node<P>>, kind: Kind, listing: Listing, claim: Option<u64>) {
-    node.beliefs.borrow_mut().replace(kind, listing, claim, &node.platform, node.clock);
+fn take<P: Platform>(
+    node: &Rc<Node<P>>,
+    kind: Kind,
+    listing: Listing,
+    claim: Option<u64>,
+) -> Vec<(Object, bool)> {
+    let mut beliefs = node.beliefs.borrow_mut();
+    let changes = beliefs.replace(kind, listing, claim, &node.platform, node.clock);
+    drop(beliefs);
     node.wake();
+    changes
 }
 
 /// Takes what another node knows, if it is newer.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -55,6 +55,10 @@
     pub changed: Notify,
     /// Whether a planned stop has begun.
     pub leaving: Cell<bool>,
+    /// Whether requests wait no more, as a planned stop ends soon.
+    pub hurried: Cell<bool>,
+    /// Woken when `hurried` is set.
+    pub hurry: Notify,
     /// When the store last answered.
     pub store_heard: Cell<Tick>,
     /// When the store answered again after a failure.
@@ -81,6 +85,8 @@
             metrics: Metrics::new(),
             changed: Notify::new(),
             leaving: Cell::new(false),
+            hurried: Cell::new(false),
+            hurry: Notify::new(),
             store_heard: Cell::default(),
             store_back: Cell::default(),
             store_lost: Cell::new(true),
@@ -122,6 +128,20 @@
         self.peers.borrow().send_all(&Envelope::frame(body));
     }
 
+    /// Ends all waiting for turns, before a planned stop ends.
+    pub fn end_waiting(&self) {
+        self.hurried.set(true);
+        self.hurry.notify_waiters();
+    }
+
+    /// Waits until requests may wait no more.
+    pub async fn hurried(&self) {
+        let hurry = self.hurry.notified();
+        if !self.hurried.get() {
+            hurry.await;
+        }
+    }
+
     /// Wakes whoever waits for beliefs to change.
     pub fn wake(&self) {
         self.changed.notify_waiters();
--- a/crates/whinspring-router/tests/path/answers.rs
+++ b/crates/whinspring-router/tests/path/answers.rs
@@ -3,7 +3,7 @@
 use {
     crate::rig::run,
     std::time::Duration,
-    tokio::{io::AsyncWriteExt, time::sleep},
+    tokio::{io::AsyncWriteExt, task::spawn_local, time::sleep},
 };
 
 /// Returns the value of the id header.
@@ -182,3 +182,32 @@
         },
     );
 }
+
+/// A planned stop ends: what still waits for a server is refused, so that nobody is left without an
+/// answer when the process ends.
+#[test]
+fn a_request_that_waits_is_refused_before_a_planned_stop_ends() {
+    run(
+        |_| Some("wait".into()),
+        |rig| async move {
+            let mut busy = Vec::new();
+            for number in 0..2 {
+                let mut caller = rig.connect().await;
+                let request = ask("GET", "/safe/1", &format!("i{number}"));
+                caller.write_all(request.as_bytes()).await.unwrap();
+                busy.push(caller);
+            }
+            sleep(Duration::from_millis(50)).await;
+            let node = rig.node.clone();
+            spawn_local(async move {
+                sleep(Duration::from_millis(100)).await;
+                node.end_waiting();
+            });
+            let answer = rig.ask(&ask("GET", "/safe/1", "i3")).await;
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+            assert!(answer.contains("x-id: i3"), "{answer}");
+            let answer = rig.ask(&ask("GET", "/safe/1", "i4")).await;
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        },
+    );
+}
