--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -14,7 +14,8 @@
     whinspring_router::{
         follow,
         message::{Body, Changed, Item, Snapshot},
-        platform::Kind,
+        peers,
+        platform::{Kind, Listing, Object},
     },
 };
 
@@ -120,3 +121,31 @@
         },
     );
 }
+
+/// The store forgets its history: a node that watches lists anew, and tells its domain what that
+/// shows.
+#[test]
+fn what_a_new_listing_shows_is_passed_on() {
+    run(
+        |_| None,
+        |rig| async move {
+            let mut others = join(&rig, 0, false).await;
+            spawn_local(peers::beat(rig.node.clone()));
+            spawn_local(follow::follow(rig.node.clone(), Kind::Servers));
+            let mut link = others[0].accept().await;
+            sleep(SETTLED).await;
+            let server = Object { name: "s9".into(), revision: 40, value: Vec::new() };
+            *rig.node.platform.listing.borrow_mut() = Listing { revision: 50, items: vec![server] };
+            rig.node.platform.forgets.set(true);
+            let changed = loop {
+                if let Body::Changed(changed) = others[0].next(&mut link).await
+                    && changed.upto == 50
+                {
+                    break changed;
+                }
+            };
+            assert_eq!(changed.base, 1);
+            assert_eq!(changed.items, [item("s9", 40)]);
+        },
+    );
+}
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -41,17 +41,25 @@
 pub struct Platform {
     /// Watches that were begun.
     pub watches: Cell<u32>,
+    /// What a listing shows.
+    pub listing: RefCell<Listing>,
+    /// Whether the store has forgotten its history.
+    pub forgets: Cell<bool>,
     headers: Headers,
     server: SocketAddr,
 }
 
 impl Store for Platform {
     async fn list(&self, _: Kind) -> Result<Listing, StoreError> {
-        Ok(Listing { revision: 1, items: Vec::new() })
+        self.forgets.set(false);
+        Ok(self.listing.borrow().clone())
     }
 
     async fn watch(&self, _: Kind, _: u64, _: Duration) -> Result<Changes, StoreError> {
         self.watches.set(self.watches.get() + 1);
+        if self.forgets.get() {
+            return Err(StoreError::Compacted);
+        }
         Err(StoreError::Silent)
     }
 
@@ -208,7 +216,9 @@
         not_run: HeaderName::from_static("x-not-run"),
         key: HeaderName::from_static("x-key"),
     };
-    Platform { watches: Cell::new(0), headers, server }
+    let listing = RefCell::new(Listing { revision: 1, items: Vec::new() });
+    let (watches, forgets) = (Cell::new(0), Cell::new(false));
+    Platform { watches, listing, forgets, headers, server }
 }
 
 fn settings() -> Settings {
