Watch on at once after a new listing

Cause, by the code: since few watch, a node waited a second between any listing and its watch, to meet the others; a server that leaves in that second after the store forgot its history is known a second late, and its gate stays open for 1.3 s from then. Change: the wait is for the first listing of a process only. Test: a_new_listing_is_watched_from_at_once, seen red.

--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -38,7 +38,7 @@
 /// Nodes in each failure domain that watch the store among more than these.
 const WATCHERS: usize = 2;
 
-/// Time after a listing in which the other nodes become known.
+/// Time after the first listing in which the other nodes become known.
 const MEET: Duration = Duration::from_millis(1_000);
 
 /// Time between two looks whether this node is to watch the store.
@@ -52,6 +52,7 @@
 
 /// Follows a kind for ever.
 pub async fn follow<P: Platform>(node: Rc<Node<P>>, kind: Kind) {
+    let mut settle = MEET;
     loop {
         match node.platform.list(kind).await {
             Ok(listing) => {
@@ -62,6 +63,7 @@
                 if base > 0 {
                     tell(&node, kind, base, revision, &changes);
                 }
+                sleep(std::mem::take(&mut settle)).await;
                 watch(&node, kind, revision).await;
             }
             Err(error) => failed(&node, kind, error).await,
@@ -84,7 +86,6 @@
 
 /// Watches a kind until its history is gone, or lets others tell of it.
 async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut revision: u64) {
-    sleep(MEET).await;
     loop {
         if let Some(answered) = watched_by_others(node) {
             node.note_store(answered);
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -149,3 +149,23 @@
         },
     );
 }
+
+/// A server may leave right after the store has forgotten its history: the watch goes on at once.
+#[test]
+fn a_new_listing_is_watched_from_at_once() {
+    run(
+        |_| None,
+        |rig| async move {
+            spawn_local(follow::follow(rig.node.clone(), Kind::Servers));
+            sleep(SETTLED).await;
+            let before = rig.node.platform.watches.get();
+            rig.node.platform.forgets.set(true);
+            while rig.node.platform.forgets.get() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            sleep(Duration::from_millis(100)).await;
+            let begun = rig.node.platform.watches.get() - before;
+            assert_eq!(begun, 2, "the one that failed, and the next");
+        },
+    );
+}
