A node sends nothing to a server that it knows to have left, whatever a gate says

Change: the sending node looks at its own knowledge of the server before it sends, with the bound of the gate. Test: a_server_that_has_left_gets_no_request_by_a_gate_that_does_not_know, seen red.

--- a/crates/whinspring-router/src/flight.rs
+++ b/crates/whinspring-router/src/flight.rs
@@ -227,6 +227,10 @@
                 info!(event = "refused", id = self.id(), pool = pool.as_str(), retry_ms = retry.as_millis() as u64, routes = self.table.version, priority = self.route.priority; "the wait would be too long");
                 Refusal::later(Code::Overloaded, retry)
             })?;
+            if !self.takes_requests(&server) {
+                info!(event = "left", id = self.id(), server = server.as_str(), routes = self.table.version; "a gate let a request through to a server that has left");
+                return Err(Refusal::later(Code::NoOwner, RETRY_LATER));
+            }
             let still = self.key.is_none_or(|key| self.owns(key, &server));
             if still {
                 return Ok((server, turn));
@@ -235,6 +239,14 @@
         }
     }
 
+    /// Returns whether a server may be sent requests, as far as this node knows: the node of its
+    /// gate may have learned later that it leaves.
+    fn takes_requests(&self, server: &Name) -> bool {
+        let beliefs = self.node.beliefs.borrow();
+        let server = beliefs.servers.get(server);
+        server.is_none_or(|server| turns::takes_requests(&self.node, server, self.node.now()))
+    }
+
     /// Returns whether a server owns a key.
     fn owns(&self, key: u16, server: &Name) -> bool {
         let beliefs = self.node.beliefs.borrow();
--- a/crates/whinspring-router/src/turns.rs
+++ b/crates/whinspring-router/src/turns.rs
@@ -10,6 +10,7 @@
 
 use {
     crate::{
+        beliefs::Server,
         message::{AskWire, Body, Check, Done, Go, Refuse},
         node::Node,
         platform::Platform,
@@ -332,21 +333,24 @@
     let gate = turns.gates.entry(pool.clone()).or_default();
     let now = node.now();
     let keyed = beliefs.servers.contains_key(pool);
-    let drain = Duration::from_millis(node.settings.limits.drain_ms.into());
-    let last = drain.saturating_sub(LEAVE_MARGIN);
     let matches = |name: &Name, service: &Name| if keyed { name == pool } else { service == pool };
     for server in beliefs.servers.values() {
         if matches(&server.name, &server.entry.service) {
-            let open = match server.leaving {
-                None => true,
-                Some(since) => keyed && now < since + last,
-            };
+            let open = takes_requests(node, server, now) && (keyed || server.leaving.is_none());
             gate.set_server(&server.name, &server.entry.domain, server.entry.slots, open);
         }
     }
     gate.retain(|name| beliefs.servers.contains_key(name));
 }
 
+/// Returns whether a server may be sent requests, as far as this node knows: one that leaves only
+/// for a while after it has said so.
+pub fn takes_requests<P: Platform>(node: &Rc<Node<P>>, server: &Server, now: Tick) -> bool {
+    let drain = Duration::from_millis(node.settings.limits.drain_ms.into());
+    let last = drain.saturating_sub(LEAVE_MARGIN);
+    server.leaving.is_none_or(|since| now < since + last)
+}
+
 /// Looks at all gates of this node from time to time, for ever.
 pub async fn rounds<P: Platform>(node: Rc<Node<P>>) {
     loop {
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -11,7 +11,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        io::AsyncWriteExt,
+        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         task::spawn_local,
         time::{sleep, timeout},
@@ -19,7 +19,7 @@
     tokio_util::codec::{Framed, LengthDelimitedCodec},
     whinspring::name::Name,
     whinspring_router::{
-        message::{AskWire, Beat, Body, Check, Done, Envelope, Hello},
+        message::{AskWire, Beat, Body, Check, Done, Envelope, Go, Hello},
         peers,
     },
 };
@@ -292,3 +292,37 @@
         },
     );
 }
+
+/// The node of a gate may know later than others that a server leaves.
+#[test]
+fn a_server_that_has_left_gets_no_request_by_a_gate_that_does_not_know() {
+    run(
+        |_| None,
+        |rig| async move {
+            let mut other = Other::join(&rig, true).await;
+            other.every = 60_000;
+            other.beat().await;
+            let mut link = other.accept().await;
+            sleep(Duration::from_millis(2_100)).await;
+            for (left, sent) in [(Duration::from_millis(500), 1), (Duration::from_secs(2), 1)] {
+                let now = rig.node.now();
+                let mut beliefs = rig.node.beliefs.borrow_mut();
+                beliefs.servers.get_mut("s1").unwrap().leaving = Some(now - left);
+                drop(beliefs);
+                let mut caller = rig.connect().await;
+                let request = "GET /once/1 HTTP/1.1\r\nhost: a.example\r\nx-id: i1\r\n\r\n";
+                caller.write_all(request.as_bytes()).await.unwrap();
+                let Body::Ask(ask) = other.next(&mut link).await else { panic!("no question") };
+                let go = Go { number: ask.number, server: "s1".into() };
+                other.send(Body::Go(go)).await;
+                let mut answer = Vec::new();
+                while !answer.windows(4).any(|end| end == b"\r\n\r\n") {
+                    assert!(caller.read_buf(&mut answer).await.unwrap() > 0);
+                }
+                let requests = rig.seen.borrow().iter().filter(|it| it.starts_with("GET")).count();
+                assert_eq!(requests, sent, "left {left:?} ago");
+                while !matches!(other.next(&mut link).await, Body::Done(_)) {}
+            }
+        },
+    );
+}
