--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -293,6 +293,13 @@
     );
 }
 
+/// Lets the node under test know for so long that its server leaves.
+fn set_leaving(rig: &Rig, left: Duration) {
+    let now = rig.node.now();
+    let mut beliefs = rig.node.beliefs.borrow_mut();
+    beliefs.servers.get_mut("s1").unwrap().leaving = Some(now - left);
+}
+
 /// The node of a gate may know later than others that a server leaves.
 #[test]
 fn a_server_that_has_left_gets_no_request_by_a_gate_that_does_not_know() {
@@ -305,10 +312,7 @@
             let mut link = other.accept().await;
             sleep(Duration::from_millis(2_100)).await;
             for (left, sent) in [(Duration::from_millis(500), 1), (Duration::from_secs(2), 1)] {
-                let now = rig.node.now();
-                let mut beliefs = rig.node.beliefs.borrow_mut();
-                beliefs.servers.get_mut("s1").unwrap().leaving = Some(now - left);
-                drop(beliefs);
+                set_leaving(&rig, left);
                 let mut caller = rig.connect().await;
                 let request = "GET /once/1 HTTP/1.1\r\nhost: a.example\r\nx-id: i1\r\n\r\n";
                 caller.write_all(request.as_bytes()).await.unwrap();
