Wait for a closable connection in one place

Both programs waited in the same way until a caller's connection is at rest and stays so for 50 ms. `Conn::closable` does it for both; `rested` and `is_at_rest` are private to it now. The router's pause after a failure to accept has the name that its pages use for it.

--- a/crates/whinspring-daemon/src/caller/door.rs
+++ b/crates/whinspring-daemon/src/caller/door.rs
@@ -4,7 +4,7 @@
     crate::metrics::Metrics,
     socket2::SockRef,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{sync::watch, time::sleep},
+    tokio::sync::watch,
     tokio_util::sync::CancellationToken,
     whinspring_http::caller::Conn,
     xitca_io::net::TcpStream,
@@ -14,9 +14,6 @@
 /// Time after which unacknowledged bytes end a caller's connection.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time that a connection at rest is given to prove that it is.
-const REST_TIME: Duration = Duration::from_millis(50);
-
 /// Open connections of callers.
 #[derive(Debug)]
 pub struct Doors {
@@ -51,13 +48,7 @@
     /// Waits until a connection is to be closed.
     async fn closed(&self, conn: &Conn) {
         self.closing.cancelled().await;
-        loop {
-            conn.rested().await;
-            sleep(REST_TIME).await;
-            if conn.is_at_rest() {
-                return;
-            }
-        }
+        conn.closable().await;
     }
 }
 
--- a/crates/whinspring-http/src/caller.rs
+++ b/crates/whinspring-http/src/caller.rs
@@ -12,8 +12,9 @@
         os::fd::AsFd,
         rc::Rc,
         task::{Context, Poll, ready},
+        time::Duration,
     },
-    tokio::{io::Interest, net::TcpStream, sync::Notify, task_local},
+    tokio::{io::Interest, net::TcpStream, sync::Notify, task_local, time::sleep},
     xitca_io::{
         io::{AsyncBufRead, AsyncBufWrite, BoundedBuf, BoundedBufMut},
         net,
@@ -21,6 +22,9 @@
     xitca_service::Service,
 };
 
+/// Time that a connection at rest is given to prove that it is.
+const REST_TIME: Duration = Duration::from_millis(50);
+
 task_local! {
     /// The connection that the present task serves.
     static CURRENT: Rc<Conn>;
@@ -116,15 +120,27 @@
         matches!(SockRef::from(&self.watch).peek(&mut byte), Ok(0))
     }
 
+    /// Waits until the connection can be closed without a cut: it is at rest, and stays so for a
+    /// moment.
+    pub async fn closable(&self) {
+        loop {
+            self.rested().await;
+            sleep(REST_TIME).await;
+            if self.is_at_rest() {
+                return;
+            }
+        }
+    }
+
     /// Waits until no request is in progress and no byte of the next one has arrived.
-    pub async fn rested(&self) {
+    async fn rested(&self) {
         while !self.is_at_rest() {
             self.rest.notified().await;
         }
     }
 
     /// Returns whether no request is in progress and no byte of the next one has arrived.
-    pub fn is_at_rest(&self) -> bool {
+    fn is_at_rest(&self) -> bool {
         self.busy.get() == 0 && self.reading.get() && !self.begun.get()
     }
 }
--- a/crates/whinspring-router/src/front.rs
+++ b/crates/whinspring-router/src/front.rs
@@ -5,6 +5,7 @@
         answer::{Body, Refusal, close},
         flight::{Flight, end_of, passed_on},
         node::Node,
+        pages::ACCEPT_PAUSE,
         platform::Platform,
     },
     bytes::{Bytes, BytesMut},
@@ -49,9 +50,6 @@
 /// Time after which unacknowledged bytes end a connection.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Time that a connection at rest is given to prove that it is.
-const REST_TIME: Duration = Duration::from_millis(50);
-
 /// Time after which a caller may come back to another node.
 const MOVE_ON: Duration = Duration::from_millis(200);
 
@@ -78,13 +76,7 @@
     /// Waits until a connection is to be closed.
     async fn closed(&self, conn: &Conn) {
         self.closing.cancelled().await;
-        loop {
-            conn.rested().await;
-            sleep(REST_TIME).await;
-            if conn.is_at_rest() {
-                return;
-            }
-        }
+        conn.closable().await;
     }
 }
 
@@ -103,7 +95,7 @@
     loop {
         let Ok((stream, addr)) = listener.accept().await else {
             node.metrics.count("accept_failed");
-            sleep(REST_TIME).await;
+            sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let (service, doors, node) = (service.clone(), doors.clone(), node.clone());
--- a/crates/whinspring-router/src/pages.rs
+++ b/crates/whinspring-router/src/pages.rs
@@ -15,7 +15,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Longest question, in bytes.
 const MAX_QUESTION: usize = 4 << 10;
