Draw nodes by one function

The gate of a pool, the order of nodes that may be the controller and the watchers of a domain were each drawn by a hash written out on the spot, and twice more in tests. `draw` does it; the values are the same.

--- a/crates/whinspring-router/src/control/place.rs
+++ b/crates/whinspring-router/src/control/place.rs
@@ -1,12 +1,13 @@
 //! Who is the controller: taking the place, keeping it and giving it up.
 //!
-//! The place is a record in the store that is changed by conditional writes only. A node tries to take
-//! it when the controller has fallen silent, was long not confirmed by the store, or has resigned;
-//! those with more processor time try first.
+//! The place is a record in the store that is changed by conditional writes only. A node tries to
+//! take it when the controller has fallen silent, was long not confirmed by the store, or has
+//! resigned; those with more processor time try first.
 
 use {
     super::{Controller, grants, moves},
     crate::{
+        draw::draw,
         follow,
         message::Beat,
         node::Node,
@@ -16,12 +17,7 @@
     },
     log::{info, warn},
     prost::Message,
-    std::{
-        cmp::Reverse,
-        hash::{DefaultHasher, Hash, Hasher},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{cmp::Reverse, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
     whinspring::{name::Name, time::Tick},
 };
@@ -103,11 +99,7 @@
 /// Returns the number of live nodes that come before this one: those with more processor time, and
 /// an order drawn for each term among equals.
 fn rank<P: Platform>(node: &Rc<Node<P>>, now: Tick, control: &Controller) -> u32 {
-    let order = |name: &Name, share: u32| {
-        let mut hasher = DefaultHasher::new();
-        (name, control.term).hash(&mut hasher);
-        (Reverse(share), hasher.finish())
-    };
+    let order = |name: &Name, share: u32| (Reverse(share), draw((name, control.term)));
     let own = order(node.name(), node.settings.limits.share_percent);
     let chief = control.chief.as_ref().map(|(name, _)| name);
     let peers = node.peers.borrow();
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -1,11 +1,13 @@
 //! Following of the store: each kind is listed once and then watched.
 //!
 //! Among many nodes a few in each failure domain watch and tell the others there what has changed;
-//! they are drawn by the names of the nodes that are alive, so that nobody has to agree on them. A node that the store does
-//! not serve, or that has missed a change, learns the same objects from a node that is ahead.
+//! they are drawn by the names of the nodes that are alive, so that nobody has to agree on them.
+//! A node that the store does not serve, or that has missed a change, learns the same objects from
+//! a node that is ahead.
 
 use {
     crate::{
+        draw::draw,
         message::{Body, Changed, Envelope, Item, Moved, Snapshot},
         node::Node,
         peers::{self, Peer},
@@ -14,11 +16,7 @@
     },
     log::info,
     prost::Message,
-    std::{
-        hash::{DefaultHasher, Hash, Hasher},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{rc::Rc, time::Duration},
     tokio::time::sleep,
     whinspring::{
         name::Name,
@@ -114,23 +112,18 @@
 /// Returns, if other nodes watch the store for this one, whether it answers any of them.
 fn watched_by_others<P: Platform>(node: &Rc<Node<P>>) -> Option<bool> {
     let peers = node.peers.borrow();
-    let order = |name: &Name| {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        hasher.finish()
-    };
     if peers.nodes.len() < ALL_WATCH {
         return None;
     }
     let near = |peer: &Peer| !peer.beat.leaving && peer.beat.domain == *node.settings.domain;
     let live = peers.live(node.now()).filter(|(_, peer)| near(peer));
     let mut others: Vec<(u64, bool)> =
-        live.map(|(name, peer)| (order(name), !peer.beat.cut_off)).collect();
+        live.map(|(name, peer)| (draw(name), !peer.beat.cut_off)).collect();
     others.sort_unstable();
     let watchers = others.get(..WATCHERS)?;
     let (last, _) = watchers[WATCHERS - 1];
     let answered = watchers.iter().any(|(_, answered)| *answered);
-    (order(node.name()) > last && answered).then_some(answered)
+    (draw(node.name()) > last && answered).then_some(answered)
 }
 
 /// Takes changes over, and tells them to the nodes of the same failure domain.
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod crashes;
 pub mod daemon;
+pub mod draw;
 pub mod flight;
 pub mod follow;
 pub mod front;
--- a/crates/whinspring-router/src/turns.rs
+++ b/crates/whinspring-router/src/turns.rs
@@ -11,13 +11,13 @@
 use {
     crate::{
         beliefs::Server,
+        draw::draw,
         message::{AskWire, Body, Check, Done, Go, Refuse},
         node::Node,
         platform::Platform,
     },
     std::{
         collections::{HashMap, HashSet},
-        hash::{DefaultHasher, Hash, Hasher},
         rc::Rc,
         time::Duration,
     },
@@ -201,11 +201,8 @@
     let near = beliefs.servers.get(pool).map(|server| &server.entry.domain);
     let peers = node.peers.borrow();
     let now = node.now();
-    let score = |name: &Name, domain: &str| {
-        let mut hasher = DefaultHasher::new();
-        (name, pool).hash(&mut hasher);
-        (near.is_some_and(|near| near == domain), hasher.finish())
-    };
+    let score =
+        |name: &Name, domain: &str| (near.is_some_and(|near| near == domain), draw((name, pool)));
     let own = (score(node.name(), &node.settings.domain), node.name());
     let others = peers
         .live(now)
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -5,13 +5,11 @@
         links::Other,
         rig::{Rig, run},
     },
-    std::{
-        hash::{DefaultHasher, Hash, Hasher},
-        time::Duration,
-    },
+    std::time::Duration,
     tokio::{task::spawn_local, time::sleep},
     whinspring::name::Name,
     whinspring_router::{
+        draw::draw,
         follow,
         message::{Body, Changed, Item, Snapshot},
         peers,
@@ -33,11 +31,7 @@
 
 /// Returns names of which so many come before the node under test among those that may watch.
 fn names(before: usize) -> Vec<String> {
-    let score = |name: &str| {
-        let mut hasher = DefaultHasher::new();
-        Name::from(name).hash(&mut hasher);
-        hasher.finish()
-    };
+    let score = |name: &str| draw(Name::from(name));
     let own = score("n1");
     let all = || (2..).map(|number| format!("n{number}"));
     let first = all().filter(|name| score(name) < own).take(before);
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -6,7 +6,6 @@
     futures_util::{SinkExt, StreamExt},
     prost::Message,
     std::{
-        hash::{DefaultHasher, Hash, Hasher},
         net::SocketAddr,
         time::{Duration, Instant},
     },
@@ -19,6 +18,7 @@
     tokio_util::codec::{Framed, LengthDelimitedCodec},
     whinspring::name::Name,
     whinspring_router::{
+        draw::draw,
         message::{AskWire, Beat, Body, Check, Done, Envelope, Go, Hello},
         peers,
     },
@@ -56,11 +56,7 @@
 impl Other {
     /// Joins the node under test, which has the gate of the pool or not.
     pub async fn join(rig: &Rig, has_gate: bool) -> Self {
-        let score = |name: &str| {
-            let mut hasher = DefaultHasher::new();
-            (Name::from(name), Name::from(POOL)).hash(&mut hasher);
-            hasher.finish()
-        };
+        let score = |name: &str| draw((Name::from(name), Name::from(POOL)));
         let mut names = (2..).map(|number| format!("n{number}"));
         let name = names.find(|name| (score(name) > score(OWN)) == has_gate).unwrap();
         spawn_local(peers::beat(rig.node.clone()));
