Read changed objects from one list; kinds as keys; one question whether a server was reborn

Of a listing each changed object was copied twice, once to be read and once to be passed on. Kinds are hashed as they are instead of by their number. `is_over` asks `reborn` for what it had written out; a node that hears, is heard or is deaf is told apart by two conditions; beats go the way of other messages.

--- a/crates/whinspring-router/src/beliefs.rs
+++ b/crates/whinspring-router/src/beliefs.rs
@@ -80,8 +80,8 @@
 /// What a node believes.
 #[derive(Debug, Default)]
 pub struct Beliefs {
-    /// Objects by the number of their kind.
-    raw: HashMap<u32, Raw>,
+    /// Objects by kind.
+    raw: HashMap<Kind, Raw>,
     /// The configuration.
     pub routes: Option<Arc<RouteTable>>,
     /// Servers by name.
@@ -93,19 +93,19 @@
 impl Beliefs {
     /// Returns the revision at which objects of a kind held.
     pub fn revision(&self, kind: Kind) -> u64 {
-        self.raw.get(&kind.number()).map_or(0, |raw| raw.revision)
+        self.raw.get(&kind).map_or(0, |raw| raw.revision)
     }
 
     /// Returns all objects of a kind, to pass on.
     pub fn snapshot(&self, kind: Kind) -> Snapshot {
-        let Some(raw) = self.raw.get(&kind.number()) else { return Snapshot::default() };
+        let Some(raw) = self.raw.get(&kind) else { return Snapshot::default() };
         let items = raw.items.values().map(Item::from).collect();
         Snapshot { kind: kind.number(), revision: raw.revision, items, upto: raw.upto }
     }
 
     /// Returns the revision of the store up to which no change of a kind is left out.
     pub fn upto(&self, kind: Kind) -> u64 {
-        self.raw.get(&kind.number()).map_or(0, |raw| raw.upto)
+        self.raw.get(&kind).map_or(0, |raw| raw.upto)
     }
 
     /// Takes all objects of a kind over, unless newer ones are known; returns what has changed by
@@ -121,7 +121,7 @@
         dialect: &impl Dialect,
         clock: Clock,
     ) -> Vec<(Object, bool)> {
-        let raw = self.raw.entry(kind.number()).or_default();
+        let raw = self.raw.entry(kind).or_default();
         if listing.revision < raw.upto {
             return Vec::new();
         }
@@ -131,11 +131,11 @@
         let known = std::mem::take(&mut raw.items);
         raw.items = listing.items.into_iter().map(|item| (item.name.clone(), item)).collect();
         let is_new = |item: &&Object| known.get(&item.name) != Some(*item);
-        let fresh: Vec<Object> = raw.items.values().filter(is_new).cloned().collect();
+        let fresh = raw.items.values().filter(is_new).cloned().map(|item| (item, false));
+        let mut changes: Vec<(Object, bool)> = fresh.collect();
         let gone = known.into_values().filter(|item| !raw.items.contains_key(&item.name));
-        let mut changes: Vec<(Object, bool)> = gone.map(|item| (item, true)).collect();
-        changes.extend(fresh.iter().cloned().map(|item| (item, false)));
-        self.decode(kind, &fresh, dialect, clock);
+        changes.extend(gone.map(|item| (item, true)));
+        self.decode(kind, &changes, dialect, clock);
         changes
     }
 
@@ -144,24 +144,24 @@
         if changes.events.is_empty() {
             return;
         }
-        let raw = self.raw.entry(kind.number()).or_default();
+        let raw = self.raw.entry(kind).or_default();
         raw.upto = raw.upto.max(changes.revision);
         let newest = changes.events.iter().map(|(object, _)| object.revision).max();
         raw.revision = raw.revision.max(newest.unwrap_or_default());
-        let mut fresh = Vec::new();
-        for (object, gone) in changes.events {
+        let mut events = changes.events;
+        events.retain(|(object, gone)| {
             let known = raw.items.get(&object.name).map_or(0, |item| item.revision);
             if object.revision < known {
-                continue;
+                return false;
             }
-            if gone {
+            if *gone {
                 raw.items.remove(&object.name);
             } else {
                 raw.items.insert(object.name.clone(), object.clone());
-                fresh.push(object);
             }
-        }
-        self.decode(kind, &fresh, dialect, clock);
+            true
+        });
+        self.decode(kind, &events, dialect, clock);
     }
 
     /// Takes one object over that this node has just written.
@@ -171,7 +171,14 @@
     }
 
     /// Reads the objects of a kind that are new or have changed.
-    fn decode(&mut self, kind: Kind, fresh: &[Object], dialect: &impl Dialect, clock: Clock) {
+    fn decode(
+        &mut self,
+        kind: Kind,
+        changes: &[(Object, bool)],
+        dialect: &impl Dialect,
+        clock: Clock,
+    ) {
+        let fresh = changes.iter().filter(|(_, gone)| !gone).map(|(object, _)| object);
         match kind {
             Kind::Routes => self.decode_routes(fresh, dialect),
             Kind::Servers => self.decode_servers(fresh, dialect, clock),
@@ -181,7 +188,11 @@
     }
 
     /// Reads the configuration.
-    fn decode_routes(&mut self, fresh: &[Object], dialect: &impl Dialect) {
+    fn decode_routes<'a>(
+        &mut self,
+        fresh: impl Iterator<Item = &'a Object>,
+        dialect: &impl Dialect,
+    ) {
         for object in fresh {
             let Some(table) = dialect.routes(object) else { continue };
             let known = self.routes.as_ref().map_or(0, |routes| routes.version);
@@ -193,9 +204,14 @@
     }
 
     /// Reads the servers.
-    fn decode_servers(&mut self, fresh: &[Object], dialect: &impl Dialect, clock: Clock) {
+    fn decode_servers<'a>(
+        &mut self,
+        fresh: impl Iterator<Item = &'a Object>,
+        dialect: &impl Dialect,
+        clock: Clock,
+    ) {
         let now = clock.now();
-        let Some(raw) = self.raw.get(&Kind::Servers.number()) else { return };
+        let Some(raw) = self.raw.get(&Kind::Servers) else { return };
         let mut come = 0;
         for object in fresh {
             let Some(entry) = dialect.server(object) else { continue };
@@ -214,7 +230,7 @@
     }
 
     /// Reads the owners.
-    fn decode_owners(&mut self, fresh: &[Object]) {
+    fn decode_owners<'a>(&mut self, fresh: impl Iterator<Item = &'a Object>) {
         for object in fresh {
             let known = self.owners.get(&object.name).map_or(0, |(revision, _)| *revision);
             if object.revision <= known {
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -160,11 +160,11 @@
 /// Returns whether a life of a server has ended: it has started again since, or another server
 /// has got its address.
 pub(super) fn is_over<P: Platform>(node: &Rc<Node<P>>, life: &Life) -> bool {
-    let beliefs = node.beliefs.borrow();
-    let own = beliefs.servers.get(&life.server);
-    if own.is_some_and(|server| server.entry.born != life.born) {
+    if reborn(node, life).is_some() {
         return true;
     }
+    let beliefs = node.beliefs.borrow();
+    let own = beliefs.servers.get(&life.server);
     let control = node.control.borrow();
     let known = own.map(|server| server.entry.addr);
     let Some(addr) = known.or_else(|| control.addresses.get(life).copied()) else { return false };
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -90,7 +90,7 @@
     /// When the last beat was sent.
     beaten: Tick,
     /// Since when this node is behind on a kind, and when it last asked for it.
-    behind: HashMap<u32, (Tick, Tick)>,
+    behind: HashMap<Kind, (Tick, Tick)>,
 }
 
 impl Peers {
@@ -116,7 +116,7 @@
     /// Returns whether a kind is to be fetched from a node that knows it at a higher revision: not
     /// at once, as the store mostly tells, and not from several nodes at the same time.
     fn may_fetch(&mut self, now: Tick, kind: Kind) -> bool {
-        let (since, asked) = self.behind.entry(kind.number()).or_insert((now, Tick::default()));
+        let (since, asked) = self.behind.entry(kind).or_insert((now, Tick::default()));
         if now.since(*since) > FETCH_EVERY {
             *since = now;
         }
@@ -146,7 +146,7 @@
 impl Peer {
     /// Returns whether the node is alive.
     pub fn is_live(&self, now: Tick) -> bool {
-        self.is_heard(now) && now.since(self.echoed) < self.beat.deaf_after()
+        self.is_heard(now) && self.hears(now)
     }
 
     /// Returns whether its beats arrive.
@@ -154,9 +154,14 @@
         self.beat.incarnation != 0 && now.since(self.heard) < self.beat.lost_after()
     }
 
+    /// Returns whether what is sent to it arrives.
+    fn hears(&self, now: Tick) -> bool {
+        now.since(self.echoed) < self.beat.deaf_after()
+    }
+
     /// Returns whether its beats arrive, and what is sent to it does not.
     fn is_deaf(&self, now: Tick) -> bool {
-        self.is_heard(now) && now.since(self.echoed) >= self.beat.deaf_after()
+        self.is_heard(now) && !self.hears(now)
     }
 
     /// Takes a beat of the node, and when the last beat was sent to it that it has heard.
@@ -255,19 +260,19 @@
         };
         match message.body {
             Some(Body::Hello(hello)) => from = Name::from(hello.node),
-            Some(Body::Beat(beat)) if !from.is_empty() => {
-                hear(&node, &from, beat, Tick::from_millis(message.echo));
+            Some(body) if !from.is_empty() => {
+                handle(&node, &from, body, Tick::from_millis(message.echo));
             }
-            Some(body) if !from.is_empty() => handle(&node, &from, body),
             _ => node.metrics.count("link_malformed"),
         }
     }
 }
 
-/// Takes a message of another node.
-fn handle<P: Platform>(node: &Rc<Node<P>>, from: &Name, body: Body) {
+/// Takes a message of another node, and when the last beat was sent to it that it has heard.
+fn handle<P: Platform>(node: &Rc<Node<P>>, from: &Name, body: Body, echo: Tick) {
     match body {
-        Body::Beat(_) | Body::Hello(_) => {}
+        Body::Hello(_) => {}
+        Body::Beat(beat) => hear(node, from, beat, echo),
         Body::Ask(ask) => turns::asked(node, from, ask),
         Body::Done(done) => turns::done(node, from, &done),
         Body::Check(check) => turns::checked(node, from, &check),
--- a/crates/whinspring-router/src/retries.rs
+++ b/crates/whinspring-router/src/retries.rs
@@ -5,7 +5,10 @@
 //! it sent itself in the window, and its even part of the extra that all nodes share.
 
 use {
-    std::{collections::HashMap, collections::VecDeque, time::Duration},
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
     whinspring::{name::Name, time::Tick},
 };
 
