Draw nodes by the hash that the project already had

`whinspring::control::roster::rank` orders names for exactly this, by a hash that does not change with the compiler's library, as the one that the router used may between nodes of different builds. It is a module of its own now, `whinspring::rank`, and gates, watchers and the order of controllers use it. Which node is drawn differs from before; nothing rests on which. Golden files unchanged, tests green.

--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,7 +7,6 @@
 
 use {
     crate::{
-        draw::draw,
         message::{Body, Changed, Envelope, Item, Moved, Snapshot},
         node::Node,
         peers::{self, Peer},
@@ -21,6 +20,7 @@
     whinspring::{
         name::Name,
         ranges::{Ownership, Span},
+        rank::rank,
     },
 };
 
@@ -118,12 +118,12 @@
     let near = |peer: &Peer| !peer.beat.leaving && peer.beat.domain == *node.settings.domain;
     let live = peers.live(node.now()).filter(|(_, peer)| near(peer));
     let mut others: Vec<(u64, bool)> =
-        live.map(|(name, peer)| (draw(name), !peer.beat.cut_off)).collect();
+        live.map(|(name, peer)| (rank(&[name], 0), !peer.beat.cut_off)).collect();
     others.sort_unstable();
     let watchers = others.get(..WATCHERS)?;
     let (last, _) = watchers[WATCHERS - 1];
     let answered = watchers.iter().any(|(_, answered)| *answered);
-    (draw(node.name()) > last && answered).then_some(answered)
+    (rank(&[node.name()], 0) > last && answered).then_some(answered)
 }
 
 /// Takes changes over, and tells them to the nodes of the same failure domain.
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod control;
 pub mod crashes;
 pub mod daemon;
-pub mod draw;
 pub mod flight;
 pub mod follow;
 pub mod front;
--- a/crates/whinspring-router/src/turns.rs
+++ b/crates/whinspring-router/src/turns.rs
@@ -11,7 +11,6 @@
 use {
     crate::{
         beliefs::Server,
-        draw::draw,
         message::{AskWire, Body, Check, Done, Go, Refuse},
         node::Node,
         platform::Platform,
@@ -28,6 +27,7 @@
     whinspring::{
         gate::{Ask, Ending, Gate, Ticket, Verdict},
         name::Name,
+        rank::rank,
         time::Tick,
     },
 };
@@ -201,8 +201,9 @@
     let near = beliefs.servers.get(pool).map(|server| &server.entry.domain);
     let peers = node.peers.borrow();
     let now = node.now();
-    let score =
-        |name: &Name, domain: &str| (near.is_some_and(|near| near == domain), draw((name, pool)));
+    let score = |name: &Name, domain: &str| {
+        (near.is_some_and(|near| near == domain), rank(&[name, pool], 0))
+    };
     let own = (score(node.name(), &node.settings.domain), node.name());
     let others = peers
         .live(now)
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -7,9 +7,8 @@
     },
     std::time::Duration,
     tokio::{task::spawn_local, time::sleep},
-    whinspring::name::Name,
+    whinspring::rank::rank,
     whinspring_router::{
-        draw::draw,
         follow,
         message::{Body, Changed, Item, Snapshot},
         peers,
@@ -31,7 +30,7 @@
 
 /// Returns names of which so many come before the node under test among those that may watch.
 fn names(before: usize) -> Vec<String> {
-    let score = |name: &str| draw(Name::from(name));
+    let score = |name: &str| rank(&[name], 0);
     let own = score("n1");
     let all = || (2..).map(|number| format!("n{number}"));
     let first = all().filter(|name| score(name) < own).take(before);
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -16,9 +16,8 @@
         time::{sleep, timeout},
     },
     tokio_util::codec::{Framed, LengthDelimitedCodec},
-    whinspring::name::Name,
+    whinspring::rank::rank,
     whinspring_router::{
-        draw::draw,
         message::{AskWire, Beat, Body, Check, Done, Envelope, Go, Hello},
         peers,
     },
@@ -56,7 +55,7 @@
 impl Other {
     /// Joins the node under test, which has the gate of the pool or not.
     pub async fn join(rig: &Rig, has_gate: bool) -> Self {
-        let score = |name: &str| draw((Name::from(name), Name::from(POOL)));
+        let score = |name: &str| rank(&[name, POOL], 0);
         let mut names = (2..).map(|number| format!("n{number}"));
         let name = names.find(|name| (score(name) > score(OWN)) == has_gate).unwrap();
         spawn_local(peers::beat(rig.node.clone()));
--- a/crates/whinspring/src/control/choice.rs
+++ b/crates/whinspring/src/control/choice.rs
@@ -7,6 +7,7 @@
         message::Message,
         model::{Node, NodeState},
         name::Name,
+        rank::rank,
     },
     rand::Rng,
     std::time::Duration,
@@ -149,7 +150,7 @@
         let near = own.as_ref() == Some(&self.setup.domain);
         let twice = chosen.iter().any(|other| domain(other) == own);
         let shunned = self.own.shunned.contains_key(name);
-        (shunned, near, twice, self.roster.load(name), roster::rank(&[&self.setup.name, name], 0))
+        (shunned, near, twice, self.roster.load(name), rank(&[&self.setup.name, name], 0))
     }
 
     /// Returns the other live nodes whose VMs are not gone.
--- a/crates/whinspring/src/control/election.rs
+++ b/crates/whinspring/src/control/election.rs
@@ -5,6 +5,7 @@
     crate::{
         model::{Controller, NodeState},
         name::Name,
+        rank::rank,
         record::{Key, Kind, Value},
         time::Tick,
     },
@@ -74,9 +75,9 @@
 
     /// Returns this node's place among the candidates for the next term.
     fn place(&self, version: u64) -> Option<u32> {
-        let mine = roster::rank(&[&self.setup.name], version + 1);
+        let mine = rank(&[&self.setup.name], version + 1);
         let own = roster::node(&self.replica, &self.setup.name)?.1;
-        let before = |name: &Name| roster::rank(&[name], version + 1) < mine;
+        let before = |name: &Name| rank(&[name], version + 1) < mine;
         let place = self.roster.others.iter().filter(|name| before(name)).count();
         (own.state == NodeState::Live).then_some(place as u32)
     }
@@ -84,7 +85,7 @@
     /// Names another node as the controller.
     fn hand_on(&mut self, out: &mut Vec<Action>) {
         let successor = self.roster.others.iter().filter(|name| !self.own.vms_gone.contains(name));
-        let Some(name) = successor.min_by_key(|name| roster::rank(&[name], 0)).cloned() else {
+        let Some(name) = successor.min_by_key(|name| rank(&[name], 0)).cloned() else {
             return;
         };
         let Some((_, node)) = roster::node(&self.replica, &name) else { return };
--- a/crates/whinspring/src/control/roster.rs
+++ b/crates/whinspring/src/control/roster.rs
@@ -4,12 +4,12 @@
     crate::{
         model::{Node, NodeState},
         name::Name,
+        rank::rank,
         record::{Key, Kind, Value},
         replica::Replica,
         time::Tick,
     },
     std::collections::{BTreeMap, BTreeSet},
-    twox_hash::XxHash3_64,
 };
 
 /// Nodes in each failure domain that watch the platform.
@@ -143,10 +143,3 @@
     node(replica, name)
         .is_some_and(|(_, n)| n.incarnation == incarnation && n.state != NodeState::Gone)
 }
-
-/// Hashes names and a number into an order that differs from case to case.
-pub(crate) fn rank(names: &[&str], number: u64) -> u64 {
-    let mut text = names.join("\0");
-    text.push('\0');
-    XxHash3_64::oneshot_with_seed(number, text.as_bytes())
-}
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod plan;
 pub mod planner;
 pub mod ranges;
+pub mod rank;
 pub mod record;
 pub mod replica;
 pub mod request;
--- a/crates/whinspring/src/planner/holders.rs
+++ b/crates/whinspring/src/planner/holders.rs
@@ -6,6 +6,7 @@
         control::roster,
         model::{Holder, Holders, Service},
         name::Name,
+        rank::rank,
         record::{Key, Kind, Value},
         replica::Replica,
     },
@@ -48,7 +49,7 @@
     pub fn new(replica: &Replica) -> Self {
         let mut pool = Self::default();
         for node in roster::live(replica) {
-            let tie = roster::rank(&[&node.name], 0);
+            let tie = rank(&[&node.name], 0);
             let (domain, incarnation) = (node.domain.clone(), node.incarnation);
             pool.nodes.insert(node.name.clone(), Load { count: 0, domain, tie, incarnation });
         }
--- a/crates/whinspring/src/planner/rebalance.rs
+++ b/crates/whinspring/src/planner/rebalance.rs
@@ -9,10 +9,10 @@
         segments::Servers,
     },
     crate::{
-        control::roster::rank,
         model::{SEGMENT_SLICES, Segment, Service},
         name::{Name, ServerId, Slice, slice_of},
         placement::{Limits, Policy, Seat, Unit, place},
+        rank::rank,
         record::Value,
         replica::Replica,
         time::Tick,
