Tests: one way to meet a node, one set of settings and headers

Eight tests of links met the node under test in the same three lines; both rigs wrote the same settings out. Assertions are as they were.

--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -1,7 +1,7 @@
 //! A store and servers that judge every grant.
 
 use {
-    http::HeaderName,
+    crate::setup::{headers, settings},
     prost::Message,
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -32,7 +32,7 @@
             Store, StoreError,
         },
         record::OwnersRecord,
-        settings::{Limits as Bounds, Settings},
+        settings::Limits as Bounds,
     },
 };
 
@@ -493,28 +493,8 @@
 
 /// Starts a node with bounds of its own.
 pub fn start_with(world: &Rc<RefCell<World>>, node: &str, limits: Bounds) -> Rc<Node<Platform>> {
-    let header = HeaderName::from_static("x");
-    let headers = Headers {
-        id: header.clone(),
-        deadline: header.clone(),
-        target: header.clone(),
-        seal: header.clone(),
-        not_run: header.clone(),
-        key: header,
-    };
-    let platform = Platform { world: world.clone(), node: node.into(), headers };
-    let any = SocketAddr::from(([127, 0, 0, 1], 1));
-    let settings = Settings {
-        name: node.into(),
-        domain: "a".into(),
-        caller: any,
-        ready: any,
-        peer: any,
-        advertised: any,
-        metrics: any,
-        store: any,
-        limits,
-    };
+    let platform = Platform { world: world.clone(), node: node.into(), headers: headers() };
+    let settings = settings(node, limits);
     let node = Node::new(platform, settings, Clock::of_runtime());
     node.note_store(true);
     let services = HashMap::from([(Name::from(SERVICE), Service { keyed: true })]);
--- a/crates/whinspring-router/tests/owners/main.rs
+++ b/crates/whinspring-router/tests/owners/main.rs
@@ -6,3 +6,6 @@
 mod fake;
 mod seeds;
 mod sessions;
+
+#[path = "../support/setup.rs"]
+mod setup;
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        links::Other,
+        links::{Other, RARE},
         rig::{Rig, run},
     },
     std::time::Duration,
@@ -25,9 +25,6 @@
 /// Time in which a beat is heard.
 const HEARD: Duration = Duration::from_millis(100);
 
-/// Time between beats of the others, in milliseconds: they are heard once and count for long.
-const RARE: u32 = 60_000;
-
 /// Returns names of which so many come before the node under test among those that may watch.
 fn names(before: usize) -> Vec<String> {
     let score = |name: &str| rank(&[name], 0);
@@ -85,10 +82,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, true).await;
-            other.every = RARE;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, true, RARE).await;
             let kind = Kind::Servers.number();
             let gone = Item { gone: true, ..item("s1", 12) };
             let items = vec![item("s2", 10), gone];
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -29,6 +29,9 @@
 /// Time between two beats of the other node.
 const EVERY: Duration = Duration::from_millis(100);
 
+/// The same of a node that is heard once and counts for long, in milliseconds, as it says.
+pub const RARE: u32 = 60_000;
+
 pub type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// Name of the node under test.
@@ -53,13 +56,18 @@
 }
 
 impl Other {
-    /// Joins the node under test, which has the gate of the pool or not.
-    pub async fn join(rig: &Rig, has_gate: bool) -> Self {
+    /// Meets the node under test, and returns the link that it opens; the other node has the gate of
+    /// the pool or not, and says that so many milliseconds lie between its beats.
+    pub async fn meet(rig: &Rig, has_gate: bool, every: u32) -> (Self, Link) {
         let score = |name: &str| rank(&[name, POOL], 0);
         let mut names = (2..).map(|number| format!("n{number}"));
         let name = names.find(|name| (score(name) > score(OWN)) == has_gate).unwrap();
         spawn_local(peers::beat(rig.node.clone()));
-        Self::join_as(rig, name).await
+        let mut other = Self::join_as(rig, name).await;
+        other.every = every;
+        other.beat().await;
+        let link = other.accept().await;
+        (other, link)
     }
 
     /// Joins the node under test under a name.
@@ -171,9 +179,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, false).await;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, false, 250).await;
             for _ in 0..20 {
                 other.hear(&mut link).await;
                 other.beat().await;
@@ -197,9 +203,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, false).await;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, false, 250).await;
             for number in 1..=3 {
                 other.send(ask(number)).await;
             }
@@ -224,9 +228,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, true).await;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, true, 250).await;
             other.send(Body::Check(Check { pool: POOL.into(), numbers: vec![99] })).await;
             let Body::Done(done) = other.next(&mut link).await else { panic!("no answer") };
             assert_eq!((done.pool.as_str(), done.number, done.ending), (POOL, 99, 0));
@@ -240,9 +242,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, true).await;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, true, 250).await;
             let mut caller = rig.connect().await;
             let request = "GET /safe/1 HTTP/1.1\r\nhost: a.example\r\nx-id: i1\r\n\r\n";
             caller.write_all(request.as_bytes()).await.unwrap();
@@ -259,9 +259,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, false).await;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, false, 250).await;
             for number in [7, 8, 7] {
                 other.send(ask(number)).await;
                 let Body::Go(go) = other.next(&mut link).await else { panic!("no turn") };
@@ -277,9 +275,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, false).await;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, false, 250).await;
             other.reconnect().await;
             other.send(ask(1)).await;
             let Body::Go(go) = other.next(&mut link).await else { panic!("no turn") };
@@ -301,10 +297,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut other = Other::join(&rig, true).await;
-            other.every = 60_000;
-            other.beat().await;
-            let mut link = other.accept().await;
+            let (mut other, mut link) = Other::meet(&rig, true, RARE).await;
             sleep(Duration::from_millis(2_100)).await;
             for (left, sent) in [(Duration::from_millis(500), 1), (Duration::from_secs(2), 1)] {
                 set_leaving(&rig, left);
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -4,3 +4,6 @@
 mod follow;
 mod links;
 mod rig;
+
+#[path = "../support/setup.rs"]
+mod setup;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -1,7 +1,7 @@
 //! A node with one server that answers as a test says.
 
 use {
-    http::HeaderName,
+    crate::setup::{headers, settings},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -29,7 +29,7 @@
             Changes, Dialect, Grant, Headers, Kind, Listing, Object, Orders, Reply, ServerEntry,
             Store, StoreError,
         },
-        settings::{Limits as Bounds, Settings},
+        settings::Limits as Bounds,
         turns,
     },
 };
@@ -125,7 +125,7 @@
         let server = listener.local_addr().unwrap();
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
-        let node = Node::new(platform(server), settings(), Clock::start());
+        let node = Node::new(platform(server), settings("n1", Bounds::default()), Clock::start());
         node.beliefs.borrow_mut().routes = Some(Arc::new(table()));
         let entry = Object { name: "s1".into(), revision: 1, value: Vec::new() };
         follow::replace(&node, Kind::Servers, Listing { revision: 1, items: vec![entry] });
@@ -208,34 +208,12 @@
 }
 
 fn platform(server: SocketAddr) -> Platform {
-    let headers = Headers {
-        id: HeaderName::from_static("x-id"),
-        deadline: HeaderName::from_static("x-deadline"),
-        target: HeaderName::from_static("x-target"),
-        seal: HeaderName::from_static("x-seal"),
-        not_run: HeaderName::from_static("x-not-run"),
-        key: HeaderName::from_static("x-key"),
-    };
+    let headers = headers();
     let listing = RefCell::new(Listing { revision: 1, items: Vec::new() });
     let (watches, forgets) = (Cell::new(0), Cell::new(false));
     Platform { watches, listing, forgets, headers, server }
 }
 
-fn settings() -> Settings {
-    let any = SocketAddr::from(([127, 0, 0, 1], 1));
-    Settings {
-        name: "n1".into(),
-        domain: "a".into(),
-        caller: any,
-        ready: any,
-        peer: any,
-        advertised: any,
-        metrics: any,
-        store: any,
-        limits: Bounds::default(),
-    }
-}
-
 fn table() -> RouteTable {
     let route = |prefix: &str, idempotent| Route {
         name: prefix.into(),
