Build grants from spans; one fence for each try of a release

The grant that shuts older ones out and the release after it worked out the same fence each, and three places copied a span into a grant. `Grant::new` and `raised` do it once. Metrics say why a failure to write text cannot be, as the daemon's do.

--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -137,8 +137,8 @@
     write(node, service, revision, next).await;
 }
 
-/// Writes the owners of a service, unless this node may give no more orders; returns whether that is
-/// certain to be done.
+/// Writes the owners of a service, unless this node may give no more orders; returns whether that
+/// is certain to be done.
 async fn write<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
@@ -236,10 +236,7 @@
         return Reply::Silent;
     }
     let before = node.control.borrow_mut().holds.get(service, span).send(sent, hold);
-    let server = span.owner.server.clone();
-    let (first, last, fence) = (span.first, span.last, span.fence);
-    let order = Grant { server, first, last, fence, hold, token };
-    let reply = node.platform.grant(addr, &order).await;
+    let reply = node.platform.grant(addr, &Grant::new(span, hold, token)).await;
     let mut control = node.control.borrow_mut();
     let entry = control.holds.get(service, span);
     entry.busy = false;
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -119,7 +119,8 @@
         let now = node.now();
         if let Some(addr) = address(node, holder) {
             number = (number + 1).min(FENCE_STEP - 1);
-            match release_once(node, service, span, number, holder, addr).await {
+            let raised = raised(span, number, holder);
+            match release_once(node, service, span, &raised, addr).await {
                 Reply::Done(token) => return Some(token),
                 Reply::Replaced => return Some(None),
                 Reply::Down if is_dead(node, holder, addr) => return Some(None),
@@ -149,23 +150,27 @@
     own.max(end_of(control.last_order(), longest_hold(node)))
 }
 
-/// Tells a former owner once to release a span, under a fence that older grants do not reach.
+/// Returns a span as a former owner is granted it before a release, under a fence that older grants
+/// do not reach.
 ///
 /// Each try has a higher fence than those before it, which may still be on their way.
+fn raised(span: &Span, number: u64, former: &Life) -> Span {
+    let (first, last) = (span.first, span.last);
+    let fence = span.fence - FENCE_STEP + number;
+    Span { first, last, fence, owner: former.clone(), former: None }
+}
+
+/// Tells the former owner of a span once to release it.
 async fn release_once<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
     span: &Span,
-    number: u64,
-    former: &Life,
+    raised: &Span,
     addr: SocketAddr,
 ) -> Reply {
-    match raise_once(node, service, span, number, former, addr).await {
+    match raise_once(node, service, span, raised, addr).await {
         Reply::Done(_) => {
-            let server = former.server.clone();
-            let (first, last) = (span.first, span.last);
-            let fence = span.fence - FENCE_STEP + number;
-            let order = Grant { server, first, last, fence, hold: Duration::ZERO, token: None };
+            let order = Grant::new(raised, Duration::ZERO, None);
             node.platform.release(addr, &order).await
         }
         other => other,
@@ -177,27 +182,21 @@
     node: &Rc<Node<P>>,
     service: &Name,
     span: &Span,
-    number: u64,
-    life: &Life,
+    raised: &Span,
     addr: SocketAddr,
 ) -> Reply {
     let sent = node.now();
     if !node.control.borrow().may_move(sent) {
         return Reply::Unsent;
     }
-    let fence = span.fence - FENCE_STEP + number;
     let hold = if is_inherited(node, service, span) { INHERITED_HOLD } else { RELEASE_HOLD };
-    let (first, last) = (span.first, span.last);
-    let raised = Span { first, last, fence, owner: life.clone(), former: None };
-    let before = node.control.borrow_mut().holds.get(service, &raised).send(sent, hold);
-    let server = life.server.clone();
-    let order = Grant { server, first, last, fence, hold, token: None };
-    let reply = node.platform.grant(addr, &order).await;
+    let before = node.control.borrow_mut().holds.get(service, raised).send(sent, hold);
+    let reply = node.platform.grant(addr, &Grant::new(raised, hold, None)).await;
     let mut control = node.control.borrow_mut();
     if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced) {
-        control.holds.get(service, &raised).until = before;
+        control.holds.get(service, raised).until = before;
     }
-    control.note_reply(life, &reply, sent);
+    control.note_reply(&raised.owner, &reply, sent);
     reply
 }
 
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -116,10 +116,10 @@
     node.leaving.set(true);
     peers::send_beats(&node, node.now());
     let grace = node.settings.limits.grace;
-    let grace = grace - grace / STOP_MARGIN;
+    let end = grace - grace / STOP_MARGIN;
     let hurried = node.clone();
     spawn_local(async move {
-        sleep(grace - grace / STOP_MARGIN).await;
+        sleep(end - end / STOP_MARGIN).await;
         hurried.end_waiting();
     });
     let stop = async {
@@ -132,7 +132,7 @@
         doors.close().await;
         sleep(CLOSE_PAUSE).await;
     };
-    if timeout(grace, stop).await.is_err() {
+    if timeout(end, stop).await.is_err() {
         warn!(event = "stop_late"; "requests were still in progress at the end of the grace time");
     }
     info!(event = "stop"; "stopped");
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -85,9 +85,7 @@
     /// Returns all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
-        if encode(&mut text, &self.registry).is_err() {
-            text.clear();
-        }
+        encode(&mut text, &self.registry).expect("a string takes any text");
         text
     }
 }
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -7,7 +7,7 @@
     http::HeaderName,
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
-    whinspring::{name::Name, routes::RouteTable},
+    whinspring::{name::Name, ranges::Span, routes::RouteTable},
 };
 
 /// Kinds of objects.
@@ -158,6 +158,14 @@
     pub token: Option<Name>,
 }
 
+impl Grant {
+    /// Returns the grant of a span to its owner.
+    pub fn new(span: &Span, hold: Duration, token: Option<Name>) -> Self {
+        let Span { first, last, fence, .. } = *span;
+        Self { server: span.owner.server.clone(), first, last, fence, hold, token }
+    }
+}
+
 /// How a server took an order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
