whinspring-node starts with every limit that the platform may fill in

Cause: the small twins get a share of the retry allowance (34.28, 36.08); the settings took whole numbers only, so that every node ended with code 2. The same would follow from any new key, an empty value or a limit out of range. Ruled out: a change of the template alone; other limits may come as fractions, too.

a_stalled_reader_does_not_block_logging waits until the writer has taken its first line, and keeps its bound; the case of reports in parts has a test of its own, which adds them up exactly.

--- a/crates/whinspring-bench/src/fleet/process.rs
+++ b/crates/whinspring-bench/src/fleet/process.rs
@@ -151,6 +151,16 @@
         self.signal(libc::SIGHUP)
     }
 
+    /// Returns whether the process has a handler for SIGHUP. No program has one before its loader
+    /// has ended, and a signal that comes earlier ends it.
+    pub fn handles_hangup(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid));
+        let status = status.unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.unwrap_or_default() & (1 << (libc::SIGHUP - 1)) != 0
+    }
+
     /// Returns the total CPU time of the live threads with this name.
     pub fn thread_time(&self, name: &str) -> Duration {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.pid));
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -18,8 +18,8 @@
     std::{io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpSocket},
-        runtime::Builder,
-        signal::unix::{SignalKind, signal},
+        runtime::{Builder, Runtime},
+        signal::unix::{Signal, SignalKind, signal},
         task::{LocalSet, spawn_local},
         time::{sleep, timeout},
     },
@@ -51,30 +51,63 @@
     Listen { addr: SocketAddr, source: io::Error },
 }
 
-/// Runs a node until SIGTERM or SIGINT has stopped it; SIGHUP calls `reload`.
-///
-/// # Errors
-///
-/// Returns an error if the runtime cannot be started or an address cannot be listened on.
-pub fn run<P: Platform>(
-    platform: P,
-    settings: Settings,
-    reload: impl Fn() + 'static,
-) -> Result<(), Error> {
-    let runtime = Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
-    let local = LocalSet::new();
-    local.block_on(&runtime, start(platform, settings, reload))
+/// The process of a node: its runtime and its signal handlers.
+#[derive(Debug)]
+pub struct Daemon {
+    runtime: Runtime,
+    signals: Signals,
+}
+
+/// Signals that the process handles. One that arrives before the node runs is kept until then.
+#[derive(Debug)]
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Daemon {
+    /// Starts the runtime and installs the signal handlers. To be called before anything else, as
+    /// a signal without a handler ends the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the runtime cannot be started.
+    pub fn start() -> Result<Self, Error> {
+        let runtime = Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+        let guard = runtime.enter();
+        let signals = Signals {
+            terminate: signal(SignalKind::terminate()).context(RuntimeSnafu)?,
+            interrupt: signal(SignalKind::interrupt()).context(RuntimeSnafu)?,
+            hangup: signal(SignalKind::hangup()).context(RuntimeSnafu)?,
+        };
+        drop(guard);
+        Ok(Self { runtime, signals })
+    }
+
+    /// Runs a node until SIGTERM or SIGINT has stopped it; SIGHUP calls `reload`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be listened on.
+    pub fn run<P: Platform>(
+        self,
+        platform: P,
+        settings: Settings,
+        reload: impl Fn() + 'static,
+    ) -> Result<(), Error> {
+        let local = LocalSet::new();
+        local.block_on(&self.runtime, run_node(platform, settings, self.signals, reload))
+    }
 }
 
 /// Starts the tasks of a node and runs until its shutdown.
-async fn start<P: Platform>(
+async fn run_node<P: Platform>(
     platform: P,
     settings: Settings,
+    mut signals: Signals,
     reload: impl Fn() + 'static,
 ) -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
-    let mut hangup = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
     let node = Node::new(platform, settings, Clock::start());
     let settings = &node.settings;
     let links = listen(settings.peer)?;
@@ -97,9 +130,9 @@
     spawn_local(control::run(node.clone()));
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload()
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload()
         }
     }
     info!(event = "stopping"; "planned shutdown begins");
--- a/crates/whinspring-router/src/retries.rs
+++ b/crates/whinspring-router/src/retries.rs
@@ -45,12 +45,12 @@
         service: &Name,
         nodes: usize,
         ratio: f64,
-        extra: u32,
+        extra: f64,
     ) -> bool {
         let attempts = self.services.entry(service.clone()).or_default();
         attempts.expire(now);
         let own = attempts.first.len() as f64 * ratio;
-        let shared = f64::from(extra) / nodes.max(1) as f64;
+        let shared = extra / nodes.max(1) as f64;
         if attempts.retries.len() as f64 + 1.0 > (own + shared) * BUDGET_SHARE {
             return false;
         }
--- a/crates/whinspring-router/src/settings.rs
+++ b/crates/whinspring-router/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a router node, read from INI text.
 
 use {
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, ops::RangeInclusive, time::Duration},
     whinspring::{
         ini::{self, Fault, NAME_HINT, Reader, Section, parse_name},
         name::Name,
@@ -41,7 +41,7 @@
     /// Retries allowed per request.
     pub retry_ratio: f64,
     /// Additional retries allowed per window, for all nodes together.
-    pub retry_extra: u32,
+    pub retry_extra: f64,
     /// Log lines per second.
     pub log_lines: u32,
     /// CPU that the node may use, in hundredths of a core; the election of the controller prefers
@@ -52,6 +52,9 @@
 /// Known sections.
 const SECTIONS: &[&str] = &["node", "limits"];
 
+/// Longest time of a limit, in milliseconds.
+const MAX_TIME_MS: f64 = 86_400_000.0;
+
 const ADDR_HINT: &str = "write IP:PORT, such as 10.0.0.4:7000";
 
 impl Settings {
@@ -61,18 +64,23 @@
     ///
     /// Returns all faults of the text, in the order of their lines.
     pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        match Self::load(text) {
+            (Some(settings), faults) if faults.is_empty() => Ok(settings),
+            (_, faults) => Err(faults),
+        }
+    }
+
+    /// Reads settings from INI text as far as a node can run with them: a limit that cannot be used
+    /// is replaced by the nearest one that can, or by its default. Returns `None` if the name, the
+    /// failure domain or an address is missing, and all faults in the order of their lines.
+    pub fn load(text: &str) -> (Option<Self>, Vec<Fault>) {
         let (sections, mut faults) = ini::parse(text);
         ini::reject_unknown(&sections, SECTIONS, &mut faults);
+        let limits = Limits::read(&ini::find(&sections, "limits"), &mut faults);
         let settings = read_node(&ini::find(&sections, "node"), &mut faults)
-            .zip(Limits::read(&ini::find(&sections, "limits"), &mut faults))
-            .map(|(settings, limits)| Self { limits, ..settings });
-        match settings {
-            Some(settings) if faults.is_empty() => Ok(settings),
-            _ => {
-                faults.sort_by_key(|fault| fault.line);
-                Err(faults)
-            }
-        }
+            .map(|settings| Self { limits, ..settings });
+        faults.sort_by_key(|fault| fault.line);
+        (settings, faults)
     }
 }
 
@@ -111,7 +119,7 @@
             drain_ms: 2_000,
             hold_ms: 10_000,
             retry_ratio: 0.2,
-            retry_extra: 50,
+            retry_extra: 50.0,
             log_lines: 100,
             cpu_percent: 100,
         }
@@ -119,43 +127,53 @@
 }
 
 impl Limits {
-    fn read(section: &Section, faults: &mut Vec<Fault>) -> Option<Self> {
+    /// Reads the limits that are set; the others keep their defaults.
+    fn read(section: &Section, faults: &mut Vec<Fault>) -> Self {
         let base = Self::default();
-        let mut reader = Reader::new(section, faults);
-        let grace = reader.optional("grace_s", "write seconds from 1 to 600", parse_seconds);
-        let drain_ms = reader.number("drain_ms", 100..=600_000, base.drain_ms);
-        let hold_ms = reader.number("hold_ms", 1_000..=600_000, base.hold_ms);
-        let retry_ratio = reader.optional("retry_ratio", "write a ratio from 0 to 1", parse_ratio);
-        let retry_extra = reader.number("retry_extra", 0..=1_000_000, base.retry_extra);
-        let cores = reader.optional("cores", "write cores from 0.01 to 1024", parse_cores);
-        let log_lines = reader.number("log_lines", 1..=10_000, base.log_lines);
+        let section = without_empty(section);
+        let mut reader = Reader::new(&section, faults);
+        let grace_s = limit(&mut reader, "grace_s", 0.0..=3_600.0, base.grace.as_secs_f64());
+        let drain_ms = limit(&mut reader, "drain_ms", 0.0..=MAX_TIME_MS, base.drain_ms.into());
+        let hold_ms = limit(&mut reader, "hold_ms", 1.0..=MAX_TIME_MS, base.hold_ms.into());
+        let retry_ratio = limit(&mut reader, "retry_ratio", 0.0..=1.0, base.retry_ratio);
+        let retry_extra = limit(&mut reader, "retry_extra", 0.0..=1e9, base.retry_extra);
+        let cores = limit(&mut reader, "cores", 0.001..=1e6, f64::from(base.cpu_percent) / 100.0);
+        let log_lines = limit(&mut reader, "log_lines", 1.0..=10_000.0, base.log_lines.into());
         reader.close();
-        Some(Self {
-            grace: grace.unwrap_or(base.grace),
-            drain_ms: drain_ms?,
-            hold_ms: hold_ms?,
-            retry_ratio: retry_ratio.unwrap_or(base.retry_ratio),
-            retry_extra: retry_extra?,
-            log_lines: log_lines?,
-            cpu_percent: cores.unwrap_or(base.cpu_percent),
-        })
+        Self {
+            grace: Duration::from_secs_f64(grace_s),
+            drain_ms: drain_ms as u32,
+            hold_ms: hold_ms as u32,
+            retry_ratio,
+            retry_extra,
+            log_lines: log_lines as u32,
+            cpu_percent: ((cores * 100.0) as u32).max(1),
+        }
     }
 }
 
-/// Parses a time in seconds, with fractions.
-fn parse_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.parse().ok()?;
-    (1.0..=600.0).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
+/// Returns the section without entries that have no value: the platform leaves the value out if it
+/// does not have it.
+fn without_empty(section: &Section) -> Section {
+    let mut section = section.clone();
+    section.entries.retain(|entry| !entry.value.is_empty());
+    section
 }
 
-/// Parses a number of cores, with fractions; returns hundredths.
-fn parse_cores(text: &str) -> Option<u32> {
-    let cores: f64 = text.parse().ok()?;
-    (0.01..=1_024.0).contains(&cores).then_some((cores * 100.0) as u32)
-}
-
-/// Parses a ratio from 0 to 1.
-fn parse_ratio(text: &str) -> Option<f64> {
-    let ratio: f64 = text.parse().ok()?;
-    (0.0..=1.0).contains(&ratio).then_some(ratio)
+/// Returns the number that is set for a limit. Reports a fault and returns the nearest end of
+/// `range` if it is out of range, and `default` if it is no number.
+fn limit(
+    reader: &mut Reader<'_>,
+    key: &'static str,
+    range: RangeInclusive<f64>,
+    default: f64,
+) -> f64 {
+    let hint = format!("write a number from {} to {}", range.start(), range.end());
+    let is_number = |number: &f64| number.is_finite();
+    let value = reader.optional(key, &hint, |text| text.parse().ok().filter(is_number));
+    let Some(value) = value else { return default };
+    if !range.contains(&value) {
+        reader.fault(key, &format!("`{value}` is out of range"), &hint);
+    }
+    value.clamp(*range.start(), *range.end())
 }
--- a/crates/whinspring-router/tests/logs.rs
+++ b/crates/whinspring-router/tests/logs.rs
@@ -25,6 +25,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Whether a write has begun.
+    entered: bool,
     resumed: bool,
     text: Vec<u8>,
 }
@@ -39,6 +41,12 @@
         String::from_utf8(self.0.0.lock().unwrap().text.clone()).unwrap()
     }
 
+    /// Waits until a write has begun.
+    fn wait_entered(&self) {
+        let (state, changed) = &*self.0;
+        drop(changed.wait_while(state.lock().unwrap(), |state| !state.entered).unwrap());
+    }
+
     /// Waits until the text contains `part`.
     fn wait_for(&self, part: &str) {
         let end = Instant::now() + LIMIT * 5;
@@ -52,7 +60,10 @@
 impl Write for StalledWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let (state, changed) = &*self.0;
-        let mut state = changed.wait_while(state.lock().unwrap(), |state| !state.resumed).unwrap();
+        let mut state = state.lock().unwrap();
+        state.entered = true;
+        changed.notify_all();
+        let mut state = changed.wait_while(state, |state| !state.resumed).unwrap();
         state.text.extend_from_slice(bytes);
         Ok(bytes.len())
     }
@@ -72,7 +83,9 @@
     let writer = StalledWriter::default();
     let logs = BoundedAppender::new(1_000_000, writer.clone());
     let start = Instant::now();
-    for number in 0..LINES {
+    append(&logs, "line 0.");
+    writer.wait_entered();
+    for number in 1..LINES {
         append(&logs, &format!("line {number}."));
     }
     assert!(start.elapsed() < LIMIT, "{:?}", start.elapsed());
@@ -88,6 +101,39 @@
     assert!(text.contains(&format!("\"lines\":{dropped}}}")), "{dropped}: {text}");
 }
 
+/// The writer may take a line while more are logged, so that dropped lines are reported in parts.
+#[test]
+fn dropped_lines_are_counted_in_full_when_reported_in_parts() {
+    let writer = StalledWriter::default();
+    let logs = BoundedAppender::new(1_000_000, writer.clone());
+    append(&logs, "line 0.");
+    writer.wait_entered();
+    for number in 1..LINES / 2 {
+        append(&logs, &format!("line {number}."));
+    }
+    writer.resume();
+    writer.wait_for("line 500.");
+    for number in LINES / 2..LINES {
+        append(&logs, &format!("line {number}."));
+    }
+    writer.wait_for("log_dropped");
+    append(&logs, "the last line");
+    writer.wait_for("the last line");
+    let text = writer.text();
+    let written = text.matches("\"line ").count();
+    assert_eq!(LINES - written, reported_drops(&text), "{text}");
+}
+
+/// Returns the sum of dropped lines that the text reports.
+fn reported_drops(text: &str) -> usize {
+    let reports = text.lines().filter(|line| line.contains("\"event\":\"log_dropped\""));
+    let counts = reports.map(|line| {
+        let (_, count) = line.split_once("\"lines\":").expect("a report has a count");
+        count.trim_end_matches('}').parse::<usize>().expect("the count is a number")
+    });
+    counts.sum()
+}
+
 #[test]
 fn lines_beyond_the_rate_are_dropped_and_counted() {
     let writer = StalledWriter::default();
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -45,7 +45,7 @@
         for index in 0..1_000u64 {
             let now = Tick::from_millis(index * 10 + node as u64);
             retries.record_request(now, &"s".into());
-            retried += u32::from(retries.allow(now, &"s".into(), NODES, 0.2, 56));
+            retried += u32::from(retries.allow(now, &"s".into(), NODES, 0.2, 56.0));
         }
     }
     assert!(retried <= 8_000 / 5 + 56, "{retried}");
