Ask the server at an address which of two entries there is live

Ruled out: a grant delayed in the network (the times fit no order in flight); born, which no entry here has. Change: the order of entries proves nothing any more. A release goes to the address, and the server there refuses it (421) if it is another one; renewals learn the same way. A server whose address another one has gets no keys for 5 s. Test: an_old_entry_that_returns_does_not_end_the_server_at_its_address, red before.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -82,8 +82,8 @@
     /// Measured over expected latency by server; 1.0 is as expected.
     slowness: HashMap<Name, f64>,
     leases: Leases,
-    /// Servers that refuse connections: first and last refusal.
-    down: HashMap<Instance, (Tick, Tick)>,
+    /// Servers that refuse connections or whose address another server has.
+    down: HashMap<Instance, servers::Refusals>,
     /// Results of connection probes by other nodes, by server address.
     pub(crate) probes: HashMap<SocketAddr, servers::ProbeRound>,
     /// When a server last responded to a request of any node.
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         handover::{handover_key, start_handovers},
-        servers::{address, candidates, has_ended, refused_recently},
+        servers::{address, candidates, refused_recently, restarted_as},
     },
     crate::{
         follow,
@@ -203,7 +203,8 @@
             !lease.in_flight && lease.acked.is_none_or(|at| now.since(at) >= RENEW_INTERVAL)
         };
         let Some(addr) = address(node, &span.owner) else { continue };
-        if due && !refused_recently(node, &span.owner, now) && !has_ended(node, &span.owner) {
+        let ended = restarted_as(node, &span.owner).is_some();
+        if due && !ended && !refused_recently(node, &span.owner, now) {
             node.control.borrow_mut().leases.entry(service, span).in_flight = true;
             spawn_local(renew_lease(node.clone(), service.clone(), span.clone(), addr));
         }
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -6,6 +6,10 @@
 //! that it may hold has expired, including those of an earlier controller, unless it is known to be
 //! dead. A server that has restarted under its name may have accepted grants that were meant for
 //! its previous instance, so that the new instance must release the keys as well.
+//!
+//! Which of two servers with entries at one address has ended cannot be told from their entries:
+//! that of a server that has ended may be written again after an outage. The server at the address
+//! tells, as it refuses commands that are meant for another one.
 
 use {
     super::{
@@ -13,7 +17,7 @@
         grants::{current_ownership, default_lease, grant, max_lease},
         leases::lease_end,
         progress,
-        servers::{address, has_ended, is_dead, request_probes, restarted_as},
+        servers::{address, is_dead, request_probes, restarted_as},
     },
     crate::{
         node::Node,
@@ -113,8 +117,8 @@
         if !is_current(node, service, span) {
             return None;
         }
-        let restarted = restarted_as(node, former).filter(|instance| *instance != span.owner);
-        if restarted.is_none() && has_ended(node, former) {
+        let restarted = restarted_as(node, former);
+        if restarted.as_ref() == Some(&span.owner) {
             return Some(None);
         }
         let holder = restarted.as_ref().unwrap_or(former);
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -32,6 +32,10 @@
 /// move to other servers.
 const DOWN_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Time after a command was answered by another server at the address for which a server gets no
+/// keys. The entry of a server that has ended expires within this time.
+const REPLACED_PERIOD: Duration = Duration::from_millis(5_000);
+
 /// Capacity of a server that has just started, relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
 
@@ -52,8 +56,7 @@
             let slowness = control.slowness.get(&server.name).copied().unwrap_or(1.0);
             let cold = if now < server.warm_at { COLD_CAPACITY } else { 1.0 };
             let capacity = f64::from(server.entry.slots) * cold / slowness.clamp(0.3, 10.0);
-            let down =
-                control.down.get(&instance).is_some_and(|(_, at)| now.since(*at) < DOWN_PERIOD);
+            let down = control.down.get(&instance).is_some_and(|refusals| refusals.are_recent(now));
             let leaving = server.leaving.is_some() || server.missing.is_some() || down;
             Candidate { instance, capacity, leaving }
         })
@@ -69,7 +72,7 @@
     now: Tick,
 ) -> bool {
     let control = node.control.borrow();
-    control.down.get(instance).is_some_and(|(_, at)| now.since(*at) < DOWN_PERIOD / 10)
+    control.down.get(instance).is_some_and(|known| now.since(known.last) < DOWN_PERIOD / 10)
 }
 
 /// Returns whether a server is certainly dead: it has refused connections for some time, more than
@@ -90,13 +93,16 @@
         .is_some_and(|server| server.leaving.is_none() && server.missing.is_none());
     let after = if is_serving { DEAD_AFTER } else { LEAVING_DEAD_AFTER };
     let control = node.control.borrow();
-    let Some((since, _)) = control.down.get(instance) else { return false };
+    let Some(refusals) = control.down.get(instance) else { return false };
     let responded = control.last_response.get(&instance.server).copied().unwrap_or_default();
     let probes = control.probes.get(&addr);
     let live_nodes = node.peers.borrow().live(now).count() + 1;
     let refused = probes.map_or(0, |round| round.refused.len()) + 1;
     let reached = probes.is_some_and(|round| round.reached);
-    now.since(*since) >= after && responded < *since && !reached && refused * 3 > live_nodes * 2
+    now.since(refusals.first) >= after
+        && responded < refusals.first
+        && !reached
+        && refused * 3 > live_nodes * 2
 }
 
 /// Asks all nodes to probe whether a server refuses connections.
@@ -123,6 +129,25 @@
     node.send(&requester, Body::ProbeResult(ProbeResult { addr: addr.to_string(), refused }));
 }
 
+/// Refused connections and commands of a server instance.
+#[derive(Debug)]
+pub struct Refusals {
+    /// When the first of the current series was sent.
+    first: Tick,
+    /// When the last one was sent.
+    last: Tick,
+    /// Whether another server at the address answered the last one.
+    replaced: bool,
+}
+
+impl Refusals {
+    /// Returns whether the server gets no keys because of the last refusal.
+    fn are_recent(&self, now: Tick) -> bool {
+        let period = if self.replaced { REPLACED_PERIOD } else { DOWN_PERIOD };
+        now.since(self.last) < period
+    }
+}
+
 /// Results of one round of probes of a server's address.
 #[derive(Debug, Default)]
 pub struct ProbeRound {
@@ -148,9 +173,11 @@
     pub(super) fn record_reply(&mut self, instance: &Instance, reply: &Reply, sent: Tick) {
         match reply {
             Reply::Down | Reply::Replaced => {
-                let known = self.down.entry(instance.clone()).or_insert((sent, sent));
-                let expired = sent.since(known.1) > DOWN_PERIOD;
-                *known = (if expired { sent } else { known.0 }, sent);
+                let known = self.down.get(instance);
+                let series = known.filter(|known| sent.since(known.last) <= DOWN_PERIOD);
+                let first = series.map_or(sent, |known| known.first);
+                let refusals = Refusals { first, last: sent, replaced: *reply == Reply::Replaced };
+                self.down.insert(instance.clone(), refusals);
             }
             Reply::Done(_) | Reply::Fenced => {
                 self.down.remove(instance);
@@ -170,24 +197,6 @@
     (server.entry.start_ms != instance.start_ms).then(|| server.instance())
 }
 
-/// Returns whether a server instance has ended: it has restarted, or a newer server has its
-/// address.
-pub(super) fn has_ended<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> bool {
-    if restarted_as(node, instance).is_some() {
-        return true;
-    }
-    let view = node.view.borrow();
-    let own = view.servers.get(&instance.server);
-    let control = node.control.borrow();
-    let known = own.map(|server| server.entry.addr);
-    let Some(addr) = known.or_else(|| control.addresses.get(instance).copied()) else {
-        return false;
-    };
-    let since = own.map(|server| server.known_since).unwrap_or_default();
-    let mut others = view.servers.values().filter(|server| server.name != instance.server);
-    others.any(|server| server.entry.addr == addr && server.known_since > since)
-}
-
 /// Returns the address of a server instance, also if its entry is gone.
 pub(super) fn address<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> Option<SocketAddr> {
     let view = node.view.borrow();
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -167,6 +167,9 @@
 }
 
 /// Commands to the servers of keyed services.
+///
+/// A server refuses a command that is meant for another server at its address
+/// ([`Reply::Replaced`]).
 pub trait ServerControl {
     /// Grants keys, or renews a grant.
     fn grant(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Reply>;
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -192,7 +192,7 @@
         self.servers.get_mut(&name(index)).unwrap().refusing = true;
     }
 
-    /// Ends a server and gives its address to another one, which gets the commands meant for the
+    /// Ends a server and gives its address to another one, which refuses the commands meant for the
     /// first.
     pub fn replace(&mut self, index: usize) {
         self.crash(index);
@@ -217,10 +217,24 @@
         self.servers.get_mut(&name(index)).unwrap().leaving = true;
     }
 
+    /// Makes the server that replaced another announce that it leaves.
+    pub fn leave_successor(&mut self, index: usize) {
+        self.servers.get_mut(&successor(index)).unwrap().leaving = true;
+    }
+
     /// Returns the fraction of all keys that a server holds now.
     pub fn share(&self, index: usize) -> f64 {
+        self.share_of(&name(index))
+    }
+
+    /// Returns the fraction of all keys that the successor of a server holds now.
+    pub fn successor_share(&self, index: usize) -> f64 {
+        self.share_of(&successor(index))
+    }
+
+    fn share_of(&self, server: &Name) -> f64 {
         let now = Instant::now();
-        let held = self.servers[&name(index)].held.iter().filter(|held| held.until > now);
+        let held = self.servers[server].held.iter().filter(|held| held.until > now);
         held.map(|held| f64::from(held.last - held.first) + 1.0).sum::<f64>() / 65_536.0
     }
 
@@ -390,6 +404,11 @@
             sleep(Duration::from_millis(500)).await;
             return Reply::Unsent;
         }
+        if target != grant.server {
+            sleep(RESPONSE_DELAY).await;
+            let down = self.world.borrow().servers[&target].down;
+            return if down { Reply::Down } else { Reply::Replaced };
+        }
         if let Some(delay) = delay {
             let (world, grant) = (self.world.clone(), grant.clone());
             spawn_local(async move {
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -163,6 +163,29 @@
     });
 }
 
+/// The entry of a server that has ended may come back, so that it seems to be newer than that of
+/// the server that has its address now.
+#[test]
+fn an_old_entry_that_returns_does_not_end_the_server_at_its_address() {
+    scenario(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        advance(4_000).await;
+        world.borrow_mut().replace(2);
+        world.borrow_mut().list(2, false);
+        advance(8_000).await;
+        assert!(world.borrow().successor_share(2) > 0.1);
+        world.borrow_mut().list(2, true);
+        advance(500).await;
+        world.borrow_mut().leave_successor(2);
+        advance(2_000).await;
+        world.borrow_mut().list(2, false);
+        advance(8_000).await;
+        check(&world);
+        assert_eq!(world.borrow().successor_share(2), 0.0);
+    });
+}
+
 /// A controller that cannot reach the store continues next to its successor until it hears of it.
 #[test]
 fn two_controllers_never_grant_a_key_twice() {
