A server that does not respond gets one command at a time; leases are kept by server

The controller's rounds took up to 2.7 s, 1,866 handovers were pending, and half of all requests found no owner. Ruled out: the store (it answered other nodes in 4 ms meanwhile); the size of the record of owners alone (60 kB writes took 15 ms in the calm seconds). Change: Leases are indexed by server instance. may_contact lets one command in 400 ms through to a server that did not respond; the others wait for its outcome, and go on at once when it responds. Test: a_server_that_does_not_respond_gets_few_commands, 256 commands in three seconds before, red.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -84,6 +84,8 @@
     leases: Leases,
     /// Servers that refuse connections or whose address another server has.
     down: HashMap<Instance, servers::Refusals>,
+    /// Servers that did not respond to the last command, and when one was last sent to them.
+    silent: HashMap<Instance, Tick>,
     /// Results of connection probes by other nodes, by server address.
     pub(crate) probes: HashMap<SocketAddr, servers::ProbeRound>,
     /// When a server last responded to a request of any node.
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -59,7 +59,9 @@
         }
     }
     let now = node.now();
-    node.control.borrow_mut().leases.evict_expired(now);
+    let mut control = node.control.borrow_mut();
+    control.leases.evict_expired(now);
+    control.evict_silent(now);
 }
 
 /// Renews leases, runs handovers and balances the load of one service.
@@ -204,7 +206,10 @@
         };
         let Some(addr) = address(node, &span.owner) else { continue };
         let ended = restarted_as(node, &span.owner).is_some();
-        if due && !ended && !refused_recently(node, &span.owner, now) {
+        if !due || ended || refused_recently(node, &span.owner, now) {
+            continue;
+        }
+        if node.control.borrow_mut().may_contact(now, &span.owner) {
             node.control.borrow_mut().leases.entry(service, span).in_flight = true;
             spawn_local(renew_lease(node.clone(), service.clone(), span.clone(), addr));
         }
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -93,7 +93,9 @@
             return false;
         }
         let Some(addr) = address(node, &span.owner) else { return true };
-        if !node.control.borrow().may_hand_over(node.now()) {
+        let now = node.now();
+        let allowed = node.control.borrow().may_hand_over(now);
+        if !allowed || !node.control.borrow_mut().may_contact(now, &span.owner) {
             sleep(RETRY_DELAY).await;
             continue;
         }
@@ -123,7 +125,8 @@
         }
         let holder = restarted.as_ref().unwrap_or(former);
         let now = node.now();
-        if let Some(addr) = address(node, holder) {
+        let addr = address(node, holder);
+        if let Some(addr) = addr.filter(|_| node.control.borrow_mut().may_contact(now, holder)) {
             number = (number + 1).min(FENCE_STEP - 1);
             let fenced = fenced_span(span, number, holder);
             match release_once(node, service, span, &fenced, addr).await {
--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -1,4 +1,7 @@
 //! Leases that the controller has granted, and when they expire.
+//!
+//! Leases are kept by server instance: while many servers are unreachable, each handover asks again
+//! and again when the leases of its former owner expire.
 
 use {
     std::{collections::HashMap, time::Duration},
@@ -21,7 +24,6 @@
 /// Lease of a span of keys to one instance of a server.
 #[derive(Debug)]
 pub struct Lease {
-    pub owner: Instance,
     /// When the last grant was sent, acknowledged or not.
     pub sent: Option<Tick>,
     /// When a server that received every grant stops holding the keys.
@@ -45,18 +47,21 @@
 /// First key, last key and fencing token of a lease.
 type LeaseKey = (u16, u16, u64);
 
+/// Leases of one server instance.
+type ServerLeases = HashMap<LeaseKey, Lease>;
+
 #[derive(Debug, Default)]
 pub struct Leases {
-    /// Leases by service.
-    services: HashMap<Name, HashMap<LeaseKey, Lease>>,
+    /// Leases by service and server instance.
+    services: HashMap<Name, HashMap<Instance, ServerLeases>>,
 }
 
 impl Leases {
     /// Returns the lease of a span; creates it if there is none.
     pub fn entry(&mut self, service: &Name, span: &Span) -> &mut Lease {
-        let leases = self.services.entry(service.clone()).or_default();
+        let servers = self.services.entry(service.clone()).or_default();
+        let leases = servers.entry(span.owner.clone()).or_default();
         leases.entry((span.first, span.last, span.fence)).or_insert_with(|| Lease {
-            owner: span.owner.clone(),
             sent: None,
             expires: Tick::default(),
             acked: None,
@@ -89,8 +94,11 @@
     /// Removes leases that were last granted longer than [`LEASE_RETENTION`] ago.
     pub fn evict_expired(&mut self, now: Tick) {
         let is_recent = |lease: &Lease| lease.sent.is_none_or(|at| now.since(at) < LEASE_RETENTION);
-        for leases in self.services.values_mut() {
-            leases.retain(|_, lease| lease.in_flight || is_recent(lease));
+        for servers in self.services.values_mut() {
+            servers.retain(|_, leases| {
+                leases.retain(|_, lease| lease.in_flight || is_recent(lease));
+                !leases.is_empty()
+            });
         }
     }
 
@@ -98,10 +106,9 @@
     fn leases_of<'a>(
         &'a self,
         service: &Name,
-        owner: &'a Instance,
-    ) -> impl Iterator<Item = (&'a LeaseKey, &'a Lease)> {
-        let leases = self.services.get(service).into_iter().flatten();
-        leases.filter(move |(_, lease)| lease.owner == *owner)
+        owner: &Instance,
+    ) -> impl Iterator<Item = (&'a LeaseKey, &'a Lease)> + use<'a> {
+        self.services.get(service).and_then(|servers| servers.get(owner)).into_iter().flatten()
     }
 }
 
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -36,6 +36,14 @@
 /// keys. The entry of a server that has ended expires within this time.
 const REPLACED_PERIOD: Duration = Duration::from_millis(5_000);
 
+/// Time between two commands to a server that does not respond. All other commands to it wait for
+/// the outcome: thousands of ranges may belong to servers that a partition has cut off, and each
+/// command would occupy a connection until it times out.
+const SILENT_RETRY: Duration = Duration::from_millis(400);
+
+/// Time for which a server that does not respond is remembered.
+const SILENCE_RETENTION: Duration = Duration::from_secs(20);
+
 /// Capacity of a server that has just started, relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
 
@@ -182,8 +190,28 @@
             Reply::Done(_) | Reply::Fenced => {
                 self.down.remove(instance);
             }
-            Reply::Unsent | Reply::NoResponse => {}
+            Reply::Unsent | Reply::NoResponse => {
+                self.silent.entry(instance.clone()).or_insert(sent);
+                return;
+            }
+        }
+        self.silent.remove(instance);
+    }
+
+    /// Returns whether a command may be sent to a server now. To a server that does not respond,
+    /// one command at a time is sent.
+    pub(super) fn may_contact(&mut self, now: Tick, instance: &Instance) -> bool {
+        let Some(last) = self.silent.get_mut(instance) else { return true };
+        if now.since(*last) < SILENT_RETRY {
+            return false;
         }
+        *last = now;
+        true
+    }
+
+    /// Forgets servers that no command was sent to for a long time.
+    pub(super) fn evict_silent(&mut self, now: Tick) {
+        self.silent.retain(|_, last| now.since(*last) < SILENCE_RETENTION);
     }
 }
 
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -19,6 +19,7 @@
     },
     whinspring::{
         name::Name,
+        ranges::{Instance, Ownership},
         routes::{Limits, RouteTable, Service},
     },
     whinspring_http::clock::Clock,
@@ -127,6 +128,8 @@
     terms: HashMap<u64, Name>,
     /// Sender of each command.
     pub commands: Vec<Name>,
+    /// Number of commands sent to each server.
+    sent_to: HashMap<Name, usize>,
     pub fault_rates: FaultRates,
     pub rng: SeededRng,
     /// Violations found.
@@ -147,6 +150,7 @@
             slow: None,
             terms: HashMap::new(),
             commands: Vec::new(),
+            sent_to: HashMap::new(),
             fault_rates: FaultRates::default(),
             rng: SeededRng(ChaCha8Rng::seed_from_u64(seed)),
             faults: Vec::new(),
@@ -238,6 +242,22 @@
         held.map(|held| f64::from(held.last - held.first) + 1.0).sum::<f64>() / 65_536.0
     }
 
+    /// Returns how many commands were sent to a server.
+    pub fn commands_to(&self, index: usize) -> usize {
+        self.sent_to.get(&name(index)).copied().unwrap_or_default()
+    }
+
+    /// Stores owners that an earlier controller wrote: `count` spans, dealt out in turn.
+    pub fn store_owners(&mut self, count: usize) {
+        let instances: Vec<Instance> = (0..count)
+            .map(|index| Instance { server: name(index % self.servers.len()), start_ms: 0 })
+            .collect();
+        let owned = Ownership::split_evenly(1, &instances, || 1);
+        let value = OwnersRecord::from(&owned).encode_to_vec();
+        let object = Object { name: SERVICE.into(), revision: self.revision, value };
+        self.objects.insert((Kind::Owners.number(), SERVICE.into()), object);
+    }
+
     /// Returns the entries of the servers.
     pub fn entries(&self) -> Vec<Object> {
         let listed = self.servers.iter().filter(|(_, server)| server.listed);
@@ -393,6 +413,7 @@
         let (unreachable, slow, delay) = {
             let mut world = self.world.borrow_mut();
             world.commands.push(self.node.clone());
+            *world.sent_to.entry(target.clone()).or_default() += 1;
             let FaultRates { late, slow, .. } = world.fault_rates;
             let late = world.rng.0.random_ratio(late, 100);
             let slow = world.rng.0.random_ratio(slow, 100);
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -7,12 +7,16 @@
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
     whinspring_router::{
-        control,
+        control, follow,
         message::{Heartbeat, ServerLatency},
+        platform::{Kind, Store},
         settings::Limits,
     },
 };
 
+/// Most commands a second to a server that does not respond.
+const COMMANDS_PER_S: usize = 4;
+
 /// Runs a scenario on the paused clock.
 fn scenario<F: Future<Output = ()>>(work: F) {
     with_paused_clock(7, work);
@@ -163,6 +167,32 @@
     });
 }
 
+/// Load pattern: a server with many ranges of keys is cut off. A command for each of them, again and
+/// again, would occupy the controller and its connections.
+#[test]
+fn a_server_that_does_not_respond_gets_few_commands() {
+    const SPANS: usize = 256;
+    scenario(async {
+        let world = World::new(1, 4);
+        world.borrow_mut().store_owners(SPANS);
+        let node = start(&world, "n1");
+        follow::apply_listing(&node, Kind::Owners, node.platform.list(Kind::Owners).await.unwrap());
+        advance(20_000).await;
+        assert_eq!(world.borrow().share(1), 0.25);
+        world.borrow_mut().set_unreachable(1, true);
+        advance(2_000).await;
+        world.borrow_mut().list(1, false);
+        let before = world.borrow().commands_to(1);
+        advance(3_000).await;
+        let sent = world.borrow().commands_to(1) - before;
+        assert!((1..=3 * COMMANDS_PER_S).contains(&sent), "{sent} commands");
+        advance(7_000).await;
+        let held: f64 = [0, 2, 3].iter().map(|index| world.borrow().share(*index)).sum();
+        assert_eq!(held, 1.0);
+        check(&world);
+    });
+}
+
 /// The entry of a server that has ended may come back, so that it seems to be newer than that of
 /// the server that has its address now.
 #[test]
