Relays forward changes of owners; the owners are kept in decoded form only

Cause: each change of owners went over the controller's link to each of 194 nodes, 8 times a second, and each node encoded and decoded the whole record of 5,000 spans for it. Change: in a cluster of 24 nodes and more a change goes to the sender's failure domain and to two relays in each other one, the live nodes with the most CPU (spread, a pure function).

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -1,7 +1,8 @@
 //! The node's replica of the configuration, the servers and the owners of keys.
 //!
 //! Each kind of object is kept as the store sent it, with its revision, so that a snapshot can be
-//! sent to a node that cannot reach the store. A lower revision never replaces a higher one, and a
+//! sent to a node that cannot reach the store. Only the owners of keys, which are large and change
+//! often, are kept in decoded form alone. A lower revision never replaces a higher one, and a
 //! lower version of the routes never replaces a higher one.
 
 use {
@@ -95,7 +96,10 @@
     /// Returns all objects of a kind, to send to another node.
     pub fn snapshot(&self, kind: Kind) -> Snapshot {
         let Some(raw) = self.raw.get(&kind) else { return Snapshot::default() };
-        let items = raw.items.values().map(Item::from).collect();
+        let items = match kind {
+            Kind::Owners => self.owners.iter().map(owners_item).collect(),
+            _ => raw.items.values().map(Item::from).collect(),
+        };
         Snapshot {
             kind: kind.number(),
             revision: raw.revision,
@@ -188,6 +192,19 @@
         );
     }
 
+    /// Applies the owners of a service's keys, unless newer ones are known.
+    pub fn apply_owners(&mut self, service: Name, revision: u64, owned: Rc<Ownership>) {
+        if self.owners.get(&service).is_some_and(|(known, _)| *known >= revision) {
+            return;
+        }
+        let raw = self.raw.entry(Kind::Owners).or_default();
+        raw.synced_revision = raw.synced_revision.max(revision);
+        raw.revision = raw.revision.max(revision);
+        let object = Object { name: service.clone(), revision, value: Vec::new() };
+        raw.items.insert(service.clone(), object);
+        self.owners.insert(service, (revision, owned));
+    }
+
     /// Decodes the objects of a kind that are new or have changed.
     fn decode_changes(
         &mut self,
@@ -264,6 +281,8 @@
             };
             self.owners.insert(object.name.clone(), (object.revision, Rc::new(owned)));
         }
+        let items = self.raw.get_mut(&Kind::Owners).map(|raw| raw.items.values_mut());
+        items.into_iter().flatten().for_each(|item| item.value = Vec::new());
     }
 
     /// Removes servers that are gone. Returns whether there were any.
@@ -280,6 +299,12 @@
     }
 }
 
+/// Encodes the owners of a service for a snapshot.
+fn owners_item((service, (revision, owned)): (&Name, &(u64, Rc<Ownership>))) -> Item {
+    let value = OwnersRecord::from(&**owned).encode_to_vec();
+    Item { name: service.to_string(), revision: *revision, value, gone: false }
+}
+
 /// Applies a server's entry. Returns whether the server or its instance is new.
 fn update_server(
     servers: &mut HashMap<Name, Server>,
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -13,7 +13,7 @@
     crate::{
         follow,
         node::Node,
-        platform::{Grant, Kind, Object, Platform, Reply, StoreError},
+        platform::{Grant, Kind, Platform, Reply, StoreError},
         record::OwnersRecord,
     },
     log::info,
@@ -171,10 +171,9 @@
     ));
     match written {
         Ok(revision) => {
-            let object = Object { name: service.clone(), revision, value };
             let before = node.view.borrow().owners.get(service).cloned();
-            node.view.borrow_mut().apply_object(Kind::Owners, object, &node.platform, node.clock);
             let after = (revision, Rc::new(owned));
+            node.view.borrow_mut().apply_owners(service.clone(), revision, after.1.clone());
             follow::publish_owners(node, service, &before.unwrap_or_default(), &after);
             node.notify_change();
             true
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -11,10 +11,10 @@
         node::Node,
         peers::{self, Peer},
         platform::{Changes, Kind, Listing, Object, Platform, StoreError},
-        record::{OwnersRecord, SpanRecord},
+        record::SpanRecord,
+        spread::{self, Recipient},
     },
     log::info,
-    prost::Message,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
     whinspring::{
@@ -29,9 +29,6 @@
 /// Time between two watches in which changes are batched.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
 
-/// Number of other nodes below which every node watches the store itself.
-const DELEGATE_MIN_NODES: usize = 24;
-
 /// Nodes in each failure domain that watch the store in a larger cluster.
 const WATCHERS_PER_DOMAIN: usize = 2;
 
@@ -111,7 +108,7 @@
 /// this node has to watch the store itself.
 fn delegated_watch_status<P: Platform>(node: &Rc<Node<P>>) -> Option<bool> {
     let peers = node.peers.borrow();
-    if peers.nodes.len() < DELEGATE_MIN_NODES {
+    if peers.nodes.len() < spread::MIN_NODES {
         return None;
     }
     let is_near =
@@ -144,7 +141,7 @@
     changes: &[(Object, bool)],
 ) {
     let peers = node.peers.borrow();
-    if peers.nodes.len() < DELEGATE_MIN_NODES {
+    if peers.nodes.len() < spread::MIN_NODES {
         return;
     }
     let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
@@ -224,7 +221,7 @@
     apply_listing_at(node, kind, listing, Some(snapshot.revision));
 }
 
-/// Sends the changed owners of a service to all other nodes.
+/// Sends the changed owners of a service to all other nodes, in a large cluster by way of relays.
 pub fn publish_owners<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
@@ -237,26 +234,42 @@
         revision: after.0,
         term: after.1.term,
         spans: after.1.changed_since(&before.1).iter().map(SpanRecord::from).collect(),
+        relay: false,
     };
-    node.send_all(Body::OwnersChanged(change));
+    let now = node.now();
+    let peers = node.peers.borrow();
+    let frame = Envelope::frame(Body::OwnersChanged(change.clone()));
+    if peers.nodes.len() < spread::MIN_NODES {
+        return peers.send_all(&frame);
+    }
+    let nodes = peers.nodes.iter().map(|(name, peer)| Recipient {
+        name,
+        domain: &peer.heartbeat.domain,
+        is_live: peer.is_live(now),
+        cpu_share: peer.heartbeat.cpu_share,
+    });
+    let found = spread::recipients(&node.settings.domain, nodes);
+    peers.send_each(&found.direct, &frame);
+    let relayed = Envelope::frame(Body::OwnersChanged(OwnersChanged { relay: true, ..change }));
+    peers.send_each(&found.relays, &relayed);
 }
 
-/// Applies changed owners, if they follow the revision that this node has.
-pub fn apply_owners_change<P: Platform>(node: &Rc<Node<P>>, change: OwnersChanged) {
+/// Applies changed owners, if they follow the revision that this node has, and forwards them if
+/// this node is a relay.
+pub fn apply_owners_change<P: Platform>(node: &Rc<Node<P>>, mut change: OwnersChanged) {
+    if std::mem::take(&mut change.relay) {
+        let frame = Envelope::frame(Body::OwnersChanged(change.clone()));
+        node.peers.borrow().send_to_domain(&node.settings.domain, &frame);
+    }
     let service = Name::from(change.service);
     let known = node.view.borrow().owners.get(&service).cloned();
-    let Some((revision, owned)) = known else { return };
+    let Some((_, owned)) = known.filter(|(revision, _)| *revision == change.base) else { return };
     let spans: Result<Vec<Span>, _> = change.spans.into_iter().map(Span::try_from).collect();
     let Ok(spans) = spans else { return node.metrics.count("link_malformed") };
-    if revision != change.base {
-        return;
-    }
     let mut next = (*owned).clone();
     next.term = change.term;
     next.apply(spans);
-    let value = OwnersRecord::from(&next).encode_to_vec();
-    let object = Object { name: service, revision: change.revision, value };
-    node.view.borrow_mut().apply_object(Kind::Owners, object, &node.platform, node.clock);
+    node.view.borrow_mut().apply_owners(service, change.revision, Rc::new(next));
     node.notify_change();
 }
 
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod response;
 pub mod retries;
 pub mod settings;
+pub mod spread;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -319,6 +319,9 @@
     /// The spans that differ.
     #[prost(message, repeated, tag = "5")]
     pub spans: Vec<SpanRecord>,
+    /// Whether the receiver forwards the change to its failure domain.
+    #[prost(bool, tag = "6")]
+    pub relay: bool,
 }
 
 /// One object.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Queues a message to some nodes; it is dropped for those whose queue is full.
+    pub fn send_each(&self, names: &[Name], frame: &Bytes) {
+        for name in names {
+            self.send(name, frame.clone());
+        }
+    }
+
     /// Queues a message to the nodes of a failure domain; it is dropped for those whose queue is
     /// full.
     pub fn send_to_domain(&self, domain: &str, frame: &Bytes) {
