Announce finished handovers at once; renew the leases of one server in turn

Cause: keys in a handover had no owner until the store had confirmed its end, 60 ms and a write later, which takes 0.1 to 0.6 s while thousands of ranges change hands. Change: the controller tells all nodes (HandoversFinished, by way of relays) 20 ms after the new owner took its grant; an entry uses a span that was announced or committed (granted_span). A server rejects requests on keys that it does not hold, so this stays a hint. The leases of one server are renewed one after the other, each checked again before it is sent. The module owners has what the controller tells the other nodes. Tests: keys_have_an_owner_again_before_the_store_knows_of_the_handover, a_relay_forwards_..., and the_leases_of_one_server_are_renewed_one_after_the_other (64 at once with a task for each lease, red).

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -14,14 +14,14 @@
     log::info,
     prost::Message,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         rc::Rc,
         sync::Arc,
         time::Duration,
     },
     whinspring::{
         name::Name,
-        ranges::{Instance, Ownership},
+        ranges::{HandoverKey, Instance, Ownership, Span},
         routes::RouteTable,
         time::Tick,
     },
@@ -85,6 +85,8 @@
     pub servers: HashMap<Name, Server>,
     /// Owners by service, with the revision of their object.
     pub owners: HashMap<Name, (u64, Rc<Ownership>)>,
+    /// Handovers by service that have finished, though the owners still name the former one.
+    handed_over: HashMap<Name, HashSet<HandoverKey>>,
 }
 
 impl ClusterState {
@@ -202,9 +204,42 @@
         raw.revision = raw.revision.max(revision);
         let object = Object { name: service.clone(), revision, value: Vec::new() };
         raw.items.insert(service.clone(), object);
+        self.set_owners(service, revision, owned);
+    }
+
+    /// Sets the owners of a service's keys, and forgets handovers that they no longer contain.
+    fn set_owners(&mut self, service: Name, revision: u64, owned: Rc<Ownership>) {
+        if let Some(finished) = self.handed_over.get_mut(&service) {
+            let is_pending =
+                |span: &Span, key: &HandoverKey| span.former.is_some() && span.handover() == *key;
+            finished.retain(|key| owned.find(key.first).is_some_and(|span| is_pending(span, key)));
+        }
         self.owners.insert(service, (revision, owned));
     }
 
+    /// Notes handovers that have finished, unless they are not known or no longer pending.
+    pub fn note_handovers(&mut self, service: &Name, finished: &[HandoverKey]) {
+        let Some((_, owned)) = self.owners.get(service) else { return };
+        let is_pending = |key: &&HandoverKey| {
+            let span = owned.find(key.first);
+            span.is_some_and(|span| span.former.is_some() && span.handover() == **key)
+        };
+        let pending = finished.iter().filter(is_pending).copied();
+        self.handed_over.entry(service.clone()).or_default().extend(pending);
+    }
+
+    /// Returns the span that contains a key if its owner has been granted the keys, as far as this
+    /// node knows.
+    pub fn granted_span(&self, service: &Name, key: u16) -> Option<&Span> {
+        let (_, owned) = self.owners.get(service)?;
+        let finished = self.handed_over.get(service);
+        let is_granted = |span: &&Span| {
+            span.former.is_none()
+                || finished.is_some_and(|finished| finished.contains(&span.handover()))
+        };
+        owned.find(key).filter(is_granted)
+    }
+
     /// Decodes the objects of a kind that are new or have changed.
     fn decode_changes(
         &mut self,
@@ -279,7 +314,7 @@
                 log::warn!(event = "bad_owners", service = object.name.as_str(); "cannot decode the owners of a service; keeping the known ones");
                 continue;
             };
-            self.owners.insert(object.name.clone(), (object.revision, Rc::new(owned)));
+            self.set_owners(object.name.clone(), object.revision, Rc::new(owned));
         }
         let items = self.raw.get_mut(&Kind::Owners).map(|raw| raw.items.values_mut());
         items.into_iter().flatten().for_each(|item| item.value = Vec::new());
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -7,18 +7,18 @@
 
 use {
     super::{
-        handover::{handover_key, start_handovers},
+        handover::{is_current, start_handovers},
         servers::{address, candidates, refused_recently, restarted_as},
     },
     crate::{
-        follow,
         node::Node,
+        owners,
         platform::{Grant, Kind, Platform, Reply, StoreError},
         record::OwnersRecord,
     },
     log::info,
     prost::Message,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::task::spawn_local,
     whinspring::{
         name::Name,
@@ -145,7 +145,7 @@
         }
         let progress = control.handovers.entry(service.clone()).or_default();
         progress.inherited =
-            next.spans.iter().filter(|span| span.former.is_some()).map(handover_key).collect();
+            next.spans.iter().filter(|span| span.former.is_some()).map(Span::handover).collect();
     }
     write_ownership(node, service, revision, next).await;
 }
@@ -174,7 +174,7 @@
             let before = node.view.borrow().owners.get(service).cloned();
             let after = (revision, Rc::new(owned));
             node.view.borrow_mut().apply_owners(service.clone(), revision, after.1.clone());
-            follow::publish_owners(node, service, &before.unwrap_or_default(), &after);
+            owners::publish(node, service, &before.unwrap_or_default(), &after);
             node.notify_change();
             true
         }
@@ -195,32 +195,53 @@
     }
 }
 
-/// Renews the leases that are due.
+/// Renews the leases that are due, those of one server one after the other: a connection for each of
+/// thousands of spans would exceed the memory of the VM.
 fn renew_leases<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership, now: Tick) {
+    let mut due: BTreeMap<&Instance, Vec<Span>> = BTreeMap::new();
     for span in owned.spans.iter().filter(|span| span.former.is_none()) {
-        let due = {
-            let mut control = node.control.borrow_mut();
-            let lease = control.leases.entry(service, span);
-            !lease.in_flight && lease.acked.is_none_or(|at| now.since(at) >= RENEW_INTERVAL)
-        };
-        let Some(addr) = address(node, &span.owner) else { continue };
-        let ended = restarted_as(node, &span.owner).is_some();
-        if !due || ended || refused_recently(node, &span.owner, now) {
+        let mut control = node.control.borrow_mut();
+        let lease = control.leases.entry(service, span);
+        if !lease.in_flight && lease.acked.is_none_or(|at| now.since(at) >= RENEW_INTERVAL) {
+            due.entry(&span.owner).or_default().push(span.clone());
+        }
+    }
+    for (instance, spans) in due {
+        let Some(addr) = address(node, instance) else { continue };
+        let ended = restarted_as(node, instance).is_some();
+        if ended || refused_recently(node, instance, now) {
+            continue;
+        }
+        let mut control = node.control.borrow_mut();
+        if !control.may_contact(now, instance) {
             continue;
         }
-        if node.control.borrow_mut().may_contact(now, &span.owner) {
-            node.control.borrow_mut().leases.entry(service, span).in_flight = true;
-            spawn_local(renew_lease(node.clone(), service.clone(), span.clone(), addr));
+        for span in &spans {
+            control.leases.entry(service, span).in_flight = true;
         }
+        spawn_local(renew_server(node.clone(), service.clone(), spans, addr));
     }
 }
 
-async fn renew_lease<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span, addr: SocketAddr) {
-    let duration = lease_duration(&node);
-    let reply = grant(&node, &service, &span, addr, duration, None).await;
-    if reply == Reply::Fenced {
-        node.metrics.count("grant_fenced");
-        raise_fence(&node, &service, &span).await;
+/// Renews leases of one server until it does not carry out a grant.
+async fn renew_server<P: Platform>(
+    node: Rc<Node<P>>,
+    service: Name,
+    spans: Vec<Span>,
+    addr: SocketAddr,
+) {
+    let mut reachable = true;
+    for span in &spans {
+        if !reachable || !is_current(&node, &service, span) {
+            node.control.borrow_mut().leases.entry(&service, span).in_flight = false;
+            continue;
+        }
+        let reply = grant(&node, &service, span, addr, lease_duration(&node), None).await;
+        reachable = matches!(reply, Reply::Done(_) | Reply::Fenced);
+        if reply == Reply::Fenced {
+            node.metrics.count("grant_fenced");
+            raise_fence(&node, &service, span).await;
+        }
     }
 }
 
@@ -300,7 +321,7 @@
         std::mem::take(&mut progress.finished)
     };
     let mut next = owned.clone();
-    for span in next.spans.iter_mut().filter(|span| finished.contains(&handover_key(span))) {
+    for span in next.spans.iter_mut().filter(|span| finished.contains(&span.handover())) {
         span.former = None;
     }
     if !write_ownership(node, service, revision, next).await {
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -16,11 +16,11 @@
         FENCE_STEP,
         grants::{current_ownership, default_lease, grant, max_lease},
         leases::lease_end,
-        progress,
         servers::{address, is_dead, request_probes, restarted_as},
     },
     crate::{
         node::Node,
+        owners,
         platform::{Grant, Platform, Reply},
     },
     log::warn,
@@ -39,6 +39,9 @@
 /// The same for a handover of an earlier controller, where the new owner may hold the keys already.
 const INHERITED_LEASE: Duration = Duration::from_millis(300);
 
+/// Time for which finished handovers are batched into one message to the other nodes.
+const ANNOUNCE_DELAY: Duration = Duration::from_millis(20);
+
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Starts the pending handovers that are not running yet.
@@ -50,8 +53,7 @@
         }
         let mut control = node.control.borrow_mut();
         let progress = control.handovers.entry(service.clone()).or_default();
-        if progress.finished.contains(&handover_key(span))
-            || !progress.running.insert(handover_key(span))
+        if progress.finished.contains(&span.handover()) || !progress.running.insert(span.handover())
         {
             continue;
         }
@@ -59,10 +61,6 @@
     }
 }
 
-pub(super) fn handover_key(span: &Span) -> progress::HandoverKey {
-    progress::HandoverKey { first: span.first, last: span.last, fence: span.fence }
-}
-
 /// Releases a span from its former owner and grants it to the new one.
 async fn run_handover<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span) {
     let token = release(&node, &service, &span).await;
@@ -71,13 +69,32 @@
         None => false,
     };
     let now = node.now();
-    let mut control = node.control.borrow_mut();
-    let Some(progress) = control.handovers.get_mut(&service) else { return };
-    progress.running.remove(&handover_key(&span));
-    if finished {
-        progress.finished.insert(handover_key(&span));
+    {
+        let mut control = node.control.borrow_mut();
+        let Some(progress) = control.handovers.get_mut(&service) else { return };
+        progress.running.remove(&span.handover());
+        if !finished {
+            return;
+        }
+        progress.finished.insert(span.handover());
         progress.oldest.get_or_insert(now);
+        progress.unannounced.push(span.handover());
+        if progress.unannounced.len() > 1 {
+            return;
+        }
     }
+    sleep(ANNOUNCE_DELAY).await;
+    announce(&node, &service);
+}
+
+/// Tells all nodes which handovers have finished since they were last told.
+fn announce<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
+    let handovers = {
+        let mut control = node.control.borrow_mut();
+        let Some(progress) = control.handovers.get_mut(service) else { return };
+        std::mem::take(&mut progress.unannounced)
+    };
+    owners::announce_handovers(node, service, &handovers);
 }
 
 /// Grants a span to its new owner. Returns `false` if the handover is obsolete. Returns `true` if
@@ -220,7 +237,7 @@
 fn is_inherited<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
     let control = node.control.borrow();
     let progress = control.handovers.get(service);
-    progress.is_some_and(|progress| progress.inherited.contains(&handover_key(span)))
+    progress.is_some_and(|progress| progress.inherited.contains(&span.handover()))
 }
 
 /// Returns whether a span is unchanged and this node may still send commands.
--- a/crates/whinspring-router/src/control/progress.rs
+++ b/crates/whinspring-router/src/control/progress.rs
@@ -1,15 +1,9 @@
 //! State of handovers in progress.
 
-use {std::collections::HashSet, whinspring::time::Tick};
-
-/// Identifies a handover.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct HandoverKey {
-    pub first: u16,
-    pub last: u16,
-    /// Fencing token of the new owner.
-    pub fence: u64,
-}
+use {
+    std::collections::HashSet,
+    whinspring::{ranges::HandoverKey, time::Tick},
+};
 
 /// State of the handovers of one service.
 #[derive(Debug, Default)]
@@ -25,6 +19,8 @@
     pub finished: HashSet<HandoverKey>,
     /// When the oldest of the finished handovers ended.
     pub oldest: Option<Tick>,
+    /// Handovers that have finished and that the other nodes have not been told of yet.
+    pub unannounced: Vec<HandoverKey>,
     /// Whether a write of the owners is in progress.
     pub writing: bool,
 }
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,21 +7,16 @@
 
 use {
     crate::{
-        message::{Body, Envelope, Item, ObjectsChanged, OwnersChanged, Snapshot},
+        message::{Body, Envelope, Item, ObjectsChanged, Snapshot},
         node::Node,
         peers::{self, Peer},
         platform::{Changes, Kind, Listing, Object, Platform, StoreError},
-        record::SpanRecord,
-        spread::{self, Recipient},
+        spread,
     },
     log::info,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
-    whinspring::{
-        name::Name,
-        ranges::{Ownership, Span},
-        rendezvous::rank,
-    },
+    whinspring::{name::Name, rendezvous::rank},
 };
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
@@ -221,58 +216,6 @@
     apply_listing_at(node, kind, listing, Some(snapshot.revision));
 }
 
-/// Sends the changed owners of a service to all other nodes, in a large cluster by way of relays.
-pub fn publish_owners<P: Platform>(
-    node: &Rc<Node<P>>,
-    service: &Name,
-    before: &(u64, Rc<Ownership>),
-    after: &(u64, Rc<Ownership>),
-) {
-    let change = OwnersChanged {
-        service: service.to_string(),
-        base: before.0,
-        revision: after.0,
-        term: after.1.term,
-        spans: after.1.changed_since(&before.1).iter().map(SpanRecord::from).collect(),
-        relay: false,
-    };
-    let now = node.now();
-    let peers = node.peers.borrow();
-    let frame = Envelope::frame(Body::OwnersChanged(change.clone()));
-    if peers.nodes.len() < spread::MIN_NODES {
-        return peers.send_all(&frame);
-    }
-    let nodes = peers.nodes.iter().map(|(name, peer)| Recipient {
-        name,
-        domain: &peer.heartbeat.domain,
-        is_live: peer.is_live(now),
-        cpu_share: peer.heartbeat.cpu_share,
-    });
-    let found = spread::recipients(&node.settings.domain, nodes);
-    peers.send_each(&found.direct, &frame);
-    let relayed = Envelope::frame(Body::OwnersChanged(OwnersChanged { relay: true, ..change }));
-    peers.send_each(&found.relays, &relayed);
-}
-
-/// Applies changed owners, if they follow the revision that this node has, and forwards them if
-/// this node is a relay.
-pub fn apply_owners_change<P: Platform>(node: &Rc<Node<P>>, mut change: OwnersChanged) {
-    if std::mem::take(&mut change.relay) {
-        let frame = Envelope::frame(Body::OwnersChanged(change.clone()));
-        node.peers.borrow().send_to_domain(&node.settings.domain, &frame);
-    }
-    let service = Name::from(change.service);
-    let known = node.view.borrow().owners.get(&service).cloned();
-    let Some((_, owned)) = known.filter(|(revision, _)| *revision == change.base) else { return };
-    let spans: Result<Vec<Span>, _> = change.spans.into_iter().map(Span::try_from).collect();
-    let Ok(spans) = spans else { return node.metrics.count("link_malformed") };
-    let mut next = (*owned).clone();
-    next.term = change.term;
-    next.apply(spans);
-    node.view.borrow_mut().apply_owners(service, change.revision, Rc::new(next));
-    node.notify_change();
-}
-
 /// Removes servers that are gone. Never returns.
 pub async fn sweep<P: Platform>(node: Rc<Node<P>>) {
     loop {
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -14,7 +14,7 @@
 /// One message on a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16")]
     pub body: Option<Body>,
     /// When the newest heartbeat was sent that the sender has received from the receiver, in
     /// milliseconds of the receiver's clock.
@@ -78,6 +78,9 @@
     /// Objects have changed in the store.
     #[prost(message, tag = "15")]
     ObjectsChanged(ObjectsChanged),
+    /// New owners have been granted their keys.
+    #[prost(message, tag = "16")]
+    HandoversFinished(HandoversFinished),
 }
 
 /// A heartbeat, with what its sender knows and has measured.
@@ -324,6 +327,31 @@
     pub relay: bool,
 }
 
+/// Handovers of a service that have finished. The store learns of them later: a server that holds
+/// the keys serves them at once.
+#[derive(Clone, PartialEq, Message)]
+pub struct HandoversFinished {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(message, repeated, tag = "2")]
+    pub handovers: Vec<HandoverRecord>,
+    /// Whether the receiver forwards the message to its failure domain.
+    #[prost(bool, tag = "3")]
+    pub relay: bool,
+}
+
+/// The range of keys of a handover, and the fencing token of its new owner.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct HandoverRecord {
+    #[prost(uint32, tag = "1")]
+    pub first: u32,
+    /// Last key, inclusive.
+    #[prost(uint32, tag = "2")]
+    pub last: u32,
+    #[prost(uint64, tag = "3")]
+    pub fence: u64,
+}
+
 /// One object.
 #[derive(Clone, PartialEq, Message)]
 pub struct Item {
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -11,6 +11,7 @@
         follow,
         message::{Body, Envelope, FetchRequest, Heartbeat, Hello},
         node::Node,
+        owners,
         platform::{Kind, Platform},
     },
     bytes::{Bytes, BytesMut},
@@ -307,7 +308,8 @@
                 control.probes.entry(addr).or_default().record(from, result.refused);
             }
         }
-        Body::OwnersChanged(change) => follow::apply_owners_change(node, change),
+        Body::OwnersChanged(change) => owners::apply_change(node, change),
+        Body::HandoversFinished(finished) => owners::apply_handovers(node, finished),
         Body::ObjectsChanged(changed) => follow::apply_forwarded(node, from, changed),
         Body::CrashReport(crash) => node.crashes.borrow_mut().record(node.now(), crash.print),
     }
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -1,10 +1,11 @@
 //! Records in the store.
 
 use {
+    crate::message::HandoverRecord,
     prost::Message,
     whinspring::{
         name::Name,
-        ranges::{Instance, Ownership, Span},
+        ranges::{HandoverKey, Instance, Ownership, Span},
     },
 };
 
@@ -83,6 +84,24 @@
     }
 }
 
+impl From<&HandoverKey> for HandoverRecord {
+    fn from(key: &HandoverKey) -> Self {
+        Self { first: key.first.into(), last: key.last.into(), fence: key.fence }
+    }
+}
+
+impl TryFrom<HandoverRecord> for HandoverKey {
+    type Error = MalformedRecord;
+
+    fn try_from(record: HandoverRecord) -> Result<Self, MalformedRecord> {
+        Ok(Self {
+            first: u16::try_from(record.first).map_err(|_| MalformedRecord)?,
+            last: u16::try_from(record.last).map_err(|_| MalformedRecord)?,
+            fence: record.fence,
+        })
+    }
+}
+
 impl From<&Ownership> for OwnersRecord {
     fn from(owned: &Ownership) -> Self {
         Self { term: owned.term, spans: owned.spans.iter().map(SpanRecord::from).collect() }
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -262,14 +262,12 @@
                 let view = node.view.borrow();
                 let owned = view.owners.get(&self.service);
                 revision = owned.map_or(revision, |(revision, _)| *revision);
-                if let Some(span) = owned.and_then(|(_, owned)| owned.find(key)) {
-                    fence = span.fence;
+                fence = owned.and_then(|(_, owned)| owned.find(key)).map_or(fence, |s| s.fence);
+                if let Some(span) = view.granted_span(&self.service, key) {
                     let server = view.servers.get(&span.owner.server);
                     let alive =
                         server.is_some_and(|server| server.entry.start_ms == span.owner.start_ms);
-                    if alive && span.former.is_none() {
-                        known = Some(span.owner.server.clone());
-                    }
+                    known = alive.then(|| span.owner.server.clone());
                 }
             }
             if let Some(server) = known {
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -130,6 +130,9 @@
     pub commands: Vec<Name>,
     /// Number of commands sent to each server.
     sent_to: HashMap<Name, usize>,
+    /// Number of commands that each server is carrying out, and the most at any server so far.
+    in_flight: HashMap<Name, usize>,
+    pub most_in_flight: usize,
     pub fault_rates: FaultRates,
     pub rng: SeededRng,
     /// Violations found.
@@ -151,6 +154,8 @@
             terms: HashMap::new(),
             commands: Vec::new(),
             sent_to: HashMap::new(),
+            in_flight: HashMap::new(),
+            most_in_flight: 0,
             fault_rates: FaultRates::default(),
             rng: SeededRng(ChaCha8Rng::seed_from_u64(seed)),
             faults: Vec::new(),
@@ -242,6 +247,13 @@
         held.map(|held| f64::from(held.last - held.first) + 1.0).sum::<f64>() / 65_536.0
     }
 
+    /// Counts a command that a server carries out.
+    fn begin_command(&mut self, server: &Name) {
+        let count = self.in_flight.entry(server.clone()).or_default();
+        *count += 1;
+        self.most_in_flight = self.most_in_flight.max(*count);
+    }
+
     /// Returns how many commands were sent to a server.
     pub fn commands_to(&self, index: usize) -> usize {
         self.sent_to.get(&name(index)).copied().unwrap_or_default()
@@ -440,8 +452,11 @@
             sleep(Duration::from_millis(500)).await;
             return Reply::NoResponse;
         }
+        self.world.borrow_mut().begin_command(&target);
         sleep(RESPONSE_DELAY).await;
-        act(&mut self.world.borrow_mut(), &target, grant, arrived)
+        let mut world = self.world.borrow_mut();
+        *world.in_flight.get_mut(&target).unwrap() -= 1;
+        act(&mut world, &target, grant, arrived)
     }
 }
 
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -167,6 +167,24 @@
     });
 }
 
+/// Load pattern: a new controller grants thousands of ranges at once. Each command that a server
+/// carries out at the same time takes a connection and its buffers.
+#[test]
+fn the_leases_of_one_server_are_renewed_one_after_the_other() {
+    scenario(async {
+        let world = World::new(1, 4);
+        world.borrow_mut().store_owners(256);
+        let node = start(&world, "n1");
+        follow::apply_listing(&node, Kind::Owners, node.platform.list(Kind::Owners).await.unwrap());
+        advance(20_000).await;
+        for index in 0..4 {
+            assert_eq!(world.borrow().share(index), 0.25, "server {index}");
+        }
+        assert_eq!(world.borrow().most_in_flight, 1);
+        check(&world);
+    });
+}
+
 /// Load pattern: a server with many ranges of keys is cut off. A command for each of them, again and
 /// again, would occupy the controller and its connections.
 #[test]
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -1,14 +1,16 @@
-//! Settings, the retry budget, crashing requests and records of owners.
+//! Settings, the retry budget, crashing requests, records of owners and finished handovers.
 
 use {
     prost::Message,
-    std::time::Duration,
+    std::{rc::Rc, time::Duration},
     whinspring::{
-        ranges::{Instance, Ownership},
+        name::Name,
+        ranges::{HandoverKey, Instance, Ownership},
         time::Tick,
     },
     whinspring_router::{
-        crashes::Crashes, record::OwnersRecord, retries::RetryBudget, settings::Settings,
+        cluster::ClusterState, crashes::Crashes, record::OwnersRecord, retries::RetryBudget,
+        settings::Settings,
     },
 };
 
@@ -105,3 +107,26 @@
     other.apply(changed);
     assert_eq!(other.spans, after.spans);
 }
+
+/// Load pattern: many ranges change hands, and the write that ends their handovers is slow.
+#[test]
+fn keys_have_an_owner_again_before_the_store_knows_of_the_handover() {
+    let service = Name::from("bays");
+    let mut owned = owners();
+    owned.spans[1].former = Some(owned.spans[0].owner.clone());
+    let moved = owned.spans[1].clone();
+    let mut view = ClusterState::default();
+    view.apply_owners(service.clone(), 5, Rc::new(owned.clone()));
+    assert!(view.granted_span(&service, moved.first).is_none());
+    assert!(view.granted_span(&service, 0).is_some());
+
+    let older = HandoverKey { fence: moved.fence - 1, ..moved.handover() };
+    view.note_handovers(&service, &[older]);
+    assert!(view.granted_span(&service, moved.first).is_none(), "an older handover");
+    view.note_handovers(&service, &[moved.handover()]);
+    assert_eq!(view.granted_span(&service, moved.last), Some(&moved));
+
+    owned.spans[1].fence += 64;
+    view.apply_owners(service.clone(), 6, Rc::new(owned));
+    assert!(view.granted_span(&service, moved.first).is_none(), "another handover has begun");
+}
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -18,8 +18,12 @@
     tokio_util::codec::{Framed, LengthDelimitedCodec},
     whinspring::rendezvous::rank,
     whinspring_router::{
-        message::{Admit, Admitted, Body, Check, Done, Envelope, Heartbeat, Hello},
+        message::{
+            Admit, Admitted, Body, Check, Done, Envelope, FetchRequest, HandoverRecord,
+            HandoversFinished, Heartbeat, Hello,
+        },
         peers,
+        platform::Kind,
     },
 };
 
@@ -342,3 +346,25 @@
         },
     );
 }
+
+/// A relay forwards a message to its failure domain once, not in turn as something to forward.
+#[test]
+fn a_relay_forwards_finished_handovers_to_its_failure_domain() {
+    run(
+        |_| None,
+        |rig| async move {
+            let (mut peer, mut link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+            let handovers = vec![HandoverRecord { first: 0, last: 9, fence: 64 }];
+            let finished = HandoversFinished { service: POOL.into(), handovers, relay: true };
+            peer.send(Body::HandoversFinished(finished.clone())).await;
+            let forwarded = peer.next(&mut link).await;
+            let plain = HandoversFinished { relay: false, ..finished };
+            assert_eq!(forwarded, Body::HandoversFinished(plain.clone()));
+            peer.send(Body::HandoversFinished(plain)).await;
+            let marker = FetchRequest { kind: Kind::Routes.number() };
+            peer.send(Body::FetchRequest(marker)).await;
+            let next = peer.next(&mut link).await;
+            assert!(matches!(next, Body::Snapshot(_)), "forwarded again: {next:?}");
+        },
+    );
+}
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -31,7 +31,21 @@
     pub former: Option<Instance>,
 }
 
+/// Identifies the handover of a span to its owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct HandoverKey {
+    pub first: u16,
+    pub last: u16,
+    /// Fencing token of the new owner.
+    pub fence: u64,
+}
+
 impl Span {
+    /// Returns the key of the handover to the span's owner.
+    pub fn handover(&self) -> HandoverKey {
+        HandoverKey { first: self.first, last: self.last, fence: self.fence }
+    }
+
     pub fn key_count(&self) -> u32 {
         u32::from(self.last - self.first) + 1
     }
