Test of reports of dropped lines in parts: each step waits for the writer

The test was wrong; it now lets the writer end one write, so that the two reports come at known places, and still asks for the exact sum.

--- a/crates/whinspring-router/tests/logs.rs
+++ b/crates/whinspring-router/tests/logs.rs
@@ -25,15 +25,21 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Whether a write has begun.
-    entered: bool,
-    resumed: bool,
+    /// Number of writes that have begun.
+    entered: usize,
+    /// Number of writes that may end.
+    allowed: usize,
     text: Vec<u8>,
 }
 
 impl StalledWriter {
     fn resume(&self) {
-        self.0.0.lock().unwrap().resumed = true;
+        self.allow(usize::MAX);
+    }
+
+    /// Lets `count` writes end.
+    fn allow(&self, count: usize) {
+        self.0.0.lock().unwrap().allowed = count;
         self.0.1.notify_all();
     }
 
@@ -41,10 +47,10 @@
         String::from_utf8(self.0.0.lock().unwrap().text.clone()).unwrap()
     }
 
-    /// Waits until a write has begun.
-    fn wait_entered(&self) {
+    /// Waits until `count` writes have begun.
+    fn wait_entered(&self, count: usize) {
         let (state, changed) = &*self.0;
-        drop(changed.wait_while(state.lock().unwrap(), |state| !state.entered).unwrap());
+        drop(changed.wait_while(state.lock().unwrap(), |state| state.entered < count).unwrap());
     }
 
     /// Waits until the text contains `part`.
@@ -61,9 +67,9 @@
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let (state, changed) = &*self.0;
         let mut state = state.lock().unwrap();
-        state.entered = true;
+        state.entered += 1;
         changed.notify_all();
-        let mut state = changed.wait_while(state, |state| !state.resumed).unwrap();
+        let mut state = changed.wait_while(state, |state| state.allowed < state.entered).unwrap();
         state.text.extend_from_slice(bytes);
         Ok(bytes.len())
     }
@@ -84,7 +90,7 @@
     let logs = BoundedAppender::new(1_000_000, writer.clone());
     let start = Instant::now();
     append(&logs, "line 0.");
-    writer.wait_entered();
+    writer.wait_entered(1);
     for number in 1..LINES {
         append(&logs, &format!("line {number}."));
     }
@@ -107,20 +113,22 @@
     let writer = StalledWriter::default();
     let logs = BoundedAppender::new(1_000_000, writer.clone());
     append(&logs, "line 0.");
-    writer.wait_entered();
+    writer.wait_entered(1);
     for number in 1..LINES / 2 {
         append(&logs, &format!("line {number}."));
     }
-    writer.resume();
-    writer.wait_for("line 500.");
+    writer.allow(1);
+    writer.wait_entered(2);
     for number in LINES / 2..LINES {
         append(&logs, &format!("line {number}."));
     }
-    writer.wait_for("log_dropped");
+    writer.resume();
+    writer.wait_for(&format!("line {}.", LINES / 2));
     append(&logs, "the last line");
     writer.wait_for("the last line");
     let text = writer.text();
     let written = text.matches("\"line ").count();
+    assert_eq!(text.matches("log_dropped").count(), 2, "{text}");
     assert_eq!(LINES - written, reported_drops(&text), "{text}");
 }
 
