A refused grant does not prolong a lease; only acknowledged grants are announced

A refused grant has not been carried out: the lease is as long as before. Outcome tells the three ends apart.

--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -281,8 +281,8 @@
     lease.in_flight = false;
     match reply {
         Reply::Done(_) => lease.acked = Some(sent),
-        Reply::Down | Reply::Unsent | Reply::Replaced => lease.expires = before,
-        Reply::Fenced | Reply::NoResponse => node.metrics.count("grant_unanswered"),
+        Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced => lease.expires = before,
+        Reply::NoResponse => node.metrics.count("grant_unanswered"),
     }
     control.record_reply(&span.owner, &reply, sent);
     reply
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -64,20 +64,23 @@
 /// Releases a span from its former owner and grants it to the new one.
 async fn run_handover<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span) {
     let token = release(&node, &service, &span).await;
-    let finished = match token {
+    let outcome = match token {
         Some(token) => grant_to_owner(&node, &service, &span, token).await,
-        None => false,
+        None => Outcome::Obsolete,
     };
     let now = node.now();
     {
         let mut control = node.control.borrow_mut();
         let Some(progress) = control.handovers.get_mut(&service) else { return };
         progress.running.remove(&span.handover());
-        if !finished {
+        if outcome == Outcome::Obsolete {
             return;
         }
         progress.finished.insert(span.handover());
         progress.oldest.get_or_insert(now);
+        if outcome == Outcome::Rejected {
+            return;
+        }
         progress.unannounced.push(span.handover());
         if progress.unannounced.len() > 1 {
             return;
@@ -97,19 +100,29 @@
     owners::announce_handovers(node, service, &handovers);
 }
 
-/// Grants a span to its new owner. Returns `false` if the handover is obsolete. Returns `true` if
-/// it has ended, also if the new owner is gone or rejects the grant.
+/// How a handover has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// The new owner holds the keys.
+    Granted,
+    /// The new owner is gone or rejects the grant; another handover will follow.
+    Rejected,
+    /// The owners have changed meanwhile.
+    Obsolete,
+}
+
+/// Grants a span to its new owner.
 async fn grant_to_owner<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
     span: &Span,
     token: Option<Name>,
-) -> bool {
+) -> Outcome {
     loop {
         if !is_current(node, service, span) {
-            return false;
+            return Outcome::Obsolete;
         }
-        let Some(addr) = address(node, &span.owner) else { return true };
+        let Some(addr) = address(node, &span.owner) else { return Outcome::Rejected };
         let now = node.now();
         let allowed = node.control.borrow().may_hand_over(now);
         if !allowed || !node.control.borrow_mut().may_contact(now, &span.owner) {
@@ -117,7 +130,8 @@
             continue;
         }
         match grant(node, service, span, addr, default_lease(node), token.clone()).await {
-            Reply::Done(_) | Reply::Fenced | Reply::Down | Reply::Replaced => return true,
+            Reply::Done(_) => return Outcome::Granted,
+            Reply::Fenced | Reply::Down | Reply::Replaced => return Outcome::Rejected,
             Reply::Unsent | Reply::NoResponse => sleep(RETRY_DELAY).await,
         }
     }
@@ -225,7 +239,7 @@
         node.control.borrow_mut().leases.entry(service, fenced).record_send(sent, duration);
     let reply = node.platform.grant(addr, &Grant::new(fenced, duration, None)).await;
     let mut control = node.control.borrow_mut();
-    if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced) {
+    if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced) {
         control.leases.entry(service, fenced).expires = before;
     }
     control.record_reply(&fenced.owner, &reply, sent);
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -191,6 +191,12 @@
         server.entry_instance = server.instance;
     }
 
+    /// Makes a server refuse all commands with usual fencing tokens.
+    pub fn show_high_fence(&mut self, index: usize) {
+        let server = self.servers.get_mut(&name(index)).unwrap();
+        server.seen.push((0, u16::MAX, u64::MAX));
+    }
+
     /// Makes a server respond to nobody while it keeps its keys.
     pub fn set_unreachable(&mut self, index: usize, unreachable: bool) {
         self.servers.get_mut(&name(index)).unwrap().unreachable = unreachable;
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -167,6 +167,22 @@
     });
 }
 
+/// A grant that a server has refused does not prolong the time for which it may hold the keys.
+#[test]
+fn a_handover_ends_though_the_former_owner_refuses_every_command() {
+    scenario(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        advance(4_000).await;
+        world.borrow_mut().show_high_fence(1);
+        world.borrow_mut().leave(1);
+        advance(8_000).await;
+        let held: f64 = [0, 2, 3].iter().map(|index| world.borrow().share(*index)).sum();
+        assert_eq!(held, 1.0);
+        check(&world);
+    });
+}
+
 /// Load pattern: a new controller grants thousands of ranges at once. Each command that a server
 /// carries out at the same time takes a connection and its buffers.
 #[test]
