--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -16,6 +16,7 @@
         FENCE_STEP,
         grants::{current_ownership, default_lease, grant, max_lease},
         leases::lease_end,
+        progress::Outcome,
         servers::{address, is_dead, request_probes, restarted_as},
     },
     crate::{
@@ -69,22 +70,14 @@
         None => Outcome::Obsolete,
     };
     let now = node.now();
-    {
+    let starts_batch = {
         let mut control = node.control.borrow_mut();
         let Some(progress) = control.handovers.get_mut(&service) else { return };
-        progress.running.remove(&span.handover());
-        if outcome == Outcome::Obsolete {
-            return;
-        }
-        progress.finished.insert(span.handover());
-        progress.oldest.get_or_insert(now);
-        if outcome == Outcome::Rejected {
-            return;
-        }
-        progress.unannounced.push(span.handover());
-        if progress.unannounced.len() > 1 {
-            return;
-        }
+        progress.record_end(now, span.handover(), outcome);
+        outcome == Outcome::Granted && progress.unannounced.len() == 1
+    };
+    if !starts_batch {
+        return;
     }
     sleep(ANNOUNCE_DELAY).await;
     announce(&node, &service);
@@ -100,17 +93,6 @@
     owners::announce_handovers(node, service, &handovers);
 }
 
-/// How a handover has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Outcome {
-    /// The new owner holds the keys.
-    Granted,
-    /// The new owner is gone or rejects the grant; another handover will follow.
-    Rejected,
-    /// The owners have changed meanwhile.
-    Obsolete,
-}
-
 /// Grants a span to its new owner.
 async fn grant_to_owner<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/whinspring-router/src/control/progress.rs
+++ b/crates/whinspring-router/src/control/progress.rs
@@ -5,6 +5,17 @@
     whinspring::{ranges::HandoverKey, time::Tick},
 };
 
+/// How a handover has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The new owner holds the keys.
+    Granted,
+    /// The new owner is gone or rejects the grant; another handover will follow.
+    Rejected,
+    /// The owners have changed meanwhile.
+    Obsolete,
+}
+
 /// State of the handovers of one service.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -26,6 +37,19 @@
 }
 
 impl Progress {
+    /// Records how a running handover has ended.
+    pub fn record_end(&mut self, now: Tick, key: HandoverKey, outcome: Outcome) {
+        self.running.remove(&key);
+        if outcome == Outcome::Obsolete {
+            return;
+        }
+        self.finished.insert(key);
+        self.oldest.get_or_insert(now);
+        if outcome == Outcome::Granted {
+            self.unannounced.push(key);
+        }
+    }
+
     /// Returns whether a handover is running or not committed yet, or a write is in progress.
     pub fn has_unfinished(&self) -> bool {
         self.writing || !self.running.is_empty() || !self.finished.is_empty()
