--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -35,12 +35,16 @@
     first.chain(rest).collect()
 }
 
+/// CPU share of the node under test, in hundredths of a core.
+const CPU_SHARE: u32 = 100;
+
 /// Joins other nodes; with `cut_off`, the store responds to none of them.
-async fn join(rig: &Rig, before: usize, cut_off: bool) -> Vec<FakePeer> {
+async fn join(rig: &Rig, before: usize, cut_off: bool, cpu_share: u32) -> Vec<FakePeer> {
     let mut others = Vec::new();
     for name in names(before) {
         let mut other = FakePeer::join_as(rig, name).await;
         other.cut_off = cut_off;
+        other.cpu_share = cpu_share;
         other.every = LONG_INTERVAL_MS;
         other.send_beat().await;
         others.push(other);
@@ -63,17 +67,24 @@
 
 #[test]
 fn few_nodes_of_a_large_cluster_watch_the_store() {
-    for (before, cut_off, watches) in [(1, false, true), (2, false, false), (2, true, true)] {
+    let cases = [
+        (1, false, CPU_SHARE, true),
+        (2, false, CPU_SHARE, false),
+        (2, true, CPU_SHARE, true),
+        (0, false, CPU_SHARE * 2, false),
+        (2, false, CPU_SHARE / 2, true),
+    ];
+    for (before, cut_off, cpu_share, watches) in cases {
         run(
             |_| None,
             move |rig| async move {
-                let _others = join(&rig, before, cut_off).await;
+                let _others = join(&rig, before, cut_off, cpu_share).await;
                 spawn_local(follow::run(rig.node.clone(), Kind::Servers));
                 sleep(DECISION_TIME).await;
                 let watched = rig.node.platform.watches.get() > 0;
                 assert_eq!(
                     watched, watches,
-                    "{before} nodes rank before it, store unreachable: {cut_off}"
+                    "{before} nodes rank before it, store unreachable: {cut_off}, CPU {cpu_share}"
                 );
             },
         );
@@ -144,7 +155,7 @@
     run(
         |_| None,
         |rig| async move {
-            let mut others = join(&rig, 0, false).await;
+            let mut others = join(&rig, 0, false, CPU_SHARE).await;
             spawn_local(peers::run_heartbeats(rig.node.clone()));
             spawn_local(follow::run(rig.node.clone(), Kind::Servers));
             let mut link = others[0].accept().await;
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -50,6 +50,8 @@
     pub cut_off: bool,
     /// Heartbeat interval that it announces, in milliseconds.
     pub every: u32,
+    /// CPU share that it announces, in hundredths of a core.
+    pub cpu_share: u32,
     listener: TcpListener,
     /// Address of the node under test for links.
     target: SocketAddr,
@@ -81,7 +83,9 @@
         spawn_local(peers::accept(rig.node.clone(), own));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let link = framed(TcpStream::connect(target).await.unwrap());
-        let mut peer = Self { name, cut_off: false, every: 250, listener, target, link, echo: 0 };
+        let cpu_share = Limits::default().cpu_percent;
+        let (cut_off, every, echo) = (false, 250, 0);
+        let mut peer = Self { name, cut_off, every, cpu_share, listener, target, link, echo };
         peer.send(Body::Hello(Hello { node: peer.name.clone() })).await;
         peer
     }
@@ -107,7 +111,7 @@
             incarnation: 7,
             interval_ms: self.every,
             store_lost: self.cut_off,
-            cpu_share: Limits::default().cpu_percent,
+            cpu_share: self.cpu_share,
             ..Heartbeat::default()
         };
         let echo = self.echo;
