--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -14,6 +14,7 @@
         message::{Admit, Admitted, Body, Check, Done, Rejected},
         node::Node,
         platform::Platform,
+        spread,
     },
     std::{
         collections::{HashMap, HashSet},
@@ -50,6 +51,10 @@
 /// Time before the end of a server's drain at which it gets its last request.
 const DRAIN_MARGIN: Duration = Duration::from_millis(700);
 
+/// The same in a large cluster, where most nodes hear of a server's notice from a watcher, over a
+/// link that carries hundreds of other changes.
+const RELAYED_DRAIN_MARGIN: Duration = Duration::from_millis(1_300);
+
 /// Result of a request at a gate: the server to use, or the time after which the caller may retry.
 pub type GateResult = Result<Name, Duration>;
 
@@ -346,7 +351,11 @@
 /// of its drain.
 pub fn accepts_requests<P: Platform>(node: &Rc<Node<P>>, server: &Server, now: Tick) -> bool {
     let drain = Duration::from_millis(node.settings.limits.drain_ms.into());
-    let last = drain.saturating_sub(DRAIN_MARGIN);
+    let margin = match node.peers.borrow().nodes.len() {
+        count if count < spread::MIN_NODES => DRAIN_MARGIN,
+        _ => RELAYED_DRAIN_MARGIN,
+    };
+    let last = drain.saturating_sub(margin);
     server.leaving.is_none_or(|since| now < since + last)
 }
 
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -9,7 +9,7 @@
     tokio::{task::spawn_local, time::sleep},
     whinspring::rendezvous::rank,
     whinspring_router::{
-        follow,
+        admission, follow,
         message::{Body, Item, ObjectsChanged, Snapshot},
         peers,
         platform::{Kind, Listing, Object},
@@ -91,6 +91,28 @@
     }
 }
 
+/// Load pattern: hundreds of servers leave at once, and the nodes of a large cluster hear of it over
+/// the links of their watchers.
+#[test]
+fn a_large_cluster_stops_using_a_leaving_server_earlier() {
+    const SINCE: Duration = Duration::from_millis(1_000);
+    run(
+        |_| None,
+        |rig| async move {
+            let accepts = || {
+                let mut view = rig.node.view.borrow_mut();
+                let server = view.servers.get_mut("s1").unwrap();
+                let now = rig.node.now();
+                server.leaving = Some(now);
+                admission::accepts_requests(&rig.node, server, now + SINCE)
+            };
+            assert!(accepts(), "a few nodes watch the store themselves");
+            let _others = join(&rig, 0, false, CPU_SHARE).await;
+            assert!(!accepts(), "the notice may have come late");
+        },
+    );
+}
+
 #[test]
 fn changes_are_applied_in_order_and_without_gaps() {
     run(
