Say once what was said twice: pending handovers, large clusters

Reading of the whole change: cluster compared a span with a handover in two places (now Ownership::is_pending), and four places compared the number of nodes with the same constant (now Peers::is_large_cluster).

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -14,7 +14,6 @@
         message::{Admit, Admitted, Body, Check, Done, Rejected},
         node::Node,
         platform::Platform,
-        spread,
     },
     std::{
         collections::{HashMap, HashSet},
@@ -351,10 +350,8 @@
 /// of its drain.
 pub fn accepts_requests<P: Platform>(node: &Rc<Node<P>>, server: &Server, now: Tick) -> bool {
     let drain = Duration::from_millis(node.settings.limits.drain_ms.into());
-    let margin = match node.peers.borrow().nodes.len() {
-        count if count < spread::MIN_NODES => DRAIN_MARGIN,
-        _ => RELAYED_DRAIN_MARGIN,
-    };
+    let is_large = node.peers.borrow().is_large_cluster();
+    let margin = if is_large { RELAYED_DRAIN_MARGIN } else { DRAIN_MARGIN };
     let last = drain.saturating_sub(margin);
     server.leaving.is_none_or(|since| now < since + last)
 }
--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -210,9 +210,7 @@
     /// Sets the owners of a service's keys, and forgets handovers that they no longer contain.
     fn set_owners(&mut self, service: Name, revision: u64, owned: Rc<Ownership>) {
         if let Some(finished) = self.handed_over.get_mut(&service) {
-            let is_pending =
-                |span: &Span, key: &HandoverKey| span.former.is_some() && span.handover() == *key;
-            finished.retain(|key| owned.find(key.first).is_some_and(|span| is_pending(span, key)));
+            finished.retain(|key| owned.is_pending(key));
         }
         self.owners.insert(service, (revision, owned));
     }
@@ -220,11 +218,7 @@
     /// Notes handovers that have finished, unless they are not known or no longer pending.
     pub fn note_handovers(&mut self, service: &Name, finished: &[HandoverKey]) {
         let Some((_, owned)) = self.owners.get(service) else { return };
-        let is_pending = |key: &&HandoverKey| {
-            let span = owned.find(key.first);
-            span.is_some_and(|span| span.former.is_some() && span.handover() == **key)
-        };
-        let pending = finished.iter().filter(is_pending).copied();
+        let pending = finished.iter().filter(|key| owned.is_pending(key)).copied();
         self.handed_over.entry(service.clone()).or_default().extend(pending);
     }
 
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -2,8 +2,8 @@
 //!
 //! In a large cluster only a few nodes of each failure domain watch the store and forward changes
 //! to the others there. They are the live nodes with the most CPU, and among equals those that rank
-//! first by a hash of their names, which needs no agreement. A node that cannot reach the store, or that has missed a change, fetches a
-//! snapshot from a node that is ahead.
+//! first by a hash of their names, which needs no agreement. A node that cannot reach the store, or
+//! that has missed a change, fetches a snapshot from a node that is ahead.
 
 use {
     crate::{
@@ -103,7 +103,7 @@
 /// this node has to watch the store itself.
 fn delegated_watch_status<P: Platform>(node: &Rc<Node<P>>) -> Option<bool> {
     let peers = node.peers.borrow();
-    if peers.nodes.len() < spread::MIN_NODES {
+    if !peers.is_large_cluster() {
         return None;
     }
     let is_near =
@@ -138,7 +138,7 @@
     changes: &[(Object, bool)],
 ) {
     let peers = node.peers.borrow();
-    if peers.nodes.len() < spread::MIN_NODES {
+    if !peers.is_large_cluster() {
         return;
     }
     let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
--- a/crates/whinspring-router/src/owners.rs
+++ b/crates/whinspring-router/src/owners.rs
@@ -91,7 +91,7 @@
     let now = node.now();
     let peers = node.peers.borrow();
     let frame = Envelope::frame(body);
-    if peers.nodes.len() < spread::MIN_NODES {
+    if !peers.is_large_cluster() {
         return peers.send_all(&frame);
     }
     let nodes = peers.nodes.iter().map(|(name, peer)| Recipient {
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -13,6 +13,7 @@
         node::Node,
         owners,
         platform::{Kind, Platform},
+        spread,
     },
     bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
@@ -131,6 +132,11 @@
         due
     }
 
+    /// Returns whether the cluster is so large that few nodes watch the store and forward changes.
+    pub fn is_large_cluster(&self) -> bool {
+        self.nodes.len() >= spread::MIN_NODES
+    }
+
     /// Returns the time between two heartbeats.
     fn interval(&self) -> Duration {
         if self.nodes.len() > MANY_NODES { SLOW_HEARTBEAT_INTERVAL } else { HEARTBEAT_INTERVAL }
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -85,6 +85,12 @@
         self.spans.get(index).filter(|span| span.first <= key)
     }
 
+    /// Returns whether a handover is still pending.
+    pub fn is_pending(&self, key: &HandoverKey) -> bool {
+        let span = self.find(key.first);
+        span.is_some_and(|span| span.former.is_some() && span.handover() == *key)
+    }
+
     /// Splits spans at the bounds of `first..=last`; returns the indices of the spans within it.
     pub fn split_range(&mut self, first: u16, last: u16) -> std::ops::Range<usize> {
         self.split_before(first);
