--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -2,9 +2,12 @@
 
 use {
     crate::rig::{Rig, run},
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
     prost::Message,
+    rand::{RngCore, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    socket2::SockRef,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -15,12 +18,12 @@
         task::spawn_local,
         time::{sleep, timeout},
     },
-    tokio_util::codec::{Framed, LengthDelimitedCodec},
+    tokio_util::codec::{Framed, FramedParts, LengthDelimitedCodec},
     whinspring::rendezvous::rank,
     whinspring_router::{
         message::{
             Admit, Admitted, Body, Check, Done, Envelope, FetchRequest, HandoverRecord,
-            HandoversFinished, Heartbeat, Hello,
+            HandoversFinished, Heartbeat, Hello, Item, Snapshot,
         },
         peers,
         platform::Kind,
@@ -166,7 +169,11 @@
 }
 
 fn framed(socket: TcpStream) -> Link {
-    Framed::new(socket, LengthDelimitedCodec::new())
+    Framed::new(socket, codec())
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(16 << 20).new_codec()
 }
 
 async fn read(link: &mut Link) -> Body {
@@ -374,3 +381,44 @@
         },
     );
 }
+
+/// A configuration of a megabyte takes longer over the network link of a small VM than a link waits
+/// for progress. Guards against a message that is sent again and again and never arrives.
+#[test]
+fn a_message_that_takes_long_arrives_over_a_slow_link() {
+    const MESSAGE_BYTES: usize = 12 << 20;
+    const RECEIVE_BUFFER: usize = 64 << 10;
+    const CHUNK_BYTES: usize = 64 << 10;
+    const CHUNK_INTERVAL: Duration = Duration::from_millis(12);
+    run(
+        |_| None,
+        |rig| async move {
+            let (peer, link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+            let FramedParts { mut io, read_buf, .. } = link.into_parts();
+            SockRef::from(&io).set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+            let mut value = vec![0; MESSAGE_BYTES];
+            ChaCha8Rng::seed_from_u64(1).fill_bytes(&mut value);
+            let object = Item { value, ..Item::default() };
+            let snapshot = Snapshot { items: vec![object], ..Snapshot::default() };
+            assert!(rig.node.send(&peer.name, Body::Snapshot(snapshot.clone())));
+            let mut bytes = read_buf.to_vec();
+            let mut chunk = vec![0; CHUNK_BYTES];
+            while bytes.len() <= MESSAGE_BYTES {
+                let count = io.read(&mut chunk).await.unwrap();
+                assert!(count > 0, "the link ended after {} bytes", bytes.len());
+                bytes.extend_from_slice(&chunk[..count]);
+                sleep(CHUNK_INTERVAL).await;
+            }
+            let mut parts = FramedParts::new::<Bytes>(io, codec());
+            parts.read_buf = BytesMut::from(&bytes[..]);
+            let mut link = Framed::from_parts(parts);
+            let found = loop {
+                match read(&mut link).await {
+                    Body::Heartbeat(_) => {}
+                    body => break body,
+                }
+            };
+            assert_eq!(found, Body::Snapshot(snapshot));
+        },
+    );
+}
