A link waits for progress, not for a whole message

Cause: a link gave a message up after 700 ms, whatever its size. Ruled out: processor time (1 to 3% of a core at the late nodes), late watchers (0.2 s after the write). Change: a link is given up once it has taken no byte for 700 ms. A dead one is still noticed as fast; a stopped one is also noticed by TCP_USER_TIMEOUT and by missing echoes.

--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -48,7 +48,7 @@
 /// Silence after which a node is removed.
 const PEER_RETENTION: Duration = Duration::from_secs(30);
 
-/// Longest time to open a link or to write to it.
+/// Longest time to open a link, or without progress of a write to it.
 const LINK_TIMEOUT: Duration = Duration::from_millis(700);
 
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -232,18 +232,31 @@
     }
 }
 
-/// Writes one message. Returns whether the link accepted it in time.
+/// Writes one message. Returns whether the link accepted it.
 async fn write_frame(
     link: &mut FramedWrite<TcpStream, LengthDelimitedCodec>,
     frame: Bytes,
 ) -> bool {
-    let sent = matches!(timeout(LINK_TIMEOUT, link.send(frame)).await, Ok(Ok(())));
+    let sent = link.feed(frame).await.is_ok() && flush(link).await;
     if link.write_buffer().capacity() > LINK_BUFFER {
         *link.write_buffer_mut() = BytesMut::new();
     }
     sent
 }
 
+/// Writes all buffered bytes. Returns `false` if the link has failed or takes no more bytes. A long
+/// message may take much longer than [`LINK_TIMEOUT`] over the network link of a small VM.
+async fn flush(link: &mut FramedWrite<TcpStream, LengthDelimitedCodec>) -> bool {
+    loop {
+        let left = link.write_buffer().len();
+        match timeout(LINK_TIMEOUT, SinkExt::<Bytes>::flush(link)).await {
+            Ok(result) => return result.is_ok(),
+            Err(_) if link.write_buffer().len() < left => {}
+            Err(_) => return false,
+        }
+    }
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_codec()
 }
