Long messages between nodes are compressed

Change: a message of 4 KB and more is sent in the DEFLATE format to each node whose heartbeat says that it accepts that; the others, older ones, get it as it is. Compressed once a message, and only if a recipient accepts it. Ruled out: one watcher instead of two (the loss of one would delay a domain), differences of configurations (the first one and each restart need the whole). Tests: frame.rs (the size test is red without compression: 718,225 of 718,225 bytes); long_messages_are_compressed_for_nodes_that_accept_it.

--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,7 +7,8 @@
 
 use {
     crate::{
-        message::{Body, Envelope, Item, ObjectsChanged, Snapshot},
+        frame::Frame,
+        message::{Body, Item, ObjectsChanged, Snapshot},
         node::Node,
         peers::{self, Peer},
         platform::{Changes, Kind, Listing, Object, Platform, StoreError},
@@ -144,7 +145,7 @@
     let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
     let items = changes.iter().map(item).collect();
     let changed = ObjectsChanged { kind: kind.number(), base, synced_revision, items };
-    peers.send_to_domain(&node.settings.domain, &Envelope::frame(Body::ObjectsChanged(changed)));
+    peers.send_to_domain(&node.settings.domain, &Frame::new(Body::ObjectsChanged(changed)));
 }
 
 /// Applies changes that a watching node forwards. Fetches a snapshot from it if there is a gap.
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod daemon;
 pub mod endpoints;
 pub mod follow;
+pub mod frame;
 pub mod frontend;
 pub mod logs;
 pub mod message;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -5,7 +5,6 @@
 
 use {
     crate::{platform::Object, record::SpanRecord},
-    bytes::Bytes,
     prost::{Message, Oneof},
     std::time::Duration,
     whinspring::{gate::ServerOutcome, name::Name},
@@ -14,7 +13,7 @@
 /// One message on a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 20")]
     pub body: Option<Body>,
     /// When the newest heartbeat was sent that the sender has received from the receiver, in
     /// milliseconds of the receiver's clock.
@@ -22,22 +21,6 @@
     pub echo: u64,
 }
 
-impl Envelope {
-    /// Encodes a message for links.
-    pub fn frame(body: Body) -> Bytes {
-        Self { body: Some(body), echo: 0 }.encode_to_vec().into()
-    }
-
-    /// Appends an echo to an encoded message. Protobuf allows the fields of a message in any order.
-    pub fn with_echo(frame: &Bytes, echo: u64) -> Bytes {
-        let tail = Self { body: None, echo };
-        let mut bytes = Vec::with_capacity(frame.len() + tail.encoded_len());
-        bytes.extend_from_slice(frame);
-        bytes.extend(tail.encode_to_vec());
-        bytes.into()
-    }
-}
-
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Body {
     #[prost(message, tag = "1")]
@@ -81,6 +64,9 @@
     /// New owners have been granted their keys.
     #[prost(message, tag = "16")]
     HandoversFinished(HandoversFinished),
+    /// A long message, compressed.
+    #[prost(message, tag = "20")]
+    Packed(Packed),
 }
 
 /// A heartbeat, with what its sender knows and has measured.
@@ -137,6 +123,9 @@
     /// CPU share of the node, in hundredths of a core.
     #[prost(uint32, tag = "17")]
     pub cpu_share: u32,
+    /// Whether the node accepts compressed messages.
+    #[prost(bool, tag = "20")]
+    pub unpacks: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
@@ -431,3 +420,11 @@
         Self { name: Name::from(item.name), revision: item.revision, value: item.value }
     }
 }
+
+/// A compressed message.
+#[derive(Clone, PartialEq, Message)]
+pub struct Packed {
+    /// An encoded [`Envelope`], in the DEFLATE format.
+    #[prost(bytes = "vec", tag = "1")]
+    pub deflated: Vec<u8>,
+}
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -4,17 +4,9 @@
 
 use {
     crate::{
-        admission::Admission,
-        cluster::ClusterState,
-        control::Controller,
-        crashes::Crashes,
-        message::{Body, Envelope},
-        meter::Meter,
-        metrics::Metrics,
-        peers::Peers,
-        platform::Platform,
-        retries::RetryBudget,
-        settings::Settings,
+        admission::Admission, cluster::ClusterState, control::Controller, crashes::Crashes,
+        frame::Frame, message::Body, meter::Meter, metrics::Metrics, peers::Peers,
+        platform::Platform, retries::RetryBudget, settings::Settings,
     },
     std::{
         cell::{Cell, RefCell},
@@ -109,11 +101,11 @@
 
     /// Queues a message to another node; returns whether a link took it.
     pub fn send(&self, to: &str, body: Body) -> bool {
-        self.peers.borrow().send(to, Envelope::frame(body))
+        self.peers.borrow().send(to, &Frame::new(body))
     }
 
     pub fn send_all(&self, body: Body) {
-        self.peers.borrow().send_all(&Envelope::frame(body));
+        self.peers.borrow().send_all(&Frame::new(body));
     }
 
     /// Rejects all queued requests, before a planned shutdown ends.
--- a/crates/whinspring-router/src/owners.rs
+++ b/crates/whinspring-router/src/owners.rs
@@ -7,7 +7,8 @@
 
 use {
     crate::{
-        message::{Body, Envelope, HandoverRecord, HandoversFinished, OwnersChanged},
+        frame::Frame,
+        message::{Body, HandoverRecord, HandoversFinished, OwnersChanged},
         node::Node,
         platform::Platform,
         record::SpanRecord,
@@ -90,7 +91,7 @@
 fn send_to_all<P: Platform>(node: &Rc<Node<P>>, body: Body, relayed: Body) {
     let now = node.now();
     let peers = node.peers.borrow();
-    let frame = Envelope::frame(body);
+    let frame = Frame::new(body);
     if !peers.is_large_cluster() {
         return peers.send_all(&frame);
     }
@@ -102,10 +103,10 @@
     });
     let found = spread::recipients(&node.settings.domain, nodes);
     peers.send_each(&found.direct, &frame);
-    peers.send_each(&found.relays, &Envelope::frame(relayed));
+    peers.send_each(&found.relays, &Frame::new(relayed));
 }
 
 /// Sends a message to the other nodes of this node's failure domain.
 fn forward<P: Platform>(node: &Rc<Node<P>>, body: Body) {
-    node.peers.borrow().send_to_domain(&node.settings.domain, &Envelope::frame(body));
+    node.peers.borrow().send_to_domain(&node.settings.domain, &Frame::new(body));
 }
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -9,6 +9,7 @@
         admission,
         control::servers,
         follow,
+        frame::{self, Frame, MAX_MESSAGE_BYTES},
         message::{Body, Envelope, FetchRequest, Heartbeat, Hello},
         node::Node,
         owners,
@@ -20,7 +21,7 @@
     log::info,
     prost::Message,
     socket2::SockRef,
-    std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
+    std::{collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc,
@@ -59,8 +60,6 @@
 /// Initial buffer of a link, in bytes.
 const LINK_BUFFER: usize = 1 << 10;
 
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
-
 /// Delay of a heartbeat after which this node assumes that it was frozen itself.
 const FROZEN_AFTER: Duration = Duration::from_millis(500);
 
@@ -91,29 +90,29 @@
 
 impl Peers {
     /// Queues a message. Returns `false` if the node is unknown or its queue is full.
-    pub fn send(&self, to: &str, frame: Bytes) -> bool {
-        self.nodes.get(to).is_some_and(|peer| peer.queue.try_send(frame).is_ok())
+    pub fn send(&self, to: &str, frame: &Frame) -> bool {
+        self.nodes.get(to).is_some_and(|peer| peer.send(frame))
     }
 
     /// Queues a message to all nodes; it is dropped for those whose queue is full.
-    pub fn send_all(&self, frame: &Bytes) {
+    pub fn send_all(&self, frame: &Frame) {
         for peer in self.nodes.values() {
-            let _ = peer.queue.try_send(frame.clone());
+            peer.send(frame);
         }
     }
 
     /// Queues a message to some nodes; it is dropped for those whose queue is full.
-    pub fn send_each(&self, names: &[Name], frame: &Bytes) {
+    pub fn send_each(&self, names: &[Name], frame: &Frame) {
         for name in names {
-            self.send(name, frame.clone());
+            self.send(name, frame);
         }
     }
 
     /// Queues a message to the nodes of a failure domain; it is dropped for those whose queue is
     /// full.
-    pub fn send_to_domain(&self, domain: &str, frame: &Bytes) {
+    pub fn send_to_domain(&self, domain: &str, frame: &Frame) {
         for peer in self.nodes.values().filter(|peer| peer.heartbeat.domain == domain) {
-            let _ = peer.queue.try_send(frame.clone());
+            peer.send(frame);
         }
     }
 
@@ -157,6 +156,11 @@
         self.is_sending(now) && self.is_receiving(now)
     }
 
+    /// Queues a message. Returns `false` if the queue is full.
+    fn send(&self, frame: &Frame) -> bool {
+        self.queue.try_send(frame.bytes(self.heartbeat.unpacks).clone()).is_ok()
+    }
+
     /// Returns whether its heartbeats arrive.
     fn is_sending(&self, now: Tick) -> bool {
         self.heartbeat.incarnation != 0 && now.since(self.last_heard) < self.heartbeat.timeout()
@@ -211,7 +215,7 @@
 /// Writes queued messages to a node until the queue's sender is dropped. Reconnects on failure;
 /// messages that were queued while the node was unreachable are dropped.
 async fn write_link(own: Name, addr: SocketAddr, mut messages: mpsc::Receiver<Bytes>) {
-    let hello = Envelope::frame(Body::Hello(Hello { node: own.to_string() }));
+    let hello = Frame::new(Body::Hello(Hello { node: own.to_string() }));
     loop {
         let Ok(Ok(socket)) = timeout(LINK_TIMEOUT, TcpStream::connect(addr)).await else {
             while messages.try_recv().is_ok() {}
@@ -224,7 +228,7 @@
         let _ = socket.set_nodelay(true);
         let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(LINK_TIMEOUT));
         let mut link = FramedWrite::new(socket, codec());
-        let mut connected = write_frame(&mut link, hello.clone()).await;
+        let mut connected = write_frame(&mut link, hello.bytes(false).clone()).await;
         while connected {
             let Some(frame) = messages.recv().await else { return };
             connected = write_frame(&mut link, frame).await;
@@ -279,7 +283,7 @@
     let mut from = Name::new();
     loop {
         let Ok(Some(Ok(frame))) = timeout(PEER_RETENTION, link.next()).await else { return };
-        let Ok(message) = Envelope::decode(frame) else {
+        let Ok(message) = decode(frame) else {
             node.metrics.count("link_malformed");
             return;
         };
@@ -293,11 +297,20 @@
     }
 }
 
+/// Decodes a message, which may be compressed.
+fn decode(frame: BytesMut) -> io::Result<Envelope> {
+    let message = Envelope::decode(frame)?;
+    match &message.body {
+        Some(Body::Packed(packed)) => frame::unpack(packed),
+        _ => Ok(message),
+    }
+}
+
 /// Handles a message of another node; `echo` is when the newest heartbeat was sent that it has
 /// received.
 fn dispatch<P: Platform>(node: &Rc<Node<P>>, from: &Name, body: Body, echo: Tick) {
     match body {
-        Body::Hello(_) => {}
+        Body::Hello(_) | Body::Packed(_) => {}
         Body::Heartbeat(heartbeat) => on_heartbeat(node, from, heartbeat, echo),
         Body::Admit(request) => admission::handle_admit(node, from, request),
         Body::Done(done) => admission::handle_done(node, from, &done),
@@ -449,20 +462,21 @@
             sent_ms: now.as_millis(),
             store_lost: node.store_lost.get(),
             cpu_share: node.settings.limits.cpu_percent,
+            unpacks: true,
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
-    let frame = Envelope::frame(Body::Heartbeat(heartbeat.clone()));
+    let frame = Frame::new(Body::Heartbeat(heartbeat.clone()));
     let measured = Heartbeat { keys, latencies, ..heartbeat };
     let controller = node.control.borrow().controller().cloned();
     for (name, peer) in &node.peers.borrow().nodes {
         let frame = match &controller {
             Some(controller) if controller == name => {
-                &Envelope::frame(Body::Heartbeat(measured.clone()))
+                &Frame::new(Body::Heartbeat(measured.clone()))
             }
             _ => &frame,
         };
-        let _ = peer.queue.try_send(Envelope::with_echo(frame, peer.heartbeat.sent_ms));
+        let _ = peer.queue.try_send(frame.with_echo(peer.heartbeat.sent_ms));
     }
     if node.control.borrow().is_leader() {
         node.control.borrow_mut().record_measurements(now, &measured);
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -21,6 +21,7 @@
     tokio_util::codec::{Framed, FramedParts, LengthDelimitedCodec},
     whinspring::rendezvous::rank,
     whinspring_router::{
+        frame::Frame,
         message::{
             Admit, Admitted, Body, Check, Done, Envelope, FetchRequest, HandoverRecord,
             HandoversFinished, Heartbeat, Hello, Item, Snapshot,
@@ -55,6 +56,8 @@
     pub every: u32,
     /// CPU share that it announces, in hundredths of a core.
     pub cpu_share: u32,
+    /// Whether it announces that it accepts compressed messages.
+    unpacks: bool,
     listener: TcpListener,
     /// Address of the node under test for links.
     target: SocketAddr,
@@ -87,8 +90,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let link = framed(TcpStream::connect(target).await.unwrap());
         let cpu_share = Limits::default().cpu_percent;
-        let (cut_off, every, echo) = (false, 250, 0);
-        let mut peer = Self { name, cut_off, every, cpu_share, listener, target, link, echo };
+        let (cut_off, every, unpacks, echo) = (false, 250, false, 0);
+        let mut peer =
+            Self { name, cut_off, every, cpu_share, unpacks, listener, target, link, echo };
         peer.send(Body::Hello(Hello { node: peer.name.clone() })).await;
         peer
     }
@@ -115,6 +119,7 @@
             interval_ms: self.every,
             store_lost: self.cut_off,
             cpu_share: self.cpu_share,
+            unpacks: self.unpacks,
             ..Heartbeat::default()
         };
         let echo = self.echo;
@@ -422,3 +427,27 @@
         },
     );
 }
+
+#[test]
+fn long_messages_are_compressed_for_nodes_that_accept_it() {
+    let object = Item { name: "s7".into(), revision: 70, value: vec![b'x'; 20_000], gone: false };
+    let kind = Kind::Servers.number();
+    let snapshot = Snapshot { kind, revision: 70, items: vec![object], synced_revision: 70 };
+    let frame = Frame::new(Body::Snapshot(snapshot.clone()));
+    let packed = Envelope::decode(&frame.bytes(true)[..]).unwrap().body.unwrap();
+    run(
+        |_| None,
+        move |rig| async move {
+            let (mut peer, mut link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+            peer.send(packed.clone()).await;
+            peer.heartbeat().await;
+            assert!(rig.node.view.borrow().servers.contains_key("s7"), "it was not applied");
+            rig.node.send(&peer.name, Body::Snapshot(snapshot.clone()));
+            assert_eq!(peer.next(&mut link).await, Body::Snapshot(snapshot.clone()));
+            peer.unpacks = true;
+            peer.heartbeat().await;
+            rig.node.send(&peer.name, Body::Snapshot(snapshot));
+            assert_eq!(peer.next(&mut link).await, packed);
+        },
+    );
+}
