Only the last change of each object of a batch is applied and forwarded

Compression does not remove copies that are further apart than 32 KB. Test: only_the_last_change_of_each_object_is_kept (new function). Not measured alone.

--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -87,7 +87,7 @@
                 node.set_store_reachable(true);
                 revision = revision.max(changes.revision);
                 if !changes.events.is_empty() {
-                    apply_changes(node, kind, changes);
+                    apply_changes(node, kind, changes.latest());
                     sleep(BATCH_DELAY).await;
                 }
             }
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -6,7 +6,7 @@
 use {
     http::HeaderName,
     snafu::Snafu,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::HashSet, net::SocketAddr, time::Duration},
     whinspring::{name::Name, ranges::Span, routes::RouteTable},
 };
 
@@ -63,6 +63,18 @@
     pub events: Vec<(Object, bool)>,
 }
 
+impl Changes {
+    /// Returns the last change of each object. Operators may write a whole configuration many times
+    /// within one batch.
+    pub fn latest(mut self) -> Self {
+        let mut seen = HashSet::new();
+        self.events.reverse();
+        self.events.retain(|(object, _)| seen.insert(object.name.clone()));
+        self.events.reverse();
+        self
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum StoreError {
     /// The history that a watch requested was compacted.
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -12,7 +12,7 @@
         admission, follow,
         message::{Body, Item, ObjectsChanged, Snapshot},
         peers,
-        platform::{Kind, Listing, Object},
+        platform::{Changes, Kind, Listing, Object},
     },
 };
 
@@ -218,3 +218,19 @@
         },
     );
 }
+
+/// Load pattern: operators write a large configuration several times within a batch.
+#[test]
+fn only_the_last_change_of_each_object_is_kept() {
+    let object = |name: &str, revision| Object { name: name.into(), revision, value: Vec::new() };
+    let events = vec![
+        (object("main", 4), false),
+        (object("s1", 5), false),
+        (object("main", 6), false),
+        (object("s1", 7), true),
+        (object("main", 8), false),
+    ];
+    let latest = Changes { revision: 9, events }.latest();
+    assert_eq!(latest.revision, 9);
+    assert_eq!(latest.events, [(object("s1", 7), true), (object("main", 8), false)]);
+}
