Links: a small send buffer, nothing more over a replaced link, late heartbeats ignored

(1) A socket with a buffer of 4 MB counts as writable only once a third of it is free, which takes over 0.7 s at 10 Mbit/s: the link was cut all the same. The test now reads at that rate and was red on the commit before (the link ends after 5.4 of 6 MB). (2) A link that was replaced went on to send what it had queued: 20 MB in the new test, which shared the slow network link with its successor. (3) A heartbeat that arrives after a later one, over such a link, replaced it; red in the new test, too. The message of the test is shorter (6 instead of 12 MB) as it now takes 52 ms for 64 KB; the check is as before.

--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -60,6 +60,10 @@
 /// Initial buffer of a link, in bytes.
 const LINK_BUFFER: usize = 1 << 10;
 
+/// Send buffer of a link's socket, in bytes. A larger one drains so slowly over the network link of a
+/// small VM that a write appears to make no progress.
+const SEND_BUFFER: usize = 64 << 10;
+
 /// Delay of a heartbeat after which this node assumes that it was frozen itself.
 const FROZEN_AFTER: Duration = Duration::from_millis(500);
 
@@ -177,8 +181,12 @@
     }
 
     /// Records a heartbeat; `echo` is when the newest heartbeat was sent that the peer has
-    /// received.
+    /// received. Ignores one that arrives after a later one, over a link that has been replaced.
     pub fn record_heartbeat(&mut self, now: Tick, heartbeat: &Heartbeat, echo: Tick) {
+        let known = &self.heartbeat;
+        if known.incarnation == heartbeat.incarnation && heartbeat.sent_ms < known.sent_ms {
+            return;
+        }
         if self.heartbeat.incarnation != heartbeat.incarnation {
             self.last_echoed = now;
         } else if echo <= now {
@@ -226,12 +234,14 @@
             continue;
         };
         let _ = socket.set_nodelay(true);
-        let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(LINK_TIMEOUT));
+        let options = SockRef::from(&socket);
+        let _ = options.set_tcp_user_timeout(Some(LINK_TIMEOUT));
+        let _ = options.set_send_buffer_size(SEND_BUFFER);
         let mut link = FramedWrite::new(socket, codec());
-        let mut connected = write_frame(&mut link, hello.bytes(false).clone()).await;
-        while connected {
+        let mut connected = write_frame(&mut link, hello.bytes(false).clone(), &messages).await;
+        while connected && !messages.is_closed() {
             let Some(frame) = messages.recv().await else { return };
-            connected = write_frame(&mut link, frame).await;
+            connected = write_frame(&mut link, frame, &messages).await;
         }
     }
 }
@@ -240,22 +250,27 @@
 async fn write_frame(
     link: &mut FramedWrite<TcpStream, LengthDelimitedCodec>,
     frame: Bytes,
+    messages: &mpsc::Receiver<Bytes>,
 ) -> bool {
-    let sent = link.feed(frame).await.is_ok() && flush(link).await;
+    let sent = link.feed(frame).await.is_ok() && flush(link, messages).await;
     if link.write_buffer().capacity() > LINK_BUFFER {
         *link.write_buffer_mut() = BytesMut::new();
     }
     sent
 }
 
-/// Writes all buffered bytes. Returns `false` if the link has failed or takes no more bytes. A long
-/// message may take much longer than [`LINK_TIMEOUT`] over the network link of a small VM.
-async fn flush(link: &mut FramedWrite<TcpStream, LengthDelimitedCodec>) -> bool {
+/// Writes all buffered bytes. Returns `false` if the link has failed, takes no more bytes, or has been
+/// replaced. A long message may take much longer than [`LINK_TIMEOUT`] over the network link of a
+/// small VM.
+async fn flush(
+    link: &mut FramedWrite<TcpStream, LengthDelimitedCodec>,
+    messages: &mpsc::Receiver<Bytes>,
+) -> bool {
     loop {
         let left = link.write_buffer().len();
         match timeout(LINK_TIMEOUT, SinkExt::<Bytes>::flush(link)).await {
             Ok(result) => return result.is_ok(),
-            Err(_) if link.write_buffer().len() < left => {}
+            Err(_) if link.write_buffer().len() < left && !messages.is_closed() => {}
             Err(_) => return false,
         }
     }
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -387,14 +387,14 @@
     );
 }
 
-/// A configuration of a megabyte takes longer over the network link of a small VM than a link waits
-/// for progress. Guards against a message that is sent again and again and never arrives.
+/// A configuration takes longer over a network link of 10 Mbit/s than a link waits for progress.
+/// Guards against messages that are given up, and requested again and again.
 #[test]
 fn a_message_that_takes_long_arrives_over_a_slow_link() {
-    const MESSAGE_BYTES: usize = 12 << 20;
+    const MESSAGE_BYTES: usize = 6 << 20;
     const RECEIVE_BUFFER: usize = 64 << 10;
     const CHUNK_BYTES: usize = 64 << 10;
-    const CHUNK_INTERVAL: Duration = Duration::from_millis(12);
+    const CHUNK_INTERVAL: Duration = Duration::from_millis(52);
     run(
         |_| None,
         |rig| async move {
@@ -451,3 +451,52 @@
         },
     );
 }
+
+/// Guards against stale messages that share a slow network link with those of the next link.
+#[test]
+fn a_link_that_was_replaced_sends_no_more_messages() {
+    const MESSAGES: usize = 20;
+    const MESSAGE_BYTES: usize = 1 << 20;
+    run(
+        |_| None,
+        |rig| async move {
+            let (peer, link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+            for _ in 0..MESSAGES {
+                let object = Item { value: vec![1; MESSAGE_BYTES], ..Item::default() };
+                let snapshot = Snapshot { items: vec![object], ..Snapshot::default() };
+                assert!(rig.node.send(&peer.name, Body::Snapshot(snapshot)));
+            }
+            rig.node.peers.borrow_mut().nodes.clear();
+            let mut rest = Vec::new();
+            let _ = link.into_inner().read_to_end(&mut rest).await;
+            assert!(rest.len() < MESSAGES * MESSAGE_BYTES / 2, "{} bytes were sent", rest.len());
+        },
+    );
+}
+
+#[test]
+fn a_heartbeat_that_arrives_after_a_later_one_is_ignored() {
+    run(
+        |_| None,
+        |rig| async move {
+            let (mut peer, _link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+            for (sent_ms, store_lost) in [(200, false), (100, true)] {
+                let node = peer.name.clone();
+                let addr = peer.addr().to_string();
+                let beat = Heartbeat {
+                    node,
+                    addr,
+                    incarnation: 7,
+                    sent_ms,
+                    store_lost,
+                    ..Default::default()
+                };
+                peer.send(Body::Heartbeat(beat)).await;
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+            let peers = rig.node.peers.borrow();
+            let known = &peers.nodes[peer.name.as_str()].heartbeat;
+            assert_eq!((known.sent_ms, known.store_lost), (200, false));
+        },
+    );
+}
