Decide in one place whether a server wants requests

Cause: a node knows that a server leaves from the store alone, and no code reads what servers say in their responses: that they leave (DRAIN) or want nothing for a while (BUDGET). Which of these facts goes first is asked in several places.

Change: the pure module whinspring::notices holds what servers have said of themselves. A leaving server counts from the earliest notice of any source, a later one prolongs nothing, a new run at the same name is not bound. A pause binds the node that was told; after it requests start with one and double every 100 ms. A time to come back that is unreadable counts as 1 s, one above 300 s as 300 s. Nothing uses the module yet.

--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod message;
 pub mod model;
 pub mod name;
+pub mod notices;
 pub mod placement;
 pub mod plan;
 pub mod planner;
