Ask the notices whether a server may get a request

Cause: the gate, the node that sends, and the controller each tested `Server::leaving` in their own way, and an entry that said ready took the notice back.

Change: ClusterState holds the notices; the store's entry is one source of them. Gates, senders and the controller ask them. `admission::accepts_requests` and the field `leaving` are gone; two tests set the notice through the new call and are as strict as before.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -10,9 +10,9 @@
 
 use {
     crate::{
-        cluster::Server,
         message::{Admit, Admitted, Body, Check, Done, Rejected},
         node::Node,
+        notices,
         platform::Platform,
     },
     std::{
@@ -27,6 +27,7 @@
     whinspring::{
         gate::{Decision, Gate, PendingRequest, ServerOutcome, Ticket},
         name::Name,
+        notices::Purpose,
         rendezvous::rank,
         time::Tick,
     },
@@ -47,13 +48,6 @@
 /// Age at which a running request is dropped, as the message with its end was lost.
 const EXPIRE_AFTER: Duration = Duration::from_secs(15);
 
-/// Time before the end of a server's drain at which it gets its last request.
-const DRAIN_MARGIN: Duration = Duration::from_millis(700);
-
-/// The same in a large cluster, where most nodes hear of a server's notice from a watcher, over a
-/// link that carries hundreds of other changes.
-const RELAYED_DRAIN_MARGIN: Duration = Duration::from_millis(1_300);
-
 /// Result of a request at a gate: the server to use, or the time after which the caller may retry.
 pub type GateResult = Result<Name, Duration>;
 
@@ -336,26 +330,18 @@
     let gate = admission.gates.entry(pool.clone()).or_default();
     let now = node.now();
     let keyed = view.servers.contains_key(pool);
+    let purpose = if keyed { Purpose::PlaceKeyed } else { Purpose::Place };
+    let drain = notices::usable_drain(node);
     let matches = |name: &Name, service: &Name| if keyed { name == pool } else { service == pool };
     for server in view.servers.values() {
         if matches(&server.name, &server.entry.service) {
-            let open = accepts_requests(node, server, now) && (keyed || server.leaving.is_none());
+            let open = view.notices.check(&server.name, purpose, now, drain).is_ok();
             gate.set_server(&server.name, &server.entry.domain, server.entry.slots, open);
         }
     }
     gate.retain_servers(|name| view.servers.contains_key(name));
 }
 
-/// Returns whether a server may be sent requests. A leaving server may until shortly before the end
-/// of its drain.
-pub fn accepts_requests<P: Platform>(node: &Rc<Node<P>>, server: &Server, now: Tick) -> bool {
-    let drain = Duration::from_millis(node.settings.limits.drain_ms.into());
-    let is_large = node.peers.borrow().is_large_cluster();
-    let margin = if is_large { RELAYED_DRAIN_MARGIN } else { DRAIN_MARGIN };
-    let last = drain.saturating_sub(margin);
-    server.leaving.is_none_or(|since| now < since + last)
-}
-
 /// Re-evaluates all gates of this node periodically.
 pub async fn run<P: Platform>(node: Rc<Node<P>>) {
     loop {
--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -21,6 +21,7 @@
     },
     whinspring::{
         name::Name,
+        notices::{Life, Notices, Source},
         ranges::{HandoverKey, Instance, Ownership, Span},
         routes::RouteTable,
         time::Tick,
@@ -52,8 +53,6 @@
     pub known_since: Tick,
     /// When its entry disappeared.
     pub missing: Option<Tick>,
-    /// When it announced that it leaves.
-    pub leaving: Option<Tick>,
     /// When its warm-up ends.
     pub warm_at: Tick,
 }
@@ -62,6 +61,10 @@
     pub fn instance(&self) -> Instance {
         Instance { server: self.name.clone(), start_ms: self.entry.start_ms }
     }
+
+    pub fn life(&self) -> Life {
+        self.entry.life()
+    }
 }
 
 /// Objects of one kind as the store sent them.
@@ -83,6 +86,8 @@
     pub routes: Option<Arc<RouteTable>>,
     /// Servers by name.
     pub servers: HashMap<Name, Server>,
+    /// What servers have said of themselves.
+    pub notices: Notices,
     /// Owners by service, with the revision of their object.
     pub owners: HashMap<Name, (u64, Rc<Ownership>)>,
     /// Handovers by service that have finished, though the owners still name the former one.
@@ -279,6 +284,7 @@
             let Some(entry) = dialect.parse_server(object) else { continue };
             added += u32::from(update_server(
                 &mut self.servers,
+                &mut self.notices,
                 object,
                 entry,
                 clock,
@@ -319,6 +325,7 @@
     /// Closes connections that have been idle for too long as well.
     pub fn sweep(&mut self, now: Tick, store_back: Tick) -> bool {
         self.servers.values().for_each(|server| server.backend.evict_expired());
+        self.notices.evict(now, |name| self.servers.contains_key(name));
         let before = self.servers.len();
         self.servers.retain(|_, server| {
             let Some(since) = server.missing else { return true };
@@ -337,6 +344,7 @@
 /// Applies a server's entry. Returns whether the server or its instance is new.
 fn update_server(
     servers: &mut HashMap<Name, Server>,
+    notices: &mut Notices,
     object: &Object,
     entry: ServerEntry,
     clock: Clock,
@@ -344,15 +352,18 @@
 ) -> bool {
     let now = clock.now();
     let warm_at = now + entry.warmup;
+    notices.record_life(&object.name, entry.life(), now);
+    if entry.leaving
+        && notices.record_leaving(&object.name, entry.life(), now, Source::Store)
+        && log
+    {
+        info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), source = Source::Store.text(), age_ms = 0, revision = object.revision; "server announced that it leaves");
+    }
     match servers.get_mut(&object.name) {
         Some(server)
             if server.entry.addr == entry.addr && server.entry.start_ms == entry.start_ms =>
         {
             server.missing = None;
-            if entry.leaving && server.leaving.is_none() && log {
-                info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), revision = object.revision; "server announced that it leaves");
-            }
-            server.leaving = if entry.leaving { server.leaving.or(Some(now)) } else { None };
             server.entry = entry;
             false
         }
@@ -365,7 +376,6 @@
                 backend: Rc::new(ConnectionPool::new(entry.addr, clock)),
                 known_since: now,
                 missing: None,
-                leaving: entry.leaving.then_some(now),
                 warm_at,
                 entry,
             };
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -65,7 +65,9 @@
             let cold = if now < server.warm_at { COLD_CAPACITY } else { 1.0 };
             let capacity = f64::from(server.entry.slots) * cold / slowness.clamp(0.3, 10.0);
             let down = control.down.get(&instance).is_some_and(|refusals| refusals.are_recent(now));
-            let leaving = server.leaving.is_some() || server.missing.is_some() || down;
+            let leaving = view.notices.leaving_since(&server.name).is_some()
+                || server.missing.is_some()
+                || down;
             Candidate { instance, capacity, leaving }
         })
         .collect();
@@ -93,12 +95,12 @@
     addr: SocketAddr,
 ) -> bool {
     let now = node.now();
-    let is_serving = node
-        .view
-        .borrow()
-        .servers
-        .get(&instance.server)
-        .is_some_and(|server| server.leaving.is_none() && server.missing.is_none());
+    let is_serving = {
+        let view = node.view.borrow();
+        let listed = view.servers.get(&instance.server);
+        let is_leaving = view.notices.leaving_since(&instance.server).is_some();
+        listed.is_some_and(|server| server.missing.is_none()) && !is_leaving
+    };
     let after = if is_serving { DEAD_AFTER } else { LEAVING_DEAD_AFTER };
     let control = node.control.borrow();
     let Some(refusals) = control.down.get(instance) else { return false };
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod meter;
 pub mod metrics;
 pub mod node;
+pub mod notices;
 pub mod owners;
 pub mod peers;
 pub mod platform;
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -7,7 +7,7 @@
     http::HeaderName,
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
-    whinspring::{name::Name, ranges::Span, routes::RouteTable},
+    whinspring::{name::Name, notices::Life, ranges::Span, routes::RouteTable},
 };
 
 /// Kinds of stored objects.
@@ -126,6 +126,12 @@
     pub start_ms: u64,
 }
 
+impl ServerEntry {
+    pub fn life(&self) -> Life {
+        Life { start_ms: self.start_ms, addr: self.addr }
+    }
+}
+
 /// A lease on a range of keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grant {
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -8,6 +8,7 @@
         admission::{self, AdmissionRequest, Permit},
         message::{self, CrashReport},
         node::Node,
+        notices,
         platform::Platform,
         response::{Body, Rejection, strip_headers},
     },
@@ -33,6 +34,7 @@
         code::{Class, Code},
         gate::ServerOutcome,
         name::Name,
+        notices::Purpose,
         routes::{Route, RouteTable},
         time::Tick,
     },
@@ -241,9 +243,7 @@
     /// Returns whether a server may be sent requests according to this node, which may know earlier
     /// than the node of the gate that the server is leaving.
     fn accepts_requests(&self, server: &Name) -> bool {
-        let view = self.node.view.borrow();
-        let server = view.servers.get(server);
-        server.is_none_or(|server| admission::accepts_requests(&self.node, server, self.node.now()))
+        notices::check(&self.node, server, Purpose::Start, self.node.now()).is_ok()
     }
 
     fn owns(&self, key: u16, server: &Name) -> bool {
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -7,11 +7,15 @@
     },
     std::time::Duration,
     tokio::{task::spawn_local, time::sleep},
-    whinspring::rendezvous::rank,
+    whinspring::{
+        name::Name,
+        notices::{Purpose, Source},
+        rendezvous::rank,
+    },
     whinspring_router::{
-        admission, follow,
+        follow,
         message::{Body, Item, ObjectsChanged, Snapshot},
-        peers,
+        notices, peers,
         platform::{Kind, Listing, Object},
     },
 };
@@ -101,10 +105,12 @@
         |rig| async move {
             let accepts = || {
                 let mut view = rig.node.view.borrow_mut();
-                let server = view.servers.get_mut("s1").unwrap();
+                let server = Name::from("s1");
+                let life = view.servers[&server].life();
                 let now = rig.node.now();
-                server.leaving = Some(now);
-                admission::accepts_requests(&rig.node, server, now + SINCE)
+                view.notices.record_leaving(&server, life, now, Source::Store);
+                drop(view);
+                notices::check(&rig.node, &server, Purpose::Start, now + SINCE).is_ok()
             };
             assert!(accepts(), "a few nodes watch the store themselves");
             let _others = join(&rig, 0, false, CPU_SHARE).await;
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -16,7 +16,7 @@
         time::{sleep, timeout},
     },
     tokio_util::codec::{Framed, LengthDelimitedCodec},
-    whinspring::rendezvous::rank,
+    whinspring::{notices::Source, rendezvous::rank},
     whinspring_router::{
         message::{
             Admit, Admitted, Body, Check, Done, Envelope, FetchRequest, HandoverRecord,
@@ -319,7 +319,8 @@
 fn set_leaving(rig: &Rig, left: Duration) {
     let now = rig.node.now();
     let mut view = rig.node.view.borrow_mut();
-    view.servers.get_mut("s1").unwrap().leaving = Some(now - left);
+    let life = view.servers["s1"].life();
+    view.notices.record_leaving(&"s1".into(), life, now - left, Source::Store);
 }
 
 /// Guards against requests to a server that has left: the node of the gate may learn later than
