A server's own response says that it leaves

Change: each response of a server is read for `Server-Leaving`, whatever it is otherwise: a success, a failure, a rejection, a 421, a response with the id of another request. The first node that hears of it tells the others with a ServerNotice, in a large cluster by way of relays, as changes of owners go; gates stop placing there, the controller moves the keys. A hint names the run of the server and its age; it only forbids. A node counts from its earliest notice. Counters notice_store, _response, _command, _peer.

--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -9,6 +9,7 @@
     crate::{
         message::{Body, Envelope, Item, ObjectsChanged, Snapshot},
         node::Node,
+        notices,
         peers::{self, Peer},
         platform::{Changes, Kind, Listing, Object, Platform, StoreError},
         spread,
@@ -222,6 +223,7 @@
 pub async fn sweep<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
+        notices::count(&node);
         let now = node.now();
         let back = if node.store_lost.get() { now } else { node.store_recovered.get() };
         if node.view.borrow_mut().sweep(now, back) {
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -14,7 +14,7 @@
 /// One message on a link.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 20")]
     pub body: Option<Body>,
     /// When the newest heartbeat was sent that the sender has received from the receiver, in
     /// milliseconds of the receiver's clock.
@@ -81,6 +81,9 @@
     /// New owners have been granted their keys.
     #[prost(message, tag = "16")]
     HandoversFinished(HandoversFinished),
+    /// A server has said that it leaves.
+    #[prost(message, tag = "20")]
+    ServerNotice(ServerNotice),
 }
 
 /// A heartbeat, with what its sender knows and has measured.
@@ -340,6 +343,26 @@
     pub relay: bool,
 }
 
+/// A server has said in a response that it leaves. The store may learn of it later or never: the
+/// message only keeps requests away from the server.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServerNotice {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Start time of the server, in milliseconds since the Unix epoch; zero if unknown.
+    #[prost(uint64, tag = "2")]
+    pub start_ms: u64,
+    /// Address of the server.
+    #[prost(string, tag = "3")]
+    pub addr: String,
+    /// Time since the sender learned of it.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+    /// Whether the receiver forwards the message to its failure domain.
+    #[prost(bool, tag = "5")]
+    pub relay: bool,
+}
+
 /// The range of keys of a handover, and the fencing token of its new owner.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct HandoverRecord {
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -73,7 +73,11 @@
     }
 
     pub fn count(&self, event: &'static str) {
-        self.events.get_or_create(&EventLabels { event }).inc();
+        self.add(event, 1);
+    }
+
+    pub fn add(&self, event: &'static str, number: u64) {
+        self.events.get_or_create(&EventLabels { event }).inc_by(number);
     }
 
     /// Encodes all metrics in the Prometheus text format.
--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -2,11 +2,17 @@
 //! other nodes. [`whinspring::notices`] decides what follows from it.
 
 use {
-    crate::{node::Node, platform::Platform},
+    crate::{
+        message::{Body, ServerNotice},
+        node::Node,
+        owners,
+        platform::{Platform, Word},
+    },
+    log::info,
     std::{rc::Rc, time::Duration},
     whinspring::{
         name::Name,
-        notices::{Purpose, Refusal},
+        notices::{Life, Purpose, Refusal, Source},
         time::Tick,
     },
 };
@@ -34,3 +40,72 @@
     let is_large = node.peers.borrow().is_large_cluster();
     drain.saturating_sub(if is_large { RELAYED_DRAIN_MARGIN } else { DRAIN_MARGIN })
 }
+
+/// Records what a server has said in a response of its own. The first node that hears that a server
+/// leaves tells the others.
+pub fn hear<P: Platform>(
+    node: &Rc<Node<P>>,
+    server: &Name,
+    life: Life,
+    word: Word,
+    source: Source,
+) {
+    if word.leaving && record_leaving(node, server, life, node.now(), source) {
+        announce(node, server, life);
+    }
+}
+
+/// Records that a server leaves. Returns whether the node counts from this notice.
+fn record_leaving<P: Platform>(
+    node: &Rc<Node<P>>,
+    server: &Name,
+    life: Life,
+    since: Tick,
+    source: Source,
+) -> bool {
+    let counts = node.view.borrow_mut().notices.record_leaving(server, life, since, source);
+    if counts {
+        let age = node.now().since(since).as_millis() as u64;
+        info!(event = "server_leaving", server = server.as_str(), source = source.text(), age_ms = age; "server announced that it leaves");
+        node.notify_change();
+    }
+    counts
+}
+
+/// Tells all other nodes that a server leaves, so that gates stop placing requests there and the
+/// controller moves its keys before the store says so.
+fn announce<P: Platform>(node: &Rc<Node<P>>, server: &Name, life: Life) {
+    let Life { start_ms, addr } = life;
+    let (server, addr) = (server.to_string(), addr.to_string());
+    let notice = ServerNotice { server, start_ms, addr, age_ms: 0, relay: false };
+    let relayed = ServerNotice { relay: true, ..notice.clone() };
+    owners::send_to_all(node, Body::ServerNotice(notice), Body::ServerNotice(relayed));
+}
+
+/// Records what another node has heard of a server, and forwards it if this node is a relay.
+pub fn apply_hint<P: Platform>(node: &Rc<Node<P>>, mut notice: ServerNotice) {
+    if std::mem::take(&mut notice.relay) {
+        owners::forward(node, Body::ServerNotice(notice.clone()));
+    }
+    let Ok(addr) = notice.addr.parse() else { return node.metrics.count("link_malformed") };
+    let life = Life { start_ms: notice.start_ms, addr };
+    let since = node.now() - Duration::from_millis(notice.age_ms.into());
+    record_leaving(node, &Name::from(notice.server), life, since, Source::Peer);
+}
+
+/// Counts the notices since the last call by source.
+pub fn count<P: Platform>(node: &Rc<Node<P>>) {
+    let counts = node.view.borrow_mut().notices.take_counts();
+    for (source, count) in counts {
+        node.metrics.add(event_of(source), count);
+    }
+}
+
+const fn event_of(source: Source) -> &'static str {
+    match source {
+        Source::Store => "notice_store",
+        Source::Response => "notice_response",
+        Source::Command => "notice_command",
+        Source::Peer => "notice_peer",
+    }
+}
--- a/crates/whinspring-router/src/owners.rs
+++ b/crates/whinspring-router/src/owners.rs
@@ -87,7 +87,7 @@
 }
 
 /// Sends a message to all other nodes, in a large cluster by way of relays, which get `relayed`.
-fn send_to_all<P: Platform>(node: &Rc<Node<P>>, body: Body, relayed: Body) {
+pub fn send_to_all<P: Platform>(node: &Rc<Node<P>>, body: Body, relayed: Body) {
     let now = node.now();
     let peers = node.peers.borrow();
     let frame = Envelope::frame(body);
@@ -106,6 +106,6 @@
 }
 
 /// Sends a message to the other nodes of this node's failure domain.
-fn forward<P: Platform>(node: &Rc<Node<P>>, body: Body) {
+pub fn forward<P: Platform>(node: &Rc<Node<P>>, body: Body) {
     node.peers.borrow().send_to_domain(&node.settings.domain, &Envelope::frame(body));
 }
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -11,7 +11,7 @@
         follow,
         message::{Body, Envelope, FetchRequest, Heartbeat, Hello},
         node::Node,
-        owners,
+        notices, owners,
         platform::{Kind, Platform},
         spread,
     },
@@ -316,6 +316,7 @@
         }
         Body::OwnersChanged(change) => owners::apply_change(node, change),
         Body::HandoversFinished(finished) => owners::apply_handovers(node, finished),
+        Body::ServerNotice(notice) => notices::apply_hint(node, notice),
         Body::ObjectsChanged(changed) => follow::apply_forwarded(node, from, changed),
         Body::CrashReport(crash) => node.crashes.borrow_mut().record(node.now(), crash.print),
     }
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -4,7 +4,7 @@
 //! servers, and [`Dialect`] for header names and the format of stored objects.
 
 use {
-    http::HeaderName,
+    http::{HeaderMap, HeaderName},
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
     whinspring::{name::Name, notices::Life, ranges::Span, routes::RouteTable},
@@ -172,6 +172,21 @@
     NoResponse,
 }
 
+/// What a server says of itself in one response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Word {
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
+impl Word {
+    /// Reads what the headers of a response say.
+    pub fn read(headers: &HeaderMap, names: &Headers) -> Self {
+        let leaving = headers.get(&names.leaving);
+        Self { leaving: leaving.is_some_and(|value| value.as_bytes().trim_ascii() != b"0") }
+    }
+}
+
 /// Commands to the servers of keyed services.
 ///
 /// A server refuses a command that is meant for another server at its address
@@ -198,6 +213,8 @@
     /// Set by a server that did not run the request.
     pub not_run: HeaderName,
     pub key: HeaderName,
+    /// Set by a server that leaves on all its responses.
+    pub leaving: HeaderName,
 }
 
 /// Header names and object formats of the platform.
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -9,7 +9,7 @@
         message::{self, CrashReport},
         node::Node,
         notices,
-        platform::Platform,
+        platform::{Platform, Word},
         response::{Body, Rejection, strip_headers},
     },
     bytes::Bytes,
@@ -34,7 +34,7 @@
         code::{Class, Code},
         gate::ServerOutcome,
         name::Name,
-        notices::Purpose,
+        notices::{Purpose, Source},
         routes::{Route, RouteTable},
         time::Tick,
     },
@@ -293,9 +293,9 @@
         let node = &self.node;
         let backend = {
             let view = node.view.borrow();
-            view.servers.get(server).map(|server| server.backend.clone())
+            view.servers.get(server).map(|server| (server.backend.clone(), server.life()))
         };
-        let Some(backend) = backend else { return Outcome::NotRun(Code::NoOwner) };
+        let Some((backend, life)) = backend else { return Outcome::NotRun(Code::NoOwner) };
         let start = node.now();
         let left = self.deadline.since(start);
         let mut attempt = Attempt {
@@ -321,7 +321,11 @@
             };
         };
         match result {
-            Ok(response) => self.handle_response(attempt, response, attempts).await,
+            Ok(response) => {
+                let word = Word::read(response.headers(), node.platform.headers());
+                notices::hear(node, server, life, word, Source::Response);
+                self.handle_response(attempt, response, attempts).await
+            }
             Err(fault) if fault.is_sent() => {
                 attempt.permit.outcome = ServerOutcome::Failed;
                 spawn_local(probe_server(node.clone(), attempt.backend.clone(), fingerprint));
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod follow;
 mod links;
+mod notices;
 mod rig;
 
 #[path = "../support/setup.rs"]
--- a/crates/whinspring-router/tests/support/setup.rs
+++ b/crates/whinspring-router/tests/support/setup.rs
@@ -33,5 +33,6 @@
         seal: HeaderName::from_static("x-seal"),
         not_run: HeaderName::from_static("x-not-run"),
         key: HeaderName::from_static("x-key"),
+        leaving: HeaderName::from_static("x-leaving"),
     }
 }
