A server that turns a request away says when to come back

Cause: no code reads `Retry-After` of a server's 503; a node went on sending, and requests waited to their deadline or were told 300 ms (BUDGET: more than two arrivals from a machine in the time that the server stated).

Change: from a 503 with Retry-After on, this node starts and writes nothing on that server until its time ends; the check stands in `exchange` too, right before the request is written. Requests for a key of that server, queued ones too, are refused at once with the rest of the time, and take no retry from the budget. Requests without a key name the server in their Admit (`exclude`), so that the gate, wherever it is, gives them another one, and go on giving it to other nodes; if all servers want nothing they are refused at once with the shortest rest. When the time is over one request starts, then twice as many with each 100 ms. A gate that assigns a server that has left is told so and asked for another one.

Ruled out: telling the pause to other nodes. The rule counts per machine, and a server that is full for one node has room for the next as soon as a request ends; the gate already backs off a server that fails requests.

The check right before writing has no test: a pause that comes while a connection opens cannot be timed in a test.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -85,6 +85,8 @@
     pub deadline: Tick,
     /// Server that failed the previous attempt; used only if no other is free.
     pub avoid: Option<Name>,
+    /// Servers that must not be chosen.
+    pub exclude: Vec<Name>,
 }
 
 /// A place at a gate, queued or running; its drop reports the end of the request to the gate.
@@ -97,6 +99,12 @@
     pub outcome: ServerOutcome,
 }
 
+impl<P: Platform> Permit<P> {
+    pub fn gate_node(&self) -> &Name {
+        &self.gate_node
+    }
+}
+
 impl<P: Platform> Drop for Permit<P> {
     fn drop(&mut self) {
         {
@@ -184,6 +192,7 @@
         target: request.target.since(now).as_millis() as u32,
         deadline: request.deadline.since(now).as_millis() as u32,
         avoid: request.avoid.clone().unwrap_or_default().to_string(),
+        exclude: request.exclude.iter().map(Name::to_string).collect(),
     };
     let own = node.name();
     if gate_node != own && node.send(gate_node, Body::Admit(admit.clone())) {
@@ -226,6 +235,7 @@
         target: now + Duration::from_millis(admit.target.into()),
         deadline: now + Duration::from_millis(admit.deadline.into()),
         avoid: (!admit.avoid.is_empty()).then(|| admit.avoid.into()),
+        exclude: admit.exclude.into_iter().map(Name::from).collect(),
     };
     refresh(node, &pool);
     let placed = {
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -210,6 +210,9 @@
     /// Server that should not run it; empty for none.
     #[prost(string, tag = "6")]
     pub avoid: String,
+    /// Servers that want nothing from the node now and must not run it.
+    #[prost(string, repeated, tag = "7")]
+    pub exclude: Vec<String>,
 }
 
 /// Admits a request.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -44,6 +44,8 @@
     pub metrics: Metrics,
     /// Notified when the view changes.
     pub changed: Notify,
+    /// Notified when a server wants nothing from this node for a while.
+    pub paused: Notify,
     /// Whether a planned shutdown has begun.
     pub leaving: Cell<bool>,
     /// Whether queued requests are rejected, near the end of a planned shutdown.
@@ -74,6 +76,7 @@
             crashes: RefCell::default(),
             metrics: Metrics::new(),
             changed: Notify::new(),
+            paused: Notify::new(),
             leaving: Cell::new(false),
             queue_closed: Cell::new(false),
             queue_closing: Notify::new(),
--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -12,7 +12,7 @@
     std::{rc::Rc, time::Duration},
     whinspring::{
         name::Name,
-        notices::{Life, Purpose, Refusal, Source},
+        notices::{Life, Purpose, Refusal, Source, Wait},
         time::Tick,
     },
 };
@@ -53,6 +53,95 @@
     if word.leaving && record_leaving(node, server, life, node.now(), source) {
         announce(node, server, life);
     }
+    if let Some(wait) = word.wait {
+        record_pause(node, server, life, wait, source);
+    }
+}
+
+/// Records that a server wants nothing from this node for some time.
+fn record_pause<P: Platform>(
+    node: &Rc<Node<P>>,
+    server: &Name,
+    life: Life,
+    wait: Wait,
+    source: Source,
+) {
+    let now = node.now();
+    let time_ms = wait.time.as_millis() as u64;
+    if !wait.exact {
+        node.metrics.count("bad_retry_after");
+        info!(event = "bad_retry_after", server = server.as_str(), source = source.text(), wait_ms = time_ms; "server gave a time to come back that is unreadable or too long; using another");
+    }
+    if node.view.borrow_mut().notices.record_pause(server, life, now, wait.time, source) {
+        info!(event = "server_paused", server = server.as_str(), source = source.text(), wait_ms = time_ms; "server wants nothing from this node for a while");
+        node.paused.notify_waiters();
+    }
+}
+
+/// Waits until a server wants nothing from this node; returns why.
+pub async fn until_paused<P: Platform>(node: &Rc<Node<P>>, server: &Name) -> Refusal {
+    loop {
+        let paused = node.paused.notified();
+        if let Err(refusal @ Refusal::Paused(_)) = check(node, server, Purpose::Write, node.now()) {
+            return refusal;
+        }
+        paused.await;
+    }
+}
+
+/// Starts a request of this node on a server, unless the server is not to get it now.
+pub fn start<P: Platform>(node: &Rc<Node<P>>, server: &Name) -> Result<(), Refusal> {
+    let now = node.now();
+    check(node, server, Purpose::Start, now)?;
+    node.view.borrow_mut().notices.record_start(server, now);
+    Ok(())
+}
+
+/// Returns the servers that want nothing from this node now.
+pub fn paused<P: Platform>(node: &Rc<Node<P>>) -> Vec<Name> {
+    let view = node.view.borrow();
+    view.notices.paused(node.now()).into_iter().cloned().collect()
+}
+
+/// Checks whether a request without a key may start on any server of a service, other than the
+/// excluded ones; returns what the first one says that may be used again otherwise.
+pub fn check_service<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    exclude: &[Name],
+) -> Result<(), Refusal> {
+    let now = node.now();
+    let drain = usable_drain(node);
+    let view = node.view.borrow();
+    let mut found = Refusal::Left;
+    for server in view.servers.values().filter(|server| server.entry.service == *service) {
+        if view.notices.check(&server.name, Purpose::Place, now, drain).is_err() {
+            continue;
+        }
+        match view.notices.check(&server.name, Purpose::Start, now, drain) {
+            Ok(()) if exclude.contains(&server.name) => {}
+            Ok(()) => return Ok(()),
+            Err(refusal) if found.wait().is_none_or(|wait| refusal.wait() < Some(wait)) => {
+                found = refusal;
+            }
+            Err(_) => {}
+        }
+    }
+    Err(found)
+}
+
+/// Tells the node of a gate that a server has left, as it went on assigning it.
+pub fn correct_gate<P: Platform>(node: &Rc<Node<P>>, gate_node: &Name, server: &Name) {
+    let notice = {
+        let view = node.view.borrow();
+        let life = view.servers.get(server).map(|server| server.life());
+        let since = view.notices.leaving_since(server);
+        let (Some(Life { start_ms, addr }), Some(since)) = (life, since) else { return };
+        let age_ms = node.now().since(since).as_millis() as u32;
+        let (server, addr) = (server.to_string(), addr.to_string());
+        ServerNotice { server, start_ms, addr, age_ms, relay: false }
+    };
+    node.send(gate_node, Body::ServerNotice(notice));
 }
 
 /// Records that a server leaves. Returns whether the node counts from this notice.
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -4,10 +4,15 @@
 //! servers, and [`Dialect`] for header names and the format of stored objects.
 
 use {
-    http::{HeaderMap, HeaderName},
+    http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER},
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
-    whinspring::{name::Name, notices::Life, ranges::Span, routes::RouteTable},
+    whinspring::{
+        name::Name,
+        notices::{Life, Wait, parse_wait},
+        ranges::Span,
+        routes::RouteTable,
+    },
 };
 
 /// Kinds of stored objects.
@@ -177,13 +182,18 @@
 pub struct Word {
     /// Whether it leaves.
     pub leaving: bool,
+    /// How long it wants nothing from this node, after it has turned something away.
+    pub wait: Option<Wait>,
 }
 
 impl Word {
     /// Reads what the headers of a response say.
-    pub fn read(headers: &HeaderMap, names: &Headers) -> Self {
+    pub fn read(status: StatusCode, headers: &HeaderMap, names: &Headers) -> Self {
         let leaving = headers.get(&names.leaving);
-        Self { leaving: leaving.is_some_and(|value| value.as_bytes().trim_ascii() != b"0") }
+        let leaving = leaving.is_some_and(|value| value.as_bytes().trim_ascii() != b"0");
+        let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
+        let values = headers.get_all(RETRY_AFTER).iter().map(HeaderValue::as_bytes);
+        Self { leaving, wait: parse_wait(values).filter(|_| is_refusal) }
     }
 }
 
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -34,7 +34,7 @@
         code::{Class, Code},
         gate::ServerOutcome,
         name::Name,
-        notices::{Purpose, Source},
+        notices::{Purpose, Refusal, Source},
         routes::{Route, RouteTable},
         time::Tick,
     },
@@ -61,6 +61,9 @@
 /// Delay before the address of a server that broke a connection is probed.
 const PROBE_DELAY: Duration = Duration::from_millis(30);
 
+/// Servers that one attempt may be assigned, if they want no requests.
+const MAX_PLACEMENTS: usize = 4;
+
 /// Shortest time to the deadline that still allows a retry.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(60);
 
@@ -86,10 +89,32 @@
     pub deadline: Tick,
 }
 
+/// Why a request got no response.
+enum SendError {
+    /// The server wants no requests, and nothing was sent.
+    Refused(Refusal),
+    /// The connection failed.
+    Call(CallError),
+}
+
+impl From<Refusal> for SendError {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<CallError> for SendError {
+    fn from(error: CallError) -> Self {
+        Self::Call(error)
+    }
+}
+
 /// Result of one attempt.
 enum Outcome<P: Platform> {
     /// A response for the caller.
     Response(Response<Body<P>>),
+    /// The server wants no requests, and nothing was sent.
+    Refused(Refusal),
     /// The request did not run and may be retried.
     NotRun(Code),
     /// The request may have run.
@@ -113,6 +138,7 @@
         }
         let mut avoid = None;
         let mut attempts = 0;
+        let mut placements = 0;
         let mut ran = false;
         loop {
             let (server, permit) = match self.acquire(avoid.clone()).await {
@@ -125,13 +151,20 @@
                 }
                 Err(rejection) => return Err(rejection),
             };
+            placements += 1;
             attempts += 1;
             let outcome = self.send(&server, permit, attempts, fingerprint).await;
             avoid = Some(server.clone());
             let (code, why, again) = match outcome {
                 Outcome::Response(response) => return Ok(response),
+                Outcome::Refused(refusal) => {
+                    attempts -= 1;
+                    let code = refusal_code(refusal);
+                    (code, "the server wants no requests", placements < MAX_PLACEMENTS)
+                }
                 Outcome::NotRun(code) => {
-                    (code, "the server did not run the request", self.may_retry(attempts, ran))
+                    let again = !self.is_held_back(&server) && self.may_retry(attempts, ran);
+                    (code, "the server did not run the request", again)
                 }
                 Outcome::Lost(code, why) => {
                     ran = true;
@@ -148,7 +181,7 @@
                 return Err(Rejection::from(if refused { self.lost_code(code) } else { code }));
             }
             if !again {
-                return Err(Rejection::with_retry(code, RETRY_DELAY));
+                return Err(Rejection::with_retry(code, self.retry_delay(&server)));
             }
             node.metrics.count("sent_again");
         }
@@ -164,6 +197,17 @@
         self.key.map(|key| key.to_string()).unwrap_or_default()
     }
 
+    /// Returns whether the owner of the key wants nothing from this node, so that a retry is useless.
+    fn is_held_back(&self, server: &Name) -> bool {
+        self.key.is_some() && self.check(server).is_err()
+    }
+
+    /// Returns the time after which the caller may retry a request that a server did not run.
+    fn retry_delay(&self, server: &Name) -> Duration {
+        let refusal = self.key.and_then(|_| self.check(server).err());
+        refusal.and_then(Refusal::wait).map_or(RETRY_DELAY, |wait| wait.max(RETRY_DELAY))
+    }
+
     /// Returns the result code for a request that may have run and is not retried.
     fn lost_code(&self, code: Code) -> Code {
         if code == Code::Expired { Code::Deadline } else { Code::ServerLost }
@@ -196,23 +240,32 @@
     async fn acquire(&self, avoid: Option<Name>) -> Result<(Name, Permit<P>), Rejection> {
         let node = &self.node;
         let until = node.now() + MAX_OWNER_WAIT;
+        let mut shunned = Vec::new();
         loop {
             let pool = match self.key {
                 None => self.service.clone(),
                 Some(key) => self.wait_for_owner(key, until).await?,
             };
+            if self.key.is_some() && !self.wait_for_server(&pool, until).await? {
+                continue;
+            }
+            let exclude = self.excluded(&shunned)?;
             let request = AdmissionRequest {
                 pool: pool.clone(),
                 priority: self.route.priority,
                 target: self.start + self.route.latency_target,
                 deadline: self.deadline,
                 avoid: avoid.clone(),
+                exclude,
             };
             let start = node.now();
             let left = self.deadline.since(start);
             let result = tokio::select! {
                 biased;
                 result = timeout(left, admission::admit(node, &request)) => result,
+                refusal = notices::until_paused(node, &pool), if self.key.is_some() => {
+                    return Err(self.refuse(&pool, refusal));
+                }
                 () = node.until_queue_closed() => {
                     info!(event = "refused_stopping", id = self.id(), pool = pool.as_str(); "rejected: the node is stopping and no server was free");
                     return Err(Rejection::with_retry(Code::ShuttingDown, RETRY_DELAY));
@@ -228,22 +281,68 @@
                 info!(event = "refused", id = self.id(), pool = pool.as_str(), retry_ms = retry.as_millis() as u64, routes = self.table.version, priority = self.route.priority; "rejected: the expected wait exceeds the limit");
                 Rejection::with_retry(Code::Overloaded, retry)
             })?;
-            if !self.accepts_requests(&server) {
-                info!(event = "left", id = self.id(), server = server.as_str(), routes = self.table.version; "rejected: the gate assigned a server that has stopped taking requests");
-                return Err(Rejection::with_retry(Code::NoOwner, RETRY_DELAY));
+            if !self.key.is_none_or(|key| self.owns(key, &server)) {
+                debug!("the owner of the key changed while the request was queued; queueing again");
+                continue;
             }
-            let owned = self.key.is_none_or(|key| self.owns(key, &server));
-            if owned {
-                return Ok((server, permit));
+            let Err(refusal) = notices::start(node, &server) else { return Ok((server, permit)) };
+            if refusal == Refusal::Left {
+                notices::correct_gate(node, permit.gate_node(), &server);
             }
-            debug!("the owner of the key changed while the request was queued; queueing again");
+            let is_ramping = matches!(refusal, Refusal::Ramping(_)) && node.now() < until;
+            let may_place = match self.key {
+                Some(_) => is_ramping,
+                None => shunned.len() + 1 < MAX_PLACEMENTS,
+            };
+            if !may_place {
+                return Err(self.refuse(&server, refusal));
+            }
+            shunned.push(server);
         }
     }
 
-    /// Returns whether a server may be sent requests according to this node, which may know earlier
-    /// than the node of the gate that the server is leaving.
-    fn accepts_requests(&self, server: &Name) -> bool {
-        notices::check(&self.node, server, Purpose::Start, self.node.now()).is_ok()
+    /// Checks whether this node may start a request on a server. It may know earlier than the node
+    /// of the gate that the server leaves, and it alone knows that the server has turned it away.
+    fn check(&self, server: &Name) -> Result<(), Refusal> {
+        notices::check(&self.node, server, Purpose::Start, self.node.now())
+    }
+
+    /// Waits for the owner of the key while it returns from a pause, at most until `until`. Returns
+    /// whether the request may go on; otherwise the owner is to be looked up again.
+    async fn wait_for_server(&self, server: &Name, until: Tick) -> Result<bool, Rejection> {
+        match self.check(server) {
+            Ok(()) => Ok(true),
+            Err(Refusal::Ramping(wait)) if self.node.now() + wait < until.min(self.deadline) => {
+                sleep(wait).await;
+                Ok(false)
+            }
+            Err(refusal) => Err(self.refuse(server, refusal)),
+        }
+    }
+
+    /// Returns the servers that no request without a key may go to: those that want nothing from
+    /// this node, and `shunned`. Rejects the request if there is no other one.
+    fn excluded(&self, shunned: &[Name]) -> Result<Vec<Name>, Rejection> {
+        if self.key.is_some() {
+            return Ok(Vec::new());
+        }
+        let mut exclude = notices::paused(&self.node);
+        exclude.extend_from_slice(shunned);
+        if !exclude.is_empty()
+            && let Err(refusal) = notices::check_service(&self.node, &self.service, &exclude)
+        {
+            return Err(self.refuse(&self.service, refusal));
+        }
+        Ok(exclude)
+    }
+
+    /// Returns the rejection of a request because a server, or all of a service, want none.
+    fn refuse(&self, server: &Name, refusal: Refusal) -> Rejection {
+        self.node.metrics.count("held_back");
+        let retry = refusal.wait().unwrap_or(RETRY_DELAY);
+        let event = if refusal == Refusal::Left { "left" } else { "held_back" };
+        info!(event, id = self.id(), server = server.as_str(), routes = self.table.version, retry_ms = retry.as_millis() as u64; "rejected: the server wants no requests now");
+        Rejection::with_retry(refusal_code(refusal), retry)
     }
 
     fn owns(&self, key: u16, server: &Name) -> bool {
@@ -322,11 +421,13 @@
         };
         match result {
             Ok(response) => {
-                let word = Word::read(response.headers(), node.platform.headers());
+                let word =
+                    Word::read(response.status(), response.headers(), node.platform.headers());
                 notices::hear(node, server, life, word, Source::Response);
                 self.handle_response(attempt, response, attempts).await
             }
-            Err(fault) if fault.is_sent() => {
+            Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
+            Err(SendError::Call(fault)) if fault.is_sent() => {
                 attempt.permit.outcome = ServerOutcome::Failed;
                 spawn_local(probe_server(node.clone(), attempt.backend.clone(), fingerprint));
                 Outcome::Lost(
@@ -334,20 +435,21 @@
                     "the connection to the server broke before a response",
                 )
             }
-            Err(_) => {
+            Err(SendError::Call(_)) => {
                 attempt.permit.outcome = ServerOutcome::Failed;
                 Outcome::NotRun(Code::NoOwner)
             }
         }
     }
 
-    /// Sends the request and reads the head of the response. A reused connection that fails before
+    /// Sends the request and reads the head of the response, unless the server says meanwhile that it
+    /// wants none. A reused connection that fails before
     /// anything was sent is replaced once by a new one.
     async fn exchange(
         &self,
         attempt: &mut Attempt<P>,
         server: &Name,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<Incoming>, SendError> {
         let non_idempotent = !self.route.idempotent;
         for fresh in [false, true] {
             let conn = match fresh {
@@ -356,14 +458,20 @@
             };
             let deadline = self.deadline;
             let request = self.build_request(server);
+            if let Err(refusal) =
+                notices::check(&self.node, server, Purpose::Write, self.node.now())
+            {
+                attempt.backend.release(conn).await;
+                return Err(refusal.into());
+            }
             let conn = attempt.conn.insert(conn);
             let reused = conn.is_reused();
             match conn.send(request, deadline).await {
                 Err(CallError::Unsent) if reused && !fresh => attempt.conn = None,
-                other => return other,
+                other => return Ok(other?),
             }
         }
-        Err(CallError::Unsent)
+        Err(CallError::Unsent.into())
     }
 
     fn build_request(&self, server: &Name) -> Request<RequestBody<NoStream>> {
@@ -467,6 +575,14 @@
     node.send_all(message::Body::CrashReport(CrashReport { print: fingerprint }));
 }
 
+/// Returns the result code of a request that a server wants no part of.
+fn refusal_code(refusal: Refusal) -> Code {
+    match refusal {
+        Refusal::Left => Code::NoOwner,
+        Refusal::Paused(_) | Refusal::Ramping(_) => Code::Shed,
+    }
+}
+
 /// Returns the time by which the response must be ready to send; `deadline` is in milliseconds.
 pub fn request_deadline(start: Tick, route: &Route, deadline: Option<u64>) -> Tick {
     let caller = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -182,7 +182,7 @@
 fn admit_message(number: u64) -> Body {
     let (target, deadline) = (500, 10_000);
     let (pool, avoid) = (POOL.to_string(), String::new());
-    Body::Admit(Admit { pool, number, priority: 0, target, deadline, avoid })
+    Body::Admit(Admit { pool, number, priority: 0, target, deadline, avoid, exclude: Vec::new() })
 }
 
 #[test]
--- a/crates/whinspring-router/tests/path/notices.rs
+++ b/crates/whinspring-router/tests/path/notices.rs
@@ -9,13 +9,13 @@
     tokio::{io::AsyncWriteExt, time::sleep},
     whinspring::{
         name::Name,
-        notices::{Purpose, Refusal},
+        notices::{Purpose, Refusal, Source, Wait},
     },
     whinspring_router::{
         follow,
-        message::{Body, FetchRequest, ServerNotice},
+        message::{Admitted, Body, FetchRequest, ServerNotice},
         notices,
-        platform::{Kind, Listing, Object},
+        platform::{Kind, Listing, Object, Word},
     },
 };
 
@@ -56,6 +56,12 @@
             &end[end.find("x-leaving").unwrap()..]
         )),
         "/safe/wait" => Some("wait".to_owned()),
+        path if path.starts_with("/once/busy/") && request.contains("x-target: s1") => {
+            let wait = &path["/once/busy/".len()..];
+            Some(format!(
+                "HTTP/1.1 503 No\r\nx-not-run: 1\r\nretry-after: {wait}\r\nx-id: {id}\r\ncontent-length: 0\r\n\r\n"
+            ))
+        }
         _ => Some(format!(
             "HTTP/1.1 200 OK\r\nx-seal: s\r\n{}",
             end.replace("leaving: 1", "leaving: 0")
@@ -178,3 +184,169 @@
         assert!(!is_leaving(&rig));
     });
 }
+
+fn keyed(path: &str, id: &str) -> String {
+    build_request(path, id).replace("x-id", "x-key: 7\r\nx-id")
+}
+
+/// Returns the time to come back of a rejection, in seconds.
+fn retry_after(response: &str) -> f64 {
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    let line = response.lines().find_map(|line| line.strip_prefix("retry-after: "));
+    line.unwrap_or_else(|| panic!("{response}")).parse().unwrap()
+}
+
+/// Load pattern: a full server turns requests away for a while, and callers go on sending.
+#[test]
+fn a_server_that_wants_nothing_gets_nothing_until_its_time_ends() {
+    for is_keyed in [false, true] {
+        run(leaving, move |rig| async move {
+            if is_keyed {
+                rig.set_keyed();
+            }
+            let build = if is_keyed { keyed } else { build_request };
+            let first = rig.send(&build("/once/busy/0.8", "i1")).await;
+            let start = Instant::now();
+            if is_keyed {
+                assert!(retry_after(&first) > 0.7, "{first}");
+                let retried = rig.node.metrics.encode().contains("sent_again");
+                assert!(!retried, "a useless retry was taken from the budget");
+            }
+            while start.elapsed() < Duration::from_millis(600) {
+                let asked = Instant::now();
+                let response = rig.send(&build("/once/plain", "i2")).await;
+                assert!(
+                    asked.elapsed() < Duration::from_millis(100),
+                    "held: {:?}",
+                    asked.elapsed()
+                );
+                let left = 0.8 - start.elapsed().as_secs_f64();
+                assert!((retry_after(&response) - left).abs() < 0.1, "{response}");
+                sleep(Duration::from_millis(40)).await;
+            }
+            assert_eq!(rig.seen.borrow().len(), 1);
+            sleep(Duration::from_millis(250)).await;
+            let response = rig.send(&build("/once/plain", "i3")).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        });
+    }
+}
+
+#[test]
+fn a_pause_ends_the_wait_of_queued_requests_for_a_key() {
+    run(leaving, |rig| async move {
+        rig.set_keyed();
+        let mut busy = Vec::new();
+        for number in 0..2 {
+            let mut caller = rig.connect().await;
+            let request = keyed("/safe/wait", &format!("i{number}"));
+            caller.write_all(request.as_bytes()).await.unwrap();
+            busy.push(caller);
+        }
+        while rig.seen.borrow().len() < 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let start = Instant::now();
+        let request = keyed("/safe/success", "i3");
+        let (response, ()) = tokio::join!(rig.send(&request), async {
+            sleep(DELIVERY_TIME).await;
+            let life = rig.node.view.borrow().servers[SERVER].life();
+            let wait = Some(Wait { time: Duration::from_secs(5), exact: true });
+            let word = Word { leaving: false, wait };
+            notices::hear(&rig.node, &SERVER.into(), life, word, Source::Response);
+        });
+        assert!(retry_after(&response) > 4.5, "{response}");
+        assert!(start.elapsed() < Duration::from_millis(200), "{:?}", start.elapsed());
+    });
+}
+
+#[test]
+fn requests_without_a_key_go_to_other_servers() {
+    run(leaving, |rig| async move {
+        rig.send(&build_request("/once/busy/5", "i0")).await;
+        rig.list_servers(&["s1", "s2"]);
+        let mut busy = Vec::new();
+        for number in 1..=2 {
+            let mut caller = rig.connect().await;
+            let request = build_request("/safe/wait", &format!("i{number}"));
+            caller.write_all(request.as_bytes()).await.unwrap();
+            busy.push(caller);
+            while rig.seen.borrow().len() <= number {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        let seen = rig.seen.borrow();
+        assert!(seen[1..].iter().all(|request| request.contains("x-target: s2")), "{seen:?}");
+    });
+}
+
+/// The gate of a pool is on another node, which the server has told nothing.
+#[test]
+fn a_gate_is_told_which_servers_want_nothing() {
+    run(leaving, |rig| async move {
+        rig.list_servers(&["s1", "s2"]);
+        let (mut peer, mut link) = FakePeer::connect(&rig, true, LONG_INTERVAL_MS).await;
+        let (first, second) = (build_request("/once/busy/5", "i1"), build_request("/safe/x", "i2"));
+        let work = async {
+            let Body::Admit(admit) = peer.next(&mut link).await else { panic!("no request") };
+            assert!(admit.exclude.is_empty());
+            peer.send(Body::Admitted(Admitted { number: admit.number, server: "s1".into() })).await;
+            loop {
+                let Body::Admit(admit) = peer.next(&mut link).await else { continue };
+                assert_eq!(admit.exclude, ["s1"]);
+                let server = "s2".into();
+                peer.send(Body::Admitted(Admitted { number: admit.number, server })).await;
+                return;
+            }
+        };
+        let send = async {
+            rig.send(&first).await;
+            rig.send(&second).await
+        };
+        let _ =
+            tokio::time::timeout(Duration::from_secs(5), async { tokio::join!(send, work) }).await;
+        let seen = rig.seen.borrow();
+        assert!(seen.iter().any(|request| request.contains("x-target: s2")), "{seen:?}");
+    });
+}
+
+/// A gate on another node assigns a server that has left: it is told, and asked for another one.
+#[test]
+fn an_outdated_gate_is_corrected() {
+    run(leaving, |rig| async move {
+        rig.list_servers(&["s1", "s2"]);
+        sleep(Duration::from_millis(2_100)).await;
+        let (mut peer, mut link) = FakePeer::connect(&rig, true, LONG_INTERVAL_MS).await;
+        {
+            let mut view = rig.node.view.borrow_mut();
+            let life = view.servers[SERVER].life();
+            let since = rig.node.now() - Duration::from_secs(2);
+            view.notices.record_leaving(&SERVER.into(), life, since, Source::Response);
+        }
+        let request = build_request("/safe/plain", "i1");
+        let work = async {
+            let Body::Admit(admit) = peer.next(&mut link).await else { panic!("no request") };
+            peer.send(Body::Admitted(Admitted { number: admit.number, server: "s1".into() })).await;
+            let mut told = false;
+            loop {
+                match peer.next(&mut link).await {
+                    Body::ServerNotice(notice) => {
+                        assert!(notice.server == SERVER && notice.age_ms >= 2_000, "{notice:?}");
+                        told = true;
+                    }
+                    Body::Admit(admit) => {
+                        assert_eq!(admit.exclude, ["s1"]);
+                        let server = "s2".into();
+                        peer.send(Body::Admitted(Admitted { number: admit.number, server })).await;
+                        return told;
+                    }
+                    _ => {}
+                }
+            }
+        };
+        let (response, told) = tokio::join!(rig.send(&request), work);
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(told, "the gate was not told that the server has left");
+        assert!(rig.seen.borrow()[0].contains("x-target: s2"));
+    });
+}
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -18,6 +18,7 @@
     },
     whinspring::{
         name::Name,
+        ranges::Ownership,
         routes::{Limits, Route, RouteTable, Service, TrafficSplit},
     },
     whinspring_http::clock::Clock,
@@ -127,7 +128,7 @@
         spawn_local(serve(listener, script, seen.clone()));
         let node =
             Node::new(platform(server), settings("n1", NodeLimits::default()), Clock::start());
-        node.view.borrow_mut().routes = Some(Arc::new(table()));
+        node.view.borrow_mut().routes = Some(Arc::new(table(false)));
         let entry = Object { name: "s1".into(), revision: 1, value: Vec::new() };
         follow::apply_listing(&node, Kind::Servers, Listing { revision: 1, items: vec![entry] });
         let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -137,6 +138,22 @@
         Self { node, seen, frontend }
     }
 
+    /// Makes the service keyed, with all keys at the server.
+    pub fn set_keyed(&self) {
+        let mut view = self.node.view.borrow_mut();
+        view.routes = Some(Arc::new(table(true)));
+        let owner = view.servers["s1"].instance();
+        let owned = Ownership::split_evenly(1, &[owner], || 1);
+        view.apply_owners("plain".into(), 1, Rc::new(owned));
+    }
+
+    /// Lists servers in the store, all at the address of the one.
+    pub fn list_servers(&self, names: &[&str]) {
+        let item = |name: &&str| Object { name: (*name).into(), revision: 2, value: Vec::new() };
+        let listing = Listing { revision: 2, items: names.iter().map(item).collect() };
+        follow::apply_listing(&self.node, Kind::Servers, listing);
+    }
+
     /// Connects as a caller.
     pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.frontend).await.unwrap()
@@ -215,7 +232,7 @@
     Platform { watches, listing, compacted, headers, server }
 }
 
-fn table() -> RouteTable {
+fn table(keyed: bool) -> RouteTable {
     let route = |prefix: &str, idempotent| Route {
         name: prefix.into(),
         host: "a.example".into(),
@@ -227,7 +244,7 @@
         splits: vec![TrafficSplit { service: "plain".into(), weight: 1 }],
         max_attempts: 2,
     };
-    let services = HashMap::from([(Name::from("plain"), Service { keyed: false })]);
+    let services = HashMap::from([(Name::from("plain"), Service { keyed })]);
     let limits = Limits { body_bytes: 100, ..Limits::default() };
     RouteTable::new(1, vec![route("/safe/", true), route("/once/", false)], services, limits)
 }
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -63,6 +63,8 @@
     pub deadline: Tick,
     /// Server that failed this request before; chosen only if no other one is available.
     pub avoid: Option<Name>,
+    /// Servers that want nothing from the node of the request now; never chosen.
+    pub exclude: Vec<Name>,
 }
 
 /// Outcome of an admitted request.
@@ -203,13 +205,20 @@
         decisions
     }
 
-    /// Admits requests in queue order while servers are available.
+    /// Admits requests in queue order while servers are available. A request that excludes servers
+    /// holds up none behind it.
     fn admit(&mut self, decisions: &mut Vec<Decision>, now: Tick) {
         let mean = self.mean_service_time();
         let mut index = 0;
         while index < self.queue.len() {
             let request = &self.queue[index];
-            let Some(server) = self.find_server(request, mean, now) else { return };
+            let Some(server) = self.find_server(request, mean, now) else {
+                if request.exclude.is_empty() {
+                    return;
+                }
+                index += 1;
+                continue;
+            };
             let request = self.queue.remove(index);
             let server = &mut self.servers[server];
             server.running.insert(request.ticket.clone(), now);
@@ -232,18 +241,20 @@
         };
         let servers =
             self.servers.iter().enumerate().filter(|(_, server)| server.is_available(now));
+        let servers = servers.filter(|(_, server)| !request.exclude.contains(&server.name));
         let key = |server: &Server| (request.avoid.as_ref() == Some(&server.name), cost(server));
         servers.min_by_key(|(_, server)| key(server)).map(|(index, _)| index)
     }
 
     /// Rejects the requests that cannot be started in time.
     fn reject(&mut self, decisions: &mut Vec<Decision>, now: Tick, service_time: Duration) {
-        let slots: u32 =
-            self.servers.iter().filter(|server| server.open).map(|server| server.slots).sum();
-        let each = service_time / slots.max(1);
+        let all = self.usable_slots(&[]);
         let mut ahead = 0;
         let mut kept = Vec::with_capacity(self.queue.len());
-        for request in self.queue.drain(..) {
+        for request in std::mem::take(&mut self.queue) {
+            let is_free = request.exclude.is_empty();
+            let slots = if is_free { all } else { self.usable_slots(&request.exclude) };
+            let each = service_time / slots.max(1);
             let wait = each * (ahead + 1);
             let limit =
                 request.deadline.since(now).saturating_sub(service_time) * MAX_WAIT_PERCENT / 100;
@@ -258,6 +269,12 @@
         self.queue = kept;
     }
 
+    /// Returns the slots of the open servers that are not excluded.
+    fn usable_slots(&self, exclude: &[Name]) -> u32 {
+        let open = self.servers.iter().filter(|server| server.open);
+        open.filter(|server| !exclude.contains(&server.name)).map(|server| server.slots).sum()
+    }
+
     /// Returns the mean of the known service times of the servers.
     fn mean_service_time(&self) -> Duration {
         let known: Vec<Duration> =
--- a/crates/whinspring/tests/gate.rs
+++ b/crates/whinspring/tests/gate.rs
@@ -73,6 +73,7 @@
             target: self.now + Duration::from_millis(400),
             deadline: self.now + Duration::from_millis(1_200),
             avoid: None,
+            exclude: Vec::new(),
         });
         self.step();
     }
@@ -215,6 +216,7 @@
             target: now + Duration::from_millis(400),
             deadline: now + Duration::from_millis(1_200),
             avoid: None,
+            exclude: Vec::new(),
         });
         for decision in gate.decide(now) {
             let Decision::Admit(ticket, server) = decision else { continue };
@@ -241,6 +243,7 @@
             target: now + Duration::from_millis(400),
             deadline: now + Duration::from_millis(1_200),
             avoid: None,
+            exclude: Vec::new(),
         });
     }
     let servers: Vec<Name> = gate
@@ -266,6 +269,7 @@
         target: now + Duration::from_millis(400),
         deadline: now + Duration::from_millis(1_200),
         avoid: None,
+        exclude: Vec::new(),
     };
     gate.enqueue(request("lost", 1));
     assert_eq!(gate.decide(now).len(), 1);
@@ -274,3 +278,42 @@
     gate.remove_node("lost");
     assert_eq!(gate.decide(now).len(), 1);
 }
+
+/// Returns a request that excludes servers.
+fn excluding(number: Number, now: Tick, exclude: &[&str]) -> PendingRequest {
+    PendingRequest {
+        ticket: ticket(number),
+        domain: "a".into(),
+        priority: 1,
+        target: now + Duration::from_millis(400),
+        deadline: now + Duration::from_millis(1_200),
+        avoid: None,
+        exclude: exclude.iter().map(|name| Name::from(*name)).collect(),
+    }
+}
+
+/// A server that has turned one node away still serves the others, and a waiting request of that
+/// node holds up none of theirs.
+#[test]
+fn an_excluded_server_serves_other_requests() {
+    let mut gate = Gate::default();
+    gate.set_server(&"s1".into(), &"a".into(), 2, true);
+    gate.set_server(&"s2".into(), &"b".into(), 1, true);
+    let now = Tick::from_millis(1);
+    gate.enqueue(excluding(0, now, &["s1"]));
+    assert_eq!(gate.decide(now), [Decision::Admit(ticket(0), "s2".into())]);
+    gate.enqueue(excluding(1, now, &["s1"]));
+    gate.enqueue(excluding(2, now, &[]));
+    assert_eq!(gate.decide(now), [Decision::Admit(ticket(2), "s1".into())]);
+    gate.complete(&ticket(0), ServerOutcome::Completed, now);
+    assert_eq!(gate.decide(now), [Decision::Admit(ticket(1), "s2".into())]);
+}
+
+#[test]
+fn a_request_that_excludes_all_servers_is_rejected_at_once() {
+    let mut gate = Gate::default();
+    gate.set_server(&"s1".into(), &"a".into(), 2, true);
+    let now = Tick::from_millis(1);
+    gate.enqueue(excluding(0, now, &["s1"]));
+    assert!(matches!(gate.decide(now)[..], [Decision::Reject(..)]));
+}
