Hear what servers say in their responses to grants and releases

Cause: a server that serves no request of the controller's node says in its responses to grants, too, that it leaves; the controller learned it from the store alone, and keys stayed at a leaving server while the store was silent.

Change: a command returns an Answer: its result and what the server says of itself.

The fakes return answers; what they check is unchanged.

--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         node::Node,
-        owners,
+        notices, owners,
         platform::{Grant, Kind, Platform, Reply, StoreError},
         record::OwnersRecord,
     },
@@ -275,7 +275,8 @@
         return Reply::NoResponse;
     }
     let before = node.control.borrow_mut().leases.entry(service, span).record_send(sent, duration);
-    let reply = node.platform.grant(addr, &Grant::new(span, duration, token)).await;
+    let answer = node.platform.grant(addr, &Grant::new(span, duration, token)).await;
+    let reply = notices::hear_answer(node, &span.owner, addr, answer);
     let mut control = node.control.borrow_mut();
     let lease = control.leases.entry(service, span);
     lease.in_flight = false;
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -21,7 +21,7 @@
     },
     crate::{
         node::Node,
-        owners,
+        notices, owners,
         platform::{Grant, Platform, Reply},
     },
     log::warn,
@@ -198,7 +198,8 @@
     match fence_former(node, service, span, fenced, addr).await {
         Reply::Done(_) => {
             let grant = Grant::new(fenced, Duration::ZERO, None);
-            node.platform.release(addr, &grant).await
+            let answer = node.platform.release(addr, &grant).await;
+            notices::hear_answer(node, &fenced.owner, addr, answer)
         }
         other => other,
     }
@@ -219,7 +220,8 @@
     let duration = if is_inherited(node, service, span) { INHERITED_LEASE } else { RELEASE_LEASE };
     let before =
         node.control.borrow_mut().leases.entry(service, fenced).record_send(sent, duration);
-    let reply = node.platform.grant(addr, &Grant::new(fenced, duration, None)).await;
+    let answer = node.platform.grant(addr, &Grant::new(fenced, duration, None)).await;
+    let reply = notices::hear_answer(node, &fenced.owner, addr, answer);
     let mut control = node.control.borrow_mut();
     if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced) {
         control.leases.entry(service, fenced).expires = before;
--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -6,13 +6,14 @@
         message::{Body, ServerNotice},
         node::Node,
         owners,
-        platform::{Platform, Word},
+        platform::{Answer, Platform, Reply, Word},
     },
     log::info,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     whinspring::{
         name::Name,
         notices::{Life, Purpose, Refusal, Source, Wait},
+        ranges::Instance,
         time::Tick,
     },
 };
@@ -58,6 +59,19 @@
     }
 }
 
+/// Records what a server has said in its response to a grant or a release; returns the result of the
+/// command. A pause holds back requests only: grants go on, or the server would lose its keys.
+pub fn hear_answer<P: Platform>(
+    node: &Rc<Node<P>>,
+    instance: &Instance,
+    addr: SocketAddr,
+    answer: Answer,
+) -> Reply {
+    let life = Life { start_ms: instance.start_ms, addr };
+    hear(node, &instance.server, life, answer.word, Source::Command);
+    answer.reply
+}
+
 /// Records that a server wants nothing from this node for some time.
 fn record_pause<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -197,16 +197,29 @@
     }
 }
 
+/// Result of a command, and what the server says of itself in its response, if there is one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub reply: Reply,
+    pub word: Word,
+}
+
+impl From<Reply> for Answer {
+    fn from(reply: Reply) -> Self {
+        Self { reply, word: Word::default() }
+    }
+}
+
 /// Commands to the servers of keyed services.
 ///
 /// A server refuses a command that is meant for another server at its address
 /// ([`Reply::Replaced`]).
 pub trait ServerControl {
     /// Grants keys, or renews a grant.
-    fn grant(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Reply>;
+    fn grant(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Answer>;
 
     /// Revokes keys; completes when the server has finished its requests on them.
-    fn release(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Reply>;
+    fn release(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Answer>;
 }
 
 /// Names of headers on requests and responses.
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -29,8 +29,8 @@
         node::Node,
         peers,
         platform::{
-            Changes, Dialect, Grant, Headers, Kind, Listing, Object, Reply, ServerControl,
-            ServerEntry, Store, StoreError,
+            Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Reply, ServerControl,
+            ServerEntry, Store, StoreError, Word,
         },
         record::OwnersRecord,
         settings::Limits as NodeLimits,
@@ -134,6 +134,8 @@
     in_flight: HashMap<Name, usize>,
     pub most_in_flight: usize,
     pub fault_rates: FaultRates,
+    /// A server that says in its responses that it leaves.
+    pub speaking: Option<Name>,
     pub rng: SeededRng,
     /// Violations found.
     pub faults: Vec<String>,
@@ -157,6 +159,7 @@
             in_flight: HashMap::new(),
             most_in_flight: 0,
             fault_rates: FaultRates::default(),
+            speaking: None,
             rng: SeededRng(ChaCha8Rng::seed_from_u64(seed)),
             faults: Vec::new(),
             history: Vec::new(),
@@ -466,13 +469,28 @@
     }
 }
 
-impl ServerControl for Platform {
-    async fn grant(&self, addr: SocketAddr, grant: &Grant) -> Reply {
-        self.command(addr, grant, |world, name, grant, at| world.apply_grant(name, grant, at)).await
+impl Platform {
+    /// Adds what the server at an address says of itself to its reply.
+    fn answer(&self, addr: SocketAddr, reply: Reply) -> Answer {
+        let world = self.world.borrow();
+        let leaving = world.speaking == Some(world.at(addr)) && matches!(reply, Reply::Done(_));
+        Answer { reply, word: Word { leaving, wait: None } }
     }
+}
 
-    async fn release(&self, addr: SocketAddr, grant: &Grant) -> Reply {
-        self.command(addr, grant, |world, name, grant, _| world.apply_release(name, grant)).await
+impl ServerControl for Platform {
+    async fn grant(&self, addr: SocketAddr, grant: &Grant) -> Answer {
+        let reply = self
+            .command(addr, grant, |world, name, grant, at| world.apply_grant(name, grant, at))
+            .await;
+        self.answer(addr, reply)
+    }
+
+    async fn release(&self, addr: SocketAddr, grant: &Grant) -> Answer {
+        let reply = self
+            .command(addr, grant, |world, name, grant, _| world.apply_release(name, grant))
+            .await;
+        self.answer(addr, reply)
     }
 }
 
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -85,6 +85,22 @@
     });
 }
 
+/// The store knows nothing yet: the server says it in its responses to grants.
+#[test]
+fn a_server_that_leaves_by_its_own_word_hands_its_keys_over() {
+    scenario(async {
+        let world = World::new(1, 4);
+        start(&world, "n1");
+        advance(4_000).await;
+        world.borrow_mut().speaking = Some("s01".into());
+        advance(3_000).await;
+        assert_eq!(world.borrow().share(1), 0.0);
+        let held: f64 = (0..4).map(|index| world.borrow().share(index)).sum();
+        assert_eq!(held, 1.0);
+        check(&world);
+    });
+}
+
 #[test]
 fn keys_of_an_unreachable_server_are_granted_again_after_its_lease_expires() {
     scenario(async {
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -27,7 +27,7 @@
         frontend::{self, Connections},
         node::Node,
         platform::{
-            Changes, Dialect, Grant, Headers, Kind, Listing, Object, Reply, ServerControl,
+            Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Reply, ServerControl,
             ServerEntry, Store, StoreError,
         },
         settings::Limits as NodeLimits,
@@ -73,12 +73,12 @@
 }
 
 impl ServerControl for Platform {
-    async fn grant(&self, _: SocketAddr, _: &Grant) -> Reply {
-        Reply::Unsent
+    async fn grant(&self, _: SocketAddr, _: &Grant) -> Answer {
+        Reply::Unsent.into()
     }
 
-    async fn release(&self, _: SocketAddr, _: &Grant) -> Reply {
-        Reply::Unsent
+    async fn release(&self, _: SocketAddr, _: &Grant) -> Answer {
+        Reply::Unsent.into()
     }
 }
 
