--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -10,6 +10,7 @@
         frame::Frame,
         message::{Body, Item, ObjectsChanged, Snapshot},
         node::Node,
+        notices,
         peers::{self, Peer},
         platform::{Changes, Kind, Listing, Object, Platform, StoreError},
         spread,
@@ -223,6 +224,7 @@
 pub async fn sweep<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
+        notices::count(&node);
         let now = node.now();
         let back = if node.store_lost.get() { now } else { node.store_recovered.get() };
         if node.view.borrow_mut().sweep(now, back) {
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -4,10 +4,15 @@
 //! servers, and [`Dialect`] for header names and the format of stored objects.
 
 use {
-    http::HeaderName,
+    http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header::RETRY_AFTER},
     snafu::Snafu,
     std::{collections::HashSet, net::SocketAddr, time::Duration},
-    whinspring::{name::Name, ranges::Span, routes::RouteTable},
+    whinspring::{
+        name::Name,
+        notices::{Life, Wait, parse_wait},
+        ranges::Span,
+        routes::RouteTable,
+    },
 };
 
 /// Kinds of stored objects.
@@ -138,6 +143,12 @@
     pub start_ms: u64,
 }
 
+impl ServerEntry {
+    pub fn life(&self) -> Life {
+        Life { start_ms: self.start_ms, addr: self.addr }
+    }
+}
+
 /// A lease on a range of keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grant {
@@ -178,16 +189,49 @@
     NoResponse,
 }
 
+/// What a server says of itself in one response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Word {
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// How long it wants nothing from this node, after it has turned something away.
+    pub wait: Option<Wait>,
+}
+
+impl Word {
+    /// Reads what the headers of a response say.
+    pub fn read(status: StatusCode, headers: &HeaderMap, names: &Headers) -> Self {
+        let leaving = headers.get(&names.leaving);
+        let leaving = leaving.is_some_and(|value| value.as_bytes().trim_ascii() != b"0");
+        let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
+        let values = headers.get_all(RETRY_AFTER).iter().map(HeaderValue::as_bytes);
+        Self { leaving, wait: parse_wait(values).filter(|_| is_refusal) }
+    }
+}
+
+/// Result of a command, and what the server says of itself in its response, if there is one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub reply: Reply,
+    pub word: Word,
+}
+
+impl From<Reply> for Answer {
+    fn from(reply: Reply) -> Self {
+        Self { reply, word: Word::default() }
+    }
+}
+
 /// Commands to the servers of keyed services.
 ///
 /// A server refuses a command that is meant for another server at its address
 /// ([`Reply::Replaced`]).
 pub trait ServerControl {
     /// Grants keys, or renews a grant.
-    fn grant(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Reply>;
+    fn grant(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Answer>;
 
     /// Revokes keys; completes when the server has finished its requests on them.
-    fn release(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Reply>;
+    fn release(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Answer>;
 }
 
 /// Names of headers on requests and responses.
@@ -204,6 +248,8 @@
     /// Set by a server that did not run the request.
     pub not_run: HeaderName,
     pub key: HeaderName,
+    /// Set by a server that leaves on all its responses.
+    pub leaving: HeaderName,
 }
 
 /// Header names and object formats of the platform.
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -19,7 +19,7 @@
         time::{sleep, timeout},
     },
     tokio_util::codec::{Framed, FramedParts, LengthDelimitedCodec},
-    whinspring::rendezvous::rank,
+    whinspring::{notices::Source, rendezvous::rank},
     whinspring_router::{
         frame::Frame,
         message::{
@@ -194,7 +194,7 @@
 fn admit_message(number: u64) -> Body {
     let (target, deadline) = (500, 10_000);
     let (pool, avoid) = (POOL.to_string(), String::new());
-    Body::Admit(Admit { pool, number, priority: 0, target, deadline, avoid })
+    Body::Admit(Admit { pool, number, priority: 0, target, deadline, avoid, exclude: Vec::new() })
 }
 
 #[test]
@@ -331,7 +331,8 @@
 fn set_leaving(rig: &Rig, left: Duration) {
     let now = rig.node.now();
     let mut view = rig.node.view.borrow_mut();
-    view.servers.get_mut("s1").unwrap().leaving = Some(now - left);
+    let life = view.servers["s1"].life();
+    view.notices.record_leaving(&"s1".into(), life, now - left, Source::Store);
 }
 
 /// Guards against requests to a server that has left: the node of the gate may learn later than
