A gate finds a server by its name, and one with a single server looks at that only

A gate of one server also went through all servers of the fleet with each request. Change: positions by name; the gate of a single server updates that one. Test: updates_reach_their_server_after_others_have_gone, red without the new positions after a removal.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -10,6 +10,7 @@
 
 use {
     crate::{
+        cluster::Server,
         message::{Admit, Admitted, Body, Check, Done, Rejected},
         node::Node,
         notices,
@@ -339,15 +340,16 @@
     let mut admission = node.admission.borrow_mut();
     let gate = admission.gates.entry(pool.clone()).or_default();
     let now = node.now();
-    let keyed = view.servers.contains_key(pool);
-    let purpose = if keyed { Purpose::PlaceKeyed } else { Purpose::Place };
     let drain = notices::usable_drain(node);
-    let matches = |name: &Name, service: &Name| if keyed { name == pool } else { service == pool };
-    for server in view.servers.values() {
-        if matches(&server.name, &server.entry.service) {
-            let open = view.notices.check(&server.name, purpose, now, drain).is_ok();
-            gate.set_server(&server.name, &server.entry.domain, server.entry.slots, open);
-        }
+    let mut update = |server: &Server, purpose| {
+        let open = view.notices.check(&server.name, purpose, now, drain).is_ok();
+        gate.set_server(&server.name, &server.entry.domain, server.entry.slots, open);
+    };
+    if let Some(server) = view.servers.get(pool) {
+        update(server, Purpose::PlaceKeyed);
+    } else {
+        let matches = |server: &&Server| server.entry.service == *pool;
+        view.servers.values().filter(matches).for_each(|server| update(server, Purpose::Place));
     }
     gate.retain_servers(|name| view.servers.contains_key(name));
 }
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -112,35 +112,43 @@
 #[derive(Debug, Default)]
 pub struct Gate {
     servers: Vec<Server>,
+    /// Positions in `servers` by name: a pool may have a thousand servers, and each is updated with
+    /// each request.
+    positions: HashMap<Name, usize>,
     queue: Vec<PendingRequest>,
 }
 
 impl Gate {
     /// Updates the slots and the state of a server; adds it if it is new.
     pub fn set_server(&mut self, name: &Name, domain: &Name, slots: u32, open: bool) {
-        let found = self.servers.iter_mut().find(|server| server.name == *name);
-        match found {
-            Some(server) => {
-                server.slots = slots;
-                server.open = open;
-            }
-            None => self.servers.push(Server {
-                name: name.clone(),
-                domain: domain.clone(),
-                slots,
-                open,
-                running: HashMap::new(),
-                service_time: None,
-                measured_at: Tick::default(),
-                failures: 0,
-                backoff_until: Tick::default(),
-            }),
+        if let Some(position) = self.positions.get(name) {
+            let server = &mut self.servers[*position];
+            server.slots = slots;
+            server.open = open;
+            return;
         }
+        self.positions.insert(name.clone(), self.servers.len());
+        self.servers.push(Server {
+            name: name.clone(),
+            domain: domain.clone(),
+            slots,
+            open,
+            running: HashMap::new(),
+            service_time: None,
+            measured_at: Tick::default(),
+            failures: 0,
+            backoff_until: Tick::default(),
+        });
     }
 
     /// Removes the servers for which `keep` returns false.
     pub fn retain_servers(&mut self, keep: impl Fn(&Name) -> bool) {
+        let before = self.servers.len();
         self.servers.retain(|server| keep(&server.name));
+        if self.servers.len() < before {
+            let names = self.servers.iter().map(|server| server.name.clone());
+            self.positions = names.zip(0..).collect();
+        }
     }
 
     /// Adds a request to the queue unless it is already queued. The next [`Gate::decide`] decides on
--- a/crates/whinspring/tests/gate.rs
+++ b/crates/whinspring/tests/gate.rs
@@ -317,3 +317,32 @@
     gate.enqueue(excluding(0, now, &["s1"]));
     assert!(matches!(gate.decide(now)[..], [Decision::Reject(..)]));
 }
+
+/// Load pattern: servers of a large pool come and go while requests arrive. Guards against updates
+/// of a server that reach another one.
+#[test]
+fn updates_reach_their_server_after_others_have_gone() {
+    const SERVERS: usize = 1_000;
+    let name = |number: usize| Name::from(format!("s{number}"));
+    let domain = Name::from("a");
+    let mut gate = Gate::default();
+    for number in 0..SERVERS {
+        gate.set_server(&name(number), &domain, 1, false);
+    }
+    let last = name(SERVERS - 1);
+    gate.retain_servers(|server| *server == last || server.ends_with('0'));
+    gate.set_server(&last, &domain, 1, true);
+    gate.set_server(&name(SERVERS), &domain, 1, false);
+    let ticket = Ticket { node: "n1".into(), number: 1 };
+    let now = Tick::from_millis(1);
+    gate.enqueue(PendingRequest {
+        ticket: ticket.clone(),
+        domain,
+        priority: 0,
+        target: now + Duration::from_secs(1),
+        deadline: now + Duration::from_secs(2),
+        avoid: None,
+        exclude: Vec::new(),
+    });
+    assert_eq!(gate.decide(now), [Decision::Admit(ticket, last)]);
+}
