A rejection that is not forwarded is read for 50 ms at most

The response was read to its end without a limit before the request went on. Change: the rest of a response that is not forwarded is read for 50 ms, then its connection is dropped. Test: a_rejection_whose_body_stalls_is_passed_on_in_time, red before (no response before the deadline).

--- a/crates/whinspring-router/src/request/attempt.rs
+++ b/crates/whinspring-router/src/request/attempt.rs
@@ -8,8 +8,9 @@
         io,
         rc::Rc,
         task::{Context, Poll, ready},
+        time::Duration,
     },
-    tokio::task::spawn_local,
+    tokio::{task::spawn_local, time::timeout},
     whinspring::{gate::ServerOutcome, name::Name, time::Tick},
     whinspring_http::backend::{Conn, ConnectionPool, NoStream},
 };
@@ -17,6 +18,9 @@
 /// Largest response body that is buffered before it is forwarded; longer ones are streamed.
 pub const MAX_BUFFERED_BYTES: u64 = 32 << 10;
 
+/// Longest time to read a response that is not forwarded.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// An attempt to run a request on a server, until its response has been read.
 pub struct Attempt<P: Platform> {
     /// Permit of the gate; its drop frees the slot.
@@ -89,10 +93,12 @@
         }
     }
 
-    /// Discards a response that is not forwarded; drops the connection if the body is long.
+    /// Discards a response that is not forwarded. Drops the connection if the body is long or slow:
+    /// the caller is waiting.
     pub(super) async fn drain(&mut self) {
-        if let Collected::Partial(_) = self.collect(None).await {
-            self.conn = None;
+        match timeout(DRAIN_TIMEOUT, self.collect(None)).await {
+            Ok(Collected::Complete(_) | Collected::Broken) => {}
+            Ok(Collected::Partial(_)) | Err(_) => self.conn = None,
         }
     }
 
--- a/crates/whinspring-router/tests/path/answers.rs
+++ b/crates/whinspring-router/tests/path/answers.rs
@@ -3,7 +3,11 @@
 use {
     crate::rig::run,
     std::time::Duration,
-    tokio::{io::AsyncWriteExt, task::spawn_local, time::sleep},
+    tokio::{
+        io::AsyncWriteExt,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
 };
 
 fn id_of(request: &str) -> &str {
@@ -214,3 +218,20 @@
         },
     );
 }
+
+/// Guards against a caller that waits for the rest of a response that it never gets.
+#[test]
+fn a_rejection_whose_body_stalls_is_passed_on_in_time() {
+    let stalled = |request: &str| {
+        let id = id_of(request);
+        Some(format!(
+            "HTTP/1.1 503 Service Unavailable\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 9\r\n\r\nhalf"
+        ))
+    };
+    run(stalled, |rig| async move {
+        let request = build_request("POST", "/once/1", "i1");
+        let response = timeout(Duration::from_millis(1_500), rig.send(&request)).await;
+        let response = response.expect("no response before the deadline");
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    });
+}
