Ask a silent store often, and watch anew once it has returned

The watches of all nodes ended in the silence, at 11.9 s and 13.2 s, and began again there with a wait of 15 s: a call that begins in a silence gets no response after it either, so that the new configuration, confirmed at 17.58 s, was applied at 29.9 s to 30.1 s. A watch from before the silence hangs in the same way, as nothing ends it. The nodes' heartbeats did not help, since none of them was ahead.

Ruled out: short watches at all times, as each one that returns is a priced call.

Change: after a failed call a watch asks the store to wait for 250 ms only, at nodes that watch for themselves or their failure domain. When the store responds again to the node, or to the controller after a silence of more than 2.3 s by its heartbeats, watches that began before are begun anew, the first one short.

Red first: a_watch_after_a_failed_call_is_short (the second watch asked for 15 s) and a_watch_from_before_an_outage_is_replaced_once_the_controller_has_the_store_again (one watch where two are expected). nodes_that_rely_on_watchers_do_not_ask_a_silent_store_often was green before, too, and guards the price in large clusters. The fake peer can now be the controller and report the age of the store's last response.

A node that hears neither the store nor the controller may still hang.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -32,6 +32,9 @@
 /// Time without a confirmation by the store after which the controller hands no keys over.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time since the store last responded to the controller from which a check of it has failed.
+const SILENT_AFTER: Duration = Duration::from_millis(2_300);
+
 /// Time constant of the exponential decay of measured loads, in seconds.
 const LOAD_DECAY_S: f64 = 3.0;
 
@@ -58,6 +61,8 @@
     leader_timeout: Duration,
     /// Time since the store last responded to the controller, as reported by its heartbeat.
     store_age: Duration,
+    /// Whether the store did not respond to the controller when that was last heard.
+    store_silent: bool,
     /// Highest term known.
     term: u64,
     /// Whether this node is the controller.
@@ -106,6 +111,11 @@
         self.is_leader
     }
 
+    /// Returns whether the store does not respond to the controller, as far as known.
+    pub fn is_store_silent(&self) -> bool {
+        self.store_silent
+    }
+
     /// Returns the name of the controller, unless it is this node.
     pub fn controller(&self) -> Option<&Name> {
         self.leader.as_ref().map(|(name, _)| name).filter(|_| !self.is_leader)
@@ -122,6 +132,7 @@
             self.last_heard = now;
             self.leader_timeout = heartbeat.timeout();
             self.store_age = Duration::from_millis(heartbeat.store_age_ms.into());
+            self.store_silent = self.store_age > SILENT_AFTER;
         }
         if self.is_leader {
             self.record_measurements(now, heartbeat);
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -21,6 +21,10 @@
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Timeout of a watch while the store may not respond. A watch that begins while the store is
+/// silent gets no response after that either.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time between two watches in which changes are batched.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
 
@@ -74,14 +78,24 @@
 /// Watches a kind, or relies on other nodes to forward its changes, until the store has compacted
 /// the history that a watch needs.
 async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut revision: u64) {
+    let mut interrupted = false;
     loop {
-        if let Some(reachable) = delegated_watch_status(node) {
-            node.set_store_reachable(reachable);
+        if is_delegated(node) {
+            node.set_store_reachable(true);
             sleep(WATCH_CHECK_INTERVAL).await;
             revision = revision.max(node.view.borrow().synced_revision(kind));
             continue;
         }
-        match node.platform.watch(kind, revision, WATCH_TIMEOUT).await {
+        let wait = if interrupted { PROBE_TIMEOUT } else { watch_timeout(node) };
+        let outcome = tokio::select! {
+            outcome = node.platform.watch(kind, revision, wait) => outcome,
+            () = node.store_returned.notified() => {
+                interrupted = true;
+                continue;
+            }
+        };
+        interrupted = false;
+        match outcome {
             Ok(changes) => {
                 node.set_store_reachable(true);
                 revision = revision.max(changes.revision);
@@ -99,9 +113,29 @@
     }
 }
 
-/// Returns whether one of the nodes that watch the store for this node can reach it, or `None` if
-/// this node has to watch the store itself.
-fn delegated_watch_status<P: Platform>(node: &Rc<Node<P>>) -> Option<bool> {
+/// Returns for how long to watch: a short time if this node has to find out when the store responds
+/// again.
+fn watch_timeout<P: Platform>(node: &Rc<Node<P>>) -> Duration {
+    let is_watcher = near_watchers(node).is_none_or(|near| near.includes_self);
+    if node.store_lost.get() && is_watcher { PROBE_TIMEOUT } else { WATCH_TIMEOUT }
+}
+
+/// Returns whether another node watches the store for this node and can reach it.
+fn is_delegated<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    near_watchers(node).is_some_and(|near| !near.includes_self && near.is_reachable)
+}
+
+/// The nodes that watch the store for one failure domain.
+struct Watchers {
+    /// Whether this node ranks among them.
+    includes_self: bool,
+    /// Whether the store responds to another of them.
+    is_reachable: bool,
+}
+
+/// Returns the nodes that watch the store for the failure domain of this node, or `None` if each
+/// node has to watch it itself.
+fn near_watchers<P: Platform>(node: &Rc<Node<P>>) -> Option<Watchers> {
     let peers = node.peers.borrow();
     if !peers.is_large_cluster() {
         return None;
@@ -115,9 +149,11 @@
     others.sort_unstable();
     let watchers = others.get(..WATCHERS_PER_DOMAIN)?;
     let (last, _) = watchers[WATCHERS_PER_DOMAIN - 1];
-    let reachable = watchers.iter().any(|(_, reachable)| *reachable);
     let own = spread::order(node.name(), node.settings.limits.cpu_percent);
-    (own > last && reachable).then_some(reachable)
+    Some(Watchers {
+        includes_self: own <= last,
+        is_reachable: watchers.iter().any(|(_, reachable)| *reachable),
+    })
 }
 
 /// Applies changes, and forwards them to the nodes of the same failure domain.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -56,6 +56,9 @@
     pub store_recovered: Cell<Tick>,
     /// Whether the last call to the store failed.
     pub store_lost: Cell<bool>,
+    /// Notified when the store responds again, to this node or to the controller: a watch that
+    /// began earlier may never get a response.
+    pub store_returned: Notify,
 }
 
 impl<P: Platform> Node<P> {
@@ -80,6 +83,7 @@
             store_contact: Cell::default(),
             store_recovered: Cell::default(),
             store_lost: Cell::new(true),
+            store_returned: Notify::new(),
         })
     }
 
@@ -100,6 +104,7 @@
         }
         if reachable && self.store_lost.replace(false) {
             self.store_recovered.set(now);
+            self.store_returned.notify_waiters();
             log::info!(event = "store_regained"; "the store responds again");
         }
         if !reachable && !self.store_lost.replace(true) {
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -359,7 +359,11 @@
     if restarted {
         admission::drop_node(node, from);
     }
+    let was_silent = node.control.borrow().is_store_silent();
     node.control.borrow_mut().on_heartbeat(now, from, &heartbeat);
+    if was_silent && !node.control.borrow().is_store_silent() {
+        node.store_returned.notify_waiters();
+    }
 }
 
 /// Sends heartbeats and detects nodes that have fallen silent. Never returns.
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -218,3 +218,75 @@
         },
     );
 }
+
+/// Longest time after the store's return in which a change must be in force.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// The store is silent and loses its history meanwhile: a watch that begins in the silence gets no
+/// answer, not even after it.
+#[test]
+fn a_watch_after_a_failed_call_is_short() {
+    run(
+        |_| None,
+        |rig| async move {
+            spawn_local(follow::run(rig.node.clone(), Kind::Routes));
+            let wait = || rig.node.platform.wait.get();
+            while rig.node.platform.watches.get() < 1 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert!(wait() > APPLY_TIME, "the store responds: one call for a long time");
+            while rig.node.platform.watches.get() < 2 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert!(wait() < APPLY_TIME / 4, "a watch of {:?} in the silence", wait());
+        },
+    );
+}
+
+/// In a large cluster only the watchers ask the store again and again.
+#[test]
+fn nodes_that_rely_on_watchers_do_not_ask_a_silent_store_often() {
+    run(
+        |_| None,
+        |rig| async move {
+            let _others = join(&rig, 2, true, CPU_SHARE).await;
+            spawn_local(follow::run(rig.node.clone(), Kind::Routes));
+            sleep(DECISION_TIME).await;
+            assert!(rig.node.platform.watches.get() > 1);
+            assert!(rig.node.platform.wait.get() > APPLY_TIME);
+        },
+    );
+}
+
+/// A watch that began before the silence is cut in it and hears nothing of that. The controller
+/// calls the store often, so that it learns of the silence and of its end.
+#[test]
+fn a_watch_from_before_an_outage_is_replaced_once_the_controller_has_the_store_again() {
+    run(
+        |_| None,
+        |rig| async move {
+            rig.node.platform.silent.set(true);
+            spawn_local(follow::run(rig.node.clone(), Kind::Routes));
+            let (mut leader, _link) = FakePeer::connect(&rig, true, 250).await;
+            leader.term = 1;
+            sleep(DECISION_TIME).await;
+            let watches = || rig.node.platform.watches.get();
+            for age in [0, 800, 1_600, 0, 1_600, 100] {
+                leader.store_age = age;
+                leader.heartbeat().await;
+            }
+            assert_eq!(watches(), 1, "the store responds to the controller all the while");
+            for age in [1_500, 2_600, 5_000] {
+                leader.store_age = age;
+                leader.heartbeat().await;
+            }
+            assert_eq!(watches(), 1, "the store is still silent");
+            leader.store_age = 50;
+            leader.heartbeat().await;
+            assert_eq!(watches(), 2);
+            assert!(rig.node.platform.wait.get() < APPLY_TIME / 4);
+            leader.heartbeat().await;
+            assert_eq!(watches(), 2, "once for each outage");
+        },
+    );
+}
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -48,6 +48,10 @@
     name: String,
     /// Whether its heartbeats report that the store does not respond.
     pub cut_off: bool,
+    /// Term in which its heartbeats say that it is the controller; 0 if it is not.
+    pub term: u64,
+    /// Time since the store last responded to it, in milliseconds.
+    pub store_age: u32,
     /// Heartbeat interval that it announces, in milliseconds.
     pub every: u32,
     /// CPU share that it announces, in hundredths of a core.
@@ -84,8 +88,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let link = framed(TcpStream::connect(target).await.unwrap());
         let cpu_share = Limits::default().cpu_percent;
-        let (cut_off, every, echo) = (false, 250, 0);
-        let mut peer = Self { name, cut_off, every, cpu_share, listener, target, link, echo };
+        let (cut_off, term, store_age, every, echo) = (false, 0, 0, 250, 0);
+        let mut peer =
+            Self { name, cut_off, term, store_age, every, cpu_share, listener, target, link, echo };
         peer.send(Body::Hello(Hello { node: peer.name.clone() })).await;
         peer
     }
@@ -111,6 +116,9 @@
             incarnation: 7,
             interval_ms: self.every,
             store_lost: self.cut_off,
+            term: self.term,
+            is_leader: self.term > 0,
+            store_age_ms: self.store_age,
             cpu_share: self.cpu_share,
             ..Heartbeat::default()
         };
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -5,6 +5,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
+        future::pending,
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -40,6 +41,10 @@
 pub struct Platform {
     /// Number of watches that were started.
     pub watches: Cell<u32>,
+    /// How long the last watch asked the store to wait.
+    pub wait: Cell<Duration>,
+    /// Whether watches get no answer and do not end.
+    pub silent: Cell<bool>,
     /// Objects that the store lists.
     pub listing: RefCell<Listing>,
     /// Whether watches fail as the history was compacted; reset by a listing.
@@ -54,8 +59,12 @@
         Ok(self.listing.borrow().clone())
     }
 
-    async fn watch(&self, _: Kind, _: u64, _: Duration) -> Result<Changes, StoreError> {
+    async fn watch(&self, _: Kind, _: u64, wait: Duration) -> Result<Changes, StoreError> {
         self.watches.set(self.watches.get() + 1);
+        self.wait.set(wait);
+        if self.silent.get() {
+            pending::<()>().await;
+        }
         if self.compacted.get() {
             return Err(StoreError::Compacted);
         }
@@ -211,8 +220,9 @@
 fn platform(server: SocketAddr) -> Platform {
     let headers = headers();
     let listing = RefCell::new(Listing { revision: 1, items: Vec::new() });
-    let (watches, compacted) = (Cell::new(0), Cell::new(false));
-    Platform { watches, listing, compacted, headers, server }
+    let (watches, wait) = (Cell::new(0), Cell::default());
+    let (silent, compacted) = (Cell::new(false), Cell::new(false));
+    Platform { watches, wait, silent, listing, compacted, headers, server }
 }
 
 fn table() -> RouteTable {
