Wait for the long grants that a server took from earlier controllers

A server that has taken a grant of this controller was thought to hold nothing of an earlier one, so its keys went to another server at 23.2 s (others at 21.7 s), where the first held them until 24.368 s: a shorter grant under a higher fence does not end a longer one to the same server.

Ruled out: grants of 4 s at all times, as no successor can be named while the store is silent for all; a bound by the predecessor's last order alone, as term 1 gave orders after term 2 had ended (14.287 s and 13.857 s).

Change: the wait for a server out of reach counts the longest grant from when the server first took a grant of this controller on all of the keys, or from 12 s after the election if that is earlier; a server that has taken none is waited for as before. The fake server keeps the longer of two grants, as the users' servers do (the change of the check makes it stricter; the share that a server holds is counted over the union of its grants).

Red first: keys_wait_for_the_long_grants_of_an_earlier_controller (s00 still held 0..=10921 when s03 got them).

Keys of servers that are cut off within 10.5 s of a change of controller wait longer, up to 10.5 s from their first grant.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -209,6 +209,12 @@
         self.predecessor_stopped.unwrap_or(self.elected_at + COMMAND_TIMEOUT)
     }
 
+    /// Returns the latest time at which any earlier controller may have sent a command: the store
+    /// confirmed none of them after the election of this one.
+    fn earlier_last_command(&self) -> Tick {
+        self.elected_at + COMMAND_TIMEOUT
+    }
+
     /// Steps down in favour of a controller of a later term.
     fn depose(&mut self, term: u64) {
         warn!(event = "deposed", term = self.term, other = term; "another node is the controller of a later term; this one steps down");
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -276,11 +276,15 @@
     }
     let before = node.control.borrow_mut().leases.entry(service, span).record_send(sent, duration);
     let reply = node.platform.grant(addr, &Grant::new(span, duration, token)).await;
+    let now = node.now();
     let mut control = node.control.borrow_mut();
     let lease = control.leases.entry(service, span);
     lease.in_flight = false;
     match reply {
-        Reply::Done(_) => lease.acked = Some(sent),
+        Reply::Done(_) => {
+            lease.acked = Some(sent);
+            lease.taken.get_or_insert(now);
+        }
         Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced => lease.expires = before,
         Reply::NoResponse => node.metrics.count("grant_unanswered"),
     }
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -163,7 +163,8 @@
 
 /// Returns when all leases of an unreachable former owner have expired.
 ///
-/// A server that accepted a grant of this controller rejects those of earlier ones.
+/// A server that has accepted a grant of this controller rejects those of earlier ones from then
+/// on, but keeps the keys for as long as the longest grant that it accepted before.
 fn release_deadline<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
@@ -172,10 +173,15 @@
 ) -> Tick {
     let control = node.control.borrow();
     let expiry = control.leases.expiry(service, former, span.first, span.last);
-    if control.term == 1 || control.leases.covers(service, former, span.first, span.last) {
+    if control.term == 1 {
         return expiry;
     }
-    expiry.max(lease_end(control.predecessor_last_command(), max_lease(node)))
+    let covered = control.leases.covered_since(service, former, span.first, span.last);
+    let last = match covered {
+        Some(since) => since.min(control.earlier_last_command()),
+        None => control.predecessor_last_command(),
+    };
+    expiry.max(lease_end(last, max_lease(node)))
 }
 
 /// Returns a span for its former owner, with a fencing token above those of all older grants.
--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -30,6 +30,8 @@
     pub expires: Tick,
     /// When the last acknowledged grant was sent.
     pub acked: Option<Tick>,
+    /// When the first acknowledgement arrived.
+    pub taken: Option<Tick>,
     /// Whether a grant is in flight.
     pub in_flight: bool,
 }
@@ -65,6 +67,7 @@
             sent: None,
             expires: Tick::default(),
             acked: None,
+            taken: None,
             in_flight: false,
         })
     }
@@ -76,19 +79,26 @@
         overlapping.map(|(_, lease)| lease.expires).max().unwrap_or_default()
     }
 
-    /// Returns whether a server has acknowledged grants that cover all of the keys.
-    pub fn covers(&self, service: &Name, owner: &Instance, first: u16, last: u16) -> bool {
-        let taken = self.leases_of(service, owner).filter(|(_, lease)| lease.acked.is_some());
-        let mut taken: Vec<(u32, u32)> =
-            taken.map(|((from, to, _), _)| (u32::from(*from), u32::from(*to))).collect();
+    /// Returns since when a server has acknowledged grants that cover all of the keys.
+    pub fn covered_since(
+        &self,
+        service: &Name,
+        owner: &Instance,
+        first: u16,
+        last: u16,
+    ) -> Option<Tick> {
+        let leases = self.leases_of(service, owner);
+        let overlapping = leases.filter(|((from, to, _), _)| *from <= last && *to >= first);
+        let taken =
+            overlapping.filter_map(|((from, to, _), lease)| Some((lease.taken?, *from, *to)));
+        let mut taken: Vec<(Tick, u16, u16)> = taken.collect();
         taken.sort_unstable();
-        let mut next = u32::from(first);
-        for (from, to) in taken {
-            if from <= next && to >= next {
-                next = to + 1;
-            }
-        }
-        next > u32::from(last)
+        let mut spans = Vec::new();
+        taken.into_iter().find_map(|(at, from, to)| {
+            spans.push((from, to));
+            spans.sort_unstable();
+            covers(&spans, first, last).then_some(at)
+        })
     }
 
     /// Removes leases that were last granted longer than [`LEASE_RETENTION`] ago.
@@ -112,6 +122,17 @@
     }
 }
 
+/// Returns whether sorted ranges of keys cover all keys of another range.
+fn covers(ranges: &[(u16, u16)], first: u16, last: u16) -> bool {
+    let mut next = u32::from(first);
+    for (from, to) in ranges {
+        if u32::from(*from) <= next {
+            next = next.max(u32::from(*to) + 1);
+        }
+    }
+    next > u32::from(last)
+}
+
 /// Returns when a lease that is granted now has expired on the server's clock as well.
 pub fn lease_end(now: Tick, duration: Duration) -> Tick {
     now + duration + duration / CLOCK_DRIFT_DIVISOR + DELIVERY_MARGIN
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -250,7 +250,15 @@
     fn share_of(&self, server: &Name) -> f64 {
         let now = Instant::now();
         let held = self.servers[server].held.iter().filter(|held| held.until > now);
-        held.map(|held| f64::from(held.last - held.first) + 1.0).sum::<f64>() / 65_536.0
+        let mut ranges: Vec<(u32, u32)> =
+            held.map(|held| (held.first.into(), u32::from(held.last) + 1)).collect();
+        ranges.sort_unstable();
+        let (mut next, mut count) = (0, 0);
+        for (first, end) in ranges {
+            count += end.saturating_sub(first.max(next));
+            next = next.max(end);
+        }
+        f64::from(count) / 65_536.0
     }
 
     /// Counts a command that a server carries out.
@@ -292,7 +300,7 @@
         self.store_down || self.cut_off.contains(node)
     }
 
-    /// Carries a grant out at a server.
+    /// Carries a grant out at a server. It does not shorten an earlier one to the same server.
     fn apply_grant(&mut self, target: &Name, grant: &Grant, arrived: Instant) -> Reply {
         let now = Instant::now();
         let server = self.servers.get_mut(target).unwrap();
@@ -313,8 +321,15 @@
             return Reply::Done(None);
         }
         let held = Held { first: grant.first, last: grant.last, since: now, until };
+        let mut longer = server.held.clone();
+        longer.retain(|held| over(held.first, held.last) && held.until > until);
+        for held in &mut longer {
+            held.first = held.first.max(grant.first);
+            held.last = held.last.min(grant.last);
+        }
         server.remove_keys(grant);
         server.held.push(held.clone());
+        server.held.extend(longer);
         self.check_overlap(target, grant, until);
         self.history.push((target.clone(), held, grant.fence));
         Reply::Done(None)
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -275,6 +275,35 @@
     });
 }
 
+/// A controller without the store gives long grants, and the shorter ones of its successor to the
+/// same server do not end them.
+#[test]
+fn keys_wait_for_the_long_grants_of_an_earlier_controller() {
+    scenario(async {
+        let world = World::new(1, 6);
+        let nodes = vec![start(&world, "n1"), start(&world, "n2")];
+        let isolated = Rc::new(RefCell::new(false));
+        spawn_local(exchange_heartbeats(nodes.clone(), isolated.clone()));
+        advance(5_000).await;
+        let first = nodes.iter().position(|node| node.control.borrow().is_leader()).unwrap();
+        let next = &nodes[1 - first];
+        world.borrow_mut().cut_off.push(nodes[first].name().clone());
+        advance(3_000).await;
+        *isolated.borrow_mut() = true;
+        while !next.control.borrow().is_leader() {
+            advance(50).await;
+        }
+        advance(1_000).await;
+        world.borrow_mut().set_unreachable(0, true);
+        world.borrow_mut().list(0, false);
+        *isolated.borrow_mut() = false;
+        advance(14_000).await;
+        check(&world);
+        let held: f64 = (1..6).map(|index| world.borrow().share(index)).sum();
+        assert_eq!(held, 1.0);
+    });
+}
+
 #[test]
 fn orders_that_are_carried_out_late_break_nothing() {
     scenario(async {
