Go on with a handover that an outage of the store interrupted

Keys 52699 to 53411 were moved at 6.468 s under fence; the former owner released them and the new one took its grant, late, so that the controller had no answer. The store was silent from 6.72 s to 20.21 s, the controller's right to command ended after 12 s, and the handover ended as obsolete.

Change: the controller remembers which handovers are released, with their tokens, until they end or their owners change; a handover that starts again goes on with the grant to the new owner.

--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -48,6 +48,9 @@
 /// Starts the pending handovers that are not running yet.
 pub(super) fn start_handovers<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
     let now = node.now();
+    if let Some(progress) = node.control.borrow_mut().handovers.get_mut(service) {
+        progress.released.retain(|key, _| owned.is_pending(key));
+    }
     for span in owned.spans.iter().filter(|span| span.former.is_some()) {
         if is_inherited(node, service, span) && !node.control.borrow().predecessor_expired(now) {
             continue;
@@ -64,11 +67,7 @@
 
 /// Releases a span from its former owner and grants it to the new one.
 async fn run_handover<P: Platform>(node: Rc<Node<P>>, service: Name, span: Span) {
-    let token = release(&node, &service, &span).await;
-    let outcome = match token {
-        Some(token) => grant_to_owner(&node, &service, &span, token).await,
-        None => Outcome::Obsolete,
-    };
+    let outcome = hand_over(&node, &service, &span).await;
     let now = node.now();
     let starts_batch = {
         let mut control = node.control.borrow_mut();
@@ -83,6 +82,30 @@
     announce(&node, &service);
 }
 
+/// Releases a span from its former owner, unless that has been done, and grants it to the new one.
+///
+/// A release is not repeated: the new owner may hold the keys already, under a higher fencing token.
+async fn hand_over<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> Outcome {
+    let key = span.handover();
+    let known = {
+        let control = node.control.borrow();
+        control.handovers.get(service).and_then(|progress| progress.released.get(&key).cloned())
+    };
+    let token = match known {
+        Some(token) => token,
+        None => {
+            let Some(token) = release(node, service, span).await else { return Outcome::Obsolete };
+            let mut control = node.control.borrow_mut();
+            let Some(progress) = control.handovers.get_mut(service) else {
+                return Outcome::Obsolete;
+            };
+            progress.released.insert(key, token.clone());
+            token
+        }
+    };
+    grant_to_owner(node, service, span, token).await
+}
+
 /// Tells all nodes which handovers have finished since they were last told.
 fn announce<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
     let handovers = {
--- a/crates/whinspring-router/src/control/progress.rs
+++ b/crates/whinspring-router/src/control/progress.rs
@@ -1,8 +1,8 @@
 //! State of handovers in progress.
 
 use {
-    std::collections::HashSet,
-    whinspring::{ranges::HandoverKey, time::Tick},
+    std::collections::{HashMap, HashSet},
+    whinspring::{name::Name, ranges::HandoverKey, time::Tick},
 };
 
 /// How a handover has ended.
@@ -26,6 +26,9 @@
     /// Handovers that an earlier controller began and may have finished.
     pub inherited: HashSet<HandoverKey>,
     pub running: HashSet<HandoverKey>,
+    /// Handovers whose former owner has released the keys, with its state token. They outlast a
+    /// time in which this node may not command.
+    pub released: HashMap<HandoverKey, Option<Name>>,
     /// Handovers that have finished and are not committed to the store yet.
     pub finished: HashSet<HandoverKey>,
     /// When the oldest of the finished handovers ended.
@@ -43,6 +46,7 @@
         if outcome == Outcome::Obsolete {
             return;
         }
+        self.released.remove(&key);
         self.finished.insert(key);
         self.oldest.get_or_insert(now);
         if outcome == Outcome::Granted {
--- a/crates/whinspring-router/tests/owners/seeds.rs
+++ b/crates/whinspring-router/tests/owners/seeds.rs
@@ -120,6 +120,32 @@
     }
 }
 
+/// The controller loses the store, and with it the right to command, in the middle of handovers whose
+/// commands are carried out late. It has both again when the store returns.
+fn run_long_outages(seed: u64) -> Vec<String> {
+    with_paused_clock(seed, async move {
+        let Cluster { world, mut rng, .. } = Cluster::start(seed).await;
+        world.borrow_mut().fault_rates = FaultRates { late: 50, ..FaultRates::default() };
+        for index in 0..2 {
+            world.borrow_mut().leave(index);
+            advance(rng.random_range(0..1_500)).await;
+            world.borrow_mut().store_down = true;
+            advance(rng.random_range(12_000..15_000)).await;
+            world.borrow_mut().store_down = false;
+            advance(8_000).await;
+        }
+        world.take().faults
+    })
+}
+
+#[test]
+fn handovers_that_an_outage_interrupts_go_on_where_they_were() {
+    for seed in 0..SEEDS {
+        let faults = run_long_outages(seed);
+        assert!(faults.is_empty(), "seed {seed}: {:?}", &faults[..faults.len().min(3)]);
+    }
+}
+
 /// Servers restart under their names while controllers lose the store and others take over.
 fn run_restarts(seed: u64) -> Vec<String> {
     with_paused_clock(seed, async move {
