Answer 431 to an oversized head that the HTTP library lets pass

Cause: the HTTP library checks the bound of 64 KiB between two reads. If the first 65,000 bytes of a head of 100,000 have arrived and the rest comes at once, one read takes all of it past the bound, and the request is parsed and answered (400, code 401); the connection stays open.

Red first: oversized_head_that_arrives_in_two_parts_is_refused (65,000 bytes, a pause of 50 ms, the rest): 400, and the connection open for 60 s.

--- a/crates/whinspring-daemon/src/caller.rs
+++ b/crates/whinspring-daemon/src/caller.rs
@@ -5,7 +5,7 @@
 
 use {
     self::{
-        answer::{Body, build_refusal, build_response, set_result},
+        answer::{Body, build_oversized, build_refusal, build_response, set_result},
         body_reader::{BodyReader, discard},
         connections::{Connections, TrackedFactory},
         request::{CheckedRequest, check},
@@ -35,7 +35,8 @@
 mod connections;
 pub(crate) mod request;
 
-/// Largest request head.
+/// Largest request head. The HTTP library checks it between two reads, so that a head may exceed it
+/// if its last part is read in one go.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Bytes of a response that are buffered before a write.
@@ -131,14 +132,19 @@
     let conn = Conn::current();
     let guard = conn.track_request();
     let start = shared.clock.now();
+    let is_oversized = request::head_bytes(&request) > MAX_HEAD_BYTES;
     shared.metrics.in_flight.inc();
-    let (service, code, mut response) = match serve(&shared, limit, &conn, request).await {
-        Ok((service, response, code)) => (service, code, response),
-        Err((service, refusal)) => (service, refusal.code, build_refusal(refusal)),
+    let (service, code, mut response) = if is_oversized {
+        (Name::new(), Code::BadRequest, build_oversized())
+    } else {
+        match serve(&shared, limit, &conn, request).await {
+            Ok((service, response, code)) => (service, code, response),
+            Err((service, refusal)) => (service, refusal.code, build_refusal(refusal)),
+        }
     };
     shared.metrics.in_flight.dec();
     shared.metrics.record_response(&service, code, shared.clock.now().since(start));
-    set_result(&mut response, code, shared.is_leaving());
+    set_result(&mut response, code, shared.is_leaving() || is_oversized);
     response.body_mut().set_guard(guard);
     Ok(response)
 }
--- a/crates/whinspring-daemon/src/caller/answer.rs
+++ b/crates/whinspring-daemon/src/caller/answer.rs
@@ -75,12 +75,19 @@
     response
 }
 
-/// Sets the result headers; a node that is shutting down also asks to close the connection.
-pub fn set_result(response: &mut Response<Body>, code: Code, leaving: bool) {
+/// Builds the response to a request whose head is too large. The connection is to be closed.
+pub fn build_oversized() -> Response<Body> {
+    let mut response = build_refusal(Refusal { code: Code::BadRequest, retry_ms: 0 });
+    *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    response
+}
+
+/// Sets the result headers; `close` asks the caller to close the connection.
+pub fn set_result(response: &mut Response<Body>, code: Code, close: bool) {
     let headers = response.headers_mut();
     headers.insert(CODE, (code as u16).into());
     headers.insert(CLASS, HeaderValue::from_static(code.class().as_str()));
-    if leaving {
+    if close {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
 }
--- a/crates/whinspring-daemon/src/caller/request.rs
+++ b/crates/whinspring-daemon/src/caller/request.rs
@@ -9,7 +9,7 @@
         shared::Shared,
     },
     http::{
-        HeaderMap, HeaderName, Method, Version,
+        HeaderMap, HeaderName, Method, Request, Version,
         header::{EXPECT, HOST, UPGRADE},
         request::Parts,
     },
@@ -55,6 +55,14 @@
 /// milliseconds.
 type Rejection = (Name, Code, u32);
 
+/// Returns the size of a request's head, without separators.
+pub fn head_bytes<T>(request: &Request<T>) -> usize {
+    let headers = request.headers().iter();
+    let fields: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let target = request.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    fields + target
+}
+
 /// Validates the head of a request.
 pub fn check(shared: &Shared, parts: &Parts) -> Result<CheckedRequest, Rejection> {
     let unmatched = |code| (Name::new(), code, 0);
--- a/crates/whinspring-daemon/tests/data/callers.rs
+++ b/crates/whinspring-daemon/tests/data/callers.rs
@@ -99,6 +99,22 @@
     assert!(Caller::new().send(&call).await.is_right());
 }
 
+/// The rest of an oversized head is read in one go if its first bytes arrived before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn oversized_head_that_arrives_in_two_parts_is_refused() {
+    let pair = pair("a", fenced()).await;
+    let large = format!("GET /checks/x HTTP/1.1\r\nhost: t\r\nx: {}\r\n\r\n", "y".repeat(100_000));
+    let (first, rest) = large.split_at(65_000);
+    let mut socket = TcpStream::connect(pair.a.callers_addr).await.expect("listener accepts");
+    socket.write_all(first.as_bytes()).await.expect("socket is writable");
+    sleep(Duration::from_millis(50)).await;
+    let _ = socket.write_all(rest.as_bytes()).await;
+    let mut response = Vec::new();
+    let _ = socket.read_to_end(&mut response).await;
+    let response = String::from_utf8_lossy(&response);
+    assert!(response.is_empty() || response.starts_with("HTTP/1.1 431 "), "{response}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn refused_caller_is_not_asked_for_its_body() {
     let pair = pair("a", fenced()).await;
