--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -2,13 +2,18 @@
 //!
 //! Each kind of object is kept as the store sent it, with its revision, so that a snapshot can be
 //! sent to a node that cannot reach the store. Only the owners of keys, which are large and change
-//! often, are kept in decoded form alone. A lower revision never replaces a higher one, and a
-//! lower version of the routes never replaces a higher one.
+//! often, are kept in decoded form alone. An earlier position never replaces a later one.
+//!
+//! The store may come back from an older copy of itself, in a new era. What is listed then is the
+//! state of the store, but takes back nothing that the node has acted on: a lower version of the
+//! routes never replaces a higher one, owners of an earlier term or of an earlier revision in one
+//! term never replace later ones, a server that has announced that it leaves still does, and one
+//! that has ended is not used again unless it writes its entry again.
 
 use {
     crate::{
         message::{Item, Snapshot},
-        platform::{Changes, Dialect, Kind, Listing, Object, ServerEntry},
+        platform::{Changes, Dialect, Kind, Listing, Object, Position, ServerEntry},
         record::OwnersRecord,
     },
     log::info,
@@ -38,6 +43,13 @@
 /// Time for which a server without an entry is still used while the store responds.
 const REMOVAL_GRACE: Duration = Duration::from_millis(300);
 
+/// Time for which a removed server is remembered.
+const ENDED_RETENTION: Duration = Duration::from_secs(120);
+
+/// Time after which an entry that came back with a copy of the store counts again for a server that
+/// was removed: that of a server that has ended expires earlier.
+const RETURN_DELAY: Duration = Duration::from_secs(10);
+
 /// New servers of one change that are logged one by one.
 const MAX_LOGGED: u32 = 8;
 
@@ -54,6 +66,10 @@
     pub missing: Option<Tick>,
     /// When it announced that it leaves.
     pub leaving: Option<Tick>,
+    /// Era in which this instance was first seen.
+    pub known_era: u64,
+    /// Era in which it last announced that it leaves.
+    pub notice_era: u64,
     /// When its warm-up ends.
     pub warm_at: Tick,
 }
@@ -67,13 +83,35 @@
 /// Objects of one kind as the store sent them.
 #[derive(Debug, Default)]
 struct KindCache {
-    /// Revision of the last change of the kind.
-    revision: u64,
-    /// Store revision up to which all changes of the kind are included.
-    synced_revision: u64,
+    /// Position of the last change of the kind.
+    position: Position,
+    /// Position of the store up to which all changes of the kind are included.
+    synced: Position,
     items: BTreeMap<Name, Object>,
 }
 
+/// What the store had lost when a kind was first listed in a new era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Loss {
+    /// Position of the kind's last change before.
+    pub before: Position,
+    /// Number of objects that are gone.
+    pub gone: usize,
+    /// Number of objects whose revision is lower than before.
+    pub reverted: usize,
+}
+
+/// A server that was removed from the view.
+#[derive(Debug)]
+struct Ended {
+    start_ms: u64,
+    /// When it was removed, and in which era.
+    at: Tick,
+    era: u64,
+    /// Its entry that came back with the copy of a later era, and when.
+    back: Option<(Tick, Object, ServerEntry)>,
+}
+
 /// The node's replica of the store's objects.
 #[derive(Debug, Default)]
 pub struct ClusterState {
@@ -83,16 +121,33 @@
     pub routes: Option<Arc<RouteTable>>,
     /// Servers by name.
     pub servers: HashMap<Name, Server>,
-    /// Owners by service, with the revision of their object.
-    pub owners: HashMap<Name, (u64, Rc<Ownership>)>,
+    /// Owners by service, with the position at which the controller of their term wrote them.
+    pub owners: HashMap<Name, (Position, Rc<Ownership>)>,
+    /// Servers that were removed, by name.
+    ended: HashMap<Name, Ended>,
     /// Handovers by service that have finished, though the owners still name the former one.
     handed_over: HashMap<Name, HashSet<HandoverKey>>,
 }
 
 impl ClusterState {
-    /// Returns the revision of the last known change of a kind.
-    pub fn revision(&self, kind: Kind) -> u64 {
-        self.raw.get(&kind).map_or(0, |raw| raw.revision)
+    /// Returns the position of the last known change of a kind.
+    pub fn position(&self, kind: Kind) -> Position {
+        self.raw.get(&kind).map_or(Position::default(), |raw| raw.position)
+    }
+
+    /// Returns the position of an object in the store as last learned, with revision zero if the
+    /// store is not known to have it in this era.
+    pub fn stored_position(&self, kind: Kind, name: &Name, era: u64) -> Position {
+        let found = self.raw.get(&kind).and_then(|raw| raw.items.get(name));
+        let current = found.map(|object| object.position).filter(|position| position.era == era);
+        current.unwrap_or(Position::new(era, 0))
+    }
+
+    /// Forgets an object that the store does not have.
+    pub fn forget_object(&mut self, kind: Kind, name: &Name) {
+        if let Some(raw) = self.raw.get_mut(&kind) {
+            raw.items.remove(name);
+        }
     }
 
     /// Returns all objects of a kind, to send to another node.
@@ -104,37 +159,60 @@
         };
         Snapshot {
             kind: kind.number(),
-            revision: raw.revision,
+            revision: raw.position.revision,
             items,
-            synced_revision: raw.synced_revision,
+            synced_revision: raw.synced.revision,
+            era: raw.synced.era,
         }
     }
 
-    /// Returns the store revision up to which all changes of a kind are included.
-    pub fn synced_revision(&self, kind: Kind) -> u64 {
-        self.raw.get(&kind).map_or(0, |raw| raw.synced_revision)
+    /// Returns the position of the store up to which all changes of a kind are included.
+    pub fn synced(&self, kind: Kind) -> Position {
+        self.raw.get(&kind).map_or(Position::default(), |raw| raw.synced)
+    }
+
+    /// Returns what a listing of a kind shows to be lost, if it is the first one of a new era.
+    pub fn loss(&self, kind: Kind, listing: &Listing) -> Option<Loss> {
+        let raw = self.raw.get(&kind)?;
+        if raw.synced == Position::default() || listing.position.era <= raw.synced.era {
+            return None;
+        }
+        let found: HashMap<&Name, u64> =
+            listing.items.iter().map(|item| (&item.name, item.position.revision)).collect();
+        let gone = raw.items.keys().filter(|name| !found.contains_key(name)).count();
+        let is_older = |item: &&Object| {
+            found.get(&item.name).is_some_and(|revision| *revision < item.position.revision)
+        };
+        let reverted = raw.items.values().filter(is_older).count();
+        Some(Loss { before: raw.synced, gone, reverted })
     }
 
     /// Replaces all objects of a kind, unless newer ones are known. Returns the changes, with
     /// `true` for objects that are gone.
     ///
-    /// The store's revision rises with changes of any kind. The revision of this kind is therefore
-    /// that of its newest object, or `claimed_revision` if another node sent the listing.
+    /// The store's revision rises with changes of any kind. The position of this kind is therefore
+    /// that of its newest object, or `claimed` if another node sent the listing.
     pub fn apply_listing(
         &mut self,
         kind: Kind,
         listing: Listing,
-        claimed_revision: Option<u64>,
+        claimed: Option<Position>,
         dialect: &impl Dialect,
         clock: Clock,
     ) -> Vec<(Object, bool)> {
         let raw = self.raw.entry(kind).or_default();
-        if listing.revision < raw.synced_revision {
+        if listing.position < raw.synced {
             return Vec::new();
         }
-        raw.synced_revision = listing.revision;
-        let newest = listing.items.iter().map(|item| item.revision).max().unwrap_or_default();
-        raw.revision = raw.revision.max(claimed_revision.unwrap_or(newest));
+        let base = Position::new(listing.position.era, 0);
+        raw.synced = listing.position;
+        let newest = listing.items.iter().map(|item| item.position).max().unwrap_or(base);
+        raw.position = raw.position.max(claimed.unwrap_or(newest)).max(base);
+        let mut listing = listing;
+        listing
+            .items
+            .iter_mut()
+            .for_each(|item| keep_routes(&self.routes, raw, kind, item, dialect));
         let known = std::mem::take(&mut raw.items);
         raw.items = listing.items.into_iter().map(|item| (item.name.clone(), item)).collect();
         let is_new = |item: &&Object| known.get(&item.name) != Some(*item);
@@ -158,13 +236,16 @@
             return;
         }
         let raw = self.raw.entry(kind).or_default();
-        raw.synced_revision = raw.synced_revision.max(changes.revision);
-        let newest = changes.events.iter().map(|(object, _)| object.revision).max();
-        raw.revision = raw.revision.max(newest.unwrap_or_default());
+        raw.synced = raw.synced.max(changes.position);
+        let newest = changes.events.iter().map(|(object, _)| object.position).max();
+        raw.position = raw.position.max(newest.unwrap_or_default());
         let mut events = changes.events;
+        for (object, _) in events.iter_mut().filter(|(_, gone)| !gone) {
+            keep_routes(&self.routes, raw, kind, object, dialect);
+        }
         events.retain(|(object, gone)| {
-            let known = raw.items.get(&object.name).map_or(0, |item| item.revision);
-            if object.revision < known {
+            let known = raw.items.get(&object.name).map(|item| item.position);
+            if object.position < known.unwrap_or_default() {
                 return false;
             }
             if *gone {
@@ -185,34 +266,51 @@
         dialect: &impl Dialect,
         clock: Clock,
     ) {
-        let revision = object.revision;
+        let position = object.position;
         self.apply_changes(
             kind,
-            Changes { revision, events: vec![(object, false)] },
+            Changes { position, events: vec![(object, false)] },
             dialect,
             clock,
         );
     }
 
-    /// Applies the owners of a service's keys, unless newer ones are known.
-    pub fn apply_owners(&mut self, service: Name, revision: u64, owned: Rc<Ownership>) {
-        if self.owners.get(&service).is_some_and(|(known, _)| *known >= revision) {
-            return;
-        }
+    /// Applies the owners of a service's keys that the store has at a position, unless newer ones
+    /// are known.
+    pub fn apply_owners(&mut self, service: Name, position: Position, owned: Rc<Ownership>) {
         let raw = self.raw.entry(Kind::Owners).or_default();
-        raw.synced_revision = raw.synced_revision.max(revision);
-        raw.revision = raw.revision.max(revision);
-        let object = Object { name: service.clone(), revision, value: Vec::new() };
-        raw.items.insert(service.clone(), object);
-        self.set_owners(service, revision, owned);
+        let known = raw.items.get(&service).map(|item| item.position);
+        if known.is_none_or(|known| known < position) {
+            raw.synced = raw.synced.max(position);
+            raw.position = raw.position.max(position);
+            let object = Object { name: service.clone(), position, value: Vec::new() };
+            raw.items.insert(service.clone(), object);
+        }
+        self.learn_owners(service, position, owned);
     }
 
-    /// Sets the owners of a service's keys, and forgets handovers that they no longer contain.
-    fn set_owners(&mut self, service: Name, revision: u64, owned: Rc<Ownership>) {
+    /// Keeps owners that this or another node knows, unless newer ones are known, whatever the
+    /// store has. Only one node writes owners in a term, and a term lies in one era.
+    pub fn learn_owners(&mut self, service: Name, position: Position, owned: Rc<Ownership>) {
+        let order = |position: &Position, owned: &Ownership| (owned.term, position.revision);
+        let new = order(&position, &owned);
+        if self.owners.get(&service).is_some_and(|(at, known)| order(at, known) >= new) {
+            return;
+        }
         if let Some(finished) = self.handed_over.get_mut(&service) {
             finished.retain(|key| owned.is_pending(key));
         }
-        self.owners.insert(service, (revision, owned));
+        self.owners.insert(service, (position, owned));
+    }
+
+    /// Keeps the owners that another node knows, unless newer ones are known.
+    pub fn learn_snapshot(&mut self, snapshot: &Snapshot) {
+        for item in &snapshot.items {
+            let object = Object::from((item.clone(), snapshot.era));
+            if let Some(owned) = decode_owners(&object) {
+                self.learn_owners(object.name, object.position, Rc::new(owned));
+            }
+        }
     }
 
     /// Notes handovers that have finished, unless they are not known or no longer pending.
@@ -260,7 +358,7 @@
             let Some(table) = dialect.parse_routes(object) else { continue };
             let known = self.routes.as_ref().map_or(0, |routes| routes.version);
             if table.version > known || self.routes.is_none() {
-                info!(event = "routes", version = table.version, revision = object.revision; "applied a new configuration");
+                info!(event = "routes", version = table.version, revision:% = object.position; "applied a new configuration");
                 self.routes = Some(Arc::new(table));
             }
         }
@@ -277,6 +375,9 @@
         let mut added = 0;
         for object in fresh {
             let Some(entry) = dialect.parse_server(object) else { continue };
+            if has_ended(&mut self.ended, object, &entry, now) {
+                continue;
+            }
             added += u32::from(update_server(
                 &mut self.servers,
                 object,
@@ -286,11 +387,11 @@
             ));
         }
         if added > MAX_LOGGED {
-            info!(event = "servers", come = added, known = self.servers.len(), revision = raw.revision; "more new servers than are logged one by one");
+            info!(event = "servers", come = added, known = self.servers.len(), revision:% = raw.position; "more new servers than are logged one by one");
         }
         for server in self.servers.values_mut() {
             if !raw.items.contains_key(&server.name) && server.missing.is_none() {
-                info!(event = "server_missing", server = server.name.as_str(), revision = raw.revision; "server has no entry in the store any more");
+                info!(event = "server_missing", server = server.name.as_str(), revision:% = raw.position; "server has no entry in the store any more");
                 server.missing = Some(now);
             }
         }
@@ -298,40 +399,115 @@
 
     fn decode_owners<'a>(&mut self, fresh: impl Iterator<Item = &'a Object>) {
         for object in fresh {
-            let known = self.owners.get(&object.name).map_or(0, |(revision, _)| *revision);
-            if object.revision <= known {
-                continue;
+            if let Some(owned) = decode_owners(object) {
+                self.learn_owners(object.name.clone(), object.position, Rc::new(owned));
             }
-            let record = OwnersRecord::decode(object.value.as_slice()).ok();
-            let owned = record.and_then(|record| Ownership::try_from(record).ok());
-            let Some(owned) = owned else {
-                log::warn!(event = "bad_owners", service = object.name.as_str(); "cannot decode the owners of a service; keeping the known ones");
-                continue;
-            };
-            self.set_owners(object.name.clone(), object.revision, Rc::new(owned));
         }
         let items = self.raw.get_mut(&Kind::Owners).map(|raw| raw.items.values_mut());
         items.into_iter().flatten().for_each(|item| item.value = Vec::new());
     }
 
-    /// Removes servers that are gone. Returns whether there were any.
+    /// Removes servers that are gone, and takes back those whose entries came back to stay. Returns
+    /// whether there were any.
     ///
     /// Closes connections that have been idle for too long as well.
-    pub fn sweep(&mut self, now: Tick, store_back: Tick) -> bool {
+    pub fn sweep(&mut self, now: Tick, store_back: Tick, clock: Clock) -> bool {
         self.servers.values().for_each(|server| server.backend.evict_expired());
+        let era = self.synced(Kind::Servers).era;
         let before = self.servers.len();
+        let ended = &mut self.ended;
         self.servers.retain(|_, server| {
             let Some(since) = server.missing else { return true };
-            now < since + REMOVAL_GRACE || now < store_back + OUTAGE_GRACE
+            let used = now < since + REMOVAL_GRACE || now < store_back + OUTAGE_GRACE;
+            if !used {
+                let start_ms = server.entry.start_ms;
+                ended.insert(server.name.clone(), Ended { start_ms, at: now, era, back: None });
+            }
+            used
         });
-        self.servers.len() != before
+        let removed = self.servers.len() != before;
+        self.take_back(now, clock) || removed
+    }
+
+    /// Uses servers again whose entries came back with a copy and did not expire since. Returns
+    /// whether there were any.
+    fn take_back(&mut self, now: Tick, clock: Clock) -> bool {
+        let listed = self.raw.get(&Kind::Servers);
+        let mut back = Vec::new();
+        self.ended.retain(|name, ended| {
+            let due = ended.back.take_if(|(at, ..)| now.since(*at) >= RETURN_DELAY);
+            if let Some((_, object, entry)) = due {
+                back.extend(
+                    Some((object, entry))
+                        .filter(|_| listed.is_some_and(|listed| listed.items.contains_key(name))),
+                );
+                return false;
+            }
+            ended.back.is_some() || now.since(ended.at) < ENDED_RETENTION
+        });
+        let any = !back.is_empty();
+        for (object, entry) in back {
+            update_server(&mut self.servers, &object, entry, clock, true);
+        }
+        any
+    }
+}
+
+/// Keeps the value of the newest routes that are known, also for nodes that hear of them from this
+/// one, until the operator has written them again.
+fn keep_routes(
+    routes: &Option<Arc<RouteTable>>,
+    raw: &KindCache,
+    kind: Kind,
+    object: &mut Object,
+    dialect: &impl Dialect,
+) {
+    let Some(known) = raw.items.get(&object.name).filter(|_| kind == Kind::Routes) else { return };
+    let Some(routes) = routes.as_ref().filter(|_| known.value != object.value) else { return };
+    if dialect.parse_routes(object).is_some_and(|table| table.version < routes.version) {
+        object.value = known.value.clone();
+    }
+}
+
+/// Returns whether an entry is that of a server that was removed in an earlier era and has not
+/// written it again.
+fn has_ended(
+    ended: &mut HashMap<Name, Ended>,
+    object: &Object,
+    entry: &ServerEntry,
+    now: Tick,
+) -> bool {
+    let Some(known) = ended.get_mut(&object.name) else { return false };
+    let same = known.start_ms == entry.start_ms && object.position.era > known.era;
+    let first = known.back.as_ref().is_none_or(|(_, back, _)| back.position == object.position);
+    if !same || !first {
+        ended.remove(&object.name);
+        return false;
     }
+    known.back.get_or_insert_with(|| (now, object.clone(), entry.clone()));
+    true
+}
+
+/// Decodes the owners of a service; `None` if they are malformed.
+fn decode_owners(object: &Object) -> Option<Ownership> {
+    let record = OwnersRecord::decode(object.value.as_slice()).ok();
+    let owned = record.and_then(|record| Ownership::try_from(record).ok());
+    if owned.is_none() {
+        log::warn!(event = "bad_owners", service = object.name.as_str(); "cannot decode the owners of a service; keeping the known ones");
+    }
+    owned
 }
 
 /// Encodes the owners of a service for a snapshot.
-fn owners_item((service, (revision, owned)): (&Name, &(u64, Rc<Ownership>))) -> Item {
+fn owners_item((service, (position, owned)): (&Name, &(Position, Rc<Ownership>))) -> Item {
     let value = OwnersRecord::from(&**owned).encode_to_vec();
-    Item { name: service.to_string(), revision: *revision, value, gone: false }
+    Item { name: service.to_string(), revision: position.revision, value, gone: false }
+}
+
+/// Returns whether an entry that came back with a copy of the store is that of a former life of a
+/// server.
+fn is_former_life(server: &Server, object: &Object, entry: &ServerEntry) -> bool {
+    object.position.era > server.known_era && entry.start_ms < server.entry.start_ms
 }
 
 /// Applies a server's entry. Returns whether the server or its instance is new.
@@ -345,20 +521,26 @@
     let now = clock.now();
     let warm_at = now + entry.warmup;
     match servers.get_mut(&object.name) {
+        Some(server) if is_former_life(server, object, &entry) => false,
         Some(server)
             if server.entry.addr == entry.addr && server.entry.start_ms == entry.start_ms =>
         {
             server.missing = None;
             if entry.leaving && server.leaving.is_none() && log {
-                info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), revision = object.revision; "server announced that it leaves");
+                info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), revision:% = object.position; "server announced that it leaves");
+            }
+            if entry.leaving {
+                server.leaving = server.leaving.or(Some(now));
+                server.notice_era = object.position.era;
+            } else if object.position.era == server.notice_era {
+                server.leaving = None;
             }
-            server.leaving = if entry.leaving { server.leaving.or(Some(now)) } else { None };
             server.entry = entry;
             false
         }
         _ => {
             if log {
-                info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.start_ms, revision = object.revision; "new server or new instance of a server");
+                info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.start_ms, revision:% = object.position; "new server or new instance of a server");
             }
             let server = Server {
                 name: object.name.clone(),
@@ -366,6 +548,8 @@
                 known_since: now,
                 missing: None,
                 leaving: entry.leaving.then_some(now),
+                known_era: object.position.era,
+                notice_era: object.position.era,
                 warm_at,
                 entry,
             };
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -11,7 +11,7 @@
         message::Heartbeat,
         node::Node,
         peers,
-        platform::{Kind, Platform, StoreError},
+        platform::{Kind, Platform, Position, StoreError},
         record::ControlRecord,
     },
     log::{info, warn},
@@ -117,7 +117,7 @@
 
 /// Tries to become the controller.
 async fn campaign<P: Platform>(node: &Rc<Node<P>>) {
-    let (known, revision) = match read_record(node).await {
+    let (known, position) = match read_record(node).await {
         Ok(found) => found,
         Err(error) => return log::debug!("cannot read the controller's record: {error}; retrying"),
     };
@@ -131,7 +131,7 @@
         term: known.term.max(node.control.borrow().term) + 1,
     };
     let value = record.encode_to_vec();
-    let written = node.platform.write(Kind::Control, CONTROLLER_RECORD, revision, &value).await;
+    let written = node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await;
     node.set_store_reachable(!matches!(
         written,
         Err(StoreError::NoResponse | StoreError::Refused { .. })
@@ -152,7 +152,7 @@
     control.predecessor = Some((Name::from(known.node), known.incarnation));
     control.confirmed = start;
     control.fence_count = 0;
-    info!(event = "controller", term = record.term, revision; "this node was elected as controller");
+    info!(event = "controller", term = record.term, revision:% = position; "this node was elected as controller");
 }
 
 /// Adopts a controller of a newer term that the record names. Returns whether there is one; it is
@@ -172,16 +172,19 @@
     false
 }
 
-/// Reads the controller's record and its revision.
-async fn read_record<P: Platform>(node: &Rc<Node<P>>) -> Result<(ControlRecord, u64), StoreError> {
+/// Reads the controller's record and its position.
+async fn read_record<P: Platform>(
+    node: &Rc<Node<P>>,
+) -> Result<(ControlRecord, Position), StoreError> {
     let found = node.platform.read(Kind::Control, CONTROLLER_RECORD).await;
+    let absent = Position::new(node.platform.era(), 0);
     node.set_store_reachable(found.is_ok());
-    let Some(object) = found? else { return Ok((ControlRecord::default(), 0)) };
+    let Some(object) = found? else { return Ok((ControlRecord::default(), absent)) };
     let record = ControlRecord::decode(object.value.as_slice()).map_err(|error| {
         warn!(event = "bad_record"; "cannot decode the controller's record: {error}; treating it as empty");
         StoreError::Malformed
     });
-    Ok((record.unwrap_or_default(), object.revision))
+    Ok((record.unwrap_or_default(), object.position))
 }
 
 /// Checks in the background with the store that this node still is the controller.
@@ -215,7 +218,7 @@
         return;
     }
     node.control.borrow_mut().resigning = true;
-    let Ok((mut record, revision)) = read_record(node).await else {
+    let Ok((mut record, position)) = read_record(node).await else {
         node.control.borrow_mut().resigning = node.leaving.get();
         return;
     };
@@ -226,7 +229,7 @@
     record.incarnation = 0;
     let value = record.encode_to_vec();
     let written =
-        node.platform.write(Kind::Control, CONTROLLER_RECORD, revision, &value).await.is_ok();
+        node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await.is_ok();
     info!(event = "resigned", term = record.term, written; "this node resigned as controller");
     node.control.borrow_mut().step_down();
     peers::send_heartbeats(node, node.now());
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -13,7 +13,7 @@
     crate::{
         node::Node,
         owners,
-        platform::{Grant, Kind, Platform, Reply, StoreError},
+        platform::{Grant, Kind, Platform, Position, Reply, StoreError},
         record::OwnersRecord,
     },
     log::info,
@@ -68,7 +68,7 @@
 async fn reconcile<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
     let now = node.now();
     let known = node.view.borrow().owners.get(service).cloned();
-    let Some((revision, owned)) = known else { return assign_initial(node, service).await };
+    let Some((_, owned)) = known else { return assign_initial(node, service).await };
     {
         let mut control = node.control.borrow_mut();
         if owned.term > control.term {
@@ -78,21 +78,21 @@
             return;
         }
     }
-    let Some((revision, owned)) = current_ownership(node, service) else {
-        return raise_all_fences(node, service, revision, &owned).await;
+    let Some((_, owned)) = current_ownership(node, service) else {
+        return raise_all_fences(node, service, &owned).await;
     };
     renew_leases(node, service, &owned, now);
     start_handovers(node, service, &owned);
-    commit_handovers(node, service, revision, &owned, now).await;
+    commit_handovers(node, service, &owned, now).await;
     rebalance(node, service, now).await;
 }
 
-/// Returns the owners of a service and their revision, if this node is the controller and wrote
+/// Returns the owners of a service and their position, if this node is the controller and wrote
 /// them in its own term. It may learn of its successor's term and owners between two steps.
 pub(super) fn current_ownership<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-) -> Option<(u64, Rc<Ownership>)> {
+) -> Option<(Position, Rc<Ownership>)> {
     let control = node.control.borrow();
     let view = node.view.borrow();
     let found = view.owners.get(service)?;
@@ -126,16 +126,11 @@
         Ownership::split_evenly(term, &owners, || control.fence())
     };
     info!(event = "divided", service = service.as_str(), servers = owners.len(); "assigned the keys of a new service");
-    write_ownership(node, service, 0, owned).await;
+    write_ownership(node, service, owned).await;
 }
 
 /// Raises the fencing tokens of all spans after a change of controller.
-async fn raise_all_fences<P: Platform>(
-    node: &Rc<Node<P>>,
-    service: &Name,
-    revision: u64,
-    owned: &Ownership,
-) {
+async fn raise_all_fences<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
     let mut next = owned.clone();
     {
         let mut control = node.control.borrow_mut();
@@ -147,7 +142,7 @@
         progress.inherited =
             next.spans.iter().filter(|span| span.former.is_some()).map(Span::handover).collect();
     }
-    write_ownership(node, service, revision, next).await;
+    write_ownership(node, service, next).await;
 }
 
 /// Writes the owners of a service, unless this node may not send commands any more. Returns `true`
@@ -155,7 +150,6 @@
 async fn write_ownership<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-    revision: u64,
     owned: Ownership,
 ) -> bool {
     if !node.control.borrow().may_command(node.now()) {
@@ -163,36 +157,42 @@
     }
     node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing = true;
     let value = OwnersRecord::from(&owned).encode_to_vec();
-    let written = node.platform.write(Kind::Owners, service, revision, &value).await;
+    let era = node.platform.era();
+    let expect = node.view.borrow().stored_position(Kind::Owners, service, era);
+    let written = node.platform.write(Kind::Owners, service, expect, &value).await;
     node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing = false;
     node.set_store_reachable(!matches!(
         written,
         Err(StoreError::NoResponse | StoreError::Refused { .. })
     ));
     match written {
-        Ok(revision) => {
+        Ok(position) => {
             let before = node.view.borrow().owners.get(service).cloned();
-            let after = (revision, Rc::new(owned));
-            node.view.borrow_mut().apply_owners(service.clone(), revision, after.1.clone());
+            let after = (position, Rc::new(owned));
+            node.view.borrow_mut().apply_owners(service.clone(), position, after.1.clone());
             owners::publish(node, service, &before.unwrap_or_default(), &after);
             node.notify_change();
             true
         }
         Err(error) => {
-            info!(event = "owners_not_written", service = service.as_str(), revision; "{error}");
+            info!(event = "owners_not_written", service = service.as_str(), revision:% = expect; "{error}");
             reread_ownership(node, service).await;
             false
         }
     }
 }
 
-/// Reads the owners of a service again after a write whose outcome is unknown.
+/// Reads the owners of a service again after a write whose outcome is unknown, or that met another.
 async fn reread_ownership<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
-    if let Ok(Some(object)) = node.platform.read(Kind::Owners, service).await {
-        node.set_store_reachable(true);
-        node.view.borrow_mut().apply_object(Kind::Owners, object, &node.platform, node.clock);
-        node.notify_change();
+    let Ok(found) = node.platform.read(Kind::Owners, service).await else { return };
+    node.set_store_reachable(true);
+    let mut view = node.view.borrow_mut();
+    view.forget_object(Kind::Owners, service);
+    if let Some(object) = found {
+        view.apply_object(Kind::Owners, object, &node.platform, node.clock);
     }
+    drop(view);
+    node.notify_change();
 }
 
 /// Renews the leases that are due, those of one server one after the other: a connection for each of
@@ -250,14 +250,14 @@
     if !node.control.borrow().may_command(node.now()) {
         return;
     }
-    let Some((revision, owned)) = current_ownership(node, service) else { return };
+    let Some((_, owned)) = current_ownership(node, service) else { return };
     let mut next = (*owned).clone();
     let Some(index) = next.spans.iter().position(|other| other == span) else { return };
     if node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing {
         return;
     }
     next.spans[index].fence = node.control.borrow_mut().fence();
-    write_ownership(node, service, revision, next).await;
+    write_ownership(node, service, next).await;
 }
 
 /// Grants a span to its owner and records the outcome.
@@ -306,7 +306,6 @@
 async fn commit_handovers<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-    revision: u64,
     owned: &Ownership,
     now: Tick,
 ) {
@@ -324,7 +323,7 @@
     for span in next.spans.iter_mut().filter(|span| finished.contains(&span.handover())) {
         span.former = None;
     }
-    if !write_ownership(node, service, revision, next).await {
+    if !write_ownership(node, service, next).await {
         let mut control = node.control.borrow_mut();
         let Some(progress) = control.handovers.get_mut(service) else { return };
         progress.finished.extend(finished);
@@ -334,7 +333,7 @@
 
 /// Moves keys off overloaded servers and off those that are leaving.
 async fn rebalance<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) {
-    let Some((revision, owned)) = current_ownership(node, service) else { return };
+    let Some((position, owned)) = current_ownership(node, service) else { return };
     let servers = candidates(node, service, now);
     let next = {
         let mut control = node.control.borrow_mut();
@@ -353,7 +352,7 @@
             let level = |index: usize| levels.get(index).copied().unwrap_or_default();
             let (low, median) = (level(0), level(levels.len() / 2));
             let high = level(levels.len().saturating_sub(1));
-            info!(event = "balance", service = service.as_str(), servers = levels.len(), spans = owned.spans.len(), low, median, high, revision; "load of the servers relative to their capacity");
+            info!(event = "balance", service = service.as_str(), servers = levels.len(), spans = owned.spans.len(), low, median, high, revision:% = position; "load of the servers relative to their capacity");
         }
         let moves = balance::plan_moves(&owned, &servers, &loads, base);
         let mut next = (*owned).clone();
@@ -371,10 +370,10 @@
                 }
                 span.former = Some(std::mem::replace(&mut span.owner, step.to.clone()));
                 span.fence = fence;
-                info!(event = "move", service = service.as_str(), first = span.first, last = span.last, to = step.to.server.as_str(), fence, revision; "moving keys to another server");
+                info!(event = "move", service = service.as_str(), first = span.first, last = span.last, to = step.to.server.as_str(), fence, revision:% = position; "moving keys to another server");
             }
         }
         next
     };
-    write_ownership(node, service, revision, next).await;
+    write_ownership(node, service, next).await;
 }
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -8,7 +8,7 @@
         frontend::{self, Connections},
         node::Node,
         peers,
-        platform::{Kind, Platform},
+        platform::{Kind, Platform, Position},
         record::NodeRecord,
         settings::Settings,
     },
@@ -169,19 +169,32 @@
     follow::apply_listing(&node, Kind::Owners, listing);
 }
 
-/// Registers this node in the store and loads the other nodes.
+/// Registers this node in each era of the store. Never returns.
 async fn register<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        let era = register_once(&node).await;
+        while node.platform.era() == era {
+            node.era_ended.notified().await;
+        }
+    }
+}
+
+/// Registers this node in the store and loads the other nodes. Returns the era in which it is
+/// registered.
+async fn register_once<P: Platform>(node: &Rc<Node<P>>) -> u64 {
     let record = NodeRecord { addr: node.settings.advertised.to_string() };
     let value = record.encode_to_vec();
     let name = node.name().clone();
     loop {
         let known = node.platform.read(Kind::Nodes, &name).await;
         node.set_store_reachable(known.is_ok());
+        let era = node.platform.era();
         let done = match known {
             Ok(Some(object)) if object.value == value => true,
             Ok(known) => {
-                let revision = known.map_or(0, |object| object.revision);
-                node.platform.write(Kind::Nodes, &name, revision, &value).await.is_ok()
+                let absent = Position::new(era, 0);
+                let position = known.map_or(absent, |object| object.position);
+                node.platform.write(Kind::Nodes, &name, position, &value).await.is_ok()
             }
             Err(_) => false,
         };
@@ -190,14 +203,16 @@
         }
         sleep(REGISTER_RETRY_DELAY).await;
     }
-    for object in follow::list_with_retry(&node, Kind::Nodes).await.items {
+    let era = node.platform.era();
+    for object in follow::list_with_retry(node, Kind::Nodes).await.items {
         let record = NodeRecord::decode(object.value.as_slice());
         let addr = record.ok().and_then(|record| record.addr.parse().ok());
         if let Some(addr) = addr {
-            peers::add_peer(&node, &Name::from(object.name.as_str()), addr);
+            peers::add_peer(node, &Name::from(object.name.as_str()), addr);
         }
     }
-    peers::send_heartbeats(&node, node.now());
+    peers::send_heartbeats(node, node.now());
+    era
 }
 
 fn listen(addr: SocketAddr) -> Result<TcpListener, Error> {
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -10,10 +10,10 @@
         message::{Body, Envelope, Item, ObjectsChanged, Snapshot},
         node::Node,
         peers::{self, Peer},
-        platform::{Changes, Kind, Listing, Object, Platform, StoreError},
+        platform::{Changes, Kind, Listing, Object, Platform, Position, StoreError},
         spread,
     },
-    log::info,
+    log::{info, warn},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
     whinspring::name::Name,
@@ -45,14 +45,14 @@
         match node.platform.list(kind).await {
             Ok(listing) => {
                 node.set_store_reachable(true);
-                let revision = listing.revision;
-                let base = node.view.borrow().synced_revision(kind);
+                let position = listing.position;
+                let base = node.view.borrow().synced(kind);
                 let changes = apply_listing(&node, kind, listing);
-                if base > 0 {
-                    forward_changes(&node, kind, base, revision, &changes);
+                if base != Position::default() {
+                    forward_changes(&node, kind, base, position, &changes);
                 }
                 sleep(std::mem::take(&mut delay)).await;
-                watch(&node, kind, revision).await;
+                watch(&node, kind, position).await;
             }
             Err(error) => back_off(&node, kind, error).await,
         }
@@ -72,28 +72,38 @@
 }
 
 /// Watches a kind, or relies on other nodes to forward its changes, until the store has compacted
-/// the history that a watch needs.
-async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut revision: u64) {
+/// the history that a watch needs, or has come back in a new era.
+async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut position: Position) {
     loop {
         if let Some(reachable) = delegated_watch_status(node) {
             node.set_store_reachable(reachable);
             sleep(WATCH_CHECK_INTERVAL).await;
-            revision = revision.max(node.view.borrow().synced_revision(kind));
+            position = position.max(node.view.borrow().synced(kind));
             continue;
         }
-        match node.platform.watch(kind, revision, WATCH_TIMEOUT).await {
+        if position.era != node.platform.era() {
+            return;
+        }
+        let era_ended = node.era_ended.notified();
+        let watch = node.platform.watch(kind, position, WATCH_TIMEOUT);
+        let changes = tokio::select! {
+            changes = watch => changes,
+            () = era_ended => return
+        };
+        match changes {
             Ok(changes) => {
                 node.set_store_reachable(true);
-                revision = revision.max(changes.revision);
+                position = position.max(changes.position);
                 if !changes.events.is_empty() {
                     apply_changes(node, kind, changes);
                     sleep(BATCH_DELAY).await;
                 }
             }
             Err(StoreError::Compacted) => {
-                info!(event = "history_gone", kind:? = kind, revision; "the store has compacted the history; listing again");
+                info!(event = "history_gone", kind:? = kind, revision:% = position; "the store has compacted the history; listing again");
                 return;
             }
+            Err(StoreError::EraEnded) => return node.check_era(),
             Err(error) => back_off(node, kind, error).await,
         }
     }
@@ -122,19 +132,19 @@
 
 /// Applies changes, and forwards them to the nodes of the same failure domain.
 fn apply_changes<P: Platform>(node: &Rc<Node<P>>, kind: Kind, changes: Changes) {
-    let base = node.view.borrow().synced_revision(kind);
-    forward_changes(node, kind, base, changes.revision, &changes.events);
+    let base = node.view.borrow().synced(kind);
+    forward_changes(node, kind, base, changes.position, &changes.events);
     node.view.borrow_mut().apply_changes(kind, changes, &node.platform, node.clock);
     node.notify_change();
 }
 
-/// Forwards the changes between two revisions to the nodes of the same failure domain, if the
+/// Forwards the changes between two positions to the nodes of the same failure domain, if the
 /// cluster is so large that not every node watches the store.
 fn forward_changes<P: Platform>(
     node: &Rc<Node<P>>,
     kind: Kind,
-    base: u64,
-    synced_revision: u64,
+    base: Position,
+    synced: Position,
     changes: &[(Object, bool)],
 ) {
     let peers = node.peers.borrow();
@@ -143,35 +153,43 @@
     }
     let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
     let items = changes.iter().map(item).collect();
-    let changed = ObjectsChanged { kind: kind.number(), base, synced_revision, items };
+    let changed = ObjectsChanged {
+        kind: kind.number(),
+        base: if base.era == synced.era { base.revision } else { u64::MAX },
+        synced_revision: synced.revision,
+        items,
+        era: synced.era,
+    };
     peers.send_to_domain(&node.settings.domain, &Envelope::frame(Body::ObjectsChanged(changed)));
 }
 
 /// Applies changes that a watching node forwards. Fetches a snapshot from it if there is a gap.
 pub fn apply_forwarded<P: Platform>(node: &Rc<Node<P>>, from: &Name, changed: ObjectsChanged) {
     let Some(kind) = Kind::from_number(changed.kind) else { return };
-    let known = node.view.borrow().synced_revision(kind);
-    if changed.synced_revision <= known {
+    node.learn_era(changed.era);
+    let known = node.view.borrow().synced(kind);
+    let position = Position::new(changed.era, changed.synced_revision);
+    if position <= known {
         return;
     }
-    if changed.base > known {
+    if Position::new(changed.era, changed.base) > known {
         node.metrics.count("change_missed");
         peers::request_snapshot(node, from, kind);
         return;
     }
     let event = |item: Item| {
         let gone = item.gone;
-        (Object::from(item), gone)
+        (Object::from((item, changed.era)), gone)
     };
     let events = changed.items.into_iter().map(event).collect();
-    let changes = Changes { revision: changed.synced_revision, events };
+    let changes = Changes { position, events };
     node.view.borrow_mut().apply_changes(kind, changes, &node.platform, node.clock);
     node.notify_change();
 }
 
 /// Records a failed call and waits before the next attempt.
 async fn back_off<P: Platform>(node: &Rc<Node<P>>, kind: Kind, error: StoreError) {
-    node.set_store_reachable(false);
+    node.set_store_reachable(error == StoreError::EraEnded);
     node.metrics.count("store_failed");
     log::debug!(event = "store_failed", kind:? = kind; "{error}");
     sleep(RETRY_DELAY.mul_f64(0.5 + fastrand::f64())).await;
@@ -186,36 +204,49 @@
     apply_listing_at(node, kind, listing, None)
 }
 
-/// Applies a listing; `claimed_revision` is the revision of its last change, if another node sent
-/// it.
+/// Applies a listing; `claimed` is the position of its last change, if another node sent it.
 fn apply_listing_at<P: Platform>(
     node: &Rc<Node<P>>,
     kind: Kind,
     listing: Listing,
-    claimed_revision: Option<u64>,
+    claimed: Option<Position>,
 ) -> Vec<(Object, bool)> {
+    node.learn_era(listing.position.era);
+    log_loss(node, kind, &listing);
     let mut view = node.view.borrow_mut();
-    let changes = view.apply_listing(kind, listing, claimed_revision, &node.platform, node.clock);
+    let changes = view.apply_listing(kind, listing, claimed, &node.platform, node.clock);
     drop(view);
     node.notify_change();
     changes
 }
 
-/// Applies a snapshot of another node, if it is newer than what this node has.
+/// Logs what the store has lost, if a listing is the first one of a new era.
+fn log_loss<P: Platform>(node: &Rc<Node<P>>, kind: Kind, listing: &Listing) {
+    let Some(loss) = node.view.borrow().loss(kind, listing) else { return };
+    node.metrics.count("history_lost");
+    warn!(event = "history_lost", kind:? = kind, before:% = loss.before, revision:% = listing.position, gone = loss.gone, reverted = loss.reverted; "the store has come back from an older copy; promises that were kept stand");
+}
+
+/// Applies a snapshot of another node, if it is newer than what this node has. Newer owners are
+/// kept whatever the store has.
 pub fn adopt_snapshot<P: Platform>(node: &Rc<Node<P>>, snapshot: Snapshot) {
     let Some(kind) = Kind::from_number(snapshot.kind) else { return };
+    if kind == Kind::Owners {
+        node.view.borrow_mut().learn_snapshot(&snapshot);
+    }
     let known = {
         let view = node.view.borrow();
-        (view.revision(kind), view.synced_revision(kind))
+        (view.position(kind), view.synced(kind))
     };
-    if (snapshot.revision, snapshot.synced_revision) <= known || snapshot.synced_revision < known.1
-    {
+    let claimed = Position::new(snapshot.era, snapshot.revision);
+    let synced = Position::new(snapshot.era, snapshot.synced_revision);
+    if (claimed, synced) <= known || synced < known.1 {
         return;
     }
     node.metrics.count("adopted");
-    let items = snapshot.items.into_iter().map(Object::from);
-    let listing = Listing { revision: snapshot.synced_revision, items: items.collect() };
-    apply_listing_at(node, kind, listing, Some(snapshot.revision));
+    let items = snapshot.items.into_iter().map(|item| Object::from((item, snapshot.era)));
+    let listing = Listing { position: synced, items: items.collect() };
+    apply_listing_at(node, kind, listing, Some(claimed));
 }
 
 /// Removes servers that are gone. Never returns.
@@ -224,7 +255,7 @@
         sleep(SWEEP_INTERVAL).await;
         let now = node.now();
         let back = if node.store_lost.get() { now } else { node.store_recovered.get() };
-        if node.view.borrow_mut().sweep(now, back) {
+        if node.view.borrow_mut().sweep(now, back, node.clock) {
             node.notify_change();
         }
     }
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -4,7 +4,10 @@
 //! to the store, and nodes only pass on what they know of them.
 
 use {
-    crate::{platform::Object, record::SpanRecord},
+    crate::{
+        platform::{Kind, Object, Position},
+        record::SpanRecord,
+    },
     bytes::Bytes,
     prost::{Message, Oneof},
     std::time::Duration,
@@ -137,6 +140,16 @@
     /// CPU share of the node, in hundredths of a core.
     #[prost(uint32, tag = "17")]
     pub cpu_share: u32,
+    /// Era of the store that the node knows.
+    #[prost(uint64, tag = "18")]
+    pub era: u64,
+    /// Eras of the revisions in `routes`, `servers` and `owners`.
+    #[prost(uint64, tag = "19")]
+    pub routes_era: u64,
+    #[prost(uint64, tag = "20")]
+    pub servers_era: u64,
+    #[prost(uint64, tag = "21")]
+    pub owners_era: u64,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
@@ -146,6 +159,16 @@
 const MIN_TIMEOUT: Duration = Duration::from_millis(900);
 
 impl Heartbeat {
+    /// Returns the position of a kind that the node knows.
+    pub fn position(&self, kind: Kind) -> Position {
+        match kind {
+            Kind::Routes => Position::new(self.routes_era, self.routes),
+            Kind::Servers => Position::new(self.servers_era, self.servers),
+            Kind::Owners => Position::new(self.owners_era, self.owners),
+            Kind::Control | Kind::Nodes => Position::default(),
+        }
+    }
+
     /// Returns the silence after which the sender counts as lost.
     pub fn timeout(&self) -> Duration {
         let missing = u64::from(self.interval_ms * MISSED_HEARTBEATS_TENTHS / 10);
@@ -286,6 +309,9 @@
     /// Store revision up to which all changes of the kind are included.
     #[prost(uint64, tag = "4")]
     pub synced_revision: u64,
+    /// Era of all its revisions.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Objects of a kind that have changed.
@@ -303,6 +329,9 @@
     /// The changed objects in order.
     #[prost(message, repeated, tag = "4")]
     pub items: Vec<Item>,
+    /// Era of all its revisions.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Owners of a service that have changed.
@@ -325,6 +354,12 @@
     /// Whether the receiver forwards the change to its failure domain.
     #[prost(bool, tag = "6")]
     pub relay: bool,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
+    /// Term of the owners that the change applies to; zero if the sender does not tell.
+    #[prost(uint64, tag = "8")]
+    pub base_term: u64,
 }
 
 /// Handovers of a service that have finished. The store learns of them later: a server that holds
@@ -419,15 +454,17 @@
     fn from(object: &Object) -> Self {
         Self {
             name: object.name.to_string(),
-            revision: object.revision,
+            revision: object.position.revision,
             value: object.value.clone(),
             gone: false,
         }
     }
 }
 
-impl From<Item> for Object {
-    fn from(item: Item) -> Self {
-        Self { name: Name::from(item.name), revision: item.revision, value: item.value }
+/// An item and the era of its revision.
+impl From<(Item, u64)> for Object {
+    fn from((item, era): (Item, u64)) -> Self {
+        let position = Position::new(era, item.revision);
+        Self { name: Name::from(item.name), position, value: item.value }
     }
 }
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -12,7 +12,7 @@
         meter::Meter,
         metrics::Metrics,
         peers::Peers,
-        platform::Platform,
+        platform::{Kind, Platform, Position},
         retries::RetryBudget,
         settings::Settings,
     },
@@ -56,6 +56,10 @@
     pub store_recovered: Cell<Tick>,
     /// Whether the last call to the store failed.
     pub store_lost: Cell<bool>,
+    /// Era of the store that this node acts in.
+    pub era: Cell<u64>,
+    /// Notified when the store has come back in a new era.
+    pub era_ended: Notify,
 }
 
 impl<P: Platform> Node<P> {
@@ -80,6 +84,8 @@
             store_contact: Cell::default(),
             store_recovered: Cell::default(),
             store_lost: Cell::new(true),
+            era: Cell::default(),
+            era_ended: Notify::new(),
         })
     }
 
@@ -95,6 +101,7 @@
     /// Records whether the store responded to a call.
     pub fn set_store_reachable(&self, reachable: bool) {
         let now = self.now();
+        self.check_era();
         if reachable {
             self.store_contact.set(now);
         }
@@ -107,6 +114,29 @@
         }
     }
 
+    /// Takes part in a new era of the store, if there is one. Entries that are missing in it count
+    /// as lapsed, as after an outage.
+    pub fn check_era(&self) {
+        let era = self.platform.era();
+        let before = self.era.replace(era);
+        if before == era {
+            return;
+        }
+        self.metrics.count("era");
+        let synced = self.view.borrow().synced(Kind::Servers);
+        if synced != Position::default() {
+            self.store_recovered.set(self.now());
+            log::warn!(event = "era", before, era, revision:% = synced; "the store has come back from an older copy of itself; listing everything again");
+        }
+        self.era_ended.notify_waiters();
+    }
+
+    /// Learns of an era of the store from another node.
+    pub fn learn_era(&self, era: u64) {
+        self.platform.raise_era(era);
+        self.check_era();
+    }
+
     /// Queues a message to another node; returns whether a link took it.
     pub fn send(&self, to: &str, body: Body) -> bool {
         self.peers.borrow().send(to, Envelope::frame(body))
--- a/crates/whinspring-router/src/owners.rs
+++ b/crates/whinspring-router/src/owners.rs
@@ -1,6 +1,6 @@
 //! What the controller tells the other nodes of the owners of keys.
 //!
-//! Changes of owners follow each other by revision; a node that has missed one fetches a snapshot.
+//! Changes of owners follow each other by term and revision; a node that has missed one fetches a snapshot.
 //! Finished handovers are announced as soon as the new owner has been granted the keys, before the
 //! store knows of them, so that no request waits for the write. Both only direct requests: a server
 //! rejects requests on keys that it does not hold. In a large cluster they go by way of relays.
@@ -9,7 +9,7 @@
     crate::{
         message::{Body, Envelope, HandoverRecord, HandoversFinished, OwnersChanged},
         node::Node,
-        platform::Platform,
+        platform::{Platform, Position},
         record::SpanRecord,
         spread::{self, Recipient},
     },
@@ -24,16 +24,18 @@
 pub fn publish<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-    before: &(u64, Rc<Ownership>),
-    after: &(u64, Rc<Ownership>),
+    before: &(Position, Rc<Ownership>),
+    after: &(Position, Rc<Ownership>),
 ) {
     let change = OwnersChanged {
         service: service.to_string(),
-        base: before.0,
-        revision: after.0,
+        base: before.0.revision,
+        revision: after.0.revision,
         term: after.1.term,
         spans: after.1.changed_since(&before.1).iter().map(SpanRecord::from).collect(),
         relay: false,
+        era: after.0.era,
+        base_term: before.1.term,
     };
     let relayed = OwnersChanged { relay: true, ..change.clone() };
     send_to_all(node, Body::OwnersChanged(change), Body::OwnersChanged(relayed));
@@ -47,13 +49,17 @@
     }
     let service = Name::from(change.service);
     let known = node.view.borrow().owners.get(&service).cloned();
-    let Some((_, owned)) = known.filter(|(revision, _)| *revision == change.base) else { return };
+    let is_base = |(position, owned): &(Position, Rc<Ownership>)| {
+        position.revision == change.base && [0, owned.term].contains(&change.base_term)
+    };
+    let Some((_, owned)) = known.filter(is_base) else { return };
     let spans: Result<Vec<Span>, _> = change.spans.into_iter().map(Span::try_from).collect();
     let Ok(spans) = spans else { return node.metrics.count("link_malformed") };
     let mut next = (*owned).clone();
     next.term = change.term;
     next.apply(spans);
-    node.view.borrow_mut().apply_owners(service, change.revision, Rc::new(next));
+    let position = Position::new(change.era, change.revision);
+    node.view.borrow_mut().apply_owners(service, position, Rc::new(next));
     node.notify_change();
 }
 
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -332,17 +332,13 @@
 fn on_heartbeat<P: Platform>(node: &Rc<Node<P>>, from: &Name, heartbeat: Heartbeat, echo: Tick) {
     let Ok(addr) = heartbeat.addr.parse() else { return };
     add_peer(node, from, addr);
+    node.learn_era(heartbeat.era);
     let now = node.now();
     let behind = {
         let view = node.view.borrow();
-        let revisions = [
-            (Kind::Routes, heartbeat.routes),
-            (Kind::Servers, heartbeat.servers),
-            (Kind::Owners, heartbeat.owners),
-        ];
-        revisions.into_iter().find(|(kind, revision)| *revision > view.revision(*kind))
+        Kind::REPLICATED.into_iter().find(|kind| heartbeat.position(*kind) > view.position(*kind))
     };
-    if let Some((kind, _)) = behind {
+    if let Some(kind) = behind {
         request_snapshot(node, from, kind);
     }
     let mut restarted = false;
@@ -425,9 +421,9 @@
             incarnation: node.incarnation,
             leaving: node.leaving.get(),
             store_age_ms: now.since(node.store_contact.get()).as_millis() as u32,
-            routes: view.revision(Kind::Routes),
-            servers: view.revision(Kind::Servers),
-            owners: view.revision(Kind::Owners),
+            routes: view.position(Kind::Routes).revision,
+            servers: view.position(Kind::Servers).revision,
+            owners: view.position(Kind::Owners).revision,
             term: control.term(),
             is_leader: control.is_leader(),
             keys: Vec::new(),
@@ -436,6 +432,10 @@
             sent_ms: now.as_millis(),
             store_lost: node.store_lost.get(),
             cpu_share: node.settings.limits.cpu_percent,
+            era: node.platform.era(),
+            routes_era: view.position(Kind::Routes).era,
+            servers_era: view.position(Kind::Servers).era,
+            owners_era: view.position(Kind::Owners).era,
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -6,7 +6,11 @@
 use {
     http::HeaderName,
     snafu::Snafu,
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        fmt::{self, Display, Formatter},
+        net::SocketAddr,
+        time::Duration,
+    },
     whinspring::{name::Name, ranges::Span, routes::RouteTable},
 };
 
@@ -39,26 +43,54 @@
     }
 }
 
+/// A position in the history of the store.
+///
+/// The store may come back from an older copy of itself. Each time its era rises by one, and it
+/// gives out revisions again that it had given out before, so that revisions of different eras
+/// cannot be compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Position {
+    /// Era of the store; zero for a store without eras.
+    pub era: u64,
+    pub revision: u64,
+}
+
+impl Position {
+    pub const fn new(era: u64, revision: u64) -> Self {
+        Self { era, revision }
+    }
+}
+
+/// Writes `ERA/REVISION`, or the revision alone for a store without eras.
+impl Display for Position {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self.era {
+            0 => write!(f, "{}", self.revision),
+            era => write!(f, "{era}/{}", self.revision),
+        }
+    }
+}
+
 /// A stored object.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Object {
     pub name: Name,
-    /// Revision of its last change.
-    pub revision: u64,
+    /// Position of its last change, in the era in which it was read.
+    pub position: Position,
     pub value: Vec<u8>,
 }
 
 #[derive(Debug, Clone, Default)]
 pub struct Listing {
-    /// Revision of the store at the time of the listing.
-    pub revision: u64,
+    /// Position of the store at the time of the listing.
+    pub position: Position,
     pub items: Vec<Object>,
 }
 
 #[derive(Debug, Clone, Default)]
 pub struct Changes {
-    /// Revision from which to watch next.
-    pub revision: u64,
+    /// Position from which to watch next.
+    pub position: Position,
     /// Changed objects; `true` if the object was deleted.
     pub events: Vec<(Object, bool)>,
 }
@@ -77,19 +109,29 @@
     /// No response; the call may have taken effect.
     #[snafu(display("the store did not respond; the call may have taken effect"))]
     NoResponse,
+    /// The call or its response belongs to an era of the store that has ended.
+    #[snafu(display("the store has come back from an older copy since; read the object again"))]
+    EraEnded,
     /// The response is malformed.
     #[snafu(display("the store's response is malformed"))]
     Malformed,
 }
 
 pub trait Store {
+    /// Returns the highest era that is known.
+    fn era(&self) -> u64;
+
+    /// Records an era that another node has learned of. Responses of earlier eras are discarded
+    /// from now on.
+    fn raise_era(&self, era: u64);
+
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, StoreError>>;
 
-    /// Waits for changes of a kind after `revision`, at most for `wait`.
+    /// Waits for changes of a kind after `position`, at most for `wait`.
     fn watch(
         &self,
         kind: Kind,
-        revision: u64,
+        position: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, StoreError>>;
 
@@ -99,15 +141,16 @@
         name: &str,
     ) -> impl Future<Output = Result<Option<Object>, StoreError>>;
 
-    /// Writes an object if its revision is `expect`, zero if it does not exist; returns the new
-    /// revision.
+    /// Writes an object if its position is `expect`, with revision zero if it does not exist;
+    /// returns the new position. Fails with [`StoreError::EraEnded`] if `expect` is of an era that
+    /// has ended; the write may then have taken effect in a later one.
     fn write(
         &self,
         kind: Kind,
         name: &str,
-        expect: u64,
+        expect: Position,
         value: &[u8],
-    ) -> impl Future<Output = Result<u64, StoreError>>;
+    ) -> impl Future<Output = Result<Position, StoreError>>;
 }
 
 /// A backend server's own registration.
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -8,7 +8,7 @@
         admission::{self, AdmissionRequest, Permit},
         message::{self, CrashReport},
         node::Node,
-        platform::Platform,
+        platform::{Platform, Position},
         response::{Body, Rejection, strip_headers},
     },
     bytes::Bytes,
@@ -257,11 +257,11 @@
         let node = &self.node;
         loop {
             let mut known = None;
-            let (mut fence, mut revision) = (0, 0);
+            let (mut fence, mut position) = (0, Position::default());
             {
                 let view = node.view.borrow();
                 let owned = view.owners.get(&self.service);
-                revision = owned.map_or(revision, |(revision, _)| *revision);
+                position = owned.map_or(position, |(position, _)| *position);
                 fence = owned.and_then(|(_, owned)| owned.find(key)).map_or(fence, |s| s.fence);
                 if let Some(span) = view.granted_span(&self.service, key) {
                     let server = view.servers.get(&span.owner.server);
@@ -275,7 +275,7 @@
             }
             let now = node.now();
             if now >= until || now >= self.deadline {
-                info!(event = "no_owner", id = self.id(), service = self.service.as_str(), key, fence, revision; "rejected: the key still had no owner at the end of the wait");
+                info!(event = "no_owner", id = self.id(), service = self.service.as_str(), key, fence, revision:% = position; "rejected: the key still had no owner at the end of the wait");
                 return Err(Rejection::with_retry(Code::NoOwner, RETRY_DELAY));
             }
             admission::wait_for_change(node, until.min(self.deadline)).await;
--- /dev/null
+++ b/crates/whinspring-router/tests/eras.rs
@@ -0,0 +1,221 @@
+//! What a node believes after the store has come back from an older copy of itself.
+
+use {
+    std::{collections::HashMap, rc::Rc, time::Duration},
+    whinspring::{
+        name::Name,
+        ranges::{Instance, Ownership},
+        routes::{Limits, RouteTable},
+        time::Tick,
+    },
+    whinspring_http::clock::Clock,
+    whinspring_router::{
+        cluster::ClusterState,
+        message::Heartbeat,
+        platform::{Changes, Dialect, Headers, Kind, Listing, Object, Position, ServerEntry},
+    },
+};
+
+/// Time in which entries that lapsed during an outage are back.
+const GRACE: Duration = Duration::from_millis(2_000);
+
+/// Time after which an entry that came back counts again.
+const RETURN_DELAY: Duration = Duration::from_secs(10);
+
+/// Routes are a version; an entry is whether the server leaves, and its start time.
+struct Format;
+
+impl Dialect for Format {
+    fn headers(&self) -> &Headers {
+        unreachable!("the view needs no headers")
+    }
+
+    fn ready_path(&self) -> &str {
+        "/ready"
+    }
+
+    fn parse_routes(&self, object: &Object) -> Option<RouteTable> {
+        let version = u64::from(*object.value.first()?);
+        Some(RouteTable::new(version, Vec::new(), HashMap::new(), Limits::default()))
+    }
+
+    fn parse_server(&self, object: &Object) -> Option<ServerEntry> {
+        Some(ServerEntry {
+            service: "bays".into(),
+            addr: ([10, 0, 0, 1], 80).into(),
+            domain: "a".into(),
+            slots: 2,
+            leaving: object.value[0] == 1,
+            warmup: Duration::ZERO,
+            start_ms: object.value[1].into(),
+        })
+    }
+}
+
+/// The view of a node and its clock.
+struct Rig {
+    view: ClusterState,
+    format: Format,
+    clock: Clock,
+}
+
+impl Rig {
+    fn new() -> Self {
+        Self { view: ClusterState::default(), format: Format, clock: Clock::start() }
+    }
+
+    /// Lists a kind at a position; each item is a name, a revision and a value.
+    fn list(&mut self, kind: Kind, position: Position, items: &[(&str, u64, &[u8])]) {
+        let items = items.iter().map(|item| object(position.era, item)).collect();
+        let listing = Listing { position, items };
+        self.view.apply_listing(kind, listing, None, &self.format, self.clock);
+    }
+
+    /// Applies one change.
+    fn change(&mut self, kind: Kind, era: u64, item: &(&str, u64, &[u8])) {
+        let position = Position::new(era, item.1);
+        let changes = Changes { position, events: vec![(object(era, item), false)] };
+        self.view.apply_changes(kind, changes, &self.format, self.clock);
+    }
+
+    fn version(&self) -> u64 {
+        self.view.routes.as_ref().unwrap().version
+    }
+
+    /// Removes servers that are gone; the store was never away.
+    fn sweep(&mut self, now: Tick) {
+        self.view.sweep(now, Tick::default(), self.clock);
+    }
+
+    /// Returns a time at which no grace applies any more.
+    fn later(&self) -> Tick {
+        self.clock.now() + Duration::from_secs(5)
+    }
+}
+
+fn object(era: u64, (name, revision, value): &(&str, u64, &[u8])) -> Object {
+    Object { name: (*name).into(), position: Position::new(era, *revision), value: value.to_vec() }
+}
+
+fn at(era: u64, revision: u64) -> Position {
+    Position::new(era, revision)
+}
+
+#[test]
+fn positions_are_ordered_by_era_first() {
+    assert!(at(2, 1) > at(1, 900));
+    assert!(at(2, 2) > at(2, 1));
+    assert_eq!((at(0, 7).to_string(), at(3, 7).to_string()), ("7".into(), "3/7".into()));
+    let heartbeat = Heartbeat { servers: 4, servers_era: 2, ..Heartbeat::default() };
+    assert_eq!(heartbeat.position(Kind::Servers), at(2, 4));
+}
+
+#[test]
+fn what_is_listed_in_a_new_era_replaces_what_was_known() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(1, 90), &[("s1", 80, &[0, 0]), ("s2", 90, &[0, 0])]);
+    let copy = [("s1", 50, &[1, 0][..])];
+    let listing = Listing { position: at(2, 60), items: vec![object(2, &copy[0])] };
+    let loss = rig.view.loss(Kind::Servers, &listing).unwrap();
+    assert_eq!((loss.before, loss.gone, loss.reverted), (at(1, 90), 1, 1));
+    rig.list(Kind::Servers, at(2, 60), &copy);
+    assert!(rig.view.servers["s1"].leaving.is_some());
+    assert!(rig.view.servers["s2"].missing.is_some());
+    assert_eq!(rig.view.synced(Kind::Servers), at(2, 60));
+    rig.list(Kind::Servers, at(1, 95), &[("s3", 95, &[0, 0])]);
+    assert!(!rig.view.servers.contains_key("s3"), "a late listing of the old era");
+    rig.change(Kind::Servers, 2, &("s2", 61, &[0, 0]));
+    assert!(rig.view.servers["s2"].missing.is_none(), "a revision that was given out before");
+}
+
+#[test]
+fn entries_that_the_store_has_lost_count_as_lapsed() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(1, 90), &[("s1", 90, &[0, 0])]);
+    rig.list(Kind::Servers, at(2, 60), &[]);
+    let back = rig.clock.now();
+    rig.view.sweep(back + GRACE, back, rig.clock);
+    assert!(rig.view.servers.contains_key("s1"));
+    rig.view.sweep(back + GRACE * 2, back, rig.clock);
+    assert!(!rig.view.servers.contains_key("s1"));
+}
+
+/// Also for nodes that hear of it from this one, until the operator has written it again.
+#[test]
+fn a_lower_version_of_the_routes_does_not_come_back() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Routes, at(1, 90), &[("main", 90, &[7])]);
+    rig.list(Kind::Routes, at(2, 60), &[("main", 40, &[5])]);
+    assert_eq!(rig.version(), 7);
+    let sent = rig.view.snapshot(Kind::Routes);
+    assert_eq!((sent.era, sent.revision, sent.items[0].value.as_slice()), (2, 40, &[7][..]));
+    rig.change(Kind::Routes, 2, &("main", 61, &[6]));
+    assert_eq!(rig.version(), 7);
+    assert_eq!(rig.view.snapshot(Kind::Routes).items[0].value, [7]);
+    rig.change(Kind::Routes, 2, &("main", 62, &[9]));
+    assert_eq!(rig.version(), 9);
+    assert_eq!(rig.view.snapshot(Kind::Routes).items[0].value, [9]);
+}
+
+#[test]
+fn a_server_that_was_seen_leaving_leaves() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(1, 90), &[("s1", 90, &[1, 4])]);
+    rig.list(Kind::Servers, at(2, 60), &[("s1", 50, &[0, 4])]);
+    assert!(rig.view.servers["s1"].leaving.is_some());
+    rig.change(Kind::Servers, 2, &("s1", 61, &[0, 5]));
+    assert!(rig.view.servers["s1"].leaving.is_none(), "another life");
+    rig.list(Kind::Servers, at(3, 55), &[("s1", 50, &[0, 4])]);
+    assert_eq!(rig.view.servers["s1"].entry.start_ms, 5, "a former life does not come back");
+}
+
+#[test]
+fn a_server_that_has_ended_is_used_again_only_if_it_shows_that_it_lives() {
+    for writes in [true, false] {
+        let mut rig = Rig::new();
+        rig.list(Kind::Servers, at(1, 80), &[("s1", 80, &[0, 4])]);
+        rig.list(Kind::Servers, at(1, 90), &[]);
+        rig.sweep(rig.later());
+        rig.list(Kind::Servers, at(2, 85), &[("s1", 80, &[0, 4])]);
+        assert!(!rig.view.servers.contains_key("s1"), "it was seen to end");
+        if writes {
+            rig.change(Kind::Servers, 2, &("s1", 86, &[0, 4]));
+        } else {
+            rig.sweep(rig.clock.now() + RETURN_DELAY * 2);
+        }
+        assert!(rig.view.servers.contains_key("s1"));
+    }
+}
+
+#[test]
+fn an_ended_server_whose_entry_expires_again_stays_gone() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(1, 80), &[("s1", 80, &[0, 4])]);
+    rig.list(Kind::Servers, at(1, 90), &[]);
+    rig.sweep(rig.later());
+    rig.list(Kind::Servers, at(2, 85), &[("s1", 80, &[0, 4])]);
+    rig.list(Kind::Servers, at(2, 95), &[]);
+    rig.sweep(rig.clock.now() + RETURN_DELAY * 2);
+    assert!(!rig.view.servers.contains_key("s1"));
+}
+
+/// Owners are ordered by term and by revision within it: a term lies in one era.
+#[test]
+fn older_owners_of_the_copy_do_not_replace_newer_ones() {
+    let service = Name::from("bays");
+    let owned = |term, server: &str| {
+        let owners = [Instance { server: server.into(), start_ms: 0 }];
+        Rc::new(Ownership::split_evenly(term, &owners, || 1))
+    };
+    let owner = |view: &ClusterState| view.owners[&service].1.spans[0].owner.server.clone();
+    let mut view = ClusterState::default();
+    view.apply_owners(service.clone(), at(1, 100), owned(5, "s1"));
+    view.apply_owners(service.clone(), at(2, 90), owned(5, "s2"));
+    assert_eq!(owner(&view), "s1", "the copy is older");
+    assert_eq!(view.stored_position(Kind::Owners, &service, 2), at(2, 90));
+    assert_eq!(view.stored_position(Kind::Owners, &service, 3), at(3, 0));
+    view.apply_owners(service.clone(), at(2, 91), owned(9, "s3"));
+    view.apply_owners(service.clone(), at(2, 120), owned(5, "s4"));
+    assert_eq!(owner(&view), "s3", "a late write of the earlier term");
+    assert_eq!(view.stored_position(Kind::Owners, &service, 2), at(2, 120));
+}
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -29,8 +29,8 @@
         node::Node,
         peers,
         platform::{
-            Changes, Dialect, Grant, Headers, Kind, Listing, Object, Reply, ServerControl,
-            ServerEntry, Store, StoreError,
+            Changes, Dialect, Grant, Headers, Kind, Listing, Object, Position, Reply,
+            ServerControl, ServerEntry, Store, StoreError,
         },
         record::OwnersRecord,
         settings::Limits as NodeLimits,
@@ -272,7 +272,8 @@
             .collect();
         let owned = Ownership::split_evenly(1, &instances, || 1);
         let value = OwnersRecord::from(&owned).encode_to_vec();
-        let object = Object { name: SERVICE.into(), revision: self.revision, value };
+        let position = Position::new(0, self.revision);
+        let object = Object { name: SERVICE.into(), position, value };
         self.objects.insert((Kind::Owners.number(), SERVICE.into()), object);
     }
 
@@ -281,7 +282,7 @@
         let listed = self.servers.iter().filter(|(_, server)| server.listed);
         let object = |(name, server): (&Name, &Server)| Object {
             name: name.clone(),
-            revision: self.revision,
+            position: Position::new(0, self.revision),
             value: vec![u8::from(server.leaving), server.entry_instance],
         };
         listed.map(object).collect()
@@ -361,13 +362,14 @@
             return Err(StoreError::NoResponse);
         }
         let key = (kind.number(), Name::from(name));
-        let known = self.objects.get(&key).map_or(0, |object| object.revision);
+        let known = self.objects.get(&key).map_or(0, |object| object.position.revision);
         if known != expect {
             return Err(StoreError::Conflict);
         }
         self.revision += 1;
         let revision = self.revision;
-        let object = Object { name: name.into(), revision, value: value.to_vec() };
+        let position = Position::new(0, revision);
+        let object = Object { name: name.into(), position, value: value.to_vec() };
         self.objects.insert(key, object);
         self.check_writer(kind, node, value);
         let lost = self.rng.0.random_ratio(self.fault_rates.lost, 100);
@@ -477,6 +479,12 @@
 }
 
 impl Store for Platform {
+    fn era(&self) -> u64 {
+        0
+    }
+
+    fn raise_era(&self, _: u64) {}
+
     async fn list(&self, kind: Kind) -> Result<Listing, StoreError> {
         sleep(RESPONSE_DELAY).await;
         let world = self.world.borrow();
@@ -485,12 +493,17 @@
         }
         let items = world.objects.iter().filter(|((number, _), _)| *number == kind.number());
         let items = items.map(|(_, object)| object.clone()).collect();
-        Ok(Listing { revision: world.revision, items })
+        Ok(Listing { position: Position::new(0, world.revision), items })
     }
 
-    async fn watch(&self, _: Kind, revision: u64, wait: Duration) -> Result<Changes, StoreError> {
+    async fn watch(
+        &self,
+        _: Kind,
+        position: Position,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
         sleep(wait).await;
-        Ok(Changes { revision, events: Vec::new() })
+        Ok(Changes { position, events: Vec::new() })
     }
 
     async fn read(&self, kind: Kind, name: &str) -> Result<Option<Object>, StoreError> {
@@ -506,17 +519,18 @@
         &self,
         kind: Kind,
         name: &str,
-        expect: u64,
+        expect: Position,
         value: &[u8],
-    ) -> Result<u64, StoreError> {
+    ) -> Result<Position, StoreError> {
         sleep(RESPONSE_DELAY).await;
-        let revision = self.world.borrow_mut().write(kind, &self.node, name, expect, value)?;
+        let revision =
+            self.world.borrow_mut().write(kind, &self.node, name, expect.revision, value)?;
         let slow = self.world.borrow().slow.as_ref() == Some(&self.node);
         if slow {
             sleep(SLOW_RESPONSE_DELAY).await;
             return Err(StoreError::NoResponse);
         }
-        revision.ok_or(StoreError::NoResponse)
+        revision.map(|revision| Position::new(0, revision)).ok_or(StoreError::NoResponse)
     }
 }
 
@@ -576,7 +590,7 @@
     let listing = {
         let mut world = node.platform.world.borrow_mut();
         world.revision += 1;
-        Listing { revision: world.revision, items: world.entries() }
+        Listing { position: Position::new(0, world.revision), items: world.entries() }
     };
     follow::apply_listing(node, Kind::Servers, listing);
 }
@@ -591,7 +605,7 @@
             node.set_store_reachable(true);
         }
         let now = node.now();
-        node.view.borrow_mut().sweep(now, node.store_recovered.get());
+        node.view.borrow_mut().sweep(now, node.store_recovered.get(), node.clock);
     }
 }
 
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -9,8 +9,8 @@
         time::Tick,
     },
     whinspring_router::{
-        cluster::ClusterState, crashes::Crashes, record::OwnersRecord, retries::RetryBudget,
-        settings::Settings,
+        cluster::ClusterState, crashes::Crashes, platform::Position, record::OwnersRecord,
+        retries::RetryBudget, settings::Settings,
     },
 };
 
@@ -116,7 +116,7 @@
     owned.spans[1].former = Some(owned.spans[0].owner.clone());
     let moved = owned.spans[1].clone();
     let mut view = ClusterState::default();
-    view.apply_owners(service.clone(), 5, Rc::new(owned.clone()));
+    view.apply_owners(service.clone(), Position::new(0, 5), Rc::new(owned.clone()));
     assert!(view.granted_span(&service, moved.first).is_none());
     assert!(view.granted_span(&service, 0).is_some());
 
@@ -127,6 +127,6 @@
     assert_eq!(view.granted_span(&service, moved.last), Some(&moved));
 
     owned.spans[1].fence += 64;
-    view.apply_owners(service.clone(), 6, Rc::new(owned));
+    view.apply_owners(service.clone(), Position::new(0, 6), Rc::new(owned));
     assert!(view.granted_span(&service, moved.first).is_none(), "another handover has begun");
 }
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -12,7 +12,7 @@
         admission, follow,
         message::{Body, Item, ObjectsChanged, Snapshot},
         peers,
-        platform::{Kind, Listing, Object},
+        platform::{Kind, Listing, Object, Position},
     },
 };
 
@@ -128,6 +128,7 @@
                     base: 1,
                     synced_revision: 14,
                     items,
+                    era: 0,
                 }))
                 .await;
             other.heartbeat().await;
@@ -139,6 +140,7 @@
                     base: 1,
                     synced_revision: 13,
                     items: late,
+                    era: 0,
                 }))
                 .await;
             other.heartbeat().await;
@@ -151,6 +153,7 @@
                         base: 20,
                         synced_revision: 31,
                         items,
+                        era: 0,
                     }))
                     .await;
                 sleep(Duration::from_millis(300)).await;
@@ -162,7 +165,13 @@
             assert_eq!(servers(&rig), ["s2"]);
             let items = vec![item("s3", 17), item("s4", 30)];
             other
-                .send(Body::Snapshot(Snapshot { kind, revision: 30, items, synced_revision: 31 }))
+                .send(Body::Snapshot(Snapshot {
+                    kind,
+                    revision: 30,
+                    items,
+                    synced_revision: 31,
+                    era: 0,
+                }))
                 .await;
             other.heartbeat().await;
             assert_eq!(servers(&rig), ["s3", "s4"]);
@@ -182,8 +191,10 @@
             spawn_local(follow::run(rig.node.clone(), Kind::Servers));
             let mut link = others[0].accept().await;
             sleep(DECISION_TIME).await;
-            let server = Object { name: "s9".into(), revision: 40, value: Vec::new() };
-            *rig.node.platform.listing.borrow_mut() = Listing { revision: 50, items: vec![server] };
+            let server =
+                Object { name: "s9".into(), position: Position::new(0, 40), value: Vec::new() };
+            *rig.node.platform.listing.borrow_mut() =
+                Listing { position: Position::new(0, 50), items: vec![server] };
             rig.node.platform.compacted.set(true);
             let changed = loop {
                 if let Body::ObjectsChanged(changed) = others[0].next(&mut link).await
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -26,8 +26,8 @@
         frontend::{self, Connections},
         node::Node,
         platform::{
-            Changes, Dialect, Grant, Headers, Kind, Listing, Object, Reply, ServerControl,
-            ServerEntry, Store, StoreError,
+            Changes, Dialect, Grant, Headers, Kind, Listing, Object, Position, Reply,
+            ServerControl, ServerEntry, Store, StoreError,
         },
         settings::Limits as NodeLimits,
     },
@@ -44,17 +44,29 @@
     pub listing: RefCell<Listing>,
     /// Whether watches fail as the history was compacted; reset by a listing.
     pub compacted: Cell<bool>,
+    /// Highest era that the node knows.
+    pub era: Cell<u64>,
     headers: Headers,
     server: SocketAddr,
 }
 
 impl Store for Platform {
+    fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    fn raise_era(&self, era: u64) {
+        self.era.set(self.era.get().max(era));
+    }
+
     async fn list(&self, _: Kind) -> Result<Listing, StoreError> {
         self.compacted.set(false);
-        Ok(self.listing.borrow().clone())
+        let listing = self.listing.borrow().clone();
+        self.raise_era(listing.position.era);
+        Ok(listing)
     }
 
-    async fn watch(&self, _: Kind, _: u64, _: Duration) -> Result<Changes, StoreError> {
+    async fn watch(&self, _: Kind, _: Position, _: Duration) -> Result<Changes, StoreError> {
         self.watches.set(self.watches.get() + 1);
         if self.compacted.get() {
             return Err(StoreError::Compacted);
@@ -66,7 +78,7 @@
         Err(StoreError::NoResponse)
     }
 
-    async fn write(&self, _: Kind, _: &str, _: u64, _: &[u8]) -> Result<u64, StoreError> {
+    async fn write(&self, _: Kind, _: &str, _: Position, _: &[u8]) -> Result<Position, StoreError> {
         Err(StoreError::NoResponse)
     }
 }
@@ -128,8 +140,12 @@
         let node =
             Node::new(platform(server), settings("n1", NodeLimits::default()), Clock::start());
         node.view.borrow_mut().routes = Some(Arc::new(table()));
-        let entry = Object { name: "s1".into(), revision: 1, value: Vec::new() };
-        follow::apply_listing(&node, Kind::Servers, Listing { revision: 1, items: vec![entry] });
+        let entry = Object { name: "s1".into(), position: Position::new(0, 1), value: Vec::new() };
+        follow::apply_listing(
+            &node,
+            Kind::Servers,
+            Listing { position: Position::new(0, 1), items: vec![entry] },
+        );
         let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let frontend = callers.local_addr().unwrap();
         spawn_local(frontend::serve(node.clone(), callers, Rc::new(Connections::default())));
@@ -210,9 +226,9 @@
 
 fn platform(server: SocketAddr) -> Platform {
     let headers = headers();
-    let listing = RefCell::new(Listing { revision: 1, items: Vec::new() });
+    let listing = RefCell::new(Listing { position: Position::new(0, 1), items: Vec::new() });
     let (watches, compacted) = (Cell::new(0), Cell::new(false));
-    Platform { watches, listing, compacted, headers, server }
+    Platform { watches, listing, compacted, era: Cell::new(0), headers, server }
 }
 
 fn table() -> RouteTable {
