No right rests on a revision that can go back: eras in terms and fences

Cause: the copy from which the store comes back names an earlier term, brings records of deposed controllers back, and lacks owners that servers were granted by. A term, and with it a fence, was given out twice; two controllers acted under one term; the successor granted keys that servers held by the lost history; a late write of the old era met its revision in the new one and won.

Change: terms begin above era * 2^14, so that fences rise across eras (fences stay below 2^53); a term that follows a record of an earlier era also depends on the revision that it replaces. A controller's right ends with its era, and is had again by a conditional write in the new one. Nobody follows a record of an earlier era, and nothing is concluded from it about the last controller. `control/restore.rs`: the newest owners that any node knows are written again under their old fences; leases are renewed under these only; a span whose server accepts its old fence once no earlier controller hands keys over any more is settled and gets a fence of the new era; the others wait until every lease of the lost history has expired. Owners that were only found in the copy are not renewed at all.

`World::replace` no longer empties a successor that exists; `store_owners` and the scenarios before run in era 0, as without the header.

By thought, not seen red: a handover task of an earlier tenure does not go on (`is_current`).

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -306,7 +306,7 @@
     /// Keeps the owners that another node knows, unless newer ones are known.
     pub fn learn_snapshot(&mut self, snapshot: &Snapshot) {
         for item in &snapshot.items {
-            let object = Object::from((item.clone(), snapshot.era));
+            let object = Object::from((item.clone(), item.era));
             if let Some(owned) = decode_owners(&object) {
                 self.learn_owners(object.name, object.position, Rc::new(owned));
             }
@@ -320,15 +320,17 @@
         self.handed_over.entry(service.clone()).or_default().extend(pending);
     }
 
+    /// Returns whether the owner of a span is known to have been granted the keys although the owners
+    /// still name the former one.
+    pub fn is_handed_over(&self, service: &Name, span: &Span) -> bool {
+        self.handed_over.get(service).is_some_and(|finished| finished.contains(&span.handover()))
+    }
+
     /// Returns the span that contains a key if its owner has been granted the keys, as far as this
     /// node knows.
     pub fn granted_span(&self, service: &Name, key: u16) -> Option<&Span> {
         let (_, owned) = self.owners.get(service)?;
-        let finished = self.handed_over.get(service);
-        let is_granted = |span: &&Span| {
-            span.former.is_none()
-                || finished.is_some_and(|finished| finished.contains(&span.handover()))
-        };
+        let is_granted = |span: &&Span| span.former.is_none() || self.is_handed_over(service, span);
         owned.find(key).filter(is_granted)
     }
 
@@ -501,7 +503,8 @@
 /// Encodes the owners of a service for a snapshot.
 fn owners_item((service, (position, owned)): (&Name, &(Position, Rc<Ownership>))) -> Item {
     let value = OwnersRecord::from(&**owned).encode_to_vec();
-    Item { name: service.to_string(), revision: position.revision, value, gone: false }
+    let (name, Position { era, revision }) = (service.to_string(), *position);
+    Item { name, revision, value, gone: false, era }
 }
 
 /// Returns whether an entry that came back with a copy of the store is that of a former life of a
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -2,7 +2,9 @@
 //!
 //! At most one node is the controller of a term. Terms rise; the current one is stored in a record
 //! that is changed by conditional writes only. A deposed controller may not know yet that it was
-//! deposed; `grants` and `handover` explain how fencing makes its late commands harmless.
+//! deposed; `grants` and `handover` explain how fencing makes its late commands harmless. The store
+//! may come back from an older copy, in a new era: a controller's right ends with the era in which
+//! it was elected, and the terms of an era are above those of the eras before; see `restore`.
 
 pub use self::election::{resign, run};
 
@@ -13,7 +15,7 @@
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     whinspring::{
         name::Name,
-        ranges::{Instance, balance::KeyLoads},
+        ranges::{Instance, Span, balance::KeyLoads},
         time::Tick,
     },
 };
@@ -23,6 +25,7 @@
 mod handover;
 mod leases;
 mod progress;
+mod restore;
 pub mod servers;
 
 /// Time without a confirmation by the store after which the controller grants and renews nothing.
@@ -44,9 +47,17 @@
 /// Distance between consecutive fencing tokens; the tokens in between fence former owners.
 const FENCE_STEP: u64 = 64;
 
-/// Bits of a fencing token that follow the term.
+/// Bits of a fencing token that follow the term. Servers take tokens below 2^53, so that 25 bits
+/// are left for the term.
 const TERM_SHIFT: u32 = 28;
 
+/// Bits of a term that count the elections of one era of the store.
+const ERA_SHIFT: u32 = 14;
+
+/// Number of eras after which the terms of an era are no longer above those of all earlier ones by
+/// the era alone.
+const ERAS: u64 = 1 << 11;
+
 /// The node's view of the controller, and the controller's own state if this node is the
 /// controller.
 #[derive(Debug, Default)]
@@ -60,6 +71,14 @@
     store_age: Duration,
     /// Highest term known.
     term: u64,
+    /// Era of the store in which this node was elected.
+    era: u64,
+    /// Whether this node was the controller when the era of its election ended.
+    dispossessed: bool,
+    /// Whether no controller can have been elected before this one.
+    first: bool,
+    /// Whether grants may exist that the store has lost.
+    restored: bool,
     /// Whether this node is the controller.
     is_leader: bool,
     /// Whether this node is resigning, so that another node may be the controller already.
@@ -118,6 +137,7 @@
         }
         if heartbeat.is_leader && heartbeat.term >= self.term {
             self.term = heartbeat.term;
+            self.dispossessed = false;
             self.leader = Some((from.clone(), heartbeat.incarnation));
             self.last_heard = now;
             self.leader_timeout = heartbeat.timeout();
@@ -177,6 +197,44 @@
         (self.term << TERM_SHIFT) + self.fence_count
     }
 
+    /// Returns the highest term that no controller of an era has.
+    fn term_floor(era: u64) -> u64 {
+        (era % ERAS) << ERA_SHIFT
+    }
+
+    /// Returns whether a term is of an era. So is one that is lower than the first term of the first
+    /// era if `era_changed` is false: versions that knew no eras wrote it.
+    fn is_term_of(term: u64, era: u64, era_changed: bool) -> bool {
+        let first = term >> ERA_SHIFT;
+        first == era % ERAS || (first == 0 && !era_changed)
+    }
+
+    /// Returns whether the fencing token of a span is of an earlier era, so that a grant of the keys
+    /// to another server may have been lost with the history of the store.
+    fn is_unsettled(&self, span: &Span) -> bool {
+        span.fence >> TERM_SHIFT < Self::term_floor(self.era)
+    }
+
+    /// Returns the lowest fencing token of this term.
+    fn first_fence(&self) -> u64 {
+        self.term << TERM_SHIFT
+    }
+
+    /// Returns from when on no controller of an earlier era hands keys over. A server that accepts
+    /// an old fencing token after that has not released the keys since.
+    fn settles_at(&self) -> Tick {
+        self.elected_at + HANDOVER_TIMEOUT + leases::DELIVERY_MARGIN
+    }
+
+    /// Ends this node's right to act as the controller if it was elected in an earlier era.
+    pub fn end_era(&mut self, era: u64) {
+        if self.is_leader && era != self.era {
+            warn!(event = "era_ended", term = self.term, before = self.era, era; "the era in which this node was elected has ended; it asks for the place anew");
+            self.step_down();
+            self.dispossessed = true;
+        }
+    }
+
     /// Returns whether this node may send commands (grants and releases) now.
     fn may_command(&self, now: Tick) -> bool {
         self.is_leader && !self.resigning && now.since(self.confirmed) < COMMAND_TIMEOUT
@@ -206,6 +264,7 @@
 
     fn step_down(&mut self) {
         self.is_leader = false;
+        self.dispossessed = false;
         self.resigning = false;
         self.leader = None;
         self.handovers.clear();
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -5,7 +5,7 @@
 //! or has resigned. Nodes with a larger CPU share campaign first.
 
 use {
-    super::{Controller, grants, progress},
+    super::{Controller, grants, progress, restore},
     crate::{
         follow,
         message::Heartbeat,
@@ -35,6 +35,9 @@
 /// Time since the store last responded to the controller after which other nodes may campaign.
 const UNCONFIRMED_AFTER: Duration = Duration::from_millis(3_500);
 
+/// Number of terms of an era from which its first one is taken.
+const FIRST_TERMS: u64 = 1 << 13;
+
 const CONTROLLER_RECORD: &str = "controller";
 
 /// Ratio of CPU shares from which a controller yields to a stronger node.
@@ -81,6 +84,9 @@
         return false;
     }
     let control = node.control.borrow();
+    if control.dispossessed {
+        return true;
+    }
     let silence = now.since(control.last_heard);
     let vacant = match &control.leader {
         None => silence,
@@ -121,14 +127,18 @@
         Ok(found) => found,
         Err(error) => return log::debug!("cannot read the controller's record: {error}; retrying"),
     };
+    node.control.borrow_mut().dispossessed = false;
     if adopt_leader(node, &known) {
         return;
     }
     let start = node.now();
+    let era = position.era;
     let record = ControlRecord {
         node: node.name().to_string(),
         incarnation: node.incarnation,
-        term: known.term.max(node.control.borrow().term) + 1,
+        term: next_term(&known, position, node.control.borrow().term),
+        era,
+        restored: is_restored(&known, era, node.control.borrow().term),
     };
     let value = record.encode_to_vec();
     let written = node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await;
@@ -143,16 +153,60 @@
     }
     let owners = follow::list_with_retry(node, Kind::Owners).await;
     follow::apply_listing(node, Kind::Owners, owners);
+    if node.platform.era() != era {
+        info!(event = "place_not_taken", term = record.term; "the store has come back from an older copy meanwhile");
+        return;
+    }
+    take_office(node, &known, &record, start);
+    info!(event = "controller", term = record.term, revision:% = position; "this node was elected as controller");
+    restore::gather_owners(node);
+}
+
+/// Returns the term of an election that replaces the record at a position.
+///
+/// A late write of an earlier era may have replaced the record of a controller of this era. A term
+/// that follows a record of an earlier era therefore also depends on its revision, so that no two
+/// controllers have the same one.
+fn next_term(known: &ControlRecord, position: Position, term: u64) -> u64 {
+    let highest = known.term.max(term);
+    if known.era == position.era && known.term != 0 {
+        return highest + 1;
+    }
+    let offset = if position.era == 0 { 0 } else { position.revision % FIRST_TERMS };
+    highest.max(Controller::term_floor(position.era) + offset) + 1
+}
+
+/// Returns whether the store may have lost grants before an era: a controller of an earlier era is
+/// known and no record of this one says otherwise.
+fn is_restored(known: &ControlRecord, era: u64, term: u64) -> bool {
+    if known.era == era && known.term != 0 { known.restored } else { known.term.max(term) != 0 }
+}
+
+/// Makes this node the controller. `known` is the record that it replaced; one of an earlier era
+/// says nothing of the last controller before this one.
+fn take_office<P: Platform>(
+    node: &Rc<Node<P>>,
+    known: &ControlRecord,
+    record: &ControlRecord,
+    confirmed: Tick,
+) {
+    let knows_owners = !node.view.borrow().owners.is_empty();
     let mut control = node.control.borrow_mut();
+    let is_current = known.era == record.era;
+    let absent = known.term == 0 && control.term == 0 && !knows_owners;
     control.step_down();
+    control.first = absent;
+    control.restored = record.restored;
     control.term = record.term;
+    control.era = record.era;
     control.is_leader = true;
     control.elected_at = node.now();
-    control.predecessor_stopped = (known.incarnation == 0).then_some(control.elected_at);
-    control.predecessor = Some((Name::from(known.node), known.incarnation));
-    control.confirmed = start;
+    let resigned = absent || (is_current && known.incarnation == 0);
+    control.predecessor_stopped = resigned.then_some(control.elected_at);
+    let predecessor = (Name::from(known.node.as_str()), known.incarnation);
+    control.predecessor = Some(predecessor).filter(|_| is_current);
+    control.confirmed = confirmed;
     control.fence_count = 0;
-    info!(event = "controller", term = record.term, revision:% = position; "this node was elected as controller");
 }
 
 /// Adopts a controller of a newer term that the record names. Returns whether there is one; it is
@@ -160,7 +214,8 @@
 fn adopt_leader<P: Platform>(node: &Rc<Node<P>>, record: &ControlRecord) -> bool {
     let now = node.now();
     let mut control = node.control.borrow_mut();
-    let newer = record.term > control.term && record.incarnation != 0;
+    let is_current = record.era == node.platform.era();
+    let newer = record.term > control.term && record.incarnation != 0 && is_current;
     if newer && record.incarnation != node.incarnation {
         control.term = record.term;
         control.leader = Some((Name::from(record.node.as_str()), record.incarnation));
@@ -179,7 +234,9 @@
     let found = node.platform.read(Kind::Control, CONTROLLER_RECORD).await;
     let absent = Position::new(node.platform.era(), 0);
     node.set_store_reachable(found.is_ok());
-    let Some(object) = found? else { return Ok((ControlRecord::default(), absent)) };
+    let Some(object) = found? else {
+        return Ok((ControlRecord { era: absent.era, ..ControlRecord::default() }, absent));
+    };
     let record = ControlRecord::decode(object.value.as_slice()).map_err(|error| {
         warn!(event = "bad_record"; "cannot decode the controller's record: {error}; treating it as empty");
         StoreError::Malformed
@@ -203,7 +260,8 @@
         let mut control = node.control.borrow_mut();
         control.confirming = false;
         let Ok((record, _)) = found else { return };
-        if record.term == control.term && record.incarnation == node.incarnation {
+        let is_own = record.term == control.term && record.incarnation == node.incarnation;
+        if control.is_leader && is_own {
             control.confirmed = now;
         } else if control.is_leader {
             control.depose(record.term);
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -7,7 +7,9 @@
 
 use {
     super::{
+        Controller,
         handover::{is_current, start_handovers},
+        restore,
         servers::{address, candidates, refused_recently, restarted_as},
     },
     crate::{
@@ -68,7 +70,7 @@
 async fn reconcile<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
     let now = node.now();
     let known = node.view.borrow().owners.get(service).cloned();
-    let Some((_, owned)) = known else { return assign_initial(node, service).await };
+    let Some((position, owned)) = known else { return assign_initial(node, service).await };
     {
         let mut control = node.control.borrow_mut();
         if owned.term > control.term {
@@ -79,11 +81,15 @@
         }
     }
     let Some((_, owned)) = current_ownership(node, service) else {
-        return raise_all_fences(node, service, &owned).await;
+        if restore::is_gathering(node, service, now) {
+            return;
+        }
+        return raise_all_fences(node, service, position, &owned).await;
     };
     renew_leases(node, service, &owned, now);
     start_handovers(node, service, &owned);
     commit_handovers(node, service, &owned, now).await;
+    restore::settle(node, service, now).await;
     rebalance(node, service, now).await;
 }
 
@@ -107,7 +113,9 @@
         let own = view.servers.values().filter(|server| server.entry.service == *service);
         own.map(|server| server.known_since).max().unwrap_or(now)
     };
-    if now < newest.max(node.control.borrow().elected_at) + DIVIDE_DELAY {
+    if now < newest.max(node.control.borrow().elected_at) + DIVIDE_DELAY
+        || restore::may_be_held(node, now)
+    {
         return;
     }
     let servers = candidates(node, service, node.now());
@@ -129,14 +137,31 @@
     write_ownership(node, service, owned).await;
 }
 
-/// Raises the fencing tokens of all spans after a change of controller.
-async fn raise_all_fences<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
+/// Raises the fencing tokens of all spans after a change of controller, except those of an earlier
+/// era, which [`restore::settle`] raises.
+///
+/// Owners that were learned in a later era than that of their term come from the copy, or from a
+/// late write that has no place in the lost history. Servers may know higher tokens than those, or
+/// lower ones: the tokens tell nothing and are cleared.
+async fn raise_all_fences<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    position: Position,
+    owned: &Ownership,
+) {
     let mut next = owned.clone();
+    let is_sure = Controller::is_term_of(owned.term, position.era, node.era_changed.get());
     {
+        let view = node.view.borrow();
         let mut control = node.control.borrow_mut();
         next.term = control.term;
         for span in &mut next.spans {
-            span.fence = control.fence();
+            if control.is_unsettled(span) {
+                span.fence = if is_sure { span.fence } else { 0 };
+                span.former = span.former.take().filter(|_| !view.is_handed_over(service, span));
+            } else {
+                span.fence = control.fence();
+            }
         }
         let progress = control.handovers.entry(service.clone()).or_default();
         progress.inherited =
@@ -147,7 +172,7 @@
 
 /// Writes the owners of a service, unless this node may not send commands any more. Returns `true`
 /// only if the write is known to have succeeded.
-async fn write_ownership<P: Platform>(
+pub(super) async fn write_ownership<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
     owned: Ownership,
@@ -157,7 +182,7 @@
     }
     node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing = true;
     let value = OwnersRecord::from(&owned).encode_to_vec();
-    let era = node.platform.era();
+    let era = node.control.borrow().era;
     let expect = node.view.borrow().stored_position(Kind::Owners, service, era);
     let written = node.platform.write(Kind::Owners, service, expect, &value).await;
     node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing = false;
@@ -199,10 +224,12 @@
 /// thousands of spans would exceed the memory of the VM.
 fn renew_leases<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership, now: Tick) {
     let mut due: BTreeMap<&Instance, Vec<Span>> = BTreeMap::new();
-    for span in owned.spans.iter().filter(|span| span.former.is_none()) {
+    for span in owned.spans.iter().filter(|span| span.former.is_none() && span.fence != 0) {
         let mut control = node.control.borrow_mut();
+        let unsettled = control.is_unsettled(span);
         let lease = control.leases.entry(service, span);
-        if !lease.in_flight && lease.acked.is_none_or(|at| now.since(at) >= RENEW_INTERVAL) {
+        let due_at = lease.acked.or(lease.sent.filter(|_| unsettled));
+        if !lease.in_flight && due_at.is_none_or(|at| now.since(at) >= RENEW_INTERVAL) {
             due.entry(&span.owner).or_default().push(span.clone());
         }
     }
@@ -251,6 +278,9 @@
         return;
     }
     let Some((_, owned)) = current_ownership(node, service) else { return };
+    if node.control.borrow().is_unsettled(span) {
+        return;
+    }
     let mut next = (*owned).clone();
     let Some(index) = next.spans.iter().position(|other| other == span) else { return };
     if node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing {
@@ -356,7 +386,9 @@
         }
         let moves = balance::plan_moves(&owned, &servers, &loads, base);
         let mut next = (*owned).clone();
-        let joined = next.spans.len() > MAX_SPANS_PER_SERVER * servers.len()
+        let settled = !next.spans.iter().any(|span| control.is_unsettled(span));
+        let joined = settled
+            && next.spans.len() > MAX_SPANS_PER_SERVER * servers.len()
             && next.merge_adjacent(|| control.fence());
         if moves.is_empty() && !joined {
             return;
@@ -364,8 +396,9 @@
         for step in moves {
             for index in next.split_range(step.first, step.last) {
                 let fence = control.fence();
+                let unsettled = control.is_unsettled(&next.spans[index]);
                 let span = &mut next.spans[index];
-                if span.former.is_some() || span.owner == step.to {
+                if unsettled || span.former.is_some() || span.owner == step.to {
                     continue;
                 }
                 span.former = Some(std::mem::replace(&mut span.owner, step.to.clone()));
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -49,6 +49,9 @@
 pub(super) fn start_handovers<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
     let now = node.now();
     for span in owned.spans.iter().filter(|span| span.former.is_some()) {
+        if node.control.borrow().is_unsettled(span) {
+            continue;
+        }
         if is_inherited(node, service, span) && !node.control.borrow().predecessor_expired(now) {
             continue;
         }
@@ -172,7 +175,8 @@
 ) -> Tick {
     let control = node.control.borrow();
     let expiry = control.leases.expiry(service, former, span.first, span.last);
-    if control.term == 1 || control.leases.covers(service, former, span.first, span.last) {
+    let keys = (span.first, span.last);
+    if control.first || control.leases.covers(service, former, keys, control.first_fence()) {
         return expiry;
     }
     expiry.max(lease_end(control.predecessor_last_command(), max_lease(node)))
@@ -236,11 +240,14 @@
     progress.is_some_and(|progress| progress.inherited.contains(&span.handover()))
 }
 
-/// Returns whether a span is unchanged and this node may still send commands.
+/// Returns whether a span is unchanged and this node may still send commands. A handover that was
+/// begun in an earlier era is not continued.
 pub(super) fn is_current<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
     let Some((_, owned)) = current_ownership(node, service) else { return false };
     let unchanged = owned.find(span.first).is_some_and(|found| {
         found.first == span.first && found.last == span.last && found.fence == span.fence
     });
-    unchanged && node.control.borrow().may_command(node.now())
+    let control = node.control.borrow();
+    let begun_before = span.former.is_some() && control.is_unsettled(span);
+    unchanged && !begun_before && control.may_command(node.now())
 }
--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -16,7 +16,7 @@
 const CLOCK_DRIFT_DIVISOR: u32 = 50;
 
 /// Allowance for the delivery of a grant.
-const DELIVERY_MARGIN: Duration = Duration::from_millis(300);
+pub(super) const DELIVERY_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time after the last grant for which a lease is kept.
 const LEASE_RETENTION: Duration = Duration::from_secs(20);
@@ -76,9 +76,18 @@
         overlapping.map(|(_, lease)| lease.expires).max().unwrap_or_default()
     }
 
-    /// Returns whether a server has acknowledged grants that cover all of the keys.
-    pub fn covers(&self, service: &Name, owner: &Instance, first: u16, last: u16) -> bool {
-        let taken = self.leases_of(service, owner).filter(|(_, lease)| lease.acked.is_some());
+    /// Returns whether a server has acknowledged grants that cover all of the keys, with fencing
+    /// tokens of at least `min_fence`.
+    pub fn covers(
+        &self,
+        service: &Name,
+        owner: &Instance,
+        (first, last): (u16, u16),
+        min_fence: u64,
+    ) -> bool {
+        let taken = self.leases_of(service, owner);
+        let taken =
+            taken.filter(|((_, _, fence), lease)| *fence >= min_fence && lease.acked.is_some());
         let mut taken: Vec<(u32, u32)> =
             taken.map(|((from, to, _), _)| (u32::from(*from), u32::from(*to))).collect();
         taken.sort_unstable();
--- a/crates/whinspring-router/src/control/progress.rs
+++ b/crates/whinspring-router/src/control/progress.rs
@@ -21,6 +21,8 @@
 pub struct Progress {
     /// When the balancer last ran.
     pub planned: Tick,
+    /// When spans of an earlier era were last settled.
+    pub settled: Tick,
     /// When the balance was last logged.
     pub logged: Tick,
     /// Handovers that an earlier controller began and may have finished.
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -401,6 +401,10 @@
     /// Whether the object is gone.
     #[prost(bool, tag = "4")]
     pub gone: bool,
+    /// Era in which owners were learned from the store or their writer; may be an earlier one than
+    /// that of the message.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// A request crashed a server.
@@ -457,6 +461,7 @@
             revision: object.position.revision,
             value: object.value.clone(),
             gone: false,
+            era: object.position.era,
         }
     }
 }
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -58,6 +58,8 @@
     pub store_lost: Cell<bool>,
     /// Era of the store that this node acts in.
     pub era: Cell<u64>,
+    /// Whether this node has seen the store come back in a new era.
+    pub era_changed: Cell<bool>,
     /// Notified when the store has come back in a new era.
     pub era_ended: Notify,
 }
@@ -85,6 +87,7 @@
             store_recovered: Cell::default(),
             store_lost: Cell::new(true),
             era: Cell::default(),
+            era_changed: Cell::new(false),
             era_ended: Notify::new(),
         })
     }
@@ -125,9 +128,11 @@
         self.metrics.count("era");
         let synced = self.view.borrow().synced(Kind::Servers);
         if synced != Position::default() {
+            self.era_changed.set(true);
             self.store_recovered.set(self.now());
             log::warn!(event = "era", before, era, revision:% = synced; "the store has come back from an older copy of itself; listing everything again");
         }
+        self.control.borrow_mut().end_era(era);
         self.era_ended.notify_waiters();
     }
 
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -21,6 +21,12 @@
     /// Term, which rises with each election.
     #[prost(uint64, tag = "3")]
     pub term: u64,
+    /// Era of the store in which the node was elected.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
+    /// Whether the store may have lost grants in the history before this era.
+    #[prost(bool, tag = "5")]
+    pub restored: bool,
 }
 
 /// The stored record of a node.
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -6,7 +6,7 @@
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
         rc::Rc,
@@ -103,6 +103,33 @@
     pub slow: u32,
     /// Writes that take effect without a response.
     pub lost: u32,
+    /// Writes without a response that take effect later if their condition still holds.
+    pub stray: u32,
+}
+
+/// Longest time after the return of the store until a server has written its entry again.
+const REWRITE_DELAY_MS: u64 = 2_000;
+
+/// The store as it was at an instant.
+#[derive(Debug, Clone)]
+struct Copy {
+    at: Instant,
+    objects: BTreeMap<(u32, Name), (u64, Vec<u8>)>,
+    revision: u64,
+}
+
+/// The entries of the servers as they were at an instant.
+#[derive(Debug, Clone)]
+struct EntryCopy {
+    at: Instant,
+    values: BTreeMap<Name, Vec<u8>>,
+}
+
+/// What the copy has of a server's entry, until the server writes it again.
+#[derive(Debug, Clone)]
+struct StaleEntry {
+    until: Instant,
+    value: Option<Vec<u8>>,
 }
 
 pub struct SeededRng(ChaCha8Rng);
@@ -116,12 +143,19 @@
 /// The store, the servers and the faults that all nodes share.
 #[derive(Default)]
 pub struct World {
-    pub objects: BTreeMap<(u32, Name), Object>,
+    objects: BTreeMap<(u32, Name), (u64, Vec<u8>)>,
     pub revision: u64,
+    /// Number of times that the store came back from a copy.
+    pub era: u64,
+    copies: Vec<Copy>,
+    entry_copies: Vec<EntryCopy>,
+    stale: BTreeMap<Name, StaleEntry>,
     servers: BTreeMap<Name, Server>,
     /// Nodes that the store does not respond to.
     pub cut_off: Vec<Name>,
     pub store_down: bool,
+    /// Whether nodes learn the owners from each other with the heartbeats.
+    pub shares_owners: bool,
     /// A node whose writes get a response long after they took effect.
     pub slow: Option<Name>,
     /// Node that first wrote owners in each term.
@@ -147,9 +181,14 @@
         Rc::new(RefCell::new(Self {
             objects: BTreeMap::new(),
             revision: 1,
+            era: 0,
+            copies: Vec::new(),
+            entry_copies: Vec::new(),
+            stale: BTreeMap::new(),
             servers: (0..servers).map(server).collect(),
             cut_off: Vec::new(),
             store_down: false,
+            shares_owners: false,
             slow: None,
             terms: HashMap::new(),
             commands: Vec::new(),
@@ -212,7 +251,7 @@
     pub fn replace(&mut self, index: usize) {
         self.crash(index);
         let next = Server { listed: true, ..Server::default() };
-        self.servers.insert(successor(index), next);
+        self.servers.entry(successor(index)).or_insert(next);
     }
 
     /// Returns the server that has an address now.
@@ -272,20 +311,50 @@
             .collect();
         let owned = Ownership::split_evenly(1, &instances, || 1);
         let value = OwnersRecord::from(&owned).encode_to_vec();
-        let position = Position::new(0, self.revision);
-        let object = Object { name: SERVICE.into(), position, value };
-        self.objects.insert((Kind::Owners.number(), SERVICE.into()), object);
+        self.objects.insert((Kind::Owners.number(), SERVICE.into()), (self.revision, value));
     }
 
-    /// Returns the entries of the servers.
-    pub fn entries(&self) -> Vec<Object> {
-        let listed = self.servers.iter().filter(|(_, server)| server.listed);
-        let object = |(name, server): (&Name, &Server)| Object {
-            name: name.clone(),
-            position: Position::new(0, self.revision),
-            value: vec![u8::from(server.leaving), server.entry_instance],
-        };
-        listed.map(object).collect()
+    /// Returns the entries of the servers that the store has.
+    pub fn entries(&mut self) -> Vec<Object> {
+        let now = Instant::now();
+        self.stale.retain(|_, stale| stale.until > now);
+        let position = self.position(self.revision);
+        let mut values = BTreeMap::new();
+        for (name, server) in &self.servers {
+            let own = vec![u8::from(server.leaving), server.entry_instance];
+            let own = Some(own).filter(|_| server.listed);
+            let value = self.stale.get(name).map_or(own, |stale| stale.value.clone());
+            values.extend(value.map(|value| (name.clone(), value)));
+        }
+        self.entry_copies.push(EntryCopy { at: now, values: values.clone() });
+        let object = |(name, value)| Object { name, position, value };
+        values.into_iter().map(object).collect()
+    }
+
+    fn position(&self, revision: u64) -> Position {
+        Position::new(self.era, revision)
+    }
+
+    /// Brings the store back from a copy of `age`. Servers write their entries again after a while,
+    /// in any order.
+    pub fn restore(&mut self, age: Duration) {
+        let to = Instant::now().checked_sub(age).unwrap();
+        self.copies.retain(|copy| copy.at <= to);
+        let (objects, revision) = self
+            .copies
+            .last()
+            .map_or((BTreeMap::new(), 1), |copy| (copy.objects.clone(), copy.revision));
+        self.objects = objects;
+        self.revision = revision;
+        self.era += 1;
+        self.entry_copies.retain(|copy| copy.at <= to);
+        let known = self.entry_copies.last().map(|copy| copy.values.clone()).unwrap_or_default();
+        for name in self.servers.keys() {
+            let delay = Duration::from_millis(self.rng.0.random_range(0..REWRITE_DELAY_MS));
+            let until = Instant::now() + delay;
+            self.stale.insert(name.clone(), StaleEntry { until, value: known.get(name).cloned() });
+        }
+        self.store_down = false;
     }
 
     /// Returns whether the store refuses calls of a node.
@@ -362,15 +431,15 @@
             return Err(StoreError::NoResponse);
         }
         let key = (kind.number(), Name::from(name));
-        let known = self.objects.get(&key).map_or(0, |object| object.position.revision);
+        let known = self.objects.get(&key).map_or(0, |(revision, _)| *revision);
         if known != expect {
             return Err(StoreError::Conflict);
         }
         self.revision += 1;
         let revision = self.revision;
-        let position = Position::new(0, revision);
-        let object = Object { name: name.into(), position, value: value.to_vec() };
-        self.objects.insert(key, object);
+        self.objects.insert(key, (revision, value.to_vec()));
+        let (at, objects) = (Instant::now(), self.objects.clone());
+        self.copies.push(Copy { at, objects, revision });
         self.check_writer(kind, node, value);
         let lost = self.rng.0.random_ratio(self.fault_rates.lost, 100);
         Ok((!lost).then_some(revision))
@@ -417,10 +486,32 @@
 pub struct Platform {
     pub world: Rc<RefCell<World>>,
     node: Name,
+    /// Highest era that this node knows.
+    era: Cell<u64>,
     headers: Headers,
 }
 
 impl Platform {
+    /// Learns the era of a response, which is discarded if it is of an earlier one.
+    fn check_era(&self, era: u64) -> Result<(), StoreError> {
+        if era < self.era.get() {
+            return Err(StoreError::EraEnded);
+        }
+        self.era.set(era);
+        Ok(())
+    }
+
+    /// Sends a write that takes effect later, if its condition still holds.
+    fn send_stray(&self, kind: Kind, name: &str, expect: Position, value: &[u8]) {
+        let delay = self.world.borrow_mut().rng.0.random_range(300..6_000);
+        let (world, node) = (self.world.clone(), self.node.clone());
+        let (name, value) = (name.to_string(), value.to_vec());
+        spawn_local(async move {
+            sleep(Duration::from_millis(delay)).await;
+            let _ = world.borrow_mut().write(kind, &node, &name, expect.revision, &value);
+        });
+    }
+
     /// Sends a command, which may fail.
     async fn command(
         &self,
@@ -480,10 +571,12 @@
 
 impl Store for Platform {
     fn era(&self) -> u64 {
-        0
+        self.era.get()
     }
 
-    fn raise_era(&self, _: u64) {}
+    fn raise_era(&self, era: u64) {
+        self.era.set(self.era.get().max(era));
+    }
 
     async fn list(&self, kind: Kind) -> Result<Listing, StoreError> {
         sleep(RESPONSE_DELAY).await;
@@ -491,9 +584,14 @@
         if world.refuses(&self.node) {
             return Err(StoreError::NoResponse);
         }
+        self.check_era(world.era)?;
         let items = world.objects.iter().filter(|((number, _), _)| *number == kind.number());
-        let items = items.map(|(_, object)| object.clone()).collect();
-        Ok(Listing { position: Position::new(0, world.revision), items })
+        let items = items.map(|((_, name), (revision, value))| Object {
+            name: name.clone(),
+            position: world.position(*revision),
+            value: value.clone(),
+        });
+        Ok(Listing { position: world.position(world.revision), items: items.collect() })
     }
 
     async fn watch(
@@ -512,7 +610,13 @@
         if world.refuses(&self.node) {
             return Err(StoreError::NoResponse);
         }
-        Ok(world.objects.get(&(kind.number(), name.into())).cloned())
+        self.check_era(world.era)?;
+        let found = world.objects.get(&(kind.number(), name.into()));
+        Ok(found.map(|(revision, value)| Object {
+            name: name.into(),
+            position: world.position(*revision),
+            value: value.clone(),
+        }))
     }
 
     async fn write(
@@ -522,15 +626,36 @@
         expect: Position,
         value: &[u8],
     ) -> Result<Position, StoreError> {
+        if expect.era != self.era.get() {
+            return Err(StoreError::EraEnded);
+        }
+        let stray = {
+            let mut world = self.world.borrow_mut();
+            let stray = world.fault_rates.stray;
+            world.rng.0.random_ratio(stray, 100)
+        };
+        if stray {
+            self.send_stray(kind, name, expect, value);
+            sleep(Duration::from_millis(1_000)).await;
+            return Err(StoreError::NoResponse);
+        }
         sleep(RESPONSE_DELAY).await;
-        let revision =
-            self.world.borrow_mut().write(kind, &self.node, name, expect.revision, value)?;
+        let (revision, era) = {
+            let mut world = self.world.borrow_mut();
+            (world.write(kind, &self.node, name, expect.revision, value), world.era)
+        };
+        let revision = revision?;
         let slow = self.world.borrow().slow.as_ref() == Some(&self.node);
         if slow {
             sleep(SLOW_RESPONSE_DELAY).await;
             return Err(StoreError::NoResponse);
         }
-        revision.map(|revision| Position::new(0, revision)).ok_or(StoreError::NoResponse)
+        let revision = revision.ok_or(StoreError::NoResponse)?;
+        self.check_era(era)?;
+        if era != expect.era {
+            return Err(StoreError::EraEnded);
+        }
+        Ok(Position::new(era, revision))
     }
 }
 
@@ -572,7 +697,8 @@
     node: &str,
     limits: NodeLimits,
 ) -> Rc<Node<Platform>> {
-    let platform = Platform { world: world.clone(), node: node.into(), headers: headers() };
+    let era = Cell::new(0);
+    let platform = Platform { world: world.clone(), node: node.into(), era, headers: headers() };
     let settings = settings(node, limits);
     let node = Node::new(platform, settings, Clock::from_runtime());
     node.set_store_reachable(true);
@@ -589,9 +715,14 @@
 fn show_servers(node: &Rc<Node<Platform>>) {
     let listing = {
         let mut world = node.platform.world.borrow_mut();
+        if node.platform.check_era(world.era).is_err() {
+            return;
+        }
         world.revision += 1;
-        Listing { position: Position::new(0, world.revision), items: world.entries() }
+        let items = world.entries();
+        Listing { position: world.position(world.revision), items }
     };
+    node.check_era();
     follow::apply_listing(node, Kind::Servers, listing);
 }
 
@@ -618,7 +749,12 @@
         }
         for from in &nodes {
             let heartbeat = heartbeat_of(from);
+            let owners = from.view.borrow().snapshot(Kind::Owners);
             for to in nodes.iter().filter(|to| to.name() != from.name()) {
+                to.learn_era(heartbeat.era);
+                if from.platform.world.borrow().shares_owners {
+                    follow::adopt_snapshot(to, owners.clone());
+                }
                 to.control.borrow_mut().on_heartbeat(to.now(), from.name(), &heartbeat);
                 peers::add_peer(to, from.name(), heartbeat.addr.parse().unwrap());
                 let now = to.now();
@@ -640,6 +776,7 @@
         cpu_share: node.settings.limits.cpu_percent,
         is_leader: control.is_leader(),
         leaving: node.leaving.get(),
+        era: node.platform.era(),
         store_age_ms: node.now().since(node.store_contact.get()).as_millis() as u32,
         ..Heartbeat::default()
     }
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -54,7 +54,7 @@
 }
 
 fn item(name: &str, revision: u64) -> Item {
-    Item { name: name.into(), revision, value: Vec::new(), gone: false }
+    Item { name: name.into(), revision, value: Vec::new(), gone: false, era: 0 }
 }
 
 fn servers(rig: &Rig) -> Vec<String> {
