--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -7,13 +7,15 @@
 
 use {
     super::{
+        Controller,
         handover::{is_current, start_handovers},
+        restore,
         servers::{address, candidates, refused_recently, restarted_as},
     },
     crate::{
         node::Node,
         notices, owners,
-        platform::{Grant, Kind, Platform, Reply, StoreError},
+        platform::{Grant, Kind, Platform, Position, Reply, StoreError},
         record::OwnersRecord,
     },
     log::info,
@@ -68,7 +70,7 @@
 async fn reconcile<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
     let now = node.now();
     let known = node.view.borrow().owners.get(service).cloned();
-    let Some((revision, owned)) = known else { return assign_initial(node, service).await };
+    let Some((position, owned)) = known else { return assign_initial(node, service).await };
     {
         let mut control = node.control.borrow_mut();
         if owned.term > control.term {
@@ -78,21 +80,25 @@
             return;
         }
     }
-    let Some((revision, owned)) = current_ownership(node, service) else {
-        return raise_all_fences(node, service, revision, &owned).await;
+    let Some((_, owned)) = current_ownership(node, service) else {
+        if restore::is_gathering(node, service, now) {
+            return;
+        }
+        return raise_all_fences(node, service, position, &owned).await;
     };
     renew_leases(node, service, &owned, now);
     start_handovers(node, service, &owned);
-    commit_handovers(node, service, revision, &owned, now).await;
+    commit_handovers(node, service, &owned, now).await;
+    restore::settle(node, service, now).await;
     rebalance(node, service, now).await;
 }
 
-/// Returns the owners of a service and their revision, if this node is the controller and wrote
+/// Returns the owners of a service and their position, if this node is the controller and wrote
 /// them in its own term. It may learn of its successor's term and owners between two steps.
 pub(super) fn current_ownership<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-) -> Option<(u64, Rc<Ownership>)> {
+) -> Option<(Position, Rc<Ownership>)> {
     let control = node.control.borrow();
     let view = node.view.borrow();
     let found = view.owners.get(service)?;
@@ -107,7 +113,9 @@
         let own = view.servers.values().filter(|server| server.entry.service == *service);
         own.map(|server| server.known_since).max().unwrap_or(now)
     };
-    if now < newest.max(node.control.borrow().elected_at) + DIVIDE_DELAY {
+    if now < newest.max(node.control.borrow().elected_at) + DIVIDE_DELAY
+        || restore::may_be_held(node, now)
+    {
         return;
     }
     let servers = candidates(node, service, node.now());
@@ -126,36 +134,47 @@
         Ownership::split_evenly(term, &owners, || control.fence())
     };
     info!(event = "divided", service = service.as_str(), servers = owners.len(); "assigned the keys of a new service");
-    write_ownership(node, service, 0, owned).await;
+    write_ownership(node, service, owned).await;
 }
 
-/// Raises the fencing tokens of all spans after a change of controller.
+/// Raises the fencing tokens of all spans after a change of controller, except those of an earlier
+/// era, which [`restore::settle`] raises.
+///
+/// Owners that were learned in a later era than that of their term come from the copy, or from a
+/// late write that has no place in the lost history. Servers may know higher tokens than those, or
+/// lower ones: the tokens tell nothing and are cleared.
 async fn raise_all_fences<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-    revision: u64,
+    position: Position,
     owned: &Ownership,
 ) {
     let mut next = owned.clone();
+    let is_sure = Controller::is_term_of(owned.term, position.era, node.era_changed.get());
     {
+        let view = node.view.borrow();
         let mut control = node.control.borrow_mut();
         next.term = control.term;
         for span in &mut next.spans {
-            span.fence = control.fence();
+            if control.is_unsettled(span) {
+                span.fence = if is_sure { span.fence } else { 0 };
+                span.former = span.former.take().filter(|_| !view.is_handed_over(service, span));
+            } else {
+                span.fence = control.fence();
+            }
         }
         let progress = control.handovers.entry(service.clone()).or_default();
         progress.inherited =
             next.spans.iter().filter(|span| span.former.is_some()).map(Span::handover).collect();
     }
-    write_ownership(node, service, revision, next).await;
+    write_ownership(node, service, next).await;
 }
 
 /// Writes the owners of a service, unless this node may not send commands any more. Returns `true`
 /// only if the write is known to have succeeded.
-async fn write_ownership<P: Platform>(
+pub(super) async fn write_ownership<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-    revision: u64,
     owned: Ownership,
 ) -> bool {
     if !node.control.borrow().may_command(node.now()) {
@@ -163,46 +182,54 @@
     }
     node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing = true;
     let value = OwnersRecord::from(&owned).encode_to_vec();
-    let written = node.platform.write(Kind::Owners, service, revision, &value).await;
+    let era = node.control.borrow().era;
+    let expect = node.view.borrow().stored_position(Kind::Owners, service, era);
+    let written = node.platform.write(Kind::Owners, service, expect, &value).await;
     node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing = false;
     node.set_store_reachable(!matches!(
         written,
         Err(StoreError::NoResponse | StoreError::Refused { .. })
     ));
     match written {
-        Ok(revision) => {
+        Ok(position) => {
             let before = node.view.borrow().owners.get(service).cloned();
-            let after = (revision, Rc::new(owned));
-            node.view.borrow_mut().apply_owners(service.clone(), revision, after.1.clone());
+            let after = (position, Rc::new(owned));
+            node.view.borrow_mut().apply_owners(service.clone(), position, after.1.clone());
             owners::publish(node, service, &before.unwrap_or_default(), &after);
             node.notify_change();
             true
         }
         Err(error) => {
-            info!(event = "owners_not_written", service = service.as_str(), revision; "{error}");
+            info!(event = "owners_not_written", service = service.as_str(), revision:% = expect; "{error}");
             reread_ownership(node, service).await;
             false
         }
     }
 }
 
-/// Reads the owners of a service again after a write whose outcome is unknown.
+/// Reads the owners of a service again after a write whose outcome is unknown, or that met another.
 async fn reread_ownership<P: Platform>(node: &Rc<Node<P>>, service: &Name) {
-    if let Ok(Some(object)) = node.platform.read(Kind::Owners, service).await {
-        node.set_store_reachable(true);
-        node.view.borrow_mut().apply_object(Kind::Owners, object, &node.platform, node.clock);
-        node.notify_change();
+    let Ok(found) = node.platform.read(Kind::Owners, service).await else { return };
+    node.set_store_reachable(true);
+    let mut view = node.view.borrow_mut();
+    view.forget_object(Kind::Owners, service);
+    if let Some(object) = found {
+        view.apply_object(Kind::Owners, object, &node.platform, node.clock);
     }
+    drop(view);
+    node.notify_change();
 }
 
 /// Renews the leases that are due, those of one server one after the other: a connection for each of
 /// thousands of spans would exceed the memory of the VM.
 fn renew_leases<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership, now: Tick) {
     let mut due: BTreeMap<&Instance, Vec<Span>> = BTreeMap::new();
-    for span in owned.spans.iter().filter(|span| span.former.is_none()) {
+    for span in owned.spans.iter().filter(|span| span.former.is_none() && span.fence != 0) {
         let mut control = node.control.borrow_mut();
+        let unsettled = control.is_unsettled(span);
         let lease = control.leases.entry(service, span);
-        if !lease.in_flight && lease.acked.is_none_or(|at| now.since(at) >= RENEW_INTERVAL) {
+        let due_at = lease.acked.or(lease.sent.filter(|_| unsettled));
+        if !lease.in_flight && due_at.is_none_or(|at| now.since(at) >= RENEW_INTERVAL) {
             due.entry(&span.owner).or_default().push(span.clone());
         }
     }
@@ -250,14 +277,17 @@
     if !node.control.borrow().may_command(node.now()) {
         return;
     }
-    let Some((revision, owned)) = current_ownership(node, service) else { return };
+    let Some((_, owned)) = current_ownership(node, service) else { return };
+    if node.control.borrow().is_unsettled(span) {
+        return;
+    }
     let mut next = (*owned).clone();
     let Some(index) = next.spans.iter().position(|other| other == span) else { return };
     if node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing {
         return;
     }
     next.spans[index].fence = node.control.borrow_mut().fence();
-    write_ownership(node, service, revision, next).await;
+    write_ownership(node, service, next).await;
 }
 
 /// Grants a span to its owner and records the outcome.
@@ -311,7 +341,6 @@
 async fn commit_handovers<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
-    revision: u64,
     owned: &Ownership,
     now: Tick,
 ) {
@@ -329,7 +358,7 @@
     for span in next.spans.iter_mut().filter(|span| finished.contains(&span.handover())) {
         span.former = None;
     }
-    if !write_ownership(node, service, revision, next).await {
+    if !write_ownership(node, service, next).await {
         let mut control = node.control.borrow_mut();
         let Some(progress) = control.handovers.get_mut(service) else { return };
         progress.finished.extend(finished);
@@ -339,7 +368,7 @@
 
 /// Moves keys off overloaded servers and off those that are leaving.
 async fn rebalance<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) {
-    let Some((revision, owned)) = current_ownership(node, service) else { return };
+    let Some((position, owned)) = current_ownership(node, service) else { return };
     let servers = candidates(node, service, now);
     let next = {
         let mut control = node.control.borrow_mut();
@@ -358,11 +387,13 @@
             let level = |index: usize| levels.get(index).copied().unwrap_or_default();
             let (low, median) = (level(0), level(levels.len() / 2));
             let high = level(levels.len().saturating_sub(1));
-            info!(event = "balance", service = service.as_str(), servers = levels.len(), spans = owned.spans.len(), low, median, high, revision; "load of the servers relative to their capacity");
+            info!(event = "balance", service = service.as_str(), servers = levels.len(), spans = owned.spans.len(), low, median, high, revision:% = position; "load of the servers relative to their capacity");
         }
         let moves = balance::plan_moves(&owned, &servers, &loads, base);
         let mut next = (*owned).clone();
-        let joined = next.spans.len() > MAX_SPANS_PER_SERVER * servers.len()
+        let settled = !next.spans.iter().any(|span| control.is_unsettled(span));
+        let joined = settled
+            && next.spans.len() > MAX_SPANS_PER_SERVER * servers.len()
             && next.merge_adjacent(|| control.fence());
         if moves.is_empty() && !joined {
             return;
@@ -370,16 +401,17 @@
         for step in moves {
             for index in next.split_range(step.first, step.last) {
                 let fence = control.fence();
+                let unsettled = control.is_unsettled(&next.spans[index]);
                 let span = &mut next.spans[index];
-                if span.former.is_some() || span.owner == step.to {
+                if unsettled || span.former.is_some() || span.owner == step.to {
                     continue;
                 }
                 span.former = Some(std::mem::replace(&mut span.owner, step.to.clone()));
                 span.fence = fence;
-                info!(event = "move", service = service.as_str(), first = span.first, last = span.last, to = step.to.server.as_str(), fence, revision; "moving keys to another server");
+                info!(event = "move", service = service.as_str(), first = span.first, last = span.last, to = step.to.server.as_str(), fence, revision:% = position; "moving keys to another server");
             }
         }
         next
     };
-    write_ownership(node, service, revision, next).await;
+    write_ownership(node, service, next).await;
 }
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -52,6 +52,9 @@
         progress.released.retain(|key, _| owned.is_pending(key));
     }
     for span in owned.spans.iter().filter(|span| span.former.is_some()) {
+        if node.control.borrow().is_unsettled(span) {
+            continue;
+        }
         if is_inherited(node, service, span) && !node.control.borrow().predecessor_expired(now) {
             continue;
         }
@@ -196,10 +199,15 @@
 ) -> Tick {
     let control = node.control.borrow();
     let expiry = control.leases.expiry(service, former, span.first, span.last);
-    if control.term == 1 {
+    if control.first {
         return expiry;
     }
-    let covered = control.leases.covered_since(service, former, span.first, span.last);
+    let covered = control.leases.covered_since(
+        service,
+        former,
+        (span.first, span.last),
+        control.first_fence(),
+    );
     let last = match covered {
         Some(since) => since.min(control.earlier_last_command()),
         None => control.predecessor_last_command(),
@@ -267,11 +275,14 @@
     progress.is_some_and(|progress| progress.inherited.contains(&span.handover()))
 }
 
-/// Returns whether a span is unchanged and this node may still send commands.
+/// Returns whether a span is unchanged and this node may still send commands. A handover that was
+/// begun in an earlier era is not continued.
 pub(super) fn is_current<P: Platform>(node: &Rc<Node<P>>, service: &Name, span: &Span) -> bool {
     let Some((_, owned)) = current_ownership(node, service) else { return false };
     let unchanged = owned.find(span.first).is_some_and(|found| {
         found.first == span.first && found.last == span.last && found.fence == span.fence
     });
-    unchanged && node.control.borrow().may_command(node.now())
+    let control = node.control.borrow();
+    let begun_before = span.former.is_some() && control.is_unsettled(span);
+    unchanged && !begun_before && control.may_command(node.now())
 }
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -4,7 +4,10 @@
 //! to the store, and nodes only pass on what they know of them.
 
 use {
-    crate::{platform::Object, record::SpanRecord},
+    crate::{
+        platform::{Kind, Object, Position},
+        record::SpanRecord,
+    },
     prost::{Message, Oneof},
     std::time::Duration,
     whinspring::{gate::ServerOutcome, name::Name},
@@ -127,8 +130,18 @@
     #[prost(uint32, tag = "17")]
     pub cpu_share: u32,
     /// Whether the node accepts compressed messages.
-    #[prost(bool, tag = "20")]
+    #[prost(bool, tag = "22")]
     pub unpacks: bool,
+    /// Era of the store that the node knows.
+    #[prost(uint64, tag = "18")]
+    pub era: u64,
+    /// Eras of the revisions in `routes`, `servers` and `owners`.
+    #[prost(uint64, tag = "19")]
+    pub routes_era: u64,
+    #[prost(uint64, tag = "20")]
+    pub servers_era: u64,
+    #[prost(uint64, tag = "21")]
+    pub owners_era: u64,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
@@ -138,6 +151,16 @@
 const MIN_TIMEOUT: Duration = Duration::from_millis(900);
 
 impl Heartbeat {
+    /// Returns the position of a kind that the node knows.
+    pub fn position(&self, kind: Kind) -> Position {
+        match kind {
+            Kind::Routes => Position::new(self.routes_era, self.routes),
+            Kind::Servers => Position::new(self.servers_era, self.servers),
+            Kind::Owners => Position::new(self.owners_era, self.owners),
+            Kind::Control | Kind::Nodes => Position::default(),
+        }
+    }
+
     /// Returns the silence after which the sender counts as lost.
     pub fn timeout(&self) -> Duration {
         let missing = u64::from(self.interval_ms * MISSED_HEARTBEATS_TENTHS / 10);
@@ -281,6 +304,9 @@
     /// Store revision up to which all changes of the kind are included.
     #[prost(uint64, tag = "4")]
     pub synced_revision: u64,
+    /// Era of all its revisions.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Objects of a kind that have changed.
@@ -298,6 +324,9 @@
     /// The changed objects in order.
     #[prost(message, repeated, tag = "4")]
     pub items: Vec<Item>,
+    /// Era of all its revisions.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Owners of a service that have changed.
@@ -320,6 +349,12 @@
     /// Whether the receiver forwards the change to its failure domain.
     #[prost(bool, tag = "6")]
     pub relay: bool,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
+    /// Term of the owners that the change applies to; zero if the sender does not tell.
+    #[prost(uint64, tag = "8")]
+    pub base_term: u64,
 }
 
 /// Handovers of a service that have finished. The store learns of them later: a server that holds
@@ -381,6 +416,10 @@
     /// Whether the object is gone.
     #[prost(bool, tag = "4")]
     pub gone: bool,
+    /// Era in which owners were learned from the store or their writer; may be an earlier one than
+    /// that of the message.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// A request crashed a server.
@@ -434,16 +473,19 @@
     fn from(object: &Object) -> Self {
         Self {
             name: object.name.to_string(),
-            revision: object.revision,
+            revision: object.position.revision,
             value: object.value.clone(),
             gone: false,
+            era: object.position.era,
         }
     }
 }
 
-impl From<Item> for Object {
-    fn from(item: Item) -> Self {
-        Self { name: Name::from(item.name), revision: item.revision, value: item.value }
+/// An item and the era of its revision.
+impl From<(Item, u64)> for Object {
+    fn from((item, era): (Item, u64)) -> Self {
+        let position = Position::new(era, item.revision);
+        Self { name: Name::from(item.name), position, value: item.value }
     }
 }
 
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -4,9 +4,18 @@
 
 use {
     crate::{
-        admission::Admission, cluster::ClusterState, control::Controller, crashes::Crashes,
-        frame::Frame, message::Body, meter::Meter, metrics::Metrics, peers::Peers,
-        platform::Platform, retries::RetryBudget, settings::Settings,
+        admission::Admission,
+        cluster::ClusterState,
+        control::Controller,
+        crashes::Crashes,
+        frame::Frame,
+        message::Body,
+        meter::Meter,
+        metrics::Metrics,
+        peers::Peers,
+        platform::{Kind, Platform, Position},
+        retries::RetryBudget,
+        settings::Settings,
     },
     std::{
         cell::{Cell, RefCell},
@@ -53,6 +62,12 @@
     /// Notified when the store responds again, to this node or to the controller: a watch that
     /// began earlier may never get a response.
     pub store_returned: Notify,
+    /// Era of the store that this node acts in.
+    pub era: Cell<u64>,
+    /// Whether this node has seen the store come back in a new era.
+    pub era_changed: Cell<bool>,
+    /// Notified when the store has come back in a new era.
+    pub era_ended: Notify,
 }
 
 impl<P: Platform> Node<P> {
@@ -79,6 +94,9 @@
             store_recovered: Cell::default(),
             store_lost: Cell::new(true),
             store_returned: Notify::new(),
+            era: Cell::default(),
+            era_changed: Cell::new(false),
+            era_ended: Notify::new(),
         })
     }
 
@@ -94,6 +112,7 @@
     /// Records whether the store responded to a call.
     pub fn set_store_reachable(&self, reachable: bool) {
         let now = self.now();
+        self.check_era();
         if reachable {
             self.store_contact.set(now);
         }
@@ -107,6 +126,31 @@
         }
     }
 
+    /// Takes part in a new era of the store, if there is one. Entries that are missing in it count
+    /// as lapsed, as after an outage.
+    pub fn check_era(&self) {
+        let era = self.platform.era();
+        let before = self.era.replace(era);
+        if before == era {
+            return;
+        }
+        self.metrics.count("era");
+        let synced = self.view.borrow().synced(Kind::Servers);
+        if synced != Position::default() {
+            self.era_changed.set(true);
+            self.store_recovered.set(self.now());
+            log::warn!(event = "era", before, era, revision:% = synced; "the store has come back from an older copy of itself; listing everything again");
+        }
+        self.control.borrow_mut().end_era(era);
+        self.era_ended.notify_waiters();
+    }
+
+    /// Learns of an era of the store from another node.
+    pub fn learn_era(&self, era: u64) {
+        self.platform.raise_era(era);
+        self.check_era();
+    }
+
     /// Queues a message to another node; returns whether a link took it.
     pub fn send(&self, to: &str, body: Body) -> bool {
         self.peers.borrow().send(to, &Frame::new(body))
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -16,7 +16,7 @@
         follow,
         message::{Body, Item, ObjectsChanged, Snapshot},
         notices, peers,
-        platform::{Changes, Kind, Listing, Object},
+        platform::{Changes, Kind, Listing, Object, Position},
     },
 };
 
@@ -58,7 +58,7 @@
 }
 
 fn item(name: &str, revision: u64) -> Item {
-    Item { name: name.into(), revision, value: Vec::new(), gone: false }
+    Item { name: name.into(), revision, value: Vec::new(), gone: false, era: 0 }
 }
 
 fn servers(rig: &Rig) -> Vec<String> {
@@ -134,6 +134,7 @@
                     base: 1,
                     synced_revision: 14,
                     items,
+                    era: 0,
                 }))
                 .await;
             other.heartbeat().await;
@@ -145,6 +146,7 @@
                     base: 1,
                     synced_revision: 13,
                     items: late,
+                    era: 0,
                 }))
                 .await;
             other.heartbeat().await;
@@ -157,6 +159,7 @@
                         base: 20,
                         synced_revision: 31,
                         items,
+                        era: 0,
                     }))
                     .await;
                 sleep(Duration::from_millis(300)).await;
@@ -168,7 +171,13 @@
             assert_eq!(servers(&rig), ["s2"]);
             let items = vec![item("s3", 17), item("s4", 30)];
             other
-                .send(Body::Snapshot(Snapshot { kind, revision: 30, items, synced_revision: 31 }))
+                .send(Body::Snapshot(Snapshot {
+                    kind,
+                    revision: 30,
+                    items,
+                    synced_revision: 31,
+                    era: 0,
+                }))
                 .await;
             other.heartbeat().await;
             assert_eq!(servers(&rig), ["s3", "s4"]);
@@ -188,8 +197,10 @@
             spawn_local(follow::run(rig.node.clone(), Kind::Servers));
             let mut link = others[0].accept().await;
             sleep(DECISION_TIME).await;
-            let server = Object { name: "s9".into(), revision: 40, value: Vec::new() };
-            *rig.node.platform.listing.borrow_mut() = Listing { revision: 50, items: vec![server] };
+            let server =
+                Object { name: "s9".into(), position: Position::new(0, 40), value: Vec::new() };
+            *rig.node.platform.listing.borrow_mut() =
+                Listing { position: Position::new(0, 50), items: vec![server] };
             rig.node.platform.compacted.set(true);
             let changed = loop {
                 if let Body::ObjectsChanged(changed) = others[0].next(&mut link).await
@@ -228,7 +239,11 @@
 /// Load pattern: operators write a large configuration several times within a batch.
 #[test]
 fn only_the_last_change_of_each_object_is_kept() {
-    let object = |name: &str, revision| Object { name: name.into(), revision, value: Vec::new() };
+    let object = |name: &str, revision| Object {
+        name: name.into(),
+        position: Position::new(0, revision),
+        value: Vec::new(),
+    };
     let events = vec![
         (object("main", 4), false),
         (object("s1", 5), false),
@@ -236,8 +251,8 @@
         (object("s1", 7), true),
         (object("main", 8), false),
     ];
-    let latest = Changes { revision: 9, events }.latest();
-    assert_eq!(latest.revision, 9);
+    let latest = Changes { position: Position::new(0, 9), events }.latest();
+    assert_eq!(latest.position, Position::new(0, 9));
     assert_eq!(latest.events, [(object("s1", 7), true), (object("main", 8), false)]);
 }
 
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -449,9 +449,16 @@
 
 #[test]
 fn long_messages_are_compressed_for_nodes_that_accept_it() {
-    let object = Item { name: "s7".into(), revision: 70, value: vec![b'x'; 20_000], gone: false };
+    let object =
+        Item { name: "s7".into(), revision: 70, value: vec![b'x'; 20_000], ..Item::default() };
     let kind = Kind::Servers.number();
-    let snapshot = Snapshot { kind, revision: 70, items: vec![object], synced_revision: 70 };
+    let snapshot = Snapshot {
+        kind,
+        revision: 70,
+        items: vec![object],
+        synced_revision: 70,
+        ..Snapshot::default()
+    };
     let frame = Frame::new(Body::Snapshot(snapshot.clone()));
     let packed = Envelope::decode(&frame.bytes(true)[..]).unwrap().body.unwrap();
     run(
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -28,8 +28,8 @@
         frontend::{self, Connections},
         node::Node,
         platform::{
-            Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Reply, ServerControl,
-            ServerEntry, Store, StoreError,
+            Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Position, Reply,
+            ServerControl, ServerEntry, Store, StoreError,
         },
         settings::Limits as NodeLimits,
     },
@@ -50,17 +50,29 @@
     pub listing: RefCell<Listing>,
     /// Whether watches fail as the history was compacted; reset by a listing.
     pub compacted: Cell<bool>,
+    /// Highest era that the node knows.
+    pub era: Cell<u64>,
     headers: Headers,
     server: SocketAddr,
 }
 
 impl Store for Platform {
+    fn era(&self) -> u64 {
+        self.era.get()
+    }
+
+    fn raise_era(&self, era: u64) {
+        self.era.set(self.era.get().max(era));
+    }
+
     async fn list(&self, _: Kind) -> Result<Listing, StoreError> {
         self.compacted.set(false);
-        Ok(self.listing.borrow().clone())
+        let listing = self.listing.borrow().clone();
+        self.raise_era(listing.position.era);
+        Ok(listing)
     }
 
-    async fn watch(&self, _: Kind, _: u64, wait: Duration) -> Result<Changes, StoreError> {
+    async fn watch(&self, _: Kind, _: Position, wait: Duration) -> Result<Changes, StoreError> {
         self.watches.set(self.watches.get() + 1);
         self.wait.set(wait);
         if self.silent.get() {
@@ -76,7 +88,7 @@
         Err(StoreError::NoResponse)
     }
 
-    async fn write(&self, _: Kind, _: &str, _: u64, _: &[u8]) -> Result<u64, StoreError> {
+    async fn write(&self, _: Kind, _: &str, _: Position, _: &[u8]) -> Result<Position, StoreError> {
         Err(StoreError::NoResponse)
     }
 }
@@ -138,8 +150,12 @@
         let node =
             Node::new(platform(server), settings("n1", NodeLimits::default()), Clock::start());
         node.view.borrow_mut().routes = Some(Arc::new(table(false)));
-        let entry = Object { name: "s1".into(), revision: 1, value: Vec::new() };
-        follow::apply_listing(&node, Kind::Servers, Listing { revision: 1, items: vec![entry] });
+        let entry = Object { name: "s1".into(), position: Position::new(0, 1), value: Vec::new() };
+        follow::apply_listing(
+            &node,
+            Kind::Servers,
+            Listing { position: Position::new(0, 1), items: vec![entry] },
+        );
         let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let frontend = callers.local_addr().unwrap();
         spawn_local(frontend::serve(node.clone(), callers, Rc::new(Connections::default())));
@@ -153,13 +169,18 @@
         view.routes = Some(Arc::new(table(true)));
         let owner = view.servers["s1"].instance();
         let owned = Ownership::split_evenly(1, &[owner], || 1);
-        view.apply_owners("plain".into(), 1, Rc::new(owned));
+        view.apply_owners("plain".into(), Position::new(0, 1), Rc::new(owned));
     }
 
     /// Lists servers in the store, all at the address of the one.
     pub fn list_servers(&self, names: &[&str]) {
-        let item = |name: &&str| Object { name: (*name).into(), revision: 2, value: Vec::new() };
-        let listing = Listing { revision: 2, items: names.iter().map(item).collect() };
+        let item = |name: &&str| Object {
+            name: (*name).into(),
+            position: Position::new(0, 2),
+            value: Vec::new(),
+        };
+        let listing =
+            Listing { position: Position::new(0, 2), items: names.iter().map(item).collect() };
         follow::apply_listing(&self.node, Kind::Servers, listing);
     }
 
@@ -236,10 +257,10 @@
 
 fn platform(server: SocketAddr) -> Platform {
     let headers = headers();
-    let listing = RefCell::new(Listing { revision: 1, items: Vec::new() });
-    let (watches, wait) = (Cell::new(0), Cell::default());
+    let listing = RefCell::new(Listing { position: Position::new(0, 1), items: Vec::new() });
+    let (watches, wait, era) = (Cell::new(0), Cell::default(), Cell::new(0));
     let (silent, compacted) = (Cell::new(false), Cell::new(false));
-    Platform { watches, wait, silent, listing, compacted, headers, server }
+    Platform { watches, wait, silent, listing, compacted, era, headers, server }
 }
 
 fn table(keyed: bool) -> RouteTable {
