--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -16,7 +16,7 @@
 const CLOCK_DRIFT_DIVISOR: u32 = 50;
 
 /// Allowance for the delivery of a grant.
-const DELIVERY_MARGIN: Duration = Duration::from_millis(300);
+pub(super) const DELIVERY_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time after the last grant for which a lease is kept.
 const LEASE_RETENTION: Duration = Duration::from_secs(20);
@@ -79,16 +79,18 @@
         overlapping.map(|(_, lease)| lease.expires).max().unwrap_or_default()
     }
 
-    /// Returns since when a server has acknowledged grants that cover all of the keys.
+    /// Returns since when a server has acknowledged grants that cover all of the keys, with fencing
+    /// tokens of at least `min_fence`.
     pub fn covered_since(
         &self,
         service: &Name,
         owner: &Instance,
-        first: u16,
-        last: u16,
+        (first, last): (u16, u16),
+        min_fence: u64,
     ) -> Option<Tick> {
         let leases = self.leases_of(service, owner);
-        let overlapping = leases.filter(|((from, to, _), _)| *from <= last && *to >= first);
+        let overlapping = leases
+            .filter(|((from, to, fence), _)| *from <= last && *to >= first && *fence >= min_fence);
         let taken =
             overlapping.filter_map(|((from, to, _), lease)| Some((lease.taken?, *from, *to)));
         let mut taken: Vec<(Tick, u16, u16)> = taken.collect();
--- a/crates/whinspring-router/tests/frame.rs
+++ b/crates/whinspring-router/tests/frame.rs
@@ -11,8 +11,14 @@
 };
 
 fn snapshot(value: Vec<u8>) -> Body {
-    let items = vec![Item { name: "main".into(), revision: 7, value, gone: false }];
-    Body::Snapshot(Snapshot { kind: 1, revision: 7, items, synced_revision: 9 })
+    let items = vec![Item { name: "main".into(), revision: 7, value, ..Item::default() }];
+    Body::Snapshot(Snapshot {
+        kind: 1,
+        revision: 7,
+        items,
+        synced_revision: 9,
+        ..Snapshot::default()
+    })
 }
 
 /// Returns a configuration as operators write it: the same fields for each route, with names that
--- a/crates/whinspring-router/tests/path/notices.rs
+++ b/crates/whinspring-router/tests/path/notices.rs
@@ -15,7 +15,7 @@
         follow,
         message::{Admitted, Body, FetchRequest, ServerNotice},
         notices,
-        platform::{Kind, Listing, Object, Word},
+        platform::{Kind, Listing, Object, Position, Word},
     },
 };
 
@@ -96,8 +96,8 @@
 fn an_entry_that_says_ready_does_not_take_the_word_back() {
     run(leaving, |rig| async move {
         rig.send(&build_request("/safe/success", "i1")).await;
-        let entry = Object { name: SERVER.into(), revision: 2, value: vec![1] };
-        let listing = Listing { revision: 2, items: vec![entry] };
+        let entry = Object { name: SERVER.into(), position: Position::new(0, 2), value: vec![1] };
+        let listing = Listing { position: Position::new(0, 2), items: vec![entry] };
         follow::apply_listing(&rig.node, Kind::Servers, listing);
         assert!(is_leaving(&rig));
     });
