The wait after a return of the store runs from the return, not from each election

Cause: the wait ran from the controller's own election, the one time it knew for sure. What the wait rests on is earlier: the store confirmed the last controller of an earlier era before it returned.

Each node keeps how long it has known the era; heartbeats carry that age and the oldest counts. A message under way only makes it younger, so that the wait is never too short. The same for the time from which a server that accepts an old fencing token counts as the only holder.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -231,12 +231,6 @@
         self.term << TERM_SHIFT
     }
 
-    /// Returns from when on no controller of an earlier era hands keys over. A server that accepts
-    /// an old fencing token after that has not released the keys since.
-    fn settles_at(&self) -> Tick {
-        self.elected_at + HANDOVER_TIMEOUT + leases::DELIVERY_MARGIN
-    }
-
     /// Ends this node's right to act as the controller if it was elected in an earlier era.
     pub fn end_era(&mut self, era: u64) {
         if self.is_leader && era != self.era {
--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -137,5 +137,10 @@
 
 /// Returns when a lease that is granted now has expired on the server's clock as well.
 pub fn lease_end(now: Tick, duration: Duration) -> Tick {
-    now + duration + duration / CLOCK_DRIFT_DIVISOR + DELIVERY_MARGIN
+    now + lease_time(duration)
+}
+
+/// Returns the time from the sending of a grant until its lease has expired on the server's clock.
+pub fn lease_time(duration: Duration) -> Duration {
+    duration + duration / CLOCK_DRIFT_DIVISOR + DELIVERY_MARGIN
 }
--- a/crates/whinspring-router/src/control/restore.rs
+++ b/crates/whinspring-router/src/control/restore.rs
@@ -12,9 +12,9 @@
 
 use {
     super::{
-        COMMAND_TIMEOUT,
+        COMMAND_TIMEOUT, Controller, HANDOVER_TIMEOUT,
         grants::{current_ownership, max_lease, write_ownership},
-        leases::lease_end,
+        leases::{DELIVERY_MARGIN, lease_time},
     },
     crate::{
         message::{Body, FetchRequest},
@@ -26,6 +26,10 @@
     whinspring::{name::Name, ranges::Span, time::Tick},
 };
 
+/// Age of an era from which on no controller of an earlier one hands keys over. A server that
+/// accepts an old fencing token after that has not released the keys since.
+const SETTLE_AGE: Duration = HANDOVER_TIMEOUT.saturating_add(DELIVERY_MARGIN);
+
 /// Time for the other nodes to send the owners that they know.
 const GATHER_DELAY: Duration = Duration::from_millis(300);
 
@@ -50,18 +54,19 @@
 
 /// Returns whether servers may hold keys by a grant that the store has lost.
 pub(super) fn may_be_held<P: Platform>(node: &Rc<Node<P>>, now: Tick) -> bool {
-    node.control.borrow().restored && now <= lapses_at(node)
+    node.control.borrow().restored && !have_lapsed(node, now)
 }
 
-/// Returns when the last lease has expired that a controller of an earlier era may have granted.
-fn lapses_at<P: Platform>(node: &Rc<Node<P>>) -> Tick {
-    lease_end(node.control.borrow().elected_at + COMMAND_TIMEOUT, max_lease(node))
+/// Returns whether the last lease has expired that a controller of an earlier era may have granted.
+/// The store confirmed that controller for the last time before the era began.
+fn have_lapsed<P: Platform>(node: &Rc<Node<P>>, now: Tick) -> bool {
+    node.era_age(now) > COMMAND_TIMEOUT + lease_time(max_lease(node))
 }
 
 /// Gives fencing tokens of this era to the spans whose holder is certain by now.
 pub(super) async fn settle<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) {
     let Some((_, owned)) = current_ownership(node, service) else { return };
-    let lapsed = now > lapses_at(node);
+    let lapsed = have_lapsed(node, now);
     let mut next = (*owned).clone();
     let (mut settled, mut left) = (0, 0);
     {
@@ -75,7 +80,7 @@
             if !control.is_unsettled(span) {
                 continue;
             }
-            if !lapsed && !is_confirmed(control, service, span) {
+            if !lapsed && !is_confirmed(node, control, service, span) {
                 left += 1;
                 continue;
             }
@@ -97,8 +102,12 @@
 
 /// Returns whether the owner of a span has accepted its old fencing token so late that nobody else
 /// holds the keys.
-fn is_confirmed(control: &mut super::Controller, service: &Name, span: &Span) -> bool {
-    let settles_at = control.settles_at();
+fn is_confirmed<P: Platform>(
+    node: &Rc<Node<P>>,
+    control: &mut Controller,
+    service: &Name,
+    span: &Span,
+) -> bool {
     let accepted = control.leases.entry(service, span).acked;
-    span.former.is_none() && accepted.is_some_and(|at| at > settles_at)
+    span.former.is_none() && accepted.is_some_and(|at| node.era_age(at) > SETTLE_AGE)
 }
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -142,6 +142,9 @@
     pub servers_era: u64,
     #[prost(uint64, tag = "21")]
     pub owners_era: u64,
+    /// Time for which the sender has known the era, from itself or others.
+    #[prost(uint64, tag = "32")]
+    pub era_age_ms: u64,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -20,6 +20,7 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        time::Duration,
     },
     tokio::sync::Notify,
     whinspring::{name::Name, time::Tick},
@@ -64,6 +65,8 @@
     pub store_returned: Notify,
     /// Era of the store that this node acts in.
     pub era: Cell<u64>,
+    /// When this node last learned more of the era's age, and the age then.
+    era_seen: Cell<(Tick, Duration)>,
     /// Whether this node has seen the store come back in a new era.
     pub era_changed: Cell<bool>,
     /// Notified when the store has come back in a new era.
@@ -95,6 +98,7 @@
             store_lost: Cell::new(true),
             store_returned: Notify::new(),
             era: Cell::default(),
+            era_seen: Cell::default(),
             era_changed: Cell::new(false),
             era_ended: Notify::new(),
         })
@@ -134,6 +138,7 @@
         if before == era {
             return;
         }
+        self.era_seen.set((self.now(), Duration::ZERO));
         self.metrics.count("era");
         let synced = self.view.borrow().synced(Kind::Servers);
         if synced != Position::default() {
@@ -151,6 +156,21 @@
         self.check_era();
     }
 
+    /// Learns how long ago another node saw an era of the store for the first time.
+    pub fn learn_era_age(&self, era: u64, age: Duration) {
+        let now = self.now();
+        if era == self.era.get() && age > self.era_age(now) {
+            self.era_seen.set((now, age));
+        }
+    }
+
+    /// Returns the least time that the era has lasted at `at`: since the first node that this one
+    /// has heard of saw it.
+    pub fn era_age(&self, at: Tick) -> Duration {
+        let (seen, age) = self.era_seen.get();
+        (at + age).since(seen)
+    }
+
     /// Queues a message to another node; returns whether a link took it.
     pub fn send(&self, to: &str, body: Body) -> bool {
         self.peers.borrow().send(to, &Frame::new(body))
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -375,6 +375,7 @@
     let Ok(addr) = heartbeat.addr.parse() else { return };
     add_peer(node, from, addr);
     node.learn_era(heartbeat.era);
+    node.learn_era_age(heartbeat.era, Duration::from_millis(heartbeat.era_age_ms));
     let now = node.now();
     let behind = {
         let view = node.view.borrow();
@@ -483,6 +484,7 @@
             routes_era: view.position(Kind::Routes).era,
             servers_era: view.position(Kind::Servers).era,
             owners_era: view.position(Kind::Owners).era,
+            era_age_ms: node.era_age(now).as_millis() as u64,
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -785,6 +785,7 @@
             let owners = from.view.borrow().snapshot(Kind::Owners);
             for to in nodes.iter().filter(|to| to.name() != from.name()) {
                 to.learn_era(heartbeat.era);
+                to.learn_era_age(heartbeat.era, Duration::from_millis(heartbeat.era_age_ms));
                 if from.platform.world.borrow().shares_owners {
                     follow::adopt_snapshot(to, owners.clone());
                 }
@@ -810,6 +811,7 @@
         is_leader: control.is_leader(),
         leaving: node.leaving.get(),
         era: node.platform.era(),
+        era_age_ms: node.era_age(node.now()).as_millis() as u64,
         store_age_ms: node.now().since(node.store_contact.get()).as_millis() as u32,
         ..Heartbeat::default()
     }
--- a/crates/whinspring-router/tests/owners/restores.rs
+++ b/crates/whinspring-router/tests/owners/restores.rs
@@ -6,7 +6,7 @@
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::task::spawn_local,
-    whinspring_router::node::Node,
+    whinspring_router::{control, node::Node},
 };
 
 const SERVERS: usize = 6;
@@ -15,6 +15,10 @@
 /// have been granted again.
 const SETTLED_MS: u64 = 30_000;
 
+/// Time after a return in which every lease of the lost history has expired and the keys have been
+/// granted again.
+const WAIT_MS: u64 = 26_000;
+
 /// Two nodes and their servers after the keys were assigned.
 struct Cluster {
     world: Rc<RefCell<World>>,
@@ -247,3 +251,28 @@
         });
     }
 }
+
+/// All nodes that knew the owners are lost right after the return, and their successors follow each
+/// other as controllers.
+#[test]
+fn elections_after_a_return_do_not_begin_the_wait_anew() {
+    scenario(1, async {
+        let cluster = Cluster::start(1, false).await;
+        cluster.world.borrow_mut().leave(0);
+        advance(2_000).await;
+        let lost: Vec<_> = cluster.nodes.iter().map(|node| node.name().clone()).collect();
+        cluster.world.borrow_mut().cut_off.extend(lost);
+        *cluster.isolated.borrow_mut() = true;
+        cluster.restore(300, 4_000).await;
+        let nodes: Vec<_> = ["n3", "n4"].map(|name| start(&cluster.world, name)).into();
+        spawn_local(exchange_heartbeats(nodes.clone(), Rc::default()));
+        for _ in 0..4 {
+            advance(3_000).await;
+            let leader = nodes.iter().find(|node| node.control.borrow().is_leader()).unwrap();
+            control::resign(leader).await;
+        }
+        advance(WAIT_MS - 12_000).await;
+        assert!((cluster.held() - 1.0).abs() < 0.001, "{}", cluster.held());
+        cluster.check().await;
+    });
+}
