Count a drain from when the server may have said that it leaves, not from when a node learned it

Change: each kind has a time at which the store was last known to have no later change; a notice found after a gap counts from it, and from before the node's start, so that the server gets nothing, where there is none.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -88,6 +88,8 @@
     position: Position,
     /// Position of the store up to which all changes of the kind are included.
     synced: Position,
+    /// When the store was last known to have no later change of the kind; zero if never.
+    confirmed: Tick,
     items: BTreeMap<Name, Object>,
 }
 
@@ -153,7 +155,7 @@
         }
     }
 
-    /// Returns all objects of a kind, to send to another node.
+    /// Returns all objects of a kind, to send to another node, without the notices of servers.
     pub fn snapshot(&self, kind: Kind) -> Snapshot {
         let Some(raw) = self.raw.get(&kind) else { return Snapshot::default() };
         let items = match kind {
@@ -166,6 +168,7 @@
             items,
             synced_revision: raw.synced.revision,
             era: raw.synced.era,
+            notices: Vec::new(),
         }
     }
 
@@ -174,6 +177,17 @@
         self.raw.get(&kind).map_or(Position::default(), |raw| raw.synced)
     }
 
+    /// Returns when the store was last known to have no later change of a kind; zero if never.
+    pub fn confirmed(&self, kind: Kind) -> Tick {
+        self.raw.get(&kind).map_or(Tick::default(), |raw| raw.confirmed)
+    }
+
+    /// Records that all changes of a kind before `at` are known.
+    pub fn confirm(&mut self, kind: Kind, at: Tick) {
+        let raw = self.raw.entry(kind).or_default();
+        raw.confirmed = raw.confirmed.max(at);
+    }
+
     /// Returns what a listing of a kind shows to be lost, if it is the first one of a new era.
     pub fn loss(&self, kind: Kind, listing: &Listing) -> Option<Loss> {
         let raw = self.raw.get(&kind)?;
@@ -195,6 +209,9 @@
     ///
     /// The store's revision rises with changes of any kind. The position of this kind is therefore
     /// that of its newest object, or `claimed` if another node sent the listing.
+    ///
+    /// What the store lists may have changed at any time since the kind was last confirmed. A node
+    /// that sends a listing tells the age of what it knows apart from it.
     pub fn apply_listing(
         &mut self,
         kind: Kind,
@@ -208,6 +225,7 @@
             return Vec::new();
         }
         let base = Position::new(listing.position.era, 0);
+        let since = if claimed.is_some() { clock.now() } else { raw.confirmed };
         raw.synced = listing.position;
         let newest = listing.items.iter().map(|item| item.position).max().unwrap_or(base);
         raw.position = raw.position.max(claimed.unwrap_or(newest)).max(base);
@@ -223,17 +241,29 @@
         let mut changes: Vec<(Object, bool)> = fresh.collect();
         let gone = known.into_values().filter(|item| !raw.items.contains_key(&item.name));
         changes.extend(gone.map(|item| (item, true)));
-        self.decode_changes(kind, &changes, dialect, clock);
+        self.decode_changes(kind, &changes, since, dialect, clock);
         changes
     }
 
-    /// Applies changes of a kind.
+    /// Applies changes of a kind that have just happened.
     pub fn apply_changes(
         &mut self,
         kind: Kind,
         changes: Changes,
         dialect: &impl Dialect,
         clock: Clock,
+    ) {
+        self.apply_changes_since(kind, changes, clock.now(), dialect, clock);
+    }
+
+    /// Applies changes of a kind that may have happened at any time after `since`.
+    pub fn apply_changes_since(
+        &mut self,
+        kind: Kind,
+        changes: Changes,
+        since: Tick,
+        dialect: &impl Dialect,
+        clock: Clock,
     ) {
         if changes.events.is_empty() {
             return;
@@ -258,7 +288,7 @@
             }
             true
         });
-        self.decode_changes(kind, &events, dialect, clock);
+        self.decode_changes(kind, &events, since, dialect, clock);
     }
 
     /// Applies one object that was written or read by this node, or changed by the controller.
@@ -337,18 +367,19 @@
         owned.find(key).filter(is_granted)
     }
 
-    /// Decodes the objects of a kind that are new or have changed.
+    /// Decodes the objects of a kind that are new or have changed after `since`.
     fn decode_changes(
         &mut self,
         kind: Kind,
         changes: &[(Object, bool)],
+        since: Tick,
         dialect: &impl Dialect,
         clock: Clock,
     ) {
         let fresh = changes.iter().filter(|(_, gone)| !gone).map(|(object, _)| object);
         match kind {
             Kind::Routes => self.decode_routes(fresh, dialect),
-            Kind::Servers => self.decode_servers(fresh, dialect, clock),
+            Kind::Servers => self.decode_servers(fresh, since, dialect, clock),
             Kind::Owners => self.decode_owners(fresh),
             Kind::Control | Kind::Nodes => {}
         }
@@ -372,6 +403,7 @@
     fn decode_servers<'a>(
         &mut self,
         fresh: impl Iterator<Item = &'a Object>,
+        since: Tick,
         dialect: &impl Dialect,
         clock: Clock,
     ) {
@@ -388,6 +420,7 @@
                 &mut self.notices,
                 object,
                 entry,
+                since,
                 clock,
                 added < MAX_LOGGED,
             ));
@@ -445,7 +478,7 @@
             let due = ended.back.take_if(|(at, ..)| now.since(*at) >= RETURN_DELAY);
             if let Some((_, object, entry)) = due {
                 back.extend(
-                    Some((object, entry))
+                    Some((object, entry, ended.at))
                         .filter(|_| listed.is_some_and(|listed| listed.items.contains_key(name))),
                 );
                 return false;
@@ -453,8 +486,8 @@
             ended.back.is_some() || now.since(ended.at) < ENDED_RETENTION
         });
         let any = !back.is_empty();
-        for (object, entry) in back {
-            update_server(&mut self.servers, &mut self.notices, &object, entry, clock, true);
+        for (object, entry, since) in back {
+            update_server(&mut self.servers, &mut self.notices, &object, entry, since, clock, true);
         }
         any
     }
@@ -518,12 +551,14 @@
     object.position.era > server.known_era && entry.start_ms < server.entry.start_ms
 }
 
-/// Applies a server's entry. Returns whether the server or its instance is new.
+/// Applies a server's entry, which changed after `since`. Returns whether the server or its instance
+/// is new.
 fn update_server(
     servers: &mut HashMap<Name, Server>,
     notices: &mut Notices,
     object: &Object,
     entry: ServerEntry,
+    since: Tick,
     clock: Clock,
     log: bool,
 ) -> bool {
@@ -534,10 +569,11 @@
     }
     notices.record_life(&object.name, entry.life(), now);
     if entry.leaving
-        && notices.record_leaving(&object.name, entry.life(), now, Source::Store)
+        && notices.record_leaving(&object.name, entry.life(), since, Source::Store)
         && log
     {
-        info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), source = Source::Store.text(), age_ms = 0, revision:% = object.position; "server announced that it leaves");
+        let age = now.since(since).as_millis() as u64;
+        info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), source = Source::Store.text(), age_ms = age, revision:% = object.position; "server announced that it leaves");
     }
     match servers.get_mut(&object.name) {
         Some(server)
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -16,9 +16,9 @@
         spread,
     },
     log::{info, warn},
-    std::{rc::Rc, time::Duration},
+    std::{collections::HashSet, rc::Rc, time::Duration},
     tokio::time::sleep,
-    whinspring::name::Name,
+    whinspring::{name::Name, time::Tick},
 };
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
@@ -48,14 +48,17 @@
 pub async fn run<P: Platform>(node: Rc<Node<P>>, kind: Kind) {
     let mut delay = DISCOVERY_DELAY;
     loop {
+        let asked = node.now();
         match node.platform.list(kind).await {
             Ok(listing) => {
                 node.set_store_reachable(true);
                 let position = listing.position;
                 let base = node.view.borrow().synced(kind);
                 let changes = apply_listing(&node, kind, listing);
+                node.view.borrow_mut().confirm(kind, asked);
                 if base != Position::default() {
-                    forward_changes(&node, kind, base, position, &changes);
+                    let message = changed_message(&node, kind, base, position, &changes);
+                    forward_changes(&node, message);
                 }
                 sleep(std::mem::take(&mut delay)).await;
                 watch(&node, kind, position).await;
@@ -82,8 +85,9 @@
 async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut position: Position) {
     let mut interrupted = false;
     loop {
-        if is_delegated(node) {
+        if let Some(heard) = last_delegated(node) {
             node.set_store_reachable(true);
+            node.view.borrow_mut().confirm(kind, heard);
             sleep(WATCH_CHECK_INTERVAL).await;
             position = position.max(node.view.borrow().synced(kind));
             continue;
@@ -92,6 +96,7 @@
             return;
         }
         let wait = if interrupted { PROBE_TIMEOUT } else { watch_timeout(node) };
+        let gap = node.now().since(node.view.borrow().confirmed(kind));
         let outcome = tokio::select! {
             outcome = node.platform.watch(kind, position, wait) => outcome,
             () = node.era_ended.notified() => return,
@@ -105,8 +110,14 @@
             Ok(changes) => {
                 node.set_store_reachable(true);
                 position = position.max(changes.position);
-                if !changes.events.is_empty() {
-                    apply_changes(node, kind, changes.latest());
+                let now = node.now();
+                let is_empty = changes.events.is_empty();
+                if !is_empty {
+                    let since = now - gap.saturating_sub(BATCH_DELAY);
+                    apply_changes(node, kind, changes.latest(), since);
+                }
+                node.view.borrow_mut().confirm(kind, now);
+                if !is_empty {
                     sleep(BATCH_DELAY).await;
                 }
             }
@@ -127,17 +138,18 @@
     if node.store_lost.get() && is_watcher { PROBE_TIMEOUT } else { WATCH_TIMEOUT }
 }
 
-/// Returns whether another node watches the store for this node and can reach it.
-fn is_delegated<P: Platform>(node: &Rc<Node<P>>) -> bool {
-    near_watchers(node).is_some_and(|near| !near.includes_self && near.is_reachable)
+/// Returns when another node was last heard that watches the store for this node and can reach it;
+/// `None` if there is none.
+fn last_delegated<P: Platform>(node: &Rc<Node<P>>) -> Option<Tick> {
+    near_watchers(node).filter(|near| !near.includes_self)?.heard
 }
 
 /// The nodes that watch the store for one failure domain.
 struct Watchers {
     /// Whether this node ranks among them.
     includes_self: bool,
-    /// Whether the store responds to another of them.
-    is_reachable: bool,
+    /// When another of them was last heard that the store responds to, if there is one.
+    heard: Option<Tick>,
 }
 
 /// Returns the nodes that watch the store for the failure domain of this node, or `None` if each
@@ -152,48 +164,66 @@
     let live = peers.live(node.now()).filter(|(_, peer)| is_near(peer));
     let order = |name, peer: &Peer| spread::order(name, peer.heartbeat.cpu_share);
     let mut others: Vec<_> =
-        live.map(|(name, peer)| (order(name, peer), !peer.heartbeat.store_lost)).collect();
+        live.map(|(name, peer)| (order(name, peer), last_reached(peer))).collect();
     others.sort_unstable();
     let watchers = others.get(..WATCHERS_PER_DOMAIN)?;
     let (last, _) = watchers[WATCHERS_PER_DOMAIN - 1];
     let own = spread::order(node.name(), node.settings.limits.cpu_percent);
     Some(Watchers {
         includes_self: own <= last,
-        is_reachable: watchers.iter().any(|(_, reachable)| *reachable),
+        heard: watchers.iter().filter_map(|(_, heard)| *heard).max(),
     })
 }
 
-/// Applies changes, and forwards them to the nodes of the same failure domain.
-fn apply_changes<P: Platform>(node: &Rc<Node<P>>, kind: Kind, changes: Changes) {
+/// Returns when a node was last heard if the store responds to it.
+fn last_reached(peer: &Peer) -> Option<Tick> {
+    (!peer.heartbeat.store_lost).then_some(peer.last_heard)
+}
+
+/// Applies changes that happened after `since`, and forwards them to the nodes of the same failure
+/// domain.
+fn apply_changes<P: Platform>(node: &Rc<Node<P>>, kind: Kind, changes: Changes, since: Tick) {
     let base = node.view.borrow().synced(kind);
-    forward_changes(node, kind, base, changes.position, &changes.events);
-    node.view.borrow_mut().apply_changes(kind, changes, &node.platform, node.clock);
+    let message = changed_message(node, kind, base, changes.position, &changes.events);
+    let mut view = node.view.borrow_mut();
+    view.apply_changes_since(kind, changes, since, &node.platform, node.clock);
+    drop(view);
+    forward_changes(node, message);
     node.notify_change();
 }
 
-/// Forwards the changes between two positions to the nodes of the same failure domain, if the
-/// cluster is so large that not every node watches the store.
-fn forward_changes<P: Platform>(
+/// Returns the message that forwards the changes between two positions to the nodes of the same
+/// failure domain, if the cluster is so large that not every node watches the store.
+fn changed_message<P: Platform>(
     node: &Rc<Node<P>>,
     kind: Kind,
     base: Position,
     synced: Position,
     changes: &[(Object, bool)],
-) {
-    let peers = node.peers.borrow();
-    if !peers.is_large_cluster() {
-        return;
+) -> Option<ObjectsChanged> {
+    if !node.peers.borrow().is_large_cluster() {
+        return None;
     }
     let item = |(object, gone): &(Object, bool)| Item { gone: *gone, ..Item::from(object) };
-    let items = changes.iter().map(item).collect();
-    let changed = ObjectsChanged {
+    Some(ObjectsChanged {
         kind: kind.number(),
         base: if base.era == synced.era { base.revision } else { u64::MAX },
         synced_revision: synced.revision,
-        items,
+        items: changes.iter().map(item).collect(),
         era: synced.era,
-    };
-    peers.send_to_domain(&node.settings.domain, &Frame::new(Body::ObjectsChanged(changed)));
+        notices: Vec::new(),
+    })
+}
+
+/// Forwards changes that this node has applied, with the age of the notices among them.
+fn forward_changes<P: Platform>(node: &Rc<Node<P>>, message: Option<ObjectsChanged>) {
+    let Some(mut message) = message else { return };
+    if message.kind == Kind::Servers.number() {
+        let names: HashSet<&str> = message.items.iter().map(|item| item.name.as_str()).collect();
+        message.notices = notices::known(node, |name| names.contains(name.as_str()));
+    }
+    let frame = Frame::new(Body::ObjectsChanged(message));
+    node.peers.borrow().send_to_domain(&node.settings.domain, &frame);
 }
 
 /// Applies changes that a watching node forwards. Fetches a snapshot from it if there is a gap.
@@ -217,9 +247,19 @@
     let events = changed.items.into_iter().map(event).collect();
     let changes = Changes { position, events };
     node.view.borrow_mut().apply_changes(kind, changes, &node.platform, node.clock);
+    notices::apply_known(node, changed.notices);
     node.notify_change();
 }
 
+/// Returns all objects of a kind, and the servers that leave, to send to another node.
+pub fn snapshot<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> Snapshot {
+    let snapshot = node.view.borrow().snapshot(kind);
+    match kind {
+        Kind::Servers => Snapshot { notices: notices::known(node, |_| true), ..snapshot },
+        _ => snapshot,
+    }
+}
+
 /// Records a failed call and waits before the next attempt.
 async fn back_off<P: Platform>(node: &Rc<Node<P>>, kind: Kind, error: StoreError) {
     node.set_store_reachable(error == StoreError::EraEnded);
@@ -260,9 +300,15 @@
     warn!(event = "history_lost", kind:? = kind, before:% = loss.before, revision:% = listing.position, gone = loss.gone, reverted = loss.reverted; "the store has come back from an older copy; promises that were kept stand");
 }
 
-/// Applies a snapshot of another node, if it is newer than what this node has. Newer owners are
-/// kept whatever the store has.
-pub fn adopt_snapshot<P: Platform>(node: &Rc<Node<P>>, snapshot: Snapshot) {
+/// Applies a snapshot of another node, if it is newer than what this node has. Newer owners and
+/// notices of servers that leave are kept whatever the store has.
+pub fn adopt_snapshot<P: Platform>(node: &Rc<Node<P>>, mut snapshot: Snapshot) {
+    let notices = std::mem::take(&mut snapshot.notices);
+    adopt_objects(node, snapshot);
+    notices::apply_known(node, notices);
+}
+
+fn adopt_objects<P: Platform>(node: &Rc<Node<P>>, snapshot: Snapshot) {
     let Some(kind) = Kind::from_number(snapshot.kind) else { return };
     if kind == Kind::Owners {
         node.view.borrow_mut().learn_snapshot(&snapshot);
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -307,6 +307,9 @@
     /// Era of all its revisions.
     #[prost(uint64, tag = "5")]
     pub era: u64,
+    /// Servers that leave, as far as the sender knows.
+    #[prost(message, repeated, tag = "6")]
+    pub notices: Vec<ServerNotice>,
 }
 
 /// Objects of a kind that have changed.
@@ -327,6 +330,9 @@
     /// Era of all its revisions.
     #[prost(uint64, tag = "5")]
     pub era: u64,
+    /// Those of the servers that leave.
+    #[prost(message, repeated, tag = "6")]
+    pub notices: Vec<ServerNotice>,
 }
 
 /// Owners of a service that have changed.
@@ -382,7 +388,7 @@
     /// Address of the server.
     #[prost(string, tag = "3")]
     pub addr: String,
-    /// Time since the sender learned of it.
+    /// Time since the server may have said so first; the highest number if unknown.
     #[prost(uint32, tag = "4")]
     pub age_ms: u32,
     /// Whether the receiver forwards the message to its failure domain.
--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -146,16 +146,33 @@
 
 /// Tells the node of a gate that a server has left, as it went on assigning it.
 pub fn correct_gate<P: Platform>(node: &Rc<Node<P>>, gate_node: &Name, server: &Name) {
-    let notice = {
-        let view = node.view.borrow();
-        let life = view.servers.get(server).map(|server| server.life());
-        let since = view.notices.leaving_since(server);
-        let (Some(Life { start_ms, addr }), Some(since)) = (life, since) else { return };
-        let age_ms = node.now().since(since).as_millis() as u32;
-        let (server, addr) = (server.to_string(), addr.to_string());
-        ServerNotice { server, start_ms, addr, age_ms, relay: false }
+    for notice in known(node, |name| name == server) {
+        node.send(gate_node, Body::ServerNotice(notice));
+    }
+}
+
+/// Returns what this node knows of servers that leave, for other nodes.
+pub fn known<P: Platform>(
+    node: &Rc<Node<P>>,
+    is_included: impl Fn(&Name) -> bool,
+) -> Vec<ServerNotice> {
+    let now = node.now();
+    let view = node.view.borrow();
+    let leaving = view.notices.leaving().filter(|(name, ..)| is_included(name));
+    let notice = |(name, life, since): (&Name, Life, Tick)| {
+        let Life { start_ms, addr } = life;
+        let (server, addr) = (name.to_string(), addr.to_string());
+        ServerNotice { server, start_ms, addr, age_ms: age_ms(now, since), relay: false }
     };
-    node.send(gate_node, Body::ServerNotice(notice));
+    leaving.map(notice).collect()
+}
+
+/// Returns the age of a notice as told to other nodes; the highest number if it is unknown.
+fn age_ms(now: Tick, since: Tick) -> u32 {
+    match since == Tick::default() {
+        true => u32::MAX,
+        false => now.since(since).as_millis() as u32,
+    }
 }
 
 /// Records that a server leaves. Returns whether the node counts from this notice.
@@ -196,6 +213,11 @@
     record_leaving(node, &Name::from(notice.server), life, since, Source::Peer);
 }
 
+/// Records what another node knows of servers that leave.
+pub fn apply_known<P: Platform>(node: &Rc<Node<P>>, notices: Vec<ServerNotice>) {
+    notices.into_iter().for_each(|notice| apply_hint(node, notice));
+}
+
 /// Counts the notices since the last call by source.
 pub fn count<P: Platform>(node: &Rc<Node<P>>) {
     let counts = node.view.borrow_mut().notices.take_counts();
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -339,8 +339,7 @@
         }
         Body::FetchRequest(fetch) => {
             if let Some(kind) = Kind::from_number(fetch.kind) {
-                let snapshot = node.view.borrow().snapshot(kind);
-                node.send(from, Body::Snapshot(snapshot));
+                node.send(from, Body::Snapshot(follow::snapshot(node, kind)));
             }
         }
         Body::Snapshot(snapshot) => follow::adopt_snapshot(node, snapshot),
--- a/crates/whinspring-router/tests/eras.rs
+++ b/crates/whinspring-router/tests/eras.rs
@@ -4,6 +4,7 @@
     std::{collections::HashMap, rc::Rc, time::Duration},
     whinspring::{
         name::Name,
+        notices::{Purpose, Refusal},
         ranges::{Instance, Ownership},
         routes::{Limits, RouteTable},
         time::Tick,
@@ -87,6 +88,12 @@
         self.view.sweep(now, Tick::default(), self.clock);
     }
 
+    /// Checks whether a request for a key may go to a server now.
+    fn check(&self, server: &str) -> Result<(), Refusal> {
+        let drain = Duration::from_secs(2);
+        self.view.notices.check(&server.into(), Purpose::Start, self.clock.now(), drain)
+    }
+
     /// Returns a time at which no grace applies any more.
     fn later(&self) -> Tick {
         self.clock.now() + Duration::from_secs(5)
@@ -169,6 +176,28 @@
     assert_eq!(rig.view.servers["s1"].entry.start_ms, 5, "a former life does not come back");
 }
 
+/// Guards against a drain that is counted from when a node learned of it: the node may have started
+/// long after the notice.
+#[test]
+fn a_server_that_leaves_when_a_node_starts_gets_no_request() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 90), &[("s1", 90, &[1, 0]), ("s2", 80, &[0, 0])]);
+    assert_eq!(rig.check("s1"), Err(Refusal::Left));
+    assert_eq!(rig.check("s2"), Ok(()));
+}
+
+/// The node did not hear from the store for some time, and lists it again.
+#[test]
+fn a_notice_in_a_new_listing_is_as_old_as_the_last_word_of_the_store() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 80), &[("s1", 80, &[0, 0])]);
+    let confirmed = Tick::from_millis(1);
+    rig.view.confirm(Kind::Servers, confirmed);
+    std::thread::sleep(Duration::from_millis(5));
+    rig.list(Kind::Servers, at(0, 90), &[("s1", 90, &[1, 0])]);
+    assert_eq!(rig.view.notices.leaving_since(&"s1".into()), Some(confirmed));
+}
+
 #[test]
 fn a_server_that_has_ended_is_used_again_only_if_it_shows_that_it_lives() {
     for writes in [true, false] {
--- a/crates/whinspring-router/tests/notices.rs
+++ b/crates/whinspring-router/tests/notices.rs
@@ -419,7 +419,7 @@
     fn tell(&mut self, from: usize) {
         let to = (from + 1 + self.random.random_range(0..NODES - 1)) % NODES;
         let at = Instant::now() + self.millis(1..300);
-        let snapshot = self.nodes[from].node.view.borrow().snapshot(Kind::Servers);
+        let snapshot = follow::snapshot(&self.nodes[from].node, Kind::Servers);
         self.messages.push((at, to, Told::Snapshot(snapshot)));
     }
 
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -135,6 +135,7 @@
                     synced_revision: 14,
                     items,
                     era: 0,
+                    notices: Vec::new(),
                 }))
                 .await;
             other.heartbeat().await;
@@ -147,6 +148,7 @@
                     synced_revision: 13,
                     items: late,
                     era: 0,
+                    notices: Vec::new(),
                 }))
                 .await;
             other.heartbeat().await;
@@ -160,6 +162,7 @@
                         synced_revision: 31,
                         items,
                         era: 0,
+                        notices: Vec::new(),
                     }))
                     .await;
                 sleep(Duration::from_millis(300)).await;
@@ -177,6 +180,7 @@
                     items,
                     synced_revision: 31,
                     era: 0,
+                    notices: Vec::new(),
                 }))
                 .await;
             other.heartbeat().await;
--- a/crates/whinspring-router/tests/path/notices.rs
+++ b/crates/whinspring-router/tests/path/notices.rs
@@ -13,7 +13,7 @@
     },
     whinspring_router::{
         follow,
-        message::{Admitted, Body, FetchRequest, ServerNotice},
+        message::{Admitted, Body, FetchRequest, Item, ObjectsChanged, ServerNotice, Snapshot},
         notices,
         platform::{Kind, Listing, Object, Position, Word},
     },
@@ -172,6 +172,39 @@
     });
 }
 
+/// Guards against a drain that is counted from when a node learned of it: it was cut off, and fetches
+/// a snapshot long after the notice.
+#[test]
+fn a_snapshot_and_forwarded_changes_tell_how_old_notices_are() {
+    const AGE: Duration = Duration::from_millis(1_900);
+    run(leaving, |rig| async move {
+        sleep(AGE).await;
+        let kind = Kind::Servers.number();
+        let item = |revision| Item { name: SERVER.into(), revision, ..Item::default() };
+        let notices = vec![notice(1_500, false, &rig)];
+        let (items, notice) = (vec![item(5)], notices.clone());
+        let changed = ObjectsChanged { kind, base: 1, synced_revision: 5, items, notices, era: 0 };
+        follow::apply_forwarded(&rig.node, &"n2".into(), changed);
+        assert_eq!(check(&rig, Purpose::Start), Err(Refusal::Left));
+        let told = follow::snapshot(&rig.node, Kind::Servers).notices;
+        assert!(told.len() == 1 && told[0].age_ms >= notice[0].age_ms, "{told:?}");
+        let mut older = notice;
+        older[0].age_ms = 1_800;
+        let (items, notices) = (vec![item(6)], older);
+        let snapshot = Snapshot {
+            kind,
+            revision: 6,
+            items,
+            synced_revision: 6,
+            notices,
+            ..Snapshot::default()
+        };
+        follow::adopt_snapshot(&rig.node, snapshot);
+        let told = follow::snapshot(&rig.node, Kind::Servers).notices;
+        assert!(told[0].age_ms >= 1_800, "{told:?}");
+    });
+}
+
 #[test]
 fn a_hint_on_another_life_is_ignored() {
     run(leaving, |rig| async move {
--- a/crates/whinspring/src/notices.rs
+++ b/crates/whinspring/src/notices.rs
@@ -99,7 +99,8 @@
 #[derive(Debug)]
 struct Known {
     life: Life,
-    /// Earliest time at which this node could have known that the server leaves.
+    /// Earliest time at which the server may have said that it leaves; zero if that was before this
+    /// node started or is not known.
     leaving: Option<Tick>,
     /// When the server last had an entry in the store.
     listed: Tick,
@@ -217,7 +218,7 @@
     }
 
     /// Checks whether a request may go to a server now. A leaving server is used until `drain` after
-    /// the earliest notice.
+    /// the earliest notice, and not at all if the age of that is unknown.
     pub fn check(
         &self,
         server: &Name,
@@ -226,7 +227,8 @@
         drain: Duration,
     ) -> Result<(), Refusal> {
         let leaving = self.leaving_since(server);
-        let has_left = leaving.is_some_and(|since| now >= since + drain);
+        let has_left =
+            leaving.is_some_and(|since| since == Tick::default() || now >= since + drain);
         if has_left || leaving.is_some() && purpose == Purpose::Place {
             return Err(Refusal::Left);
         }
@@ -238,11 +240,16 @@
         }
     }
 
-    /// Returns the earliest time at which this node could have known that a server leaves.
+    /// Returns the earliest time at which a server may have said that it leaves; zero if unknown.
     pub fn leaving_since(&self, server: &Name) -> Option<Tick> {
         self.servers.get(server)?.leaving
     }
 
+    /// Returns the servers that leave, with their run and [`Notices::leaving_since`].
+    pub fn leaving(&self) -> impl Iterator<Item = (&Name, Life, Tick)> {
+        self.servers.iter().filter_map(|(name, known)| Some((name, known.life, known.leaving?)))
+    }
+
     /// Returns the servers that no request of this node may start on now because of a pause, in
     /// order of their names.
     pub fn paused(&self, now: Tick) -> Vec<&Name> {
