Heed a malformed entry that says that its server leaves

Cause: an entry that cannot be parsed (a field missing or of another type, an unknown state) was skipped without a word, and the server was used as its last valid entry said, also if the new one says draining.

Change: whether an entry says that its server leaves is read apart from the rest, and counts for the run that is known. A bad_entry line tells of each malformed entry. The drawn test has malformed entries and servers that set no header.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -411,7 +411,11 @@
         let Some(raw) = self.raw.get(&Kind::Servers) else { return };
         let mut added = 0;
         for object in fresh {
-            let Some(entry) = dialect.parse_server(object) else { continue };
+            let Some(entry) = dialect.parse_server(object) else {
+                let leaving = dialect.is_leaving(object).then_some(since);
+                note_malformed(&self.servers, &mut self.notices, object, leaving, now);
+                continue;
+            };
             if has_ended(&mut self.ended, object, &entry, now) {
                 continue;
             }
@@ -551,6 +555,25 @@
     object.position.era > server.known_era && entry.start_ms < server.entry.start_ms
 }
 
+/// Keeps using a server whose entry is malformed as it was known, but for what the entry says of its
+/// leaving, and since when.
+fn note_malformed(
+    servers: &HashMap<Name, Server>,
+    notices: &mut Notices,
+    object: &Object,
+    leaving: Option<Tick>,
+    now: Tick,
+) {
+    let server = object.name.as_str();
+    let known = servers.get(server).map(Server::life);
+    log::warn!(event = "bad_entry", server, known = known.is_some(), leaving = leaving.is_some(), revision:% = object.position; "cannot parse the entry of a server; keeping what is known of it");
+    let (Some(life), Some(since)) = (known, leaving) else { return };
+    if notices.record_leaving(&object.name, life, since, Source::Store) {
+        let age = now.since(since).as_millis() as u64;
+        info!(event = "server_leaving", server, source = Source::Store.text(), age_ms = age, revision:% = object.position; "server announced that it leaves");
+    }
+}
+
 /// Applies a server's entry, which changed after `since`. Returns whether the server or its instance
 /// is new.
 fn update_server(
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -308,6 +308,10 @@
 
     /// Parses a server's registration; `None` if the server cannot be used.
     fn parse_server(&self, object: &Object) -> Option<ServerEntry>;
+
+    /// Returns whether a registration says that its server is not to be used any more, also if the
+    /// rest of it is malformed.
+    fn is_leaving(&self, object: &Object) -> bool;
 }
 
 /// All traits that an adapter implements.
--- a/crates/whinspring-router/tests/eras.rs
+++ b/crates/whinspring-router/tests/eras.rs
@@ -23,7 +23,8 @@
 /// Time after which an entry that came back counts again.
 const RETURN_DELAY: Duration = Duration::from_secs(10);
 
-/// Routes are a version; an entry is whether the server leaves, and its start time.
+/// Routes are a version; an entry is whether the server leaves, and its start time. An entry without
+/// a start time is malformed.
 struct Format;
 
 impl Dialect for Format {
@@ -41,6 +42,7 @@
     }
 
     fn parse_server(&self, object: &Object) -> Option<ServerEntry> {
+        let start_ms = u64::from(*object.value.get(1)?);
         Some(ServerEntry {
             service: "bays".into(),
             addr: ([10, 0, 0, 1], 80).into(),
@@ -48,9 +50,13 @@
             slots: 2,
             leaving: object.value[0] == 1,
             warmup: Duration::ZERO,
-            start_ms: object.value[1].into(),
+            start_ms,
         })
     }
+
+    fn is_leaving(&self, object: &Object) -> bool {
+        object.value[0] == 1
+    }
 }
 
 /// The view of a node and its clock.
@@ -198,6 +204,21 @@
     assert_eq!(rig.view.notices.leaving_since(&"s1".into()), Some(confirmed));
 }
 
+/// Guards against a notice that is ignored because another field of the entry is missing or of
+/// another type.
+#[test]
+fn a_malformed_entry_that_says_that_its_server_leaves_counts() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 80), &[("s1", 80, &[0, 0])]);
+    rig.change(Kind::Servers, 0, &("s1", 81, &[0]));
+    assert_eq!(rig.view.notices.leaving_since(&"s1".into()), None);
+    assert!(rig.view.servers.contains_key("s1"), "it is used as it was known");
+    rig.change(Kind::Servers, 0, &("s1", 82, &[1]));
+    assert!(rig.view.notices.leaving_since(&"s1".into()).is_some());
+    rig.change(Kind::Servers, 0, &("s2", 83, &[1]));
+    assert!(!rig.view.servers.contains_key("s2"));
+}
+
 #[test]
 fn a_server_that_has_ended_is_used_again_only_if_it_shows_that_it_lives() {
     for writes in [true, false] {
--- a/crates/whinspring-router/tests/notices.rs
+++ b/crates/whinspring-router/tests/notices.rs
@@ -50,6 +50,9 @@
 
 const SERVERS: usize = 4;
 
+/// The first servers, which do not say in their responses that they leave.
+const SILENT_SERVERS: usize = 2;
+
 const NODES: usize = 3;
 
 /// Time in which a leaving server may get requests, as in the nodes' settings.
@@ -66,6 +69,7 @@
 /// States of an entry, its first byte.
 const READY: u8 = 0;
 const DRAINING: u8 = 1;
+const MALFORMED_DRAINING: u8 = 2;
 
 type Entries = BTreeMap<Name, (u64, Vec<u8>)>;
 
@@ -239,6 +243,9 @@
     }
 
     fn parse_server(&self, object: &Object) -> Option<ServerEntry> {
+        if object.value[0] == MALFORMED_DRAINING {
+            return None;
+        }
         Some(ServerEntry {
             service: "bays".into(),
             addr: ([10, 0, 0, 1], 80).into(),
@@ -249,6 +256,10 @@
             start_ms: 0,
         })
     }
+
+    fn is_leaving(&self, object: &Object) -> bool {
+        object.value[0] != READY
+    }
 }
 
 /// A node and what it was told.
@@ -375,6 +386,7 @@
         let value = match self.random.random_range(0..6) {
             0 => return,
             1 => None,
+            2 => Some(vec![MALFORMED_DRAINING]),
             _ => Some(vec![DRAINING]),
         };
         let at = now + self.millis(0..1_500);
@@ -481,7 +493,8 @@
                 "seed {seed}: {server} got a request of n{number} {late:?} after the store had its notice"
             );
         }
-        if !self.leaving.contains_key(server) {
+        let is_silent = (0..SILENT_SERVERS).any(|number| *server == server_name(number));
+        if is_silent || !self.leaving.contains_key(server) {
             return;
         }
         let is_news = test_node.heard.insert(server.clone(), now).is_none();
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -717,6 +717,10 @@
             start_ms: object.value[1].into(),
         })
     }
+
+    fn is_leaving(&self, _: &Object) -> bool {
+        false
+    }
 }
 
 /// Starts a node with its controller; it gets heartbeats only through [`exchange_heartbeats`].
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -127,6 +127,10 @@
             start_ms: 0,
         })
     }
+
+    fn is_leaving(&self, _: &Object) -> bool {
+        false
+    }
 }
 
 /// Returns the response to a request; `None` closes the connection, and `wait` leaves the request
