--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -210,8 +210,7 @@
     /// The store's revision rises with changes of any kind. The position of this kind is therefore
     /// that of its newest object, or `claimed` if another node sent the listing.
     ///
-    /// What the store lists may have changed at any time since the kind was last confirmed. A node
-    /// that sends a listing tells the age of what it knows apart from it.
+    /// What is listed may have changed at any time since the kind was last confirmed.
     pub fn apply_listing(
         &mut self,
         kind: Kind,
@@ -225,7 +224,7 @@
             return Vec::new();
         }
         let base = Position::new(listing.position.era, 0);
-        let since = if claimed.is_some() { clock.now() } else { raw.confirmed };
+        let since = raw.confirmed;
         raw.synced = listing.position;
         let newest = listing.items.iter().map(|item| item.position).max().unwrap_or(base);
         raw.position = raw.position.max(claimed.unwrap_or(newest)).max(base);
--- a/crates/whinspring-router/tests/eras.rs
+++ b/crates/whinspring-router/tests/eras.rs
@@ -204,6 +204,20 @@
     assert_eq!(rig.view.notices.leaving_since(&"s1".into()), Some(confirmed));
 }
 
+/// The sender of a snapshot may not know how old a notice is.
+#[test]
+fn a_notice_in_a_snapshot_is_as_old_as_the_last_word_of_the_store() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 80), &[("s1", 80, &[0, 0])]);
+    let confirmed = Tick::from_millis(1);
+    rig.view.confirm(Kind::Servers, confirmed);
+    std::thread::sleep(Duration::from_millis(5));
+    let items = vec![object(0, &("s1", 90, &[1, 0]))];
+    let listing = Listing { position: at(0, 90), items };
+    rig.view.apply_listing(Kind::Servers, listing, Some(at(0, 90)), &rig.format, rig.clock);
+    assert_eq!(rig.view.notices.leaving_since(&"s1".into()), Some(confirmed));
+}
+
 /// Guards against a notice that is ignored because another field of the entry is missing or of
 /// another type.
 #[test]
--- a/crates/whinspring-router/tests/notices.rs
+++ b/crates/whinspring-router/tests/notices.rs
@@ -83,7 +83,7 @@
     history: BTreeMap<u64, (Name, Option<Vec<u8>>)>,
     /// Revision up to which the history is gone.
     floor: u64,
-    /// Earlier states, by time.
+    /// The state after each change, by time.
     copies: Vec<(Instant, u64, Entries)>,
     /// When each server first told the store that it leaves.
     acks: HashMap<Name, Instant>,
@@ -91,7 +91,6 @@
 
 impl World {
     fn write(&mut self, name: &Name, value: Option<Vec<u8>>) {
-        self.copies.push((Instant::now(), self.revision, self.entries.clone()));
         self.revision += 1;
         match &value {
             Some(value) => self.entries.insert(name.clone(), (self.revision, value.clone())),
@@ -101,6 +100,7 @@
             self.acks.entry(name.clone()).or_insert_with(Instant::now);
         }
         self.history.insert(self.revision, (name.clone(), value));
+        self.copies.push((Instant::now(), self.revision, self.entries.clone()));
     }
 
     /// Comes back from a copy that is `age` old, in a new era.
