Count the drain of a server that was gone and writes that it leaves from when it was gone

Cause: its entry was taken for that of a new server, whose drain begins with the notice.

Change: the time since when a server has had no entry is kept with what is remembered of it, and bounds the age of a notice in an entry of the same run that comes back.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -108,6 +108,8 @@
 #[derive(Debug)]
 struct Ended {
     start_ms: u64,
+    /// When its entry disappeared.
+    gone: Tick,
     /// When it was removed, and in which era.
     at: Tick,
     era: u64,
@@ -415,9 +417,11 @@
                 note_malformed(&self.servers, &mut self.notices, object, leaving, now);
                 continue;
             };
+            let gone = gone_since(&self.servers, &self.ended, &object.name, &entry);
             if has_ended(&mut self.ended, object, &entry, now) {
                 continue;
             }
+            let since = gone.map_or(since, |gone| since.min(gone));
             added += u32::from(update_server(
                 &mut self.servers,
                 &mut self.notices,
@@ -464,7 +468,8 @@
             let used = now < since + REMOVAL_GRACE || now < store_back + OUTAGE_GRACE;
             if !used {
                 let start_ms = server.entry.start_ms;
-                ended.insert(server.name.clone(), Ended { start_ms, at: now, era, back: None });
+                let known = Ended { start_ms, gone: since, at: now, era, back: None };
+                ended.insert(server.name.clone(), known);
             }
             used
         });
@@ -481,7 +486,7 @@
             let due = ended.back.take_if(|(at, ..)| now.since(*at) >= RETURN_DELAY);
             if let Some((_, object, entry)) = due {
                 back.extend(
-                    Some((object, entry, ended.at))
+                    Some((object, entry, ended.gone))
                         .filter(|_| listed.is_some_and(|listed| listed.items.contains_key(name))),
                 );
                 return false;
@@ -531,6 +536,20 @@
     true
 }
 
+/// Returns since when a server has had no entry in the store, if it is known without one. An entry
+/// that comes back and says that it leaves is no newer than that: the store may have lost the first.
+fn gone_since(
+    servers: &HashMap<Name, Server>,
+    ended: &HashMap<Name, Ended>,
+    name: &Name,
+    entry: &ServerEntry,
+) -> Option<Tick> {
+    match servers.get(name) {
+        Some(server) => server.missing.filter(|_| server.life() == entry.life()),
+        None => ended.get(name).filter(|it| it.start_ms == entry.start_ms).map(|it| it.gone),
+    }
+}
+
 /// Decodes the owners of a service; `None` if they are malformed.
 fn decode_owners(object: &Object) -> Option<Ownership> {
     let record = OwnersRecord::decode(object.value.as_slice()).ok();
--- a/crates/whinspring-router/tests/eras.rs
+++ b/crates/whinspring-router/tests/eras.rs
@@ -251,6 +251,25 @@
     }
 }
 
+/// Guards against a drain that begins anew: the server left without a notice, or the store lost it.
+#[test]
+fn a_server_that_comes_back_and_leaves_does_not_drain_again() {
+    for is_removed in [false, true] {
+        let mut rig = Rig::new();
+        rig.list(Kind::Servers, at(1, 80), &[("s1", 80, &[0, 4])]);
+        rig.list(Kind::Servers, at(1, 90), &[]);
+        let gone = rig.clock.now();
+        if is_removed {
+            rig.sweep(rig.later());
+            rig.list(Kind::Servers, at(2, 85), &[("s1", 80, &[0, 4])]);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+        rig.change(Kind::Servers, 2, &("s1", 86, &[1, 4]));
+        let since = rig.view.notices.leaving_since(&"s1".into()).unwrap();
+        assert!(since <= gone, "{since:?}, gone {gone:?}");
+    }
+}
+
 #[test]
 fn an_ended_server_whose_entry_expires_again_stays_gone() {
     let mut rig = Rig::new();
