--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -88,6 +88,8 @@
     position: Position,
     /// Position of the store up to which all changes of the kind are included.
     synced: Position,
+    /// When the store was last known to have no later change of the kind; zero if never.
+    confirmed: Tick,
     items: BTreeMap<Name, Object>,
 }
 
@@ -106,6 +108,8 @@
 #[derive(Debug)]
 struct Ended {
     start_ms: u64,
+    /// When its entry disappeared.
+    gone: Tick,
     /// When it was removed, and in which era.
     at: Tick,
     era: u64,
@@ -153,7 +157,7 @@
         }
     }
 
-    /// Returns all objects of a kind, to send to another node.
+    /// Returns all objects of a kind, to send to another node, without the notices of servers.
     pub fn snapshot(&self, kind: Kind) -> Snapshot {
         let Some(raw) = self.raw.get(&kind) else { return Snapshot::default() };
         let items = match kind {
@@ -166,6 +170,7 @@
             items,
             synced_revision: raw.synced.revision,
             era: raw.synced.era,
+            notices: Vec::new(),
         }
     }
 
@@ -174,6 +179,17 @@
         self.raw.get(&kind).map_or(Position::default(), |raw| raw.synced)
     }
 
+    /// Returns when the store was last known to have no later change of a kind; zero if never.
+    pub fn confirmed(&self, kind: Kind) -> Tick {
+        self.raw.get(&kind).map_or(Tick::default(), |raw| raw.confirmed)
+    }
+
+    /// Records that all changes of a kind before `at` are known.
+    pub fn confirm(&mut self, kind: Kind, at: Tick) {
+        let raw = self.raw.entry(kind).or_default();
+        raw.confirmed = raw.confirmed.max(at);
+    }
+
     /// Returns what a listing of a kind shows to be lost, if it is the first one of a new era.
     pub fn loss(&self, kind: Kind, listing: &Listing) -> Option<Loss> {
         let raw = self.raw.get(&kind)?;
@@ -195,6 +211,8 @@
     ///
     /// The store's revision rises with changes of any kind. The position of this kind is therefore
     /// that of its newest object, or `claimed` if another node sent the listing.
+    ///
+    /// What is listed may have changed at any time since the kind was last confirmed.
     pub fn apply_listing(
         &mut self,
         kind: Kind,
@@ -208,6 +226,7 @@
             return Vec::new();
         }
         let base = Position::new(listing.position.era, 0);
+        let since = raw.confirmed;
         raw.synced = listing.position;
         let newest = listing.items.iter().map(|item| item.position).max().unwrap_or(base);
         raw.position = raw.position.max(claimed.unwrap_or(newest)).max(base);
@@ -223,17 +242,29 @@
         let mut changes: Vec<(Object, bool)> = fresh.collect();
         let gone = known.into_values().filter(|item| !raw.items.contains_key(&item.name));
         changes.extend(gone.map(|item| (item, true)));
-        self.decode_changes(kind, &changes, dialect, clock);
+        self.decode_changes(kind, &changes, since, dialect, clock);
         changes
     }
 
-    /// Applies changes of a kind.
+    /// Applies changes of a kind that have just happened.
     pub fn apply_changes(
         &mut self,
         kind: Kind,
         changes: Changes,
         dialect: &impl Dialect,
         clock: Clock,
+    ) {
+        self.apply_changes_since(kind, changes, clock.now(), dialect, clock);
+    }
+
+    /// Applies changes of a kind that may have happened at any time after `since`.
+    pub fn apply_changes_since(
+        &mut self,
+        kind: Kind,
+        changes: Changes,
+        since: Tick,
+        dialect: &impl Dialect,
+        clock: Clock,
     ) {
         if changes.events.is_empty() {
             return;
@@ -258,7 +289,7 @@
             }
             true
         });
-        self.decode_changes(kind, &events, dialect, clock);
+        self.decode_changes(kind, &events, since, dialect, clock);
     }
 
     /// Applies one object that was written or read by this node, or changed by the controller.
@@ -337,18 +368,19 @@
         owned.find(key).filter(is_granted)
     }
 
-    /// Decodes the objects of a kind that are new or have changed.
+    /// Decodes the objects of a kind that are new or have changed after `since`.
     fn decode_changes(
         &mut self,
         kind: Kind,
         changes: &[(Object, bool)],
+        since: Tick,
         dialect: &impl Dialect,
         clock: Clock,
     ) {
         let fresh = changes.iter().filter(|(_, gone)| !gone).map(|(object, _)| object);
         match kind {
             Kind::Routes => self.decode_routes(fresh, dialect),
-            Kind::Servers => self.decode_servers(fresh, dialect, clock),
+            Kind::Servers => self.decode_servers(fresh, since, dialect, clock),
             Kind::Owners => self.decode_owners(fresh),
             Kind::Control | Kind::Nodes => {}
         }
@@ -372,6 +404,7 @@
     fn decode_servers<'a>(
         &mut self,
         fresh: impl Iterator<Item = &'a Object>,
+        since: Tick,
         dialect: &impl Dialect,
         clock: Clock,
     ) {
@@ -379,15 +412,22 @@
         let Some(raw) = self.raw.get(&Kind::Servers) else { return };
         let mut added = 0;
         for object in fresh {
-            let Some(entry) = dialect.parse_server(object) else { continue };
+            let Some(entry) = dialect.parse_server(object) else {
+                let leaving = dialect.is_leaving(object).then_some(since);
+                note_malformed(&self.servers, &mut self.notices, object, leaving, now);
+                continue;
+            };
+            let gone = gone_since(&self.servers, &self.ended, &object.name, &entry);
             if has_ended(&mut self.ended, object, &entry, now) {
                 continue;
             }
+            let since = gone.map_or(since, |gone| since.min(gone));
             added += u32::from(update_server(
                 &mut self.servers,
                 &mut self.notices,
                 object,
                 entry,
+                since,
                 clock,
                 added < MAX_LOGGED,
             ));
@@ -428,7 +468,8 @@
             let used = now < since + REMOVAL_GRACE || now < store_back + OUTAGE_GRACE;
             if !used {
                 let start_ms = server.entry.start_ms;
-                ended.insert(server.name.clone(), Ended { start_ms, at: now, era, back: None });
+                let known = Ended { start_ms, gone: since, at: now, era, back: None };
+                ended.insert(server.name.clone(), known);
             }
             used
         });
@@ -445,7 +486,7 @@
             let due = ended.back.take_if(|(at, ..)| now.since(*at) >= RETURN_DELAY);
             if let Some((_, object, entry)) = due {
                 back.extend(
-                    Some((object, entry))
+                    Some((object, entry, ended.gone))
                         .filter(|_| listed.is_some_and(|listed| listed.items.contains_key(name))),
                 );
                 return false;
@@ -453,8 +494,8 @@
             ended.back.is_some() || now.since(ended.at) < ENDED_RETENTION
         });
         let any = !back.is_empty();
-        for (object, entry) in back {
-            update_server(&mut self.servers, &mut self.notices, &object, entry, clock, true);
+        for (object, entry, since) in back {
+            update_server(&mut self.servers, &mut self.notices, &object, entry, since, clock, true);
         }
         any
     }
@@ -495,6 +536,20 @@
     true
 }
 
+/// Returns since when a server has had no entry in the store, if it is known without one. An entry
+/// that comes back and says that it leaves is no newer than that: the store may have lost the first.
+fn gone_since(
+    servers: &HashMap<Name, Server>,
+    ended: &HashMap<Name, Ended>,
+    name: &Name,
+    entry: &ServerEntry,
+) -> Option<Tick> {
+    match servers.get(name) {
+        Some(server) => server.missing.filter(|_| server.life() == entry.life()),
+        None => ended.get(name).filter(|it| it.start_ms == entry.start_ms).map(|it| it.gone),
+    }
+}
+
 /// Decodes the owners of a service; `None` if they are malformed.
 fn decode_owners(object: &Object) -> Option<Ownership> {
     let record = OwnersRecord::decode(object.value.as_slice()).ok();
@@ -518,12 +573,33 @@
     object.position.era > server.known_era && entry.start_ms < server.entry.start_ms
 }
 
-/// Applies a server's entry. Returns whether the server or its instance is new.
+/// Keeps using a server whose entry is malformed as it was known, but for what the entry says of its
+/// leaving, and since when.
+fn note_malformed(
+    servers: &HashMap<Name, Server>,
+    notices: &mut Notices,
+    object: &Object,
+    leaving: Option<Tick>,
+    now: Tick,
+) {
+    let server = object.name.as_str();
+    let known = servers.get(server).map(Server::life);
+    log::warn!(event = "bad_entry", server, known = known.is_some(), leaving = leaving.is_some(), revision:% = object.position; "cannot parse the entry of a server; keeping what is known of it");
+    let (Some(life), Some(since)) = (known, leaving) else { return };
+    if notices.record_leaving(&object.name, life, since, Source::Store) {
+        let age = now.since(since).as_millis() as u64;
+        info!(event = "server_leaving", server, source = Source::Store.text(), age_ms = age, revision:% = object.position; "server announced that it leaves");
+    }
+}
+
+/// Applies a server's entry, which changed after `since`. Returns whether the server or its instance
+/// is new.
 fn update_server(
     servers: &mut HashMap<Name, Server>,
     notices: &mut Notices,
     object: &Object,
     entry: ServerEntry,
+    since: Tick,
     clock: Clock,
     log: bool,
 ) -> bool {
@@ -534,10 +610,11 @@
     }
     notices.record_life(&object.name, entry.life(), now);
     if entry.leaving
-        && notices.record_leaving(&object.name, entry.life(), now, Source::Store)
+        && notices.record_leaving(&object.name, entry.life(), since, Source::Store)
         && log
     {
-        info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), source = Source::Store.text(), age_ms = 0, revision:% = object.position; "server announced that it leaves");
+        let age = now.since(since).as_millis() as u64;
+        info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), source = Source::Store.text(), age_ms = age, revision:% = object.position; "server announced that it leaves");
     }
     match servers.get_mut(&object.name) {
         Some(server)
--- a/crates/whinspring-router/tests/eras.rs
+++ b/crates/whinspring-router/tests/eras.rs
@@ -4,6 +4,7 @@
     std::{collections::HashMap, rc::Rc, time::Duration},
     whinspring::{
         name::Name,
+        notices::{Purpose, Refusal},
         ranges::{Instance, Ownership},
         routes::{Limits, RouteTable},
         time::Tick,
@@ -22,7 +23,8 @@
 /// Time after which an entry that came back counts again.
 const RETURN_DELAY: Duration = Duration::from_secs(10);
 
-/// Routes are a version; an entry is whether the server leaves, and its start time.
+/// Routes are a version; an entry is whether the server leaves, and its start time. An entry without
+/// a start time is malformed.
 struct Format;
 
 impl Dialect for Format {
@@ -40,6 +42,7 @@
     }
 
     fn parse_server(&self, object: &Object) -> Option<ServerEntry> {
+        let start_ms = u64::from(*object.value.get(1)?);
         Some(ServerEntry {
             service: "bays".into(),
             addr: ([10, 0, 0, 1], 80).into(),
@@ -47,9 +50,13 @@
             slots: 2,
             leaving: object.value[0] == 1,
             warmup: Duration::ZERO,
-            start_ms: object.value[1].into(),
+            start_ms,
         })
     }
+
+    fn is_leaving(&self, object: &Object) -> bool {
+        object.value[0] == 1
+    }
 }
 
 /// The view of a node and its clock.
@@ -87,6 +94,12 @@
         self.view.sweep(now, Tick::default(), self.clock);
     }
 
+    /// Checks whether a request for a key may go to a server now.
+    fn check(&self, server: &str) -> Result<(), Refusal> {
+        let drain = Duration::from_secs(2);
+        self.view.notices.check(&server.into(), Purpose::Start, self.clock.now(), drain)
+    }
+
     /// Returns a time at which no grace applies any more.
     fn later(&self) -> Tick {
         self.clock.now() + Duration::from_secs(5)
@@ -169,6 +182,57 @@
     assert_eq!(rig.view.servers["s1"].entry.start_ms, 5, "a former life does not come back");
 }
 
+/// Guards against a drain that is counted from when a node learned of it: the node may have started
+/// long after the notice.
+#[test]
+fn a_server_that_leaves_when_a_node_starts_gets_no_request() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 90), &[("s1", 90, &[1, 0]), ("s2", 80, &[0, 0])]);
+    assert_eq!(rig.check("s1"), Err(Refusal::Left));
+    assert_eq!(rig.check("s2"), Ok(()));
+}
+
+/// The node did not hear from the store for some time, and lists it again.
+#[test]
+fn a_notice_in_a_new_listing_is_as_old_as_the_last_word_of_the_store() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 80), &[("s1", 80, &[0, 0])]);
+    let confirmed = Tick::from_millis(1);
+    rig.view.confirm(Kind::Servers, confirmed);
+    std::thread::sleep(Duration::from_millis(5));
+    rig.list(Kind::Servers, at(0, 90), &[("s1", 90, &[1, 0])]);
+    assert_eq!(rig.view.notices.leaving_since(&"s1".into()), Some(confirmed));
+}
+
+/// The sender of a snapshot may not know how old a notice is.
+#[test]
+fn a_notice_in_a_snapshot_is_as_old_as_the_last_word_of_the_store() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 80), &[("s1", 80, &[0, 0])]);
+    let confirmed = Tick::from_millis(1);
+    rig.view.confirm(Kind::Servers, confirmed);
+    std::thread::sleep(Duration::from_millis(5));
+    let items = vec![object(0, &("s1", 90, &[1, 0]))];
+    let listing = Listing { position: at(0, 90), items };
+    rig.view.apply_listing(Kind::Servers, listing, Some(at(0, 90)), &rig.format, rig.clock);
+    assert_eq!(rig.view.notices.leaving_since(&"s1".into()), Some(confirmed));
+}
+
+/// Guards against a notice that is ignored because another field of the entry is missing or of
+/// another type.
+#[test]
+fn a_malformed_entry_that_says_that_its_server_leaves_counts() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 80), &[("s1", 80, &[0, 0])]);
+    rig.change(Kind::Servers, 0, &("s1", 81, &[0]));
+    assert_eq!(rig.view.notices.leaving_since(&"s1".into()), None);
+    assert!(rig.view.servers.contains_key("s1"), "it is used as it was known");
+    rig.change(Kind::Servers, 0, &("s1", 82, &[1]));
+    assert!(rig.view.notices.leaving_since(&"s1".into()).is_some());
+    rig.change(Kind::Servers, 0, &("s2", 83, &[1]));
+    assert!(!rig.view.servers.contains_key("s2"));
+}
+
 #[test]
 fn a_server_that_has_ended_is_used_again_only_if_it_shows_that_it_lives() {
     for writes in [true, false] {
@@ -187,6 +251,25 @@
     }
 }
 
+/// Guards against a drain that begins anew: the server left without a notice, or the store lost it.
+#[test]
+fn a_server_that_comes_back_and_leaves_does_not_drain_again() {
+    for is_removed in [false, true] {
+        let mut rig = Rig::new();
+        rig.list(Kind::Servers, at(1, 80), &[("s1", 80, &[0, 4])]);
+        rig.list(Kind::Servers, at(1, 90), &[]);
+        let gone = rig.clock.now();
+        if is_removed {
+            rig.sweep(rig.later());
+            rig.list(Kind::Servers, at(2, 85), &[("s1", 80, &[0, 4])]);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+        rig.change(Kind::Servers, 2, &("s1", 86, &[1, 4]));
+        let since = rig.view.notices.leaving_since(&"s1".into()).unwrap();
+        assert!(since <= gone, "{since:?}, gone {gone:?}");
+    }
+}
+
 #[test]
 fn an_ended_server_whose_entry_expires_again_stays_gone() {
     let mut rig = Rig::new();
