Requests with more than 64 headers are served

Callers saw: 431 for a request with more than 64 headers, however short, where the configuration limits their bytes only (16 KiB on the users' sites). The status counts as DENIED, and no log line names the request, as the HTTP library answers it before the router sees it.

Cause: xitca-http parses at most 64 headers unless told otherwise.

Evidence: requests_with_many_headers_are_served (1,000 headers in 9 KiB), red before (431), green after.

Change: 4,096 headers. The head is still limited to 64 KiB by the library and to the configuration's bytes.

Ruled out by tests that were green at once and stay as guards: a head at the limit, in pieces, with bytes above 127, with a port or capitals in `Host`, an absolute target; a body that is empty, at the limit, in chunks with extensions and trailers, after 100 Continue, pipelined; keys with spaces or zeros; a long body at a node without a configuration.

Red and listed: a body that comes with its head though it has `Expect: 100-continue` gets 408 after 10 s (library).

--- a/crates/whinspring-router/src/frontend.rs
+++ b/crates/whinspring-router/src/frontend.rs
@@ -34,6 +34,9 @@
 
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of headers of a request. The configuration limits their bytes only.
+const MAX_HEADERS: usize = 4_096;
+
 /// Response bytes that are gathered into one write.
 const WRITE_BUFFER_BYTES: usize = 64 << 10;
 
@@ -85,6 +88,7 @@
         .keep_alive_timeout(IDLE_TIMEOUT)
         .request_head_timeout(HEAD_TIMEOUT)
         .max_read_buf_size::<MAX_HEAD_BYTES>()
+        .max_request_headers::<MAX_HEADERS>()
         .max_write_buf_size::<WRITE_BUFFER_BYTES>();
     let state = node.clone();
     let handler = fn_service(move |request| handle(state.clone(), request));
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! Requests over real sockets: responses to callers and requests to servers.
 
 mod answers;
+mod denied;
 mod follow;
 mod links;
 mod notices;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -15,7 +15,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         task::{LocalSet, spawn_local},
-        time::timeout,
+        time::{sleep, timeout},
     },
     whinspring::{
         name::Name,
@@ -38,6 +38,9 @@
 /// Time after which a test fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Pause between the pieces of a request.
+const PIECE_DELAY: Duration = Duration::from_millis(20);
+
 /// A platform with one server and a store that only lists objects.
 pub struct Platform {
     /// Number of watches that were started.
@@ -191,16 +194,29 @@
 
     /// Sends a request on a new connection and returns the response.
     pub async fn send(&self, request: &str) -> String {
+        self.send_pieces(&[request.as_bytes()]).await
+    }
+
+    /// Sends a request in pieces, with a pause after each, and returns the response.
+    pub async fn send_pieces(&self, pieces: &[&[u8]]) -> String {
         let mut socket = self.connect().await;
-        socket.write_all(request.as_bytes()).await.unwrap();
-        let mut response = Vec::new();
-        while !is_whole(&response) {
-            if socket.read_buf(&mut response).await.unwrap_or(0) == 0 {
-                break;
-            }
+        for piece in pieces {
+            let _ = socket.write_all(piece).await;
+            sleep(PIECE_DELAY).await;
+        }
+        read_response(&mut socket).await
+    }
+}
+
+/// Reads a response, or what there is of it when the connection ends.
+pub async fn read_response(socket: &mut TcpStream) -> String {
+    let mut response = Vec::new();
+    while !is_whole(&response) {
+        if socket.read_buf(&mut response).await.unwrap_or(0) == 0 {
+            break;
         }
-        String::from_utf8(response).unwrap()
     }
+    String::from_utf8_lossy(&response).into_owned()
 }
 
 /// Returns whether a response with a content length is complete.
@@ -241,7 +257,7 @@
                 return;
             }
         }
-        let request = String::from_utf8(std::mem::take(&mut bytes)).unwrap();
+        let request = String::from_utf8_lossy(&std::mem::take(&mut bytes)).into_owned();
         seen.borrow_mut().push(request.clone());
         match script(&request) {
             Some(response) if response == "wait" => {
