A request whose body was cut on its way neither runs nor counts as malformed

Cause: xitca-http ends the stream of a chunked body in the same way whether its last chunk or the end of the connection came; the router took both for complete. With a kept connection to the server the request is written in the same poll, so that the check for a caller that has left, which cancels the request, comes too late. A body shorter than its length was called malformed.

Evidence: a_chunked_body_that_was_cut_does_not_run and a_body_that_was_cut_is_not_called_malformed, red before (the server got `abc` of a body whose last chunk never came; 400, code 405), green after.

Change: a chunked body that ends when the caller's connection is at its end is incomplete. An incomplete body, and one that makes no progress for 10 s, gets 408 with the new code 406, which is true: nothing has run.

Ruled out: checking the connection for each request, which would cost a system call for requests without a body; the parser knows nothing more.

Not changed: a chunk that is malformed still gets 400.

--- a/crates/whinspring-router/src/frontend.rs
+++ b/crates/whinspring-router/src/frontend.rs
@@ -9,7 +9,11 @@
         response::{Body, Rejection, set_connection_close},
     },
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, HeaderValue, Request, Response, Version, header::HOST, request::Parts},
+    http::{
+        HeaderMap, HeaderValue, Request, Response, Version,
+        header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+        request::Parts,
+    },
     log::info,
     socket2::SockRef,
     std::{cell::Cell, convert::Infallible, future::poll_fn, pin::Pin, rc::Rc, time::Duration},
@@ -243,7 +247,7 @@
     headers: &HeaderMap,
     limit: usize,
 ) -> Result<Bytes, Rejection> {
-    let length: Option<usize> = parse_number(headers, &http::header::CONTENT_LENGTH);
+    let length: Option<usize> = parse_number(headers, &CONTENT_LENGTH);
     if length.is_some_and(|length| length > limit) {
         return Err(Rejection::with_status(Code::BadRequest, 413));
     }
@@ -252,7 +256,7 @@
     loop {
         let next = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
         let Ok(next) = timeout(BODY_TIMEOUT, next).await else {
-            return Err(Rejection::with_status(Code::BadRequest, 408));
+            return Err(Code::BodyCut.into());
         };
         match next {
             Some(Ok(Frame::Data(bytes))) if first.is_none() => first = Some(bytes),
@@ -271,8 +275,10 @@
         }
     }
     let whole = if all.is_empty() { first.unwrap_or_default() } else { all.freeze() };
-    if length.is_some_and(|length| length != whole.len()) {
-        return Err(Code::BadRequest.into());
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    if length.is_some_and(|length| length != whole.len()) || chunked && Conn::current().is_at_eof()
+    {
+        return Err(Code::BodyCut.into());
     }
     Ok(whole)
 }
--- a/crates/whinspring-router/tests/path/denied.rs
+++ b/crates/whinspring-router/tests/path/denied.rs
@@ -2,7 +2,7 @@
 //! none that was cut on its way runs.
 
 use {
-    crate::rig::{read_response, run},
+    crate::rig::{Rig, read_response, run},
     std::{fmt::Write as _, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -10,6 +10,9 @@
     },
 };
 
+/// Time in which a request that is passed on reaches the server.
+const ARRIVAL_TIME: Duration = Duration::from_millis(200);
+
 /// Limit on bodies in the configuration of the rig, in bytes.
 const BODY_LIMIT: usize = 100;
 
@@ -165,6 +168,47 @@
     }
 }
 
+/// Sends a request whose caller closes its side of the connection in the middle of the body.
+/// Returns the response.
+async fn send_cut(rig: &Rig, pieces: &[&[u8]]) -> String {
+    let mut socket = rig.connect().await;
+    for piece in pieces {
+        socket.write_all(piece).await.unwrap();
+        sleep(Duration::from_millis(20)).await;
+    }
+    socket.shutdown().await.unwrap();
+    let response = read_response(&mut socket).await;
+    sleep(ARRIVAL_TIME).await;
+    response
+}
+
+/// Guards against a body that was cut on its way and runs as if it were complete.
+#[test]
+fn a_chunked_body_that_was_cut_does_not_run() {
+    run(success, |rig| async move {
+        rig.send(&head("GET", "")).await;
+        let request = head("POST", "transfer-encoding: chunked\r\n") + "3\r\nabc\r\n";
+        let response = send_cut(&rig, &[request.as_bytes()]).await;
+        assert_eq!(rig.seen.borrow().len(), 1, "{:?}: {response}", rig.seen.borrow());
+        assert!(!response.contains("hello"), "{response}");
+    });
+}
+
+/// Guards against a proper request that is called malformed because its connection was cut.
+#[test]
+fn a_body_that_was_cut_is_not_called_malformed() {
+    run(success, |rig| async move {
+        let long = head("POST", "content-length: 9\r\n") + "abc";
+        let chunked = head("POST", "transfer-encoding: chunked\r\n") + "3\r\nabc\r\n";
+        for request in [long, chunked] {
+            let response = send_cut(&rig, &[request.as_bytes()]).await;
+            let status = response.split(' ').nth(1).unwrap_or_default();
+            assert!(["", "408", "502"].contains(&status), "{response}");
+        }
+        assert!(rig.seen.borrow().is_empty());
+    });
+}
+
 /// Guards against a caller whose body is long and that gets a reset instead of a response.
 #[test]
 fn without_a_configuration_long_bodies_get_503() {
--- a/crates/whinspring/src/code.rs
+++ b/crates/whinspring/src/code.rs
@@ -87,6 +87,8 @@
     BadId = 404, NotRun, 400, "the request id is malformed or issued in the future";
     /// The request is malformed in another way.
     BadRequest = 405, NotRun, 400, "the request is malformed";
+    /// The caller stopped sending the body, or closed the connection, before it was complete.
+    BodyCut = 406, NotRun, 408, "the request body did not arrive in full";
     /// The request is known to crash backend servers.
     Crashing = 410, NotRun, 422, "this request crashed backend servers and is refused";
 
