What a server sends beside the body of a response is bounded

Callers saw: no response by their deadline (850 ms at a deadline of 400 ms) from a server in trouble that sends interim responses, or digits and extensions of a chunk size, without end; the node served nobody meanwhile, as the parser took the whole time of its thread. None of these bytes counts toward hyper's limit of 64 KiB on a head.

Cause: hyper discards interim responses, and the bytes of a chunk size, as it reads them, in a loop that ends only when the socket has nothing more; a fast sender keeps it there for hundreds of milliseconds at a time, and no timer is looked at.

Evidence: interim_responses_without_end_end_the_attempt and a_chunk_size_without_end_ends_the_attempt, red before (no final response by the deadline), green after (in tens of milliseconds). They play real sockets; the server floods from a thread of its own.

Change: a connection to a server reads at most 256 KiB beyond what was delivered as body, and 8 bytes for each delivered one, as the framing of small chunks takes more than their data. What exceeds it breaks the connection: the request may have run (502). It holds for requests, grants, releases and calls to the store alike.

Guards that were green at once: noise, empty lines and zero bytes without end in place of a response; header lines, one header value, a reason phrase without end (limited by hyper); trailers without end (limited by hyper); many chunks with extensions; bytes without end after a whole response (the response is passed on, the connection is not used again).

Ruled out: a lower limit in hyper, which has none for these; a timer, which is not looked at.

--- a/crates/whinspring-http/src/backend.rs
+++ b/crates/whinspring-http/src/backend.rs
@@ -20,6 +20,7 @@
 mod body;
 mod conn;
 mod error;
+mod read_limit;
 mod write_deadline;
 
 /// Maximum number of idle connections.
--- a/crates/whinspring-http/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         BodyStream, CallError, CloseMode, RequestBody,
+        read_limit::{LimitedStream, ReadLimit},
         write_deadline::{GuardedStream, WriteDeadline},
     },
     crate::clock::Clock,
@@ -45,6 +46,7 @@
     driver: Driver<R>,
     /// Write deadline of the current request.
     deadline: Arc<WriteDeadline>,
+    limit: Arc<ReadLimit>,
     addr: SocketAddr,
     last_used: Instant,
     /// Whether a request was sent on the connection before.
@@ -70,11 +72,13 @@
         })?;
         set_socket_options(&socket, close_mode).map_err(|_| CallError::Unreachable)?;
         let deadline = WriteDeadline::new(clock);
+        let limit = ReadLimit::new();
+        let socket = LimitedStream::new(socket, limit.clone());
         let stream = GuardedStream::new(socket, deadline.clone());
         let handshake = Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
         let (sender, driver) = handshake.map_err(|_| CallError::Unreachable)?;
         let driver = Some(Box::pin(driver));
-        Ok(Self { sender, driver, deadline, addr, last_used: Instant::now(), reused: false })
+        Ok(Self { sender, driver, deadline, limit, addr, last_used: Instant::now(), reused: false })
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -104,13 +108,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails, or if writing the request has not begun before `until`.
+    /// Fails if the connection fails, if writing the request has not begun before `until`, or if what is
+    /// read has no end.
     pub async fn send(
         &mut self,
         request: Request<RequestBody<R>>,
         until: Tick,
     ) -> Result<Response<Incoming>, CallError> {
         self.deadline.set(until);
+        self.limit.reset();
         let mut response = pin!(self.sender.try_send_request(request));
         let (driver, deadline) = (&mut self.driver, &self.deadline);
         let response = poll_fn(|cx| {
@@ -145,6 +151,7 @@
             };
             let frame = frame.map_err(|_| CallError::Sent)?;
             if let Ok(bytes) = frame.into_data() {
+                self.limit.record_delivery(bytes.len());
                 return Poll::Ready(Ok(Some(bytes)));
             }
         }
--- a/crates/whinspring-http/src/backend/write_deadline.rs
+++ b/crates/whinspring-http/src/backend/write_deadline.rs
@@ -1,6 +1,7 @@
 //! A socket that does not start to write a request after its write deadline.
 
 use {
+    super::read_limit::LimitedStream,
     crate::clock::Clock,
     hyper::rt::{Read, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
@@ -13,7 +14,6 @@
         },
         task::{Context, Poll, ready},
     },
-    tokio::net::TcpStream,
     whinspring::time::Tick,
 };
 
@@ -53,13 +53,13 @@
 /// A socket that checks the clock before the first write of each request.
 #[derive(Debug)]
 pub struct GuardedStream {
-    socket: TokioIo<TcpStream>,
+    socket: TokioIo<LimitedStream>,
     deadline: Arc<WriteDeadline>,
 }
 
 impl GuardedStream {
     /// Wraps a socket.
-    pub fn new(socket: TcpStream, deadline: Arc<WriteDeadline>) -> Self {
+    pub fn new(socket: LimitedStream, deadline: Arc<WriteDeadline>) -> Self {
         Self { socket: TokioIo::new(socket), deadline }
     }
 
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod denied;
+mod endless;
 mod follow;
 mod links;
 mod notices;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -6,6 +6,7 @@
         cell::{Cell, RefCell},
         collections::HashMap,
         future::pending,
+        io::Write as _,
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -14,7 +15,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
-        task::{LocalSet, spawn_local},
+        task::{LocalSet, spawn_blocking, spawn_local},
         time::{sleep, timeout},
     },
     whinspring::{
@@ -38,6 +39,12 @@
 /// Time after which a test fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Separates the start of a response from the bytes that follow it without end.
+pub const FLOOD: &str = "<flood>";
+
+/// Size of one write of a flood.
+const FLOOD_BYTES: usize = 16 << 10;
+
 /// Pause between the pieces of a request.
 const PIECE_DELAY: Duration = Duration::from_millis(20);
 
@@ -133,7 +140,7 @@
 }
 
 /// Returns the response to a request; `None` closes the connection, and `wait` leaves the request
-/// unanswered.
+/// unanswered. What follows [`FLOOD`] is sent without end.
 pub type Script = fn(&str) -> Option<String>;
 
 /// A running node and the requests that its server received.
@@ -265,12 +272,34 @@
                 seen.borrow_mut().push("gone".into());
                 return;
             }
+            Some(response) if response.contains(FLOOD) => {
+                flood(socket, response).await;
+                seen.borrow_mut().push("gone".into());
+                return;
+            }
             Some(response) => socket.write_all(response.as_bytes()).await.unwrap(),
             None => return,
         }
     }
 }
 
+/// Sends what stands before [`FLOOD`], then what stands after it again and again, until the node
+/// closes the connection. On a thread of its own, as a server is another process.
+async fn flood(socket: TcpStream, response: String) {
+    let socket = socket.into_std().unwrap();
+    socket.set_nonblocking(false).unwrap();
+    spawn_blocking(move || {
+        let (start, again) = response.split_once(FLOOD).unwrap();
+        let again = again.repeat(FLOOD_BYTES / again.len());
+        let mut sent = (&socket).write_all(start.as_bytes());
+        while sent.is_ok() {
+            sent = (&socket).write_all(again.as_bytes());
+        }
+    })
+    .await
+    .unwrap();
+}
+
 fn platform(server: SocketAddr) -> Platform {
     let headers = headers();
     let listing = RefCell::new(Listing { position: Position::new(0, 1), items: Vec::new() });
