A streamed response ends at the deadline, and when its caller leaves

A caller that had left was noticed only by a failed write: at a stalled server the request kept its slot for ever; two such requests took all slots of a server with two.

Cause: neither the deadline nor the caller's connection is watched once the first 32 KiB have been read: both belong to the handler, which has returned by then.

Evidence: a_body_without_end_is_broken_off_at_the_deadline (nothing final 450 ms after a deadline of 400 ms), a_rejection_with_a_body_without_end_ends_the_attempt (a 500 without end) and a_stream_whose_caller_leaves_is_cancelled (the third request gets no head within 20 s), red before, green after.

Change: the body of a streamed response carries the end of its time and the caller's connection. The log line stream_broken_off tells the id, the server and why.

Ruled out: an end at the deadline itself, as a server that gets it as its own ends a few milliseconds before or after.

--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -10,7 +10,7 @@
         node::Node,
         notices,
         platform::{Platform, Position, Word},
-        response::{Body, Rejection, strip_headers},
+        response::{Body, Rejection, Stream, strip_headers},
     },
     bytes::Bytes,
     http::{
@@ -49,6 +49,9 @@
 /// Time reserved for sending the final response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Time after the deadline in which a response whose body is being sent may still end.
+const LATE_STREAM_TIME: Duration = Duration::from_millis(165);
+
 /// Deadline of a request whose caller sets none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -532,13 +535,13 @@
         strip_headers(&mut parts.headers);
         let buffered = length.is_none_or(|length| length <= MAX_BUFFERED_BYTES);
         let body = match buffered {
-            false => Body::Stream(Box::new(attempt), length),
+            false => self.stream(attempt, length),
             true => {
                 match timeout(self.deadline.since(self.node.now()), attempt.collect(length)).await {
                     Ok(Collected::Complete(bytes)) => Body::Full(Some(bytes)),
                     Ok(Collected::Partial(prefix)) => {
                         attempt.prefix = Some(prefix);
-                        Body::Stream(Box::new(attempt), None)
+                        self.stream(attempt, None)
                     }
                     Ok(Collected::Broken) => {
                         return Outcome::Lost(Code::Truncated, "the response body was truncated");
@@ -557,6 +560,12 @@
         *response.headers_mut() = parts.headers;
         Outcome::Response(response)
     }
+
+    /// Returns the body of a response that is too long to buffer.
+    fn stream(&self, attempt: Attempt<P>, length: Option<u64>) -> Body<P> {
+        let limit = self.deadline.since(self.node.now()) + LATE_STREAM_TIME;
+        Body::Stream(Box::new(Stream::new(attempt, length, limit, self.id.clone())))
+    }
 }
 
 /// Probes whether a server crashed while it ran a request; if so, records the crash here and on the
--- a/crates/whinspring-router/src/request/attempt.rs
+++ b/crates/whinspring-router/src/request/attempt.rs
@@ -4,6 +4,7 @@
     crate::{admission::Permit, node::Node, platform::Platform},
     bytes::{Bytes, BytesMut},
     hyper::body::Incoming,
+    log::info,
     std::{
         io,
         rc::Rc,
@@ -72,6 +73,15 @@
         }
     }
 
+    /// Breaks off the response; the request's `id` and `why` are for the log.
+    pub fn abort(&mut self, id: &str, why: &'static str) {
+        let elapsed = self.node.now().since(self.start).as_millis() as u64;
+        self.node.metrics.count("stream_broken_off");
+        info!(event = "stream_broken_off", id, server = self.server.as_str(), route = self.route.as_str(), why, elapsed_ms = elapsed; "the rest of the server's response is not forwarded");
+        self.body = None;
+        self.conn = None;
+    }
+
     /// Reads a response body up to [`MAX_BUFFERED_BYTES`]; `length` is its expected length.
     pub(super) async fn collect(&mut self, length: Option<u64>) -> Collected {
         let mut all = BytesMut::with_capacity(length.unwrap_or(0) as usize);
--- a/crates/whinspring-router/src/response.rs
+++ b/crates/whinspring-router/src/response.rs
@@ -10,18 +10,51 @@
     std::{
         io,
         pin::Pin,
+        rc::Rc,
         task::{Context, Poll},
         time::Duration,
     },
+    tokio::time::{Sleep, sleep},
     whinspring::code::Code,
+    whinspring_http::caller::Conn,
     xitca_http::body::{self, Frame, SizeHint},
 };
 
 pub enum Body<P: Platform> {
     /// A whole body, until it is taken.
     Full(Option<Bytes>),
-    /// A body that is streamed from a server, with its length if known.
-    Stream(Box<Attempt<P>>, Option<u64>),
+    /// A body that is streamed from a server.
+    Stream(Box<Stream<P>>),
+}
+
+/// A body that is streamed from a server, until its time ends or the caller has left.
+pub struct Stream<P: Platform> {
+    attempt: Attempt<P>,
+    /// Length of the body, if known.
+    length: Option<u64>,
+    /// Ends when the body is broken off.
+    end: Pin<Box<Sleep>>,
+    caller: Rc<Conn>,
+    /// Id of the request.
+    id: HeaderValue,
+}
+
+impl<P: Platform> Stream<P> {
+    /// Creates a body that is broken off after `limit`.
+    pub fn new(attempt: Attempt<P>, length: Option<u64>, limit: Duration, id: HeaderValue) -> Self {
+        Self { attempt, length, end: Box::pin(sleep(limit)), caller: Conn::current(), id }
+    }
+
+    /// Polls for the next bytes.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        let gone = self.caller.poll_closed(cx).is_ready();
+        if gone || self.end.as_mut().poll(cx).is_ready() {
+            let id = self.id.to_str().unwrap_or_default();
+            self.attempt.abort(id, if gone { "caller_gone" } else { "deadline" });
+            return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+        }
+        self.attempt.poll_next(cx)
+    }
 }
 
 impl<P: Platform> body::Body for Body<P> {
@@ -34,8 +67,8 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::Data(bytes)))),
-            Self::Stream(attempt, _) => {
-                attempt.poll_next(cx).map(|next| next.map(|bytes| bytes.map(Frame::Data)))
+            Self::Stream(stream) => {
+                stream.poll_next(cx).map(|next| next.map(|bytes| bytes.map(Frame::Data)))
             }
         }
     }
@@ -43,8 +76,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::Exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
-            Self::Stream(_, Some(length)) => SizeHint::Exact(*length),
-            Self::Stream(_, None) => SizeHint::Unknown,
+            Self::Stream(stream) => stream.length.map_or(SizeHint::Unknown, SizeHint::Exact),
         }
     }
 }
--- a/crates/whinspring-router/tests/path/endless.rs
+++ b/crates/whinspring-router/tests/path/endless.rs
@@ -111,6 +111,13 @@
     assert_ended(|_| Some(format!("{FLOOD}HTTP/1.1 103 Hints\r\nx: 1\r\n\r\n")), "GET", "safe");
 }
 
+#[test]
+fn a_body_without_end_is_broken_off_at_the_deadline() {
+    assert_ended(|_| Some(format!("{SEALED}\r\n{FLOOD}body")), "POST", "once");
+    let long = |_: &str| Some(format!("{SEALED}content-length: 9999999999999\r\n\r\n{FLOOD}body"));
+    assert_ended(long, "GET", "safe");
+}
+
 #[test]
 fn a_chunk_size_without_end_ends_the_attempt() {
     assert_ended(|_| Some(format!("{SEALED}{CHUNKED}{FLOOD}0")), "POST", "once");
@@ -141,6 +148,30 @@
     );
 }
 
+#[test]
+fn a_rejection_with_a_body_without_end_ends_the_attempt() {
+    assert_ended(
+        |_| Some(format!("HTTP/1.1 503 No\r\nx-id: i1\r\nx-not-run: 1\r\n\r\n{FLOOD}no")),
+        "POST",
+        "once",
+    );
+    assert_ended(
+        |_| Some(format!("HTTP/1.1 500 No\r\nx-id: i1\r\n{CHUNKED}{FLOOD}2\r\nno\r\n")),
+        "GET",
+        "safe",
+    );
+    assert_ended(
+        |_| Some(format!("HTTP/1.1 421 No\r\nx-id: i1\r\n{CHUNKED}{FLOOD}2\r\nno\r\n")),
+        "POST",
+        "once",
+    );
+    assert_ended(
+        |_| Some(format!("HTTP/1.1 200 OK\r\nx-id: zz\r\nx-seal: s\r\n\r\n{FLOOD}wrong")),
+        "POST",
+        "once",
+    );
+}
+
 /// The response is complete; what follows belongs to no request.
 #[test]
 fn bytes_after_a_response_are_not_taken_for_the_next_one() {
@@ -159,3 +190,24 @@
         assert!(gone >= SLOTS, "{gone}");
     });
 }
+
+/// Guards against a stalled server's slot that stays taken after the caller has left: the last
+/// request gets a response only if a slot is free.
+#[test]
+fn a_stream_whose_caller_leaves_is_cancelled() {
+    let stalled = |_: &str| {
+        let body = "b".repeat(64 << 10);
+        Some(format!("{SEALED}content-length: 99999999\r\n\r\n{body}"))
+    };
+    run(stalled, |rig| async move {
+        for _ in 0..=SLOTS {
+            let mut socket = rig.connect().await;
+            let request = request("GET", "safe").replace("400", "60000");
+            socket.write_all(request.as_bytes()).await.unwrap();
+            let mut head = [0; 16 << 10];
+            socket.read_exact(&mut head).await.unwrap();
+            drop(socket);
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
