Small chunks of a response do not keep the thread from other work

Callers saw: a server that sends chunks of four bytes without end held the whole node: no other request, timer or heartbeat had its turn.

Cause: tokio ends a task's turn after 128 reads of sockets, and one read brings up to 64 KiB, in which there are thousands of such chunks; taking a chunk from the buffer counts as nothing.

Change: each chunk that is delivered counts toward the task's turn.

--- a/crates/whinspring-http/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -24,7 +24,7 @@
         task::{Context, Poll, ready},
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, time::timeout},
+    tokio::{net::TcpStream, task::coop, time::timeout},
     whinspring::time::Tick,
 };
 
@@ -138,12 +138,14 @@
         poll_fn(|cx| self.poll_next(body, cx)).await
     }
 
-    /// Polls for the next chunk of a response body; `None` after the last one.
+    /// Polls for the next chunk of a response body; `None` after the last one. Yields to other tasks
+    /// after some chunks, however small they are.
     pub fn poll_next(
         &mut self,
         body: &mut Incoming,
         cx: &mut Context<'_>,
     ) -> Poll<Result<Option<Bytes>, CallError>> {
+        let budget = ready!(coop::poll_proceed(cx));
         loop {
             self.poll_driver(cx);
             let Some(frame) = ready!(Pin::new(&mut *body).poll_frame(cx)) else {
@@ -152,6 +154,7 @@
             let frame = frame.map_err(|_| CallError::Sent)?;
             if let Ok(bytes) = frame.into_data() {
                 self.limit.record_delivery(bytes.len());
+                budget.made_progress();
                 return Poll::Ready(Ok(Some(bytes)));
             }
         }
--- a/crates/whinspring-router/tests/path/endless.rs
+++ b/crates/whinspring-router/tests/path/endless.rs
@@ -114,6 +114,7 @@
 #[test]
 fn a_body_without_end_is_broken_off_at_the_deadline() {
     assert_ended(|_| Some(format!("{SEALED}\r\n{FLOOD}body")), "POST", "once");
+    assert_ended(|_| Some(format!("{SEALED}{CHUNKED}{FLOOD}4\r\nbody\r\n")), "GET", "safe");
     let long = |_: &str| Some(format!("{SEALED}content-length: 9999999999999\r\n\r\n{FLOOD}body"));
     assert_ended(long, "GET", "safe");
 }
