--- a/crates/whinspring-router/src/frontend.rs
+++ b/crates/whinspring-router/src/frontend.rs
@@ -9,7 +9,11 @@
         response::{Body, Rejection, set_connection_close},
     },
     bytes::{Bytes, BytesMut},
-    http::{HeaderMap, HeaderValue, Request, Response, Version, header::HOST, request::Parts},
+    http::{
+        HeaderMap, HeaderValue, Request, Response, Version,
+        header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+        request::Parts,
+    },
     log::info,
     socket2::SockRef,
     std::{cell::Cell, convert::Infallible, future::poll_fn, pin::Pin, rc::Rc, time::Duration},
@@ -34,6 +38,9 @@
 
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of headers of a request. The configuration limits their bytes only.
+const MAX_HEADERS: usize = 4_096;
+
 /// Response bytes that are gathered into one write.
 const WRITE_BUFFER_BYTES: usize = 64 << 10;
 
@@ -85,6 +92,7 @@
         .keep_alive_timeout(IDLE_TIMEOUT)
         .request_head_timeout(HEAD_TIMEOUT)
         .max_read_buf_size::<MAX_HEAD_BYTES>()
+        .max_request_headers::<MAX_HEADERS>()
         .max_write_buf_size::<WRITE_BUFFER_BYTES>();
     let state = node.clone();
     let handler = fn_service(move |request| handle(state.clone(), request));
@@ -239,7 +247,7 @@
     headers: &HeaderMap,
     limit: usize,
 ) -> Result<Bytes, Rejection> {
-    let length: Option<usize> = parse_number(headers, &http::header::CONTENT_LENGTH);
+    let length: Option<usize> = parse_number(headers, &CONTENT_LENGTH);
     if length.is_some_and(|length| length > limit) {
         return Err(Rejection::with_status(Code::BadRequest, 413));
     }
@@ -248,7 +256,7 @@
     loop {
         let next = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
         let Ok(next) = timeout(BODY_TIMEOUT, next).await else {
-            return Err(Rejection::with_status(Code::BadRequest, 408));
+            return Err(Code::BodyCut.into());
         };
         match next {
             Some(Ok(Frame::Data(bytes))) if first.is_none() => first = Some(bytes),
@@ -267,8 +275,10 @@
         }
     }
     let whole = if all.is_empty() { first.unwrap_or_default() } else { all.freeze() };
-    if length.is_some_and(|length| length != whole.len()) {
-        return Err(Code::BadRequest.into());
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    if length.is_some_and(|length| length != whole.len()) || chunked && Conn::current().is_at_eof()
+    {
+        return Err(Code::BodyCut.into());
     }
     Ok(whole)
 }
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -1,6 +1,8 @@
 //! Requests over real sockets: responses to callers and requests to servers.
 
 mod answers;
+mod denied;
+mod endless;
 mod follow;
 mod links;
 mod notices;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -6,6 +6,7 @@
         cell::{Cell, RefCell},
         collections::HashMap,
         future::pending,
+        io::Write as _,
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -14,8 +15,8 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
-        task::{LocalSet, spawn_local},
-        time::timeout,
+        task::{LocalSet, spawn_blocking, spawn_local},
+        time::{sleep, timeout},
     },
     whinspring::{
         name::Name,
@@ -38,6 +39,15 @@
 /// Time after which a test fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Separates the start of a response from the bytes that follow it without end.
+pub const FLOOD: &str = "<flood>";
+
+/// Size of one write of a flood.
+const FLOOD_BYTES: usize = 16 << 10;
+
+/// Pause between the pieces of a request.
+const PIECE_DELAY: Duration = Duration::from_millis(20);
+
 /// A platform with one server and a store that only lists objects.
 pub struct Platform {
     /// Number of watches that were started.
@@ -134,7 +144,7 @@
 }
 
 /// Returns the response to a request; `None` closes the connection, and `wait` leaves the request
-/// unanswered.
+/// unanswered. What follows [`FLOOD`] is sent without end.
 pub type Script = fn(&str) -> Option<String>;
 
 /// A running node and the requests that its server received.
@@ -195,16 +205,29 @@
 
     /// Sends a request on a new connection and returns the response.
     pub async fn send(&self, request: &str) -> String {
+        self.send_pieces(&[request.as_bytes()]).await
+    }
+
+    /// Sends a request in pieces, with a pause after each, and returns the response.
+    pub async fn send_pieces(&self, pieces: &[&[u8]]) -> String {
         let mut socket = self.connect().await;
-        socket.write_all(request.as_bytes()).await.unwrap();
-        let mut response = Vec::new();
-        while !is_whole(&response) {
-            if socket.read_buf(&mut response).await.unwrap_or(0) == 0 {
-                break;
-            }
+        for piece in pieces {
+            let _ = socket.write_all(piece).await;
+            sleep(PIECE_DELAY).await;
+        }
+        read_response(&mut socket).await
+    }
+}
+
+/// Reads a response, or what there is of it when the connection ends.
+pub async fn read_response(socket: &mut TcpStream) -> String {
+    let mut response = Vec::new();
+    while !is_whole(&response) {
+        if socket.read_buf(&mut response).await.unwrap_or(0) == 0 {
+            break;
         }
-        String::from_utf8(response).unwrap()
     }
+    String::from_utf8_lossy(&response).into_owned()
 }
 
 /// Returns whether a response with a content length is complete.
@@ -245,7 +268,7 @@
                 return;
             }
         }
-        let request = String::from_utf8(std::mem::take(&mut bytes)).unwrap();
+        let request = String::from_utf8_lossy(&std::mem::take(&mut bytes)).into_owned();
         seen.borrow_mut().push(request.clone());
         match script(&request) {
             Some(response) if response == "wait" => {
@@ -253,12 +276,34 @@
                 seen.borrow_mut().push("gone".into());
                 return;
             }
+            Some(response) if response.contains(FLOOD) => {
+                flood(socket, response).await;
+                seen.borrow_mut().push("gone".into());
+                return;
+            }
             Some(response) => socket.write_all(response.as_bytes()).await.unwrap(),
             None => return,
         }
     }
 }
 
+/// Sends what stands before [`FLOOD`], then what stands after it again and again, until the node
+/// closes the connection. On a thread of its own, as a server is another process.
+async fn flood(socket: TcpStream, response: String) {
+    let socket = socket.into_std().unwrap();
+    socket.set_nonblocking(false).unwrap();
+    spawn_blocking(move || {
+        let (start, again) = response.split_once(FLOOD).unwrap();
+        let again = again.repeat(FLOOD_BYTES / again.len());
+        let mut sent = (&socket).write_all(start.as_bytes());
+        while sent.is_ok() {
+            sent = (&socket).write_all(again.as_bytes());
+        }
+    })
+    .await
+    .unwrap();
+}
+
 fn platform(server: SocketAddr) -> Platform {
     let headers = headers();
     let listing = RefCell::new(Listing { position: Position::new(0, 1), items: Vec::new() });
