Nodes: know, log and tell whether they have lost their paths to all servers

Logs could not tell a server that is gone from a node that reaches none: this adds what tells them apart, and changes no decision.

whinspring::reach is pure: failures to open connections at three different servers (half of the known ones if fewer than six) with no success between them, or as many requests without a response, make the node suspect itself. It probes up to five servers of several failure domains; if none opens, it is cut off since the first failure, and probes on until most of the probed servers open. Log lines paths_lost and paths_regained carry the servers tried, failures, age of the last success and the time cut off; there are counters for both, a gauge cut_off, and the field cut_off in heartbeats (23).

--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -9,6 +9,7 @@
         node::Node,
         peers,
         platform::{Kind, Platform, Position},
+        reach,
         record::NodeRecord,
         settings::Settings,
     },
@@ -127,6 +128,7 @@
     spawn_local(load_owners(node.clone()));
     spawn_local(peers::run_heartbeats(node.clone()));
     spawn_local(admission::run(node.clone()));
+    spawn_local(reach::run(node.clone()));
     spawn_local(control::run(node.clone()));
     loop {
         tokio::select! {
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod owners;
 pub mod peers;
 pub mod platform;
+pub mod reach;
 pub mod record;
 pub mod request;
 pub mod response;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -142,6 +142,9 @@
     pub servers_era: u64,
     #[prost(uint64, tag = "21")]
     pub owners_era: u64,
+    /// Whether the node can reach no server.
+    #[prost(bool, tag = "23")]
+    pub cut_off: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -37,6 +37,8 @@
     /// Time that a request waited at a gate.
     waiting: Histogram,
     pub callers: Gauge,
+    /// Whether this node is cut off from all servers.
+    pub cut_off: Gauge,
 }
 
 impl Metrics {
@@ -58,7 +60,10 @@
         registry.register_with_unit("waiting", text, Unit::Seconds, waiting.clone());
         let callers = Gauge::default();
         registry.register("callers", "Open connections of callers", callers.clone());
-        Self { registry, responses, events, latency, waiting, callers }
+        let cut_off = Gauge::default();
+        let text = "1 while this node can reach no backend server, otherwise 0";
+        registry.register("cut_off", text, cut_off.clone());
+        Self { registry, responses, events, latency, waiting, callers, cut_off }
     }
 
     /// Records a response.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -22,7 +22,7 @@
         rc::Rc,
     },
     tokio::sync::Notify,
-    whinspring::{name::Name, time::Tick},
+    whinspring::{name::Name, reach::Reach, time::Tick},
     whinspring_http::clock::Clock,
 };
 
@@ -42,6 +42,10 @@
     pub retries: RefCell<RetryBudget>,
     /// Requests that crashed servers.
     pub crashes: RefCell<Crashes>,
+    /// Paths to the servers.
+    pub reach: RefCell<Reach>,
+    /// Notified when this node may have lost its paths to all servers.
+    pub doubted: Notify,
     pub metrics: Metrics,
     /// Notified when the view changes.
     pub changed: Notify,
@@ -84,6 +88,8 @@
             meter: RefCell::default(),
             retries: RefCell::default(),
             crashes: RefCell::default(),
+            reach: RefCell::new(Reach::new(fastrand::u64(..))),
+            doubted: Notify::new(),
             metrics: Metrics::new(),
             changed: Notify::new(),
             paused: Notify::new(),
--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -7,6 +7,7 @@
         node::Node,
         owners,
         platform::{Answer, Platform, Reply, Word},
+        reach,
     },
     log::info,
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -69,6 +70,7 @@
 ) -> Reply {
     let life = Life { start_ms: instance.start_ms, addr };
     hear(node, &instance.server, life, answer.word, Source::Command);
+    reach::record_reply(node, &instance.server, &answer.reply);
     answer.reply
 }
 
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -483,6 +483,7 @@
             routes_era: view.position(Kind::Routes).era,
             servers_era: view.position(Kind::Servers).era,
             owners_era: view.position(Kind::Owners).era,
+            cut_off: node.reach.borrow().is_cut_off().is_some(),
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -9,9 +9,11 @@
     std::{
         collections::HashSet,
         fmt::{self, Display, Formatter},
+        io,
         net::SocketAddr,
         time::Duration,
     },
+    tokio::net::TcpStream,
     whinspring::{
         name::Name,
         notices::{Life, Wait, parse_wait},
@@ -274,6 +276,11 @@
     /// Grants keys, or renews a grant.
     fn grant(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Answer>;
 
+    /// Opens a connection to a server and closes it again.
+    fn connect(&self, addr: SocketAddr) -> impl Future<Output = io::Result<()>> {
+        async move { TcpStream::connect(addr).await.map(drop) }
+    }
+
     /// Revokes keys; completes when the server has finished its requests on them.
     fn release(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Answer>;
 }
--- /dev/null
+++ b/crates/whinspring-router/src/reach.rs
@@ -0,0 +1,141 @@
+//! Observation of this node's network paths to the backend servers.
+//!
+//! Requests and commands report whether connections opened and responses arrived; the decisions are
+//! in [`whinspring::reach`]. A task probes servers while the node may be cut off from all of them,
+//! and tells the other nodes in its heartbeats whether it is.
+
+use {
+    crate::{
+        node::Node,
+        peers,
+        platform::{Platform, Reply},
+    },
+    futures_util::future::join_all,
+    log::{info, warn},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
+    whinspring::{
+        name::Name,
+        reach::{Change, Evidence, PROBE_TIMEOUT, Target},
+        time::Tick,
+    },
+    whinspring_http::backend::{CallError, Conn, NoStream},
+};
+
+/// Interval at which a node in doubt checks whether servers are to be probed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Probes servers while the node may be cut off from all of them. Never returns.
+pub async fn run<P: Platform>(node: Rc<Node<P>>) {
+    loop {
+        if node.reach.borrow().is_probe_due(node.now()) {
+            probe_servers(&node).await;
+        }
+        let in_doubt = node.reach.borrow().is_in_doubt();
+        tokio::select! {
+            () = node.doubted.notified() => {}
+            () = sleep(CHECK_INTERVAL), if in_doubt => {}
+        }
+    }
+}
+
+/// Runs one round of probes.
+async fn probe_servers<P: Platform>(node: &Rc<Node<P>>) {
+    let addrs = draw_servers(node);
+    let probes = addrs.iter().map(|addr| timeout(PROBE_TIMEOUT, node.platform.connect(*addr)));
+    let results = join_all(probes).await;
+    let reached = results.iter().filter(|result| matches!(result, Ok(Ok(())))).count();
+    let change = node.reach.borrow_mut().end_round(addrs.len(), reached, node.now());
+    if let Some(change) = change {
+        record_change(node, change);
+    }
+}
+
+/// Starts a round of probes and returns the addresses to probe.
+fn draw_servers<P: Platform>(node: &Rc<Node<P>>) -> Vec<SocketAddr> {
+    let view = node.view.borrow();
+    let listed = view.servers.values().filter(|server| server.missing.is_none());
+    let targets: Vec<Target<'_>> =
+        listed.map(|server| Target { name: &server.name, domain: &server.entry.domain }).collect();
+    let drawn = node.reach.borrow_mut().start_round(&targets, node.now());
+    drawn.iter().filter_map(|name| view.servers.get(name)).map(|server| server.entry.addr).collect()
+}
+
+/// Logs a change of the paths and tells it to the other nodes.
+fn record_change<P: Platform>(node: &Rc<Node<P>>, change: Change) {
+    let now = node.now();
+    let age = |tick: Tick| now.since(tick).as_millis() as u64;
+    match change {
+        Change::Lost(Evidence { tried, failures, last_success, since, .. }) => {
+            node.metrics.count("paths_lost");
+            node.metrics.cut_off.set(1);
+            let success = last_success.map_or("never".into(), |at| age(at).to_string());
+            warn!(event = "paths_lost", tried, failures, success_ms = success, cut_ms = age(since); "no server can be reached from this node; the fault is in its own paths or in all servers");
+        }
+        Change::Regained(Evidence { tried, reached, failures, since, .. }) => {
+            node.metrics.count("paths_regained");
+            node.metrics.cut_off.set(0);
+            info!(event = "paths_regained", tried, reached, failures, cut_ms = age(since); "servers can be reached from this node again");
+        }
+    }
+    peers::send_heartbeats(node, now);
+}
+
+/// Records whether a connection was opened to a server for a request; a reused one tells nothing.
+pub fn record_conn<P: Platform>(
+    node: &Node<P>,
+    server: &Name,
+    result: &Result<Conn<NoStream>, CallError>,
+) {
+    match result {
+        Ok(conn) if conn.is_reused() => {}
+        Ok(_) => record_open(node, server, true),
+        Err(_) => record_open(node, server, false),
+    }
+}
+
+/// Records whether a connection to a server could be opened.
+pub fn record_open<P: Platform>(node: &Node<P>, server: &Name, opened: bool) {
+    node.reach.borrow_mut().record_open(server, opened, node.now());
+    note_doubt(node);
+}
+
+/// Records that a request got no response before its deadline; `connected` tells whether it had a
+/// connection. One that had little time for opening a connection tells nothing.
+pub fn record_timeout<P: Platform>(node: &Node<P>, server: &Name, start: Tick, connected: bool) {
+    if connected {
+        record_no_response(node, server);
+    } else if node.now().since(start) >= PROBE_TIMEOUT {
+        record_open(node, server, false);
+    }
+}
+
+/// Records that a response of a server arrived.
+pub fn record_response<P: Platform>(node: &Node<P>) {
+    node.reach.borrow_mut().record_response(node.now());
+}
+
+/// Records that a request or command to a server got no response.
+pub fn record_no_response<P: Platform>(node: &Node<P>, server: &Name) {
+    node.reach.borrow_mut().record_no_response(server, node.now());
+    note_doubt(node);
+}
+
+/// Records the outcome of a command to a server.
+pub fn record_reply<P: Platform>(node: &Node<P>, server: &Name, reply: &Reply) {
+    match reply {
+        Reply::Done(_) | Reply::Fenced | Reply::Replaced => record_response(node),
+        Reply::Down | Reply::Unsent => record_open(node, server, false),
+        Reply::NoResponse => record_no_response(node, server),
+    }
+}
+
+/// Has servers probed if the last failure makes the node doubt its paths.
+fn note_doubt<P: Platform>(node: &Node<P>) {
+    let known = node.view.borrow().servers.len();
+    let mut reach = node.reach.borrow_mut();
+    reach.set_known(known);
+    if reach.is_suspect() {
+        node.doubted.notify_one();
+    }
+}
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -10,6 +10,7 @@
         node::Node,
         notices,
         platform::{Platform, Position, Word},
+        reach,
         response::{Body, Rejection, strip_headers},
     },
     bytes::Bytes,
@@ -412,6 +413,7 @@
         let exchange = self.exchange(&mut attempt, server);
         let Ok(result) = timeout(left, exchange).await else {
             attempt.permit.outcome = ServerOutcome::Failed;
+            reach::record_timeout(node, server, start, attempt.conn.is_some());
             return match attempt.conn.is_some() {
                 true => {
                     Outcome::Lost(Code::Deadline, "the server did not respond before the deadline")
@@ -421,6 +423,7 @@
         };
         match result {
             Ok(response) => {
+                reach::record_response(node);
                 let word =
                     Word::read(response.status(), response.headers(), node.platform.headers());
                 notices::hear(node, server, life, word, Source::Response);
@@ -429,6 +432,7 @@
             Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
             Err(SendError::Call(fault)) if fault.is_sent() => {
                 attempt.permit.outcome = ServerOutcome::Failed;
+                reach::record_no_response(node, server);
                 spawn_local(probe_server(node.clone(), attempt.backend.clone(), fingerprint));
                 Outcome::Lost(
                     Code::ServerLost,
@@ -452,10 +456,12 @@
     ) -> Result<Response<Incoming>, SendError> {
         let non_idempotent = !self.route.idempotent;
         for fresh in [false, true] {
-            let conn = match fresh {
-                false => attempt.backend.acquire(non_idempotent).await?,
-                true => attempt.backend.open().await?,
+            let result = match fresh {
+                false => attempt.backend.acquire(non_idempotent).await,
+                true => attempt.backend.open().await,
             };
+            reach::record_conn(&self.node, server, &result);
+            let conn = result?;
             let deadline = self.deadline;
             let request = self.build_request(server);
             if let Err(refusal) =
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod plan;
 pub mod planner;
 pub mod ranges;
+pub mod reach;
 pub mod record;
 pub mod rendezvous;
 pub mod replica;
