--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -8,6 +8,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
+        io,
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -32,6 +33,7 @@
             Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Position, Reply,
             ServerControl, ServerEntry, Store, StoreError, Word,
         },
+        reach,
         record::OwnersRecord,
         settings::Limits as NodeLimits,
     },
@@ -42,6 +44,9 @@
 
 const RESPONSE_DELAY: Duration = Duration::from_millis(4);
 
+/// Time after which a connection that does not open is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time from the effect of a slow node's write to its response.
 const SLOW_RESPONSE_DELAY: Duration = Duration::from_millis(1_200);
 
@@ -153,6 +158,8 @@
     servers: BTreeMap<Name, Server>,
     /// Nodes that the store does not respond to.
     pub cut_off: Vec<Name>,
+    /// Nodes that reach no server.
+    pub pathless: Vec<Name>,
     pub store_down: bool,
     /// Whether nodes learn the owners from each other with the heartbeats.
     pub shares_owners: bool,
@@ -189,6 +196,7 @@
             stale: BTreeMap::new(),
             servers: (0..servers).map(server).collect(),
             cut_off: Vec::new(),
+            pathless: Vec::new(),
             store_down: false,
             shares_owners: false,
             slow: None,
@@ -539,7 +547,7 @@
     ) -> Reply {
         let target = self.world.borrow().at(addr);
         let arrived = Instant::now();
-        let (unreachable, slow, delay) = {
+        let (lost, slow, delay) = {
             let mut world = self.world.borrow_mut();
             world.commands.push(self.node.clone());
             *world.sent_to.entry(target.clone()).or_default() += 1;
@@ -548,10 +556,11 @@
             let slow = world.rng.0.random_ratio(slow, 100);
             let delay = world.rng.0.random_range(if slow { 550..900 } else { 2_000..12_000 });
             let delay = (late || slow).then(|| Duration::from_millis(delay));
-            (world.servers[&target].unreachable, slow, delay)
+            let unreachable = world.servers[&target].unreachable;
+            (unreachable || world.pathless.contains(&self.node), slow, delay)
         };
-        if unreachable {
-            sleep(Duration::from_millis(500)).await;
+        if lost {
+            sleep(CONNECT_TIMEOUT).await;
             return Reply::Unsent;
         }
         if target != grant.server {
@@ -587,6 +596,21 @@
 }
 
 impl ServerControl for Platform {
+    async fn connect(&self, addr: SocketAddr) -> io::Result<()> {
+        let (lost, refuses) = {
+            let world = self.world.borrow();
+            let server = &world.servers[&world.at(addr)];
+            let lost = server.unreachable || world.pathless.contains(&self.node);
+            (lost, server.down || server.refusing)
+        };
+        sleep(if lost { CONNECT_TIMEOUT } else { RESPONSE_DELAY }).await;
+        match (lost, refuses) {
+            (true, _) => Err(io::ErrorKind::TimedOut.into()),
+            (_, true) => Err(io::ErrorKind::ConnectionRefused.into()),
+            (_, false) => Ok(()),
+        }
+    }
+
     async fn grant(&self, addr: SocketAddr, grant: &Grant) -> Answer {
         let reply = self
             .command(addr, grant, |world, name, grant, at| world.apply_grant(name, grant, at))
@@ -740,6 +764,7 @@
     node.view.borrow_mut().routes = Some(Arc::new(table));
     show_servers(&node);
     spawn_local(control::run(node.clone()));
+    spawn_local(reach::run(node.clone()));
     spawn_local(watch_servers(node.clone()));
     node
 }
@@ -773,6 +798,15 @@
     }
 }
 
+/// Opens connections to the servers in turn, as requests do. Never returns.
+pub async fn call_servers(node: Rc<Node<Platform>>, servers: usize) {
+    for index in (0..servers).cycle() {
+        sleep(Duration::from_millis(100)).await;
+        let opened = node.platform.connect(addr(index)).await.is_ok();
+        reach::record_open(&node, &name(index), opened);
+    }
+}
+
 /// Delivers heartbeats between nodes while `isolated` is false. Never returns.
 pub async fn exchange_heartbeats(nodes: Vec<Rc<Node<Platform>>>, isolated: Rc<RefCell<bool>>) {
     loop {
@@ -810,6 +844,7 @@
         is_leader: control.is_leader(),
         leaving: node.leaving.get(),
         era: node.platform.era(),
+        cut_off: node.reach.borrow().is_cut_off().is_some(),
         store_age_ms: node.now().since(node.store_contact.get()).as_millis() as u32,
         ..Heartbeat::default()
     }
--- a/crates/whinspring-router/tests/owners/main.rs
+++ b/crates/whinspring-router/tests/owners/main.rs
@@ -5,6 +5,7 @@
 //! servers are fakes that check every grant. Faults and their times are drawn from seeds.
 
 mod fake;
+mod paths;
 mod restores;
 mod scenarios;
 mod seeds;
