Controller: one that is cut off from all servers resigns while another node is not

Cause: the election looks at the store and at CPU shares only; a controller that reaches the store but no server keeps its place. Class of fault: liveness of a leader measured on another path than the one it works on.

Now a controller that is cut off resigns on the usual path (no command is sent from then on, the next one is elected at once) and does not campaign while a live node exists that is not cut off, not leaving and has the store; election rank and has_stronger_peer skip nodes that are cut off. If all are cut off, nothing is skipped. Ruled out: waiting for handovers to end first, as a cut-off controller cannot end them; resigning on a suspicion, which ends by itself within 0.3 s.

--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -2,7 +2,9 @@
 //!
 //! The controller is named by a record in the store that is changed by conditional writes only. A
 //! node campaigns when the controller is silent, has not been confirmed by the store for too long,
-//! or has resigned. Nodes with a larger CPU share campaign first.
+//! or has resigned. Nodes with a larger CPU share campaign first. A node that is cut off from all
+//! servers is no use as the controller: it resigns, and does not campaign, while another live node
+//! is not cut off.
 
 use {
     super::{Controller, grants, progress, restore},
@@ -52,7 +54,7 @@
     loop {
         if node.control.borrow().is_leader {
             confirm_leadership(&node);
-            if should_yield(&node) {
+            if should_yield(&node) || should_retire(&node) {
                 resign(&node).await;
             }
             if node.control.borrow().may_command(node.now()) {
@@ -73,6 +75,29 @@
     established && !control.resigning && !has_handovers(&control) && has_stronger_peer(node, now)
 }
 
+/// Returns whether the controller should resign because it reaches no server while another node does.
+fn should_retire<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    if node.control.borrow().resigning || !is_outdone(node) {
+        return false;
+    }
+    let cut_ms = cut_since(node).map_or(0, |since| node.now().since(since).as_millis() as u64);
+    warn!(event = "retires", term = node.control.borrow().term, cut_ms; "this controller is cut off from all servers, and another node is not; it resigns");
+    true
+}
+
+fn cut_since<P: Platform>(node: &Rc<Node<P>>) -> Option<Tick> {
+    node.reach.borrow().is_cut_off()
+}
+
+/// Returns whether this node is cut off from all servers while another one, which could be the
+/// controller, is not.
+fn is_outdone<P: Platform>(node: &Rc<Node<P>>) -> bool {
+    let peers = node.peers.borrow();
+    let mut others = peers.live(node.now()).map(|(_, peer)| &peer.heartbeat);
+    let is_able = |peer: &Heartbeat| !peer.cut_off && !peer.leaving && !peer.store_lost;
+    cut_since(node).is_some() && others.any(is_able)
+}
+
 fn has_handovers(control: &Controller) -> bool {
     control.handovers.values().any(progress::Progress::has_unfinished)
 }
@@ -80,7 +105,7 @@
 /// Returns whether there seems to be no controller and it is this node's turn to campaign.
 fn should_campaign<P: Platform>(node: &Rc<Node<P>>) -> bool {
     let now = node.now();
-    if node.leaving.get() || node.store_lost.get() {
+    if node.leaving.get() || node.store_lost.get() || is_outdone(node) {
         return false;
     }
     let control = node.control.borrow();
@@ -101,24 +126,30 @@
 }
 
 /// Returns the number of live nodes that campaign before this one: those with a larger CPU share,
-/// and among equals those that rank first in an order drawn for each term.
+/// and among equals those that rank first in an order drawn for each term. Nodes that are cut off from
+/// all servers count only if this one is, too.
 fn election_rank<P: Platform>(node: &Rc<Node<P>>, now: Tick, control: &Controller) -> u32 {
     let order = |name: &Name, share: u32| (Reverse(share), rendezvous::rank(&[name], control.term));
     let own = order(node.name(), node.settings.limits.cpu_percent);
     let leader = control.leader.as_ref().map(|(name, _)| name);
     let peers = node.peers.borrow();
-    let others =
-        peers.live(now).filter(|(name, peer)| !peer.heartbeat.leaving && Some(*name) != leader);
+    let cut_off = cut_since(node).is_some();
+    let others = peers.live(now).filter(|(name, peer)| {
+        !peer.heartbeat.leaving && Some(*name) != leader && (cut_off || !peer.heartbeat.cut_off)
+    });
     others.filter(|(name, peer)| order(name, peer.heartbeat.cpu_share) < own).count() as u32
 }
 
-/// Returns whether a live node has at least [`MIN_CPU_RATIO`] times the CPU share of this one.
+/// Returns whether a live node has at least [`MIN_CPU_RATIO`] times the CPU share of this one. Nodes
+/// that are cut off from all servers count only if this one is, too.
 fn has_stronger_peer<P: Platform>(node: &Rc<Node<P>>, now: Tick) -> bool {
     let share = node.settings.limits.cpu_percent;
     let peers = node.peers.borrow();
-    let mut others =
-        peers.live(now).filter(|(_, peer)| !peer.heartbeat.leaving && !peer.heartbeat.store_lost);
-    others.any(|(_, peer)| peer.heartbeat.cpu_share >= share * MIN_CPU_RATIO)
+    let cut_off = cut_since(node).is_some();
+    let is_able =
+        |peer: &Heartbeat| !peer.leaving && !peer.store_lost && (cut_off || !peer.cut_off);
+    let mut others = peers.live(now).map(|(_, peer)| &peer.heartbeat).filter(|peer| is_able(peer));
+    others.any(|peer| peer.cpu_share >= share * MIN_CPU_RATIO)
 }
 
 /// Tries to become the controller.
--- a/crates/whinspring-router/tests/owners/paths.rs
+++ b/crates/whinspring-router/tests/owners/paths.rs
@@ -4,6 +4,8 @@
     crate::fake::{
         Platform, World, advance, call_servers, exchange_heartbeats, start, with_paused_clock,
     },
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
     whinspring::name::Name,
@@ -75,3 +77,50 @@
         });
     }
 }
+
+/// The first to notice may resign, as it does not know of the others yet.
+#[test]
+fn one_controller_stays_in_office_while_all_nodes_are_cut_off() {
+    for seed in 0..SEEDS {
+        with_paused_clock(seed, async {
+            let world = World::new(seed, SERVERS);
+            let nodes = cluster(&world, 5).await;
+            cut_off(&world, &nodes, 5);
+            advance(2 * RESIGNED_AFTER_MS).await;
+            assert!(nodes.iter().all(|node| node.reach.borrow().is_cut_off().is_some()));
+            let elected = controller(&nodes);
+            assert!(elected.is_some(), "seed {seed}: no controller");
+            for _ in 0..50 {
+                advance(100).await;
+                assert_eq!(controller(&nodes), elected, "seed {seed}");
+            }
+            world.borrow_mut().pathless.clear();
+            advance(3_000).await;
+            assert_eq!(held(&world), 1.0, "seed {seed}");
+            check(&world);
+        });
+    }
+}
+
+/// Cuts begin and end while keys move, so that controllers resign in the middle of handovers.
+#[test]
+fn cuts_of_random_nodes_never_give_a_key_to_two_servers() {
+    for seed in 0..2 * SEEDS {
+        with_paused_clock(seed, async {
+            let world = World::new(seed, SERVERS);
+            let nodes = cluster(&world, 5).await;
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            for index in 0..6 {
+                let cut = nodes.iter().filter(|_| rng.random_bool(0.5));
+                let cut = cut.map(|node| node.name().clone()).collect();
+                world.borrow_mut().pathless = cut;
+                world.borrow_mut().leave(index);
+                advance(rng.random_range(200..4_000)).await;
+            }
+            world.borrow_mut().pathless.clear();
+            advance(15_000).await;
+            assert_eq!(held(&world), 1.0, "seed {seed}");
+            check(&world);
+        });
+    }
+}
