Cut-off nodes: what they see of servers counts for nothing

A node that reaches no server took each refusal for the server's: the controller counted servers as dead, a lost request followed by a refusal was reported to all nodes as a crash (the fingerprint is then refused everywhere), slowness that cut-off nodes measured moved keys, and they counted as live nodes that had to confirm a death.

Cause: a refused connection was taken as proof about the server alone. Now a node that is cut off or suspects it is no witness: it sends no refusals, is not counted among the live nodes, its controller role declares nobody dead and plans no moves, and a death needs a connection to another server opened since the first refusal; the probes for it are requested along with those of the other nodes. A crash is reported only if most of a few other servers are reached. Its latencies are left out; what it counted of demand and the fact that a server responded stay, as both are true.

Ruled out: asking only nodes that are not cut off to probe, as heartbeats tell it up to 0.25 s late.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -171,7 +171,8 @@
         }
     }
 
-    /// Adds the loads and latencies that a node measured.
+    /// Adds the loads and latencies that a node measured. The latencies of a node that is cut off from
+    /// all servers tell nothing of the servers.
     pub fn record_measurements(&mut self, now: Tick, heartbeat: &Heartbeat) {
         self.decay_loads(now);
         for load in &heartbeat.keys {
@@ -183,6 +184,9 @@
             let ratio = f64::from(latency.total_ms) / f64::from(latency.expected_ms);
             let server = Name::from(latency.server.as_str());
             self.last_response.insert(server.clone(), now);
+            if heartbeat.cut_off {
+                continue;
+            }
             let known = self.slowness.entry(server).or_insert(1.0);
             let weight = 1.0 - (1.0 - LATENCY_SMOOTHING).powi(latency.count as i32);
             *known += (ratio - *known) * weight;
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -366,8 +366,12 @@
     }
 }
 
-/// Moves keys off overloaded servers and off those that are leaving.
+/// Moves keys off overloaded servers and off those that are leaving, unless this node may be cut off
+/// from all servers and take them for dead.
 async fn rebalance<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) {
+    if node.reach.borrow().is_in_doubt() {
+        return;
+    }
     let Some((position, owned)) = current_ownership(node, service) else { return };
     let servers = candidates(node, service, now);
     let next = {
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -6,9 +6,10 @@
         message::{Body, ProbeRequest, ProbeResult},
         node::Node,
         platform::{Platform, Reply},
+        reach,
     },
     std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{net::TcpStream, time::timeout},
+    tokio::time::timeout,
     whinspring::{
         name::Name,
         ranges::{Instance, balance::Candidate},
@@ -88,13 +89,17 @@
 /// Returns whether a server is certainly dead: it has refused connections for some time, more than
 /// two thirds of the live nodes saw the same, and none got a response meanwhile. One refusal proves
 /// nothing: a server also refuses some nodes when it has too many connections or is partitioned
-/// from them.
+/// from them. Nodes that are cut off from all servers are not counted, and prove nothing themselves;
+/// this one must have opened a connection to another server since.
 pub(super) fn is_dead<P: Platform>(
     node: &Rc<Node<P>>,
     instance: &Instance,
     addr: SocketAddr,
 ) -> bool {
     let now = node.now();
+    if node.reach.borrow().is_in_doubt() {
+        return false;
+    }
     let is_serving = {
         let view = node.view.borrow();
         let listed = view.servers.get(&instance.server);
@@ -106,18 +111,23 @@
     let Some(refusals) = control.down.get(instance) else { return false };
     let responded = control.last_response.get(&instance.server).copied().unwrap_or_default();
     let probes = control.probes.get(&addr);
-    let live_nodes = node.peers.borrow().live(now).count() + 1;
-    let refused = probes.map_or(0, |round| round.refused.len()) + 1;
+    let peers = node.peers.borrow();
+    let witnesses = || peers.live(now).filter(|(_, peer)| !peer.heartbeat.cut_off);
+    let live_nodes = witnesses().count() + 1;
+    let has_refused = |name: &Name| probes.is_some_and(|round| round.refused.contains(name));
+    let refused = witnesses().filter(|(name, _)| has_refused(name)).count() + 1;
     let reached = probes.is_some_and(|round| round.reached);
     now.since(refusals.first) >= after
         && responded < refusals.first
+        && node.reach.borrow().has_opened_since(refusals.first)
         && !reached
         && refused * 3 > live_nodes * 2
 }
 
-/// Asks all nodes to probe whether a server refuses connections.
+/// Asks all nodes to probe whether a server refuses connections, and probes others itself.
 pub(super) fn request_probes<P: Platform>(node: &Rc<Node<P>>, addr: SocketAddr) {
     let now = node.now();
+    reach::request_round(node);
     {
         let mut control = node.control.borrow_mut();
         let round = control.probes.entry(addr).or_default();
@@ -129,13 +139,17 @@
     node.send_all(Body::ProbeRequest(ProbeRequest { addr: addr.to_string() }));
 }
 
-/// Probes a server on behalf of another node, and sends it the result. A timeout sends nothing.
+/// Probes a server on behalf of another node, and sends it the result. A timeout sends nothing, and
+/// neither does a refusal if this node may be cut off from all servers.
 pub async fn probe_for_peer<P: Platform>(node: Rc<Node<P>>, requester: Name, addr: SocketAddr) {
-    let refused = match timeout(PROBE_TIMEOUT, TcpStream::connect(addr)).await {
+    let refused = match timeout(PROBE_TIMEOUT, node.platform.connect(addr)).await {
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(_)) => false,
         Err(_) => return,
     };
+    if refused && node.reach.borrow().is_in_doubt() {
+        return;
+    }
     node.send(&requester, Body::ProbeResult(ProbeResult { addr: addr.to_string(), refused }));
 }
 
--- a/crates/whinspring-router/src/crashes.rs
+++ b/crates/whinspring-router/src/crashes.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns whether no crash is known.
+    pub fn is_empty(&self) -> bool {
+        self.fingerprints.is_empty()
+    }
+
     /// Returns whether a request is to be rejected.
     pub fn is_refused(&self, now: Tick, fingerprint: u64) -> bool {
         let crashes = self.fingerprints.get(&fingerprint);
--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -16,7 +16,7 @@
     tokio::time::{sleep, timeout},
     whinspring::{
         name::Name,
-        reach::{Change, Evidence, PROBE_TIMEOUT, Target},
+        reach::{Change, Evidence, PROBE_TIMEOUT, Reach, Target},
         time::Tick,
     },
     whinspring_http::backend::{CallError, Conn, NoStream},
@@ -31,33 +31,61 @@
         if node.reach.borrow().is_probe_due(node.now()) {
             probe_servers(&node).await;
         }
-        let in_doubt = node.reach.borrow().is_in_doubt();
+        let is_waiting = node.reach.borrow().wants_probes();
         tokio::select! {
             () = node.doubted.notified() => {}
-            () = sleep(CHECK_INTERVAL), if in_doubt => {}
+            () = sleep(CHECK_INTERVAL), if is_waiting => {}
         }
     }
 }
 
 /// Runs one round of probes.
 async fn probe_servers<P: Platform>(node: &Rc<Node<P>>) {
-    let addrs = draw_servers(node);
-    let probes = addrs.iter().map(|addr| timeout(PROBE_TIMEOUT, node.platform.connect(*addr)));
-    let results = join_all(probes).await;
-    let reached = results.iter().filter(|result| matches!(result, Ok(Ok(())))).count();
+    let now = node.now();
+    let addrs = draw_servers(node, |reach, targets| reach.start_round(targets, now));
+    let reached = count_reached(node, &addrs).await;
     let change = node.reach.borrow_mut().end_round(addrs.len(), reached, node.now());
     if let Some(change) = change {
         record_change(node, change);
     }
 }
 
-/// Starts a round of probes and returns the addresses to probe.
-fn draw_servers<P: Platform>(node: &Rc<Node<P>>) -> Vec<SocketAddr> {
+/// Has servers probed soon, to learn whether the failure of one is the node's own.
+pub fn request_round<P: Platform>(node: &Node<P>) {
+    node.reach.borrow_mut().request_round();
+    node.doubted.notify_one();
+}
+
+/// Returns whether this node reaches most of a few other servers that are drawn at random, so that a
+/// failure at `server` is not the node's own.
+pub async fn has_paths<P: Platform>(node: &Node<P>, server: &Name) -> bool {
+    let addrs = draw_servers(node, |reach, targets| {
+        let others: Vec<Target<'_>> =
+            targets.iter().filter(|target| target.name != server).cloned().collect();
+        reach.draw(&others)
+    });
+    let reached = count_reached(node, &addrs).await;
+    let is_cut_off = node.reach.borrow().is_cut_off().is_some();
+    !is_cut_off && (addrs.is_empty() || 2 * reached > addrs.len())
+}
+
+/// Returns how many of the servers at some addresses take a connection.
+async fn count_reached<P: Platform>(node: &Node<P>, addrs: &[SocketAddr]) -> usize {
+    let probes = addrs.iter().map(|addr| timeout(PROBE_TIMEOUT, node.platform.connect(*addr)));
+    let results = join_all(probes).await;
+    results.iter().filter(|result| matches!(result, Ok(Ok(())))).count()
+}
+
+/// Returns the addresses of the listed servers that `draw` chooses.
+fn draw_servers<P: Platform>(
+    node: &Node<P>,
+    draw: impl FnOnce(&mut Reach, &[Target<'_>]) -> Vec<Name>,
+) -> Vec<SocketAddr> {
     let view = node.view.borrow();
     let listed = view.servers.values().filter(|server| server.missing.is_none());
     let targets: Vec<Target<'_>> =
         listed.map(|server| Target { name: &server.name, domain: &server.entry.domain }).collect();
-    let drawn = node.reach.borrow_mut().start_round(&targets, node.now());
+    let drawn = draw(&mut node.reach.borrow_mut(), &targets);
     drawn.iter().filter_map(|name| view.servers.get(name)).map(|server| server.entry.addr).collect()
 }
 
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -433,7 +433,8 @@
             Err(SendError::Call(fault)) if fault.is_sent() => {
                 attempt.permit.outcome = ServerOutcome::Failed;
                 reach::record_no_response(node, server);
-                spawn_local(probe_server(node.clone(), attempt.backend.clone(), fingerprint));
+                let backend = attempt.backend.clone();
+                spawn_local(probe_server(node.clone(), server.clone(), backend, fingerprint));
                 Outcome::Lost(
                     Code::ServerLost,
                     "the connection to the server broke before a response",
@@ -566,14 +567,17 @@
 }
 
 /// Probes whether a server crashed while it ran a request; if so, records the crash here and on the
-/// other nodes.
+/// other nodes. A refusal proves nothing if this node may be cut off from the servers.
 async fn probe_server<P: Platform>(
     node: Rc<Node<P>>,
+    server: Name,
     backend: Rc<ConnectionPool<NoStream>>,
     fingerprint: u64,
 ) {
     sleep(PROBE_DELAY).await;
-    if !matches!(backend.open().await, Err(CallError::Refused)) {
+    let result = backend.open().await;
+    reach::record_conn(&node, &server, &result);
+    if !matches!(result, Err(CallError::Refused)) || !reach::has_paths(&node, &server).await {
         return;
     }
     info!(event = "died_with", print = fingerprint; "a server crashed while it ran a request");
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -160,6 +160,8 @@
     pub cut_off: Vec<Name>,
     /// Nodes that reach no server.
     pub pathless: Vec<Name>,
+    /// Whether their connections are refused; otherwise these do not open.
+    pub refuses_pathless: bool,
     pub store_down: bool,
     /// Whether nodes learn the owners from each other with the heartbeats.
     pub shares_owners: bool,
@@ -197,6 +199,7 @@
             servers: (0..servers).map(server).collect(),
             cut_off: Vec::new(),
             pathless: Vec::new(),
+            refuses_pathless: false,
             store_down: false,
             shares_owners: false,
             slow: None,
@@ -547,7 +550,7 @@
     ) -> Reply {
         let target = self.world.borrow().at(addr);
         let arrived = Instant::now();
-        let (lost, slow, delay) = {
+        let (refused, lost, slow, delay) = {
             let mut world = self.world.borrow_mut();
             world.commands.push(self.node.clone());
             *world.sent_to.entry(target.clone()).or_default() += 1;
@@ -557,8 +560,13 @@
             let delay = world.rng.0.random_range(if slow { 550..900 } else { 2_000..12_000 });
             let delay = (late || slow).then(|| Duration::from_millis(delay));
             let unreachable = world.servers[&target].unreachable;
-            (unreachable || world.pathless.contains(&self.node), slow, delay)
+            let pathless = world.pathless.contains(&self.node);
+            (pathless && world.refuses_pathless, unreachable || pathless, slow, delay)
         };
+        if refused {
+            sleep(RESPONSE_DELAY).await;
+            return Reply::Down;
+        }
         if lost {
             sleep(CONNECT_TIMEOUT).await;
             return Reply::Unsent;
@@ -600,8 +608,10 @@
         let (lost, refuses) = {
             let world = self.world.borrow();
             let server = &world.servers[&world.at(addr)];
-            let lost = server.unreachable || world.pathless.contains(&self.node);
-            (lost, server.down || server.refusing)
+            let pathless = world.pathless.contains(&self.node);
+            let refuses = pathless && world.refuses_pathless;
+            let lost = server.unreachable || pathless && !refuses;
+            (lost, server.down || server.refusing || refuses)
         };
         sleep(if lost { CONNECT_TIMEOUT } else { RESPONSE_DELAY }).await;
         match (lost, refuses) {
--- a/crates/whinspring-router/tests/owners/paths.rs
+++ b/crates/whinspring-router/tests/owners/paths.rs
@@ -9,7 +9,10 @@
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
     whinspring::name::Name,
-    whinspring_router::node::Node,
+    whinspring_router::{
+        message::{Heartbeat, ServerLatency},
+        node::Node,
+    },
 };
 
 const SERVERS: usize = 12;
@@ -114,6 +117,7 @@
                 let cut = nodes.iter().filter(|_| rng.random_bool(0.5));
                 let cut = cut.map(|node| node.name().clone()).collect();
                 world.borrow_mut().pathless = cut;
+                world.borrow_mut().refuses_pathless = rng.random_bool(0.5);
                 world.borrow_mut().leave(index);
                 advance(rng.random_range(200..4_000)).await;
             }
@@ -124,3 +128,64 @@
         });
     }
 }
+
+/// Nodes that are cut off cannot tell whether the server refuses connections.
+#[test]
+fn a_crashed_server_is_dead_though_most_nodes_are_cut_off() {
+    with_paused_clock(4, async {
+        let world = World::new(4, SERVERS);
+        let nodes = cluster(&world, 5).await;
+        let cut = cut_off(&world, &nodes, 5);
+        world.borrow_mut().pathless = cut[1..].to_vec();
+        advance(3_000).await;
+        world.borrow_mut().crash(2);
+        advance(2_000).await;
+        assert_eq!(held(&world), 1.0);
+        check(&world);
+    });
+}
+
+/// A controller whose connections are all refused must not take the servers for dead: they still hold
+/// their keys when its paths are back.
+#[test]
+fn refusals_to_a_controller_without_paths_give_no_key_to_two_servers() {
+    for seed in 0..2 * SEEDS {
+        with_paused_clock(seed, async {
+            let world = World::new(seed, SERVERS);
+            let nodes = cluster(&world, 1).await;
+            world.borrow_mut().leave(1);
+            advance(20 + seed * 10).await;
+            cut_off(&world, &nodes, 1);
+            world.borrow_mut().refuses_pathless = true;
+            advance(1_000 + seed * 100).await;
+            world.borrow_mut().pathless.clear();
+            advance(8_000).await;
+            assert_eq!(held(&world), 1.0, "seed {seed}");
+            check(&world);
+        });
+    }
+}
+
+/// Returns the share of a server after a node, which may be cut off, has measured that it is slow.
+fn share_of_slow_server(cut_off: bool) -> f64 {
+    with_paused_clock(5, async {
+        let world = World::new(5, SERVERS);
+        let nodes = cluster(&world, 1).await;
+        let slow =
+            ServerLatency { server: "s02".into(), count: 50, total_ms: 50_000, expected_ms: 5_000 };
+        let heartbeat = Heartbeat { cut_off, latencies: vec![slow], ..Heartbeat::default() };
+        for _ in 0..10 {
+            nodes[0].control.borrow_mut().record_measurements(nodes[0].now(), &heartbeat);
+            advance(500).await;
+        }
+        check(&world);
+        world.borrow().share(2)
+    })
+}
+
+#[test]
+fn what_a_node_that_is_cut_off_measures_moves_no_keys() {
+    let usual = 1.0 / SERVERS as f64;
+    assert!(share_of_slow_server(false) < 0.8 * usual);
+    assert!((share_of_slow_server(true) - usual).abs() < 0.01 * usual);
+}
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod links;
 mod notices;
+mod paths;
 mod rig;
 
 #[path = "../support/setup.rs"]
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -6,6 +6,7 @@
         cell::{Cell, RefCell},
         collections::HashMap,
         future::pending,
+        io,
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -52,8 +53,11 @@
     pub compacted: Cell<bool>,
     /// Highest era that the node knows.
     pub era: Cell<u64>,
+    /// Address of the server.
+    pub server: Cell<SocketAddr>,
+    /// Whether probes reach no server.
+    pub pathless: Cell<bool>,
     headers: Headers,
-    server: SocketAddr,
 }
 
 impl Store for Platform {
@@ -94,6 +98,10 @@
 }
 
 impl ServerControl for Platform {
+    async fn connect(&self, _: SocketAddr) -> io::Result<()> {
+        if self.pathless.get() { Err(io::ErrorKind::ConnectionRefused.into()) } else { Ok(()) }
+    }
+
     async fn grant(&self, _: SocketAddr, _: &Grant) -> Answer {
         Reply::Unsent.into()
     }
@@ -119,7 +127,7 @@
     fn parse_server(&self, _: &Object) -> Option<ServerEntry> {
         Some(ServerEntry {
             service: "plain".into(),
-            addr: self.server,
+            addr: self.server.get(),
             domain: "a".into(),
             slots: 2,
             leaving: false,
@@ -260,7 +268,8 @@
     let listing = RefCell::new(Listing { position: Position::new(0, 1), items: Vec::new() });
     let (watches, wait, era) = (Cell::new(0), Cell::default(), Cell::new(0));
     let (silent, compacted) = (Cell::new(false), Cell::new(false));
-    Platform { watches, wait, silent, listing, compacted, era, headers, server }
+    let (server, pathless) = (Cell::new(server), Cell::new(false));
+    Platform { watches, wait, silent, listing, compacted, era, server, pathless, headers }
 }
 
 fn table(keyed: bool) -> RouteTable {
