--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -145,6 +145,9 @@
     /// Time for which the sender has known the era, from itself or others.
     #[prost(uint64, tag = "32")]
     pub era_age_ms: u64,
+    /// Whether the node can reach no server.
+    #[prost(bool, tag = "23")]
+    pub cut_off: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -10,6 +10,7 @@
         node::Node,
         notices,
         platform::{Platform, Position, Word},
+        reach,
         response::{Body, Rejection, Stream, strip_headers},
     },
     bytes::Bytes,
@@ -415,6 +416,7 @@
         let exchange = self.exchange(&mut attempt, server);
         let Ok(result) = timeout(left, exchange).await else {
             attempt.permit.outcome = ServerOutcome::Failed;
+            reach::record_timeout(node, server, start, attempt.conn.is_some());
             return match attempt.conn.is_some() {
                 true => {
                     Outcome::Lost(Code::Deadline, "the server did not respond before the deadline")
@@ -424,6 +426,7 @@
         };
         match result {
             Ok(response) => {
+                reach::record_response(node);
                 let word =
                     Word::read(response.status(), response.headers(), node.platform.headers());
                 notices::hear(node, server, life, word, Source::Response);
@@ -432,7 +435,9 @@
             Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
             Err(SendError::Call(fault)) if fault.is_sent() => {
                 attempt.permit.outcome = ServerOutcome::Failed;
-                spawn_local(probe_server(node.clone(), attempt.backend.clone(), fingerprint));
+                reach::record_no_response(node, server);
+                let backend = attempt.backend.clone();
+                spawn_local(probe_server(node.clone(), server.clone(), backend, fingerprint));
                 Outcome::Lost(
                     Code::ServerLost,
                     "the connection to the server broke before a response",
@@ -455,10 +460,12 @@
     ) -> Result<Response<Incoming>, SendError> {
         let non_idempotent = !self.route.idempotent;
         for fresh in [false, true] {
-            let conn = match fresh {
-                false => attempt.backend.acquire(non_idempotent).await?,
-                true => attempt.backend.open().await?,
+            let result = match fresh {
+                false => attempt.backend.acquire(non_idempotent).await,
+                true => attempt.backend.open().await,
             };
+            reach::record_conn(&self.node, server, &result);
+            let conn = result?;
             let deadline = self.deadline;
             let request = self.build_request(server);
             if let Err(refusal) =
@@ -569,14 +576,17 @@
 }
 
 /// Probes whether a server crashed while it ran a request; if so, records the crash here and on the
-/// other nodes.
+/// other nodes. A refusal proves nothing if this node may be cut off from the servers.
 async fn probe_server<P: Platform>(
     node: Rc<Node<P>>,
+    server: Name,
     backend: Rc<ConnectionPool<NoStream>>,
     fingerprint: u64,
 ) {
     sleep(PROBE_DELAY).await;
-    if !matches!(backend.open().await, Err(CallError::Refused)) {
+    let result = backend.open().await;
+    reach::record_conn(&node, &server, &result);
+    if !matches!(result, Err(CallError::Refused)) || !reach::has_paths(&node, &server).await {
         return;
     }
     info!(event = "died_with", print = fingerprint; "a server crashed while it ran a request");
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod links;
 mod notices;
+mod paths;
 mod rig;
 
 #[path = "../support/setup.rs"]
