Failing tests: a node that reaches no server serves nobody, though its peer could

Two nodes over real sockets, of which only the second one reaches the server. Callers of the first one get nothing within 20 s, whether its connections are refused or hang.

--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -4,6 +4,8 @@
 mod follow;
 mod links;
 mod notices;
+mod pair;
+mod relay;
 mod rig;
 
 #[path = "../support/setup.rs"]
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -31,12 +31,12 @@
             Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Position, Reply,
             ServerControl, ServerEntry, Store, StoreError,
         },
-        settings::Limits as NodeLimits,
+        settings::{Limits as NodeLimits, Settings},
     },
 };
 
 /// Time after which a test fails.
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A platform with one server and a store that only lists objects.
 pub struct Platform {
@@ -147,8 +147,16 @@
         let server = listener.local_addr().unwrap();
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
-        let node =
-            Node::new(platform(server), settings("n1", NodeLimits::default()), Clock::start());
+        Self::start_node(settings("n1", NodeLimits::default()), server, seen).await
+    }
+
+    /// Starts a node that knows its server at an address.
+    pub async fn start_node(
+        settings: Settings,
+        server: SocketAddr,
+        seen: Rc<RefCell<Vec<String>>>,
+    ) -> Self {
+        let node = Node::new(platform(server), settings, Clock::start());
         node.view.borrow_mut().routes = Some(Arc::new(table(false)));
         let entry = Object { name: "s1".into(), position: Position::new(0, 1), value: Vec::new() };
         follow::apply_listing(
@@ -221,8 +229,8 @@
     });
 }
 
-/// Accepts connections of the node.
-async fn serve(listener: TcpListener, script: Script, seen: Rc<RefCell<Vec<String>>>) {
+/// Accepts connections of nodes.
+pub async fn serve(listener: TcpListener, script: Script, seen: Rc<RefCell<Vec<String>>>) {
     while let Ok((socket, _)) = listener.accept().await {
         spawn_local(follow_script(socket, script, seen.clone()));
     }
