Nodes accept requests of other nodes and send them to servers

A request names the instance of the server that is to run it. The node checks what it knows of that server (notices bind the node that sends), sends the request at most once over its own connections, and streams the response back. Without a response it says in a header whether anything was sent. When the entry node closes its connection, that to the server is closed too, also in the middle of a body. Nobody uses it yet.

--- a/crates/whinspring-http/src/headers.rs
+++ b/crates/whinspring-http/src/headers.rs
@@ -28,6 +28,10 @@
 pub const SLICE: HeaderName = HeaderName::from_static("whinspring-slice");
 /// Epoch of the slice's or key's assignment.
 pub const EPOCH: HeaderName = HeaderName::from_static("whinspring-epoch");
+/// When the server started that is to run a request, in milliseconds since the Unix epoch.
+pub const SERVER_START: HeaderName = HeaderName::from_static("whinspring-server-start-ms");
+/// Why a node that was to relay a request has no response of the server.
+pub const RELAY_FAULT: HeaderName = HeaderName::from_static("whinspring-relay-fault");
 /// Reason why the server did not run a request.
 pub const NOT_RUN: HeaderName = HeaderName::from_static("whinspring-not-run");
 /// W3C trace context.
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -10,6 +10,7 @@
         peers,
         platform::{Kind, Platform, Position},
         record::NodeRecord,
+        relay,
         settings::Settings,
     },
     log::{info, warn},
@@ -111,6 +112,7 @@
     let node = Node::new(platform, settings, Clock::start());
     let settings = &node.settings;
     let links = listen(settings.peer)?;
+    let relayed = listen(settings.relay)?;
     let ready = listen(settings.ready)?;
     let metrics = listen(settings.metrics)?;
     let callers = listen(settings.caller)?;
@@ -120,6 +122,8 @@
     spawn_local(endpoints::serve(node.clone(), metrics, Endpoint::Metrics));
     let connections = Rc::new(Connections::default());
     let frontend = spawn_local(frontend::serve(node.clone(), callers, connections.clone()));
+    let relaying = Rc::new(Connections::default());
+    spawn_local(relay::server::serve(node.clone(), relayed, relaying.clone()));
     spawn_local(register(node.clone()));
     spawn_local(follow::run(node.clone(), Kind::Routes));
     spawn_local(follow::run(node.clone(), Kind::Servers));
@@ -153,6 +157,7 @@
         sleep(BALANCER_DELAY).await;
         frontend.abort();
         connections.close().await;
+        relaying.close().await;
         sleep(FLUSH_DELAY).await;
     };
     if timeout(end, stop).await.is_err() {
--- a/crates/whinspring-router/src/frontend.rs
+++ b/crates/whinspring-router/src/frontend.rs
@@ -11,6 +11,7 @@
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, HeaderValue, Request, Response, Version, header::HOST, request::Parts},
     log::info,
+    prometheus_client::metrics::gauge::Gauge,
     socket2::SockRef,
     std::{cell::Cell, convert::Infallible, future::poll_fn, pin::Pin, rc::Rc, time::Duration},
     tokio::{
@@ -75,20 +76,36 @@
     }
 }
 
-/// Accepts connections until the task is aborted.
+/// A request as the HTTP library passes it on.
+pub type IncomingRequest = Request<RequestExt<RequestBody>>;
+
+/// Accepts connections of callers until the task is aborted.
 pub async fn serve<P: Platform>(
     node: Rc<Node<P>>,
     listener: TcpListener,
     connections: Rc<Connections>,
+) {
+    let state = node.clone();
+    let handler = async move |request| handle(state.clone(), request).await;
+    let gauge = node.metrics.callers.clone();
+    accept(node, listener, connections, gauge, handler).await;
+}
+
+/// Accepts connections whose requests `handler` responds to, until the task is aborted.
+pub async fn accept<P: Platform>(
+    node: Rc<Node<P>>,
+    listener: TcpListener,
+    connections: Rc<Connections>,
+    gauge: Gauge,
+    handler: impl AsyncFn(IncomingRequest) -> Result<Response<Body<P>>, Infallible> + Clone + 'static,
 ) {
     let config = HttpServiceConfig::new()
         .keep_alive_timeout(IDLE_TIMEOUT)
         .request_head_timeout(HEAD_TIMEOUT)
         .max_read_buf_size::<MAX_HEAD_BYTES>()
         .max_write_buf_size::<WRITE_BUFFER_BYTES>();
-    let state = node.clone();
-    let handler = fn_service(move |request| handle(state.clone(), request));
-    let http = handler.enclosed(HttpServiceBuilder::h1().config(config).with_tls(Acceptor));
+    let http =
+        fn_service(handler).enclosed(HttpServiceBuilder::h1().config(config).with_tls(Acceptor));
     let Ok(service) = http.call(()).await else { return };
     let service = Rc::new(service);
     loop {
@@ -97,9 +114,9 @@
             sleep(ACCEPT_BACKOFF).await;
             continue;
         };
-        let (service, connections, node) = (service.clone(), connections.clone(), node.clone());
+        let (service, connections, gauge) = (service.clone(), connections.clone(), gauge.clone());
         connections.open.set(connections.open.get() + 1);
-        node.metrics.callers.inc();
+        gauge.inc();
         spawn_local(async move {
             if let Ok((stream, conn)) = prepare(stream) {
                 tokio::select! {
@@ -107,7 +124,7 @@
                     () = connections.until_closable(&conn) => {}
                 }
             }
-            node.metrics.callers.dec();
+            gauge.dec();
             connections.open.set(connections.open.get() - 1);
             connections.ended.notify_one();
         });
@@ -125,7 +142,7 @@
 /// Handles one request; cancels it when the caller disconnects.
 async fn handle<P: Platform>(
     node: Rc<Node<P>>,
-    request: Request<RequestExt<RequestBody>>,
+    request: IncomingRequest,
 ) -> Result<Response<Body<P>>, Infallible> {
     let conn = Conn::current();
     let busy = conn.track_request();
@@ -229,12 +246,15 @@
 }
 
 /// Parses the number in a header.
-fn parse_number<T: std::str::FromStr>(headers: &HeaderMap, name: &http::HeaderName) -> Option<T> {
+pub fn parse_number<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &http::HeaderName,
+) -> Option<T> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
 /// Reads a request body of at most `limit` bytes.
-async fn read_body(
+pub async fn read_body(
     mut body: RequestBody,
     headers: &HeaderMap,
     limit: usize,
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod platform;
 pub mod record;
+pub mod relay;
 pub mod request;
 pub mod response;
 pub mod retries;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -142,6 +142,9 @@
     pub servers_era: u64,
     #[prost(uint64, tag = "21")]
     pub owners_era: u64,
+    /// Address for requests of nodes that reach no server; empty if the node relays none.
+    #[prost(string, tag = "31")]
+    pub relay: String,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -37,6 +37,8 @@
     /// Time that a request waited at a gate.
     waiting: Histogram,
     pub callers: Gauge,
+    /// Open connections of nodes that relay requests through this one.
+    pub relaying: Gauge,
 }
 
 impl Metrics {
@@ -58,7 +60,10 @@
         registry.register_with_unit("waiting", text, Unit::Seconds, waiting.clone());
         let callers = Gauge::default();
         registry.register("callers", "Open connections of callers", callers.clone());
-        Self { registry, responses, events, latency, waiting, callers }
+        let relaying = Gauge::default();
+        let text = "Open connections of nodes whose requests are sent to servers from here";
+        registry.register("relaying", text, relaying.clone());
+        Self { registry, responses, events, latency, waiting, callers, relaying }
     }
 
     /// Records a response.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -483,6 +483,7 @@
             routes_era: view.position(Kind::Routes).era,
             servers_era: view.position(Kind::Servers).era,
             owners_era: view.position(Kind::Owners).era,
+            relay: node.settings.advertised_relay.to_string(),
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/response.rs
+++ b/crates/whinspring-router/src/response.rs
@@ -1,7 +1,7 @@
 //! Responses to callers.
 
 use {
-    crate::{platform::Platform, request::Attempt},
+    crate::{platform::Platform, relay::Reader, request::Attempt},
     bytes::Bytes,
     http::{
         HeaderValue, Response, StatusCode,
@@ -22,6 +22,8 @@
     Full(Option<Bytes>),
     /// A body that is streamed from a server, with its length if known.
     Stream(Box<Attempt<P>>, Option<u64>),
+    /// A body that is streamed to the node that the request came from, with its length if known.
+    Relayed(Box<Reader>, Option<u64>),
 }
 
 impl<P: Platform> body::Body for Body<P> {
@@ -37,14 +39,19 @@
             Self::Stream(attempt, _) => {
                 attempt.poll_next(cx).map(|next| next.map(|bytes| bytes.map(Frame::Data)))
             }
+            Self::Relayed(reader, _) => {
+                reader.poll_next(cx).map(|next| next.map(|bytes| bytes.map(Frame::Data)))
+            }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::Exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
-            Self::Stream(_, Some(length)) => SizeHint::Exact(*length),
-            Self::Stream(_, None) => SizeHint::Unknown,
+            Self::Stream(_, Some(length)) | Self::Relayed(_, Some(length)) => {
+                SizeHint::Exact(*length)
+            }
+            Self::Stream(_, None) | Self::Relayed(_, None) => SizeHint::Unknown,
         }
     }
 }
--- a/crates/whinspring-router/src/settings.rs
+++ b/crates/whinspring-router/src/settings.rs
@@ -22,6 +22,10 @@
     pub peer: SocketAddr,
     /// Address that other nodes connect to, forwarded to `peer`.
     pub advertised: SocketAddr,
+    /// Address that requests of nodes that reach no server are accepted on.
+    pub relay: SocketAddr,
+    /// Address that other nodes connect to, forwarded to `relay`.
+    pub advertised_relay: SocketAddr,
     /// Address that the metrics are served on.
     pub metrics: SocketAddr,
     /// Address of the platform's object store.
@@ -92,6 +96,8 @@
     let ready = reader.required("ready", ADDR_HINT, parse_addr);
     let peer = reader.required("peer", ADDR_HINT, parse_addr);
     let advertised = reader.optional("advertised", ADDR_HINT, parse_addr);
+    let relay = reader.optional("relay", ADDR_HINT, parse_addr).or(peer.map(next_port));
+    let advertised_relay = reader.optional("advertised_relay", ADDR_HINT, parse_addr);
     let metrics = reader.required("metrics", ADDR_HINT, parse_addr);
     let store = reader.required("store", ADDR_HINT, parse_addr);
     reader.close();
@@ -102,6 +108,8 @@
         ready: ready?,
         peer: peer?,
         advertised: advertised.or(peer)?,
+        relay: relay?,
+        advertised_relay: advertised_relay.or(relay)?,
         metrics: metrics?,
         store: store?,
         limits: Limits::default(),
@@ -112,6 +120,11 @@
     text.parse().ok()
 }
 
+/// Returns the address with the next port.
+fn next_port(addr: SocketAddr) -> SocketAddr {
+    SocketAddr::new(addr.ip(), addr.port().saturating_add(1))
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -26,6 +26,17 @@
     assert_eq!((limits.grace, limits.retry_ratio), (Duration::from_millis(2_500), 0.3));
 }
 
+#[test]
+fn requests_are_relayed_on_the_port_after_that_of_links() {
+    let settings = Settings::parse(SETTINGS).unwrap();
+    assert_eq!(settings.relay, "10.0.0.1:83".parse().unwrap());
+    assert_eq!(settings.advertised_relay, settings.relay);
+    let text = format!("{SETTINGS}relay = 10.0.0.1:90\nadvertised_relay = 10.0.0.8:91\n");
+    let settings = Settings::parse(&text).unwrap();
+    assert_eq!(settings.relay, "10.0.0.1:90".parse().unwrap());
+    assert_eq!(settings.advertised_relay, "10.0.0.8:91".parse().unwrap());
+}
+
 #[test]
 fn every_fault_of_the_settings_is_reported() {
     let text = "[node]\nname = n1\nstore = here\ncolour = red\n[limits]\nretry_ratio = 7\n[more]\n";
--- a/crates/whinspring-router/tests/path/relay.rs
+++ b/crates/whinspring-router/tests/path/relay.rs
@@ -1,7 +1,15 @@
 //! Requests of a node that reaches no server, while other nodes do.
 
 use {
-    crate::pair::{Cut, build_request, run},
+    crate::{
+        pair::{Cut, build_request, run},
+        rig,
+    },
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        time::sleep,
+    },
     whinspring::notices::{Source, Wait},
     whinspring_router::{notices, platform::Word},
 };
@@ -71,16 +79,133 @@
     for leaving in [false, true] {
         run(answer, Cut::Refused, move |pair| async move {
             pair.wait_until_served().await;
-            let time = std::time::Duration::from_secs(5);
+            let time = Duration::from_secs(5);
             let wait = (!leaving).then_some(Wait { time, exact: true });
             let (node, server) = (&pair.relay.node, "s1".into());
             let life = node.view.borrow().servers["s1"].life();
             notices::hear(node, &server, life, Word { leaving, wait }, Source::Response);
             let drained = notices::usable_drain(node);
-            tokio::time::sleep(if leaving { drained } else { Default::default() }).await;
+            sleep(if leaving { drained } else { Default::default() }).await;
             let response = pair.entry.send(&build_request("/once/1", "i1")).await;
             assert!(response.starts_with("HTTP/1.1 503"), "{response}");
             assert!(pair.entry.seen.borrow().is_empty());
         });
     }
 }
+
+/// Returns a request as a node sends it to a relay.
+fn relayed(path: &str, id: &str, start_ms: u64) -> String {
+    let internal = format!("x-target: s1\r\nwhinspring-server-start-ms: {start_ms}\r\n\r\n");
+    build_request(path, id).replacen("\r\n\r\n", &format!("\r\n{internal}"), 1)
+}
+
+#[test]
+fn a_relay_passes_request_and_response_on_unchanged() {
+    rig::run(answer, |rig| async move {
+        let response = rig.send_relayed(&relayed("/safe/1?a=b", "i1", 0)).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(response.contains("x-seal: s") && response.ends_with("hello"), "{response}");
+        let seen = rig.seen.borrow();
+        assert!(seen[0].starts_with("GET /safe/1?a=b HTTP/1.1\r\n"), "{seen:?}");
+        for line in ["x-id: i1", "x-target: s1", "host: a.example"] {
+            assert!(seen[0].contains(line), "{line}: {seen:?}");
+        }
+        assert!(!seen[0].contains("whinspring-"), "internal headers reach the server: {seen:?}");
+        let left = seen[0].lines().find_map(|line| line.strip_prefix("x-deadline: "));
+        assert!((1..=1_500).contains(&left.unwrap().parse::<u64>().unwrap()), "{seen:?}");
+    });
+}
+
+#[test]
+fn a_relay_sends_nothing_to_another_instance() {
+    rig::run(answer, |rig| async move {
+        let response = rig.send_relayed(&relayed("/once/1", "i1", 99)).await;
+        assert!(response.contains("whinspring-relay-fault: unsent"), "{response}");
+        assert!(rig.seen.borrow().is_empty());
+    });
+}
+
+#[test]
+fn a_relay_says_that_a_request_without_a_response_may_have_run() {
+    rig::run(
+        |_| None,
+        |rig| async move {
+            let response = rig.send_relayed(&relayed("/safe/1", "i1", 0)).await;
+            assert!(response.contains("whinspring-relay-fault: lost"), "{response}");
+            assert_eq!(rig.seen.borrow().len(), 1, "sent more than once");
+        },
+    );
+}
+
+/// A server cannot make its own failure look like a request that was not sent.
+#[test]
+fn a_server_cannot_speak_for_a_relay() {
+    let forged = |request: &str| {
+        let head = "HTTP/1.1 500 No\r\nwhinspring-relay-fault: unsent\r\n";
+        Some(format!("{head}x-id: {}\r\ncontent-length: 0\r\n\r\n", id_of(request)))
+    };
+    rig::run(forged, |rig| async move {
+        let response = rig.send_relayed(&relayed("/safe/1", "i1", 0)).await;
+        assert!(response.starts_with("HTTP/1.1 500"), "{response}");
+        assert!(!response.contains("whinspring-relay-fault"), "{response}");
+    });
+}
+
+#[test]
+fn a_node_that_gives_up_cancels_the_request_at_the_server() {
+    rig::run(
+        |_| Some("wait".to_owned()),
+        |rig| async move {
+            let mut socket = rig.connect_relay().await;
+            socket.write_all(relayed("/safe/1", "i1", 0).as_bytes()).await.unwrap();
+            while rig.seen.borrow().is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            drop(socket);
+            while rig.seen.borrow().len() < 2 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert_eq!(rig.seen.borrow()[1], "gone");
+        },
+    );
+}
+
+#[test]
+fn a_truncated_response_stays_truncated_behind_a_relay() {
+    let sized = |request: &str| {
+        let head = "close:HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 9\r\n";
+        Some(format!("{head}x-id: {}\r\n\r\nhalf", id_of(request)))
+    };
+    let chunked = |request: &str| {
+        let head = "close:HTTP/1.1 200 OK\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n";
+        Some(format!("{head}x-id: {}\r\n\r\n4\r\nhalf\r\n", id_of(request)))
+    };
+    for script in [sized as rig::Script, chunked] {
+        rig::run(script, |rig| async move {
+            let response = rig.send_relayed(&relayed("/safe/1", "i1", 0)).await;
+            let body = response.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            assert!(response.contains("x-seal") && body.contains("half"), "{response}");
+            assert!(!body.ends_with("0\r\n\r\n") && body.len() < 9 + 3, "{response}");
+        });
+    }
+}
+
+/// Guards against a server that works on for a caller that has left.
+#[test]
+fn a_node_that_gives_up_on_a_response_body_cancels_it() {
+    let stalled = |request: &str| {
+        let head = "HTTP/1.1 200 OK\r\nx-seal: s\r\ncontent-length: 9\r\n";
+        Some(format!("{head}x-id: {}\r\n\r\nhalf", id_of(request)))
+    };
+    rig::run(stalled, |rig| async move {
+        let mut socket = rig.connect_relay().await;
+        socket.write_all(relayed("/safe/1", "i1", 0).as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"half") {
+            socket.read_buf(&mut bytes).await.unwrap();
+        }
+        drop(socket);
+        let connections = rig.relaying.clone();
+        connections.close().await;
+    });
+}
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -31,6 +31,7 @@
             Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Position, Reply,
             ServerControl, ServerEntry, Store, StoreError,
         },
+        relay,
         settings::{Limits as NodeLimits, Settings},
     },
 };
@@ -129,8 +130,8 @@
     }
 }
 
-/// Returns the response to a request; `None` closes the connection, and `wait` leaves the request
-/// unanswered.
+/// Returns the response to a request; `None` closes the connection, `wait` leaves the request
+/// unanswered, and a response that starts with `close:` is the last one on its connection.
 pub type Script = fn(&str) -> Option<String>;
 
 /// A running node and the requests that its server received.
@@ -138,6 +139,8 @@
     pub node: Rc<Node<Platform>>,
     pub seen: Rc<RefCell<Vec<String>>>,
     frontend: SocketAddr,
+    /// Connections of other nodes that use this one as a relay.
+    pub relaying: Rc<Connections>,
 }
 
 impl Rig {
@@ -156,6 +159,9 @@
         server: SocketAddr,
         seen: Rc<RefCell<Vec<String>>>,
     ) -> Self {
+        let relay = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let advertised_relay = relay.local_addr().unwrap();
+        let settings = Settings { advertised_relay, ..settings };
         let node = Node::new(platform(server), settings, Clock::start());
         node.view.borrow_mut().routes = Some(Arc::new(table(false)));
         let entry = Object { name: "s1".into(), position: Position::new(0, 1), value: Vec::new() };
@@ -168,7 +174,9 @@
         let frontend = callers.local_addr().unwrap();
         spawn_local(frontend::serve(node.clone(), callers, Rc::new(Connections::default())));
         spawn_local(admission::run(node.clone()));
-        Self { node, seen, frontend }
+        let relaying = Rc::new(Connections::default());
+        spawn_local(relay::server::serve(node.clone(), relay, relaying.clone()));
+        Self { node, seen, frontend, relaying }
     }
 
     /// Makes the service keyed, with all keys at the server.
@@ -197,18 +205,32 @@
         TcpStream::connect(self.frontend).await.unwrap()
     }
 
+    /// Connects as a node that uses this one as a relay.
+    pub async fn connect_relay(&self) -> TcpStream {
+        TcpStream::connect(self.node.settings.advertised_relay).await.unwrap()
+    }
+
     /// Sends a request on a new connection and returns the response.
     pub async fn send(&self, request: &str) -> String {
-        let mut socket = self.connect().await;
-        socket.write_all(request.as_bytes()).await.unwrap();
-        let mut response = Vec::new();
-        while !is_whole(&response) {
-            if socket.read_buf(&mut response).await.unwrap_or(0) == 0 {
-                break;
-            }
+        exchange(self.connect().await, request).await
+    }
+
+    /// Sends a request as a node that uses this one as a relay.
+    pub async fn send_relayed(&self, request: &str) -> String {
+        exchange(self.connect_relay().await, request).await
+    }
+}
+
+/// Sends a request and returns the response.
+async fn exchange(mut socket: TcpStream, request: &str) -> String {
+    socket.write_all(request.as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    while !is_whole(&response) {
+        if socket.read_buf(&mut response).await.unwrap_or(0) == 0 {
+            break;
         }
-        String::from_utf8(response).unwrap()
     }
+    String::from_utf8(response).unwrap()
 }
 
 /// Returns whether a response with a content length is complete.
@@ -257,6 +279,10 @@
                 seen.borrow_mut().push("gone".into());
                 return;
             }
+            Some(response) if response.starts_with("close:") => {
+                socket.write_all(&response.as_bytes()["close:".len()..]).await.unwrap();
+                return;
+            }
             Some(response) => socket.write_all(response.as_bytes()).await.unwrap(),
             None => return,
         }
--- a/crates/whinspring-router/tests/support/setup.rs
+++ b/crates/whinspring-router/tests/support/setup.rs
@@ -19,6 +19,8 @@
         ready: any,
         peer: any,
         advertised: any,
+        relay: any,
+        advertised_relay: any,
         metrics: any,
         store: any,
         limits,
