--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod planner;
 pub mod ranges;
 pub mod record;
+pub mod relay;
 pub mod rendezvous;
 pub mod replica;
 pub mod request;
