--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -145,6 +145,9 @@
     /// Address for requests of nodes that reach no server; empty if the node relays none.
     #[prost(string, tag = "31")]
     pub relay: String,
+    /// Whether the node can reach no server.
+    #[prost(bool, tag = "23")]
+    pub cut_off: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -39,6 +39,8 @@
     pub callers: Gauge,
     /// Open connections of nodes that relay requests through this one.
     pub relaying: Gauge,
+    /// Whether this node is cut off from all servers.
+    pub cut_off: Gauge,
 }
 
 impl Metrics {
@@ -63,7 +65,10 @@
         let relaying = Gauge::default();
         let text = "Open connections of nodes whose requests are sent to servers from here";
         registry.register("relaying", text, relaying.clone());
-        Self { registry, responses, events, latency, waiting, callers, relaying }
+        let cut_off = Gauge::default();
+        let text = "1 while this node can reach no backend server, otherwise 0";
+        registry.register("cut_off", text, cut_off.clone());
+        Self { registry, responses, events, latency, waiting, callers, relaying, cut_off }
     }
 
     /// Records a response.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -484,6 +484,7 @@
             servers_era: view.position(Kind::Servers).era,
             owners_era: view.position(Kind::Owners).era,
             relay: node.settings.advertised_relay.to_string(),
+            cut_off: node.reach.borrow().is_cut_off().is_some(),
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
