A node that reaches no server sends its requests by way of nodes that do

Cause: a request has no other way than the node's own connection to the server; each one waits for a connection that never opens (0.5 s) and ends in 503, and a retry takes the same way.

Now a node that knows that it is cut off sends each request over HTTP to a live node that is not, drawn for each server by rendezvous hashing, which sends it over its own connections. While a node only may be cut off, a request whose connection could not be opened goes on that way within the same attempt, as nothing was sent. A relay that fails before anything was sent is replaced once. Route, gate, owner, deadline, retries and budget stay with the entry node. A connection that broke with a request, or a relay that says so, counts as unknown: 502, never sent again if it may run only once. Idle connections from before the cut are closed. `sending_failed` tells the path. A connection through a relay proves nothing about the node's own paths, and no crash of the server: the relay probes for that itself.

--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -14,6 +14,7 @@
         metrics::Metrics,
         peers::Peers,
         platform::{Kind, Platform, Position},
+        relay::client::Relays,
         retries::RetryBudget,
         settings::Settings,
     },
@@ -44,6 +45,10 @@
     pub crashes: RefCell<Crashes>,
     /// Paths to the servers.
     pub reach: RefCell<Reach>,
+    /// Connections to nodes that relay requests of this one.
+    pub relays: RefCell<Relays>,
+    /// Notified when this node is cut off from all servers.
+    pub paths_lost: Notify,
     /// Notified when this node may have lost its paths to all servers.
     pub doubted: Notify,
     pub metrics: Metrics,
@@ -90,6 +95,8 @@
             crashes: RefCell::default(),
             reach: RefCell::new(Reach::new(fastrand::u64(..))),
             doubted: Notify::new(),
+            relays: RefCell::default(),
+            paths_lost: Notify::new(),
             metrics: Metrics::new(),
             changed: Notify::new(),
             paused: Notify::new(),
@@ -166,6 +173,19 @@
         self.peers.borrow().send_all(&Frame::new(body));
     }
 
+    /// Returns whether this node is known to reach no server.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.borrow().is_cut_off().is_some()
+    }
+
+    /// Waits until this node is known to reach no server.
+    pub async fn until_cut_off(&self) {
+        let paths_lost = self.paths_lost.notified();
+        if !self.is_cut_off() {
+            paths_lost.await;
+        }
+    }
+
     /// Rejects all queued requests, before a planned shutdown ends.
     pub fn close_queue(&self) {
         self.queue_closed.set(true);
--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -69,6 +69,8 @@
         Change::Lost(Evidence { tried, failures, last_success, since, .. }) => {
             node.metrics.count("paths_lost");
             node.metrics.cut_off.set(1);
+            node.view.borrow().servers.values().for_each(|server| server.backend.clear_idle());
+            node.paths_lost.notify_waiters();
             let success = last_success.map_or("never".into(), |at| age(at).to_string());
             warn!(event = "paths_lost", tried, failures, success_ms = success, cut_ms = age(since); "no server can be reached from this node; the fault is in its own paths or in all servers");
         }
--- a/crates/whinspring-router/src/relay.rs
+++ b/crates/whinspring-router/src/relay.rs
@@ -9,6 +9,7 @@
 
 pub use self::{fault::Fault, reader::Reader};
 
+pub mod client;
 mod fault;
 mod reader;
 pub mod server;
--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -11,14 +11,15 @@
         node::Node,
         notices,
         platform::{Platform, Word},
-        request::forward_headers,
+        reach,
+        request::{fingerprint, forward_headers, probe_server},
         response::{Body, set_connection_close, strip_headers},
     },
     bytes::Bytes,
     http::{Request, Response, request::Parts},
     http_body::Body as _,
     std::{convert::Infallible, rc::Rc, time::Duration},
-    tokio::{net::TcpListener, time::timeout},
+    tokio::{net::TcpListener, task::spawn_local, time::timeout},
     whinspring::{
         name::Name,
         notices::{Life, Purpose, Source},
@@ -99,6 +100,7 @@
         return Err(if conn.is_some() { Fault::Lost } else { Fault::Unsent });
     };
     let response = result?;
+    reach::record_response(node);
     let names = node.platform.headers();
     let word = Word::read(response.status(), response.headers(), names);
     notices::hear(node, &relayed.server, relayed.life, word, Source::Response);
@@ -141,6 +143,7 @@
                 false => self.pool.acquire(true).await,
                 true => self.pool.open().await,
             };
+            reach::record_conn(node, &self.server, &conn);
             let conn = conn.map_err(|_| Fault::Unsent)?;
             let checked = notices::check(node, &self.server, Purpose::Write, node.now());
             if let Err(refusal) = checked {
@@ -152,13 +155,24 @@
             match conn.send(self.build(node), self.deadline).await {
                 Ok(response) => return Ok(response),
                 Err(CallError::Unsent) if reused && !fresh => *used = None,
-                Err(error) if error.is_sent() => return Err(Fault::Lost),
+                Err(error) if error.is_sent() => {
+                    self.on_lost(node);
+                    return Err(Fault::Lost);
+                }
                 Err(_) => return Err(Fault::Unsent),
             }
         }
         Err(Fault::Unsent)
     }
 
+    /// Records that the connection broke before a response.
+    fn on_lost<P: Platform>(&self, node: &Rc<Node<P>>) {
+        let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let print = fingerprint(&self.parts.method, path, &self.body);
+        reach::record_no_response(node, &self.server);
+        spawn_local(probe_server(node.clone(), self.pool.clone(), print));
+    }
+
     /// Builds the request to the server.
     fn build<P: Platform>(&self, node: &Rc<Node<P>>) -> Request<RequestBody<NoStream>> {
         let names = node.platform.headers();
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -1,9 +1,12 @@
 //! Forwarding of one request: from its head to the start of its response.
 
-pub use self::attempt::Attempt;
+pub use self::{attempt::Attempt, exchange::Path};
 
 use {
-    self::attempt::{Collected, MAX_BUFFERED_BYTES},
+    self::{
+        attempt::{Collected, MAX_BUFFERED_BYTES},
+        exchange::SendError,
+    },
     crate::{
         admission::{self, AdmissionRequest, Permit},
         message::{self, CrashReport},
@@ -15,7 +18,7 @@
     },
     bytes::Bytes,
     http::{
-        HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
+        HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode,
         header::{EXPECT, HOST},
     },
     http_body::Body as _,
@@ -40,12 +43,13 @@
         time::Tick,
     },
     whinspring_http::{
-        backend::{CallError, ConnectionPool, NoStream, RequestBody},
+        backend::{CallError, ConnectionPool, NoStream},
         headers::strip_hop_by_hop,
     },
 };
 
 mod attempt;
+mod exchange;
 
 /// Time reserved for sending the final response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(15);
@@ -90,26 +94,6 @@
     pub deadline: Tick,
 }
 
-/// Why a request got no response.
-enum SendError {
-    /// The server wants no requests, and nothing was sent.
-    Refused(Refusal),
-    /// The connection failed.
-    Call(CallError),
-}
-
-impl From<Refusal> for SendError {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refused(refusal)
-    }
-}
-
-impl From<CallError> for SendError {
-    fn from(error: CallError) -> Self {
-        Self::Call(error)
-    }
-}
-
 /// Result of one attempt.
 enum Outcome<P: Platform> {
     /// A response for the caller.
@@ -128,7 +112,7 @@
     /// Forwards the request, with retries, until there is a response.
     pub async fn run(self) -> Result<Response<Body<P>>, Rejection> {
         let node = self.node.clone();
-        let fingerprint = self.fingerprint();
+        let fingerprint = fingerprint(&self.method, &self.path, &self.body);
         if node.crashes.borrow().is_refused(self.start, fingerprint) {
             info!(event = "refused_crashing", id = self.id(), print = fingerprint; "rejected: earlier runs of this request crashed servers");
             return Err(Rejection::with_status(Code::Crashing, 503));
@@ -154,7 +138,8 @@
             };
             placements += 1;
             attempts += 1;
-            let outcome = self.send(&server, permit, attempts, fingerprint).await;
+            let mut path = Path::Direct;
+            let outcome = self.send(&server, permit, attempts, fingerprint, &mut path).await;
             avoid = Some(server.clone());
             let (code, why, again) = match outcome {
                 Outcome::Response(response) => return Ok(response),
@@ -176,7 +161,7 @@
                     (code, why, true)
                 }
             };
-            info!(event = "sending_failed", id = self.id(), server = server.as_str(), key = self.key_text(), routes = self.table.version, service = self.service.as_str(), code = code as u16, ran, again, sendings = attempts; "{why}");
+            info!(event = "sending_failed", id = self.id(), server = server.as_str(), path = path.text(), key = self.key_text(), routes = self.table.version, service = self.service.as_str(), code = code as u16, ran, again, sendings = attempts; "{why}");
             if !again && ran {
                 let refused = code.class() == Class::NotRun;
                 return Err(Rejection::from(if refused { self.lost_code(code) } else { code }));
@@ -230,13 +215,6 @@
         retries.allow(now, &self.service, nodes, limits.retry_ratio, limits.retry_extra)
     }
 
-    /// Returns the hash by which a request that crashes servers is recognised.
-    fn fingerprint(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        (self.method.as_str(), self.path.as_str(), &self.body).hash(&mut hasher);
-        hasher.finish()
-    }
-
     /// Waits until a server is assigned to the request.
     async fn acquire(&self, avoid: Option<Name>) -> Result<(Name, Permit<P>), Rejection> {
         let node = &self.node;
@@ -389,6 +367,7 @@
         permit: Permit<P>,
         attempts: u32,
         fingerprint: u64,
+        path: &mut Path,
     ) -> Outcome<P> {
         let node = &self.node;
         let backend = {
@@ -410,10 +389,12 @@
             server: server.clone(),
             start,
         };
-        let exchange = self.exchange(&mut attempt, server);
+        let exchange = self.exchange(&mut attempt, life, path);
         let Ok(result) = timeout(left, exchange).await else {
             attempt.permit.outcome = ServerOutcome::Failed;
-            reach::record_timeout(node, server, start, attempt.conn.is_some());
+            if *path == Path::Direct {
+                reach::record_timeout(node, server, start, attempt.conn.is_some());
+            }
             return match attempt.conn.is_some() {
                 true => {
                     Outcome::Lost(Code::Deadline, "the server did not respond before the deadline")
@@ -423,7 +404,9 @@
         };
         match result {
             Ok(response) => {
-                reach::record_response(node);
+                if *path == Path::Direct {
+                    reach::record_response(node);
+                }
                 let word =
                     Word::read(response.status(), response.headers(), node.platform.headers());
                 notices::hear(node, server, life, word, Source::Response);
@@ -432,8 +415,10 @@
             Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
             Err(SendError::Call(fault)) if fault.is_sent() => {
                 attempt.permit.outcome = ServerOutcome::Failed;
-                reach::record_no_response(node, server);
-                spawn_local(probe_server(node.clone(), attempt.backend.clone(), fingerprint));
+                if *path == Path::Direct {
+                    reach::record_no_response(node, server);
+                    spawn_local(probe_server(node.clone(), attempt.backend.clone(), fingerprint));
+                }
                 Outcome::Lost(
                     Code::ServerLost,
                     "the connection to the server broke before a response",
@@ -446,57 +431,6 @@
         }
     }
 
-    /// Sends the request and reads the head of the response, unless the server says meanwhile that it
-    /// wants none. A reused connection that fails before
-    /// anything was sent is replaced once by a new one.
-    async fn exchange(
-        &self,
-        attempt: &mut Attempt<P>,
-        server: &Name,
-    ) -> Result<Response<Incoming>, SendError> {
-        let non_idempotent = !self.route.idempotent;
-        for fresh in [false, true] {
-            let result = match fresh {
-                false => attempt.backend.acquire(non_idempotent).await,
-                true => attempt.backend.open().await,
-            };
-            reach::record_conn(&self.node, server, &result);
-            let conn = result?;
-            let deadline = self.deadline;
-            let request = self.build_request(server);
-            if let Err(refusal) =
-                notices::check(&self.node, server, Purpose::Write, self.node.now())
-            {
-                attempt.backend.release(conn).await;
-                return Err(refusal.into());
-            }
-            let conn = attempt.conn.insert(conn);
-            let reused = conn.is_reused();
-            match conn.send(request, deadline).await {
-                Err(CallError::Unsent) if reused && !fresh => attempt.conn = None,
-                other => return Ok(other?),
-            }
-        }
-        Err(CallError::Unsent.into())
-    }
-
-    fn build_request(&self, server: &Name) -> Request<RequestBody<NoStream>> {
-        let mut request = Request::new(RequestBody::from_bytes(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        if let Ok(uri) = self.path.parse() {
-            *request.uri_mut() = uri;
-        }
-        let headers = request.headers_mut();
-        *headers = self.headers.clone();
-        let names = self.node.platform.headers();
-        let left = self.deadline.since(self.node.now()).as_millis().max(1) as u64;
-        headers.insert(names.deadline.clone(), left.into());
-        if let Ok(value) = HeaderValue::from_str(server) {
-            headers.insert(names.target.clone(), value);
-        }
-        request
-    }
-
     /// Checks the head of a response and decides whether to forward it.
     async fn handle_response(
         &self,
@@ -565,9 +499,16 @@
     }
 }
 
+/// Returns the hash by which a request that crashes servers is recognised.
+pub fn fingerprint(method: &Method, path: &str, body: &Bytes) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (method.as_str(), path, body).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Probes whether a server crashed while it ran a request; if so, records the crash here and on the
 /// other nodes.
-async fn probe_server<P: Platform>(
+pub async fn probe_server<P: Platform>(
     node: Rc<Node<P>>,
     backend: Rc<ConnectionPool<NoStream>>,
     fingerprint: u64,
--- a/crates/whinspring-router/tests/path/pair.rs
+++ b/crates/whinspring-router/tests/path/pair.rs
@@ -12,7 +12,7 @@
         time::{sleep, timeout},
     },
     whinspring_router::{
-        peers,
+        peers, reach,
         settings::{Limits, Settings},
     },
 };
@@ -43,13 +43,34 @@
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
-        let pair = Pair::start(script, cut).await;
+        let pair = Pair::start(script, cut, None).await;
         timeout(TEST_TIMEOUT, test(pair)).await.expect("the test timed out");
     });
 }
 
+/// Runs a test of a node that is cut off and whose only relay follows a script. The test gets the requests that the relay got.
+pub fn run_with_relay<F: Future<Output = ()>>(
+    script: Script,
+    test: impl FnOnce(Pair, Rc<RefCell<Vec<String>>>) -> F,
+) {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let requests = Rc::new(RefCell::new(Vec::new()));
+        spawn_local(serve(listener, script, requests.clone()));
+        let pair = Pair::start(|_| None, Cut::Refused, Some(addr)).await;
+        pair.wait_until_cut_off().await;
+        requests.borrow_mut().clear();
+        timeout(TEST_TIMEOUT, test(pair, requests)).await.expect("the test timed out");
+    });
+}
+
 impl Pair {
-    async fn start(script: Script, cut: Cut) -> Self {
+    /// Starts the nodes; the second one tells the first one to use `relay` instead of itself, if that
+    /// is given.
+    async fn start(script: Script, cut: Cut, relay: Option<SocketAddr>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = listener.local_addr().unwrap();
         let seen = Rc::new(RefCell::new(Vec::new()));
@@ -58,8 +79,8 @@
             Cut::Refused => (unused_addr().await, None, Vec::new()),
             Cut::Hanging => hanging_addr().await,
         };
-        let entry = start_node("n1", unreachable, seen.clone()).await;
-        let relay = start_node("n2", server, seen).await;
+        let entry = start_node("n1", unreachable, seen.clone(), None).await;
+        let relay = start_node("n2", server, seen, relay).await;
         let addr = relay.node.settings.advertised;
         peers::add_peer(&entry.node, &"n2".into(), addr);
         let pair = Self { entry, relay, _blocked: blocked, _listener: listener };
@@ -69,7 +90,7 @@
         pair
     }
 
-    /// Sends requests until the node that is cut off has learned that it is.
+    /// Sends requests until one is served.
     pub async fn wait_until_served(&self) {
         let mut number = 0;
         loop {
@@ -82,6 +103,15 @@
         }
     }
 
+    /// Sends requests until the node that is cut off has learned that it is.
+    async fn wait_until_cut_off(&self) {
+        let mut number = 0;
+        while !self.entry.node.is_cut_off() {
+            number += 1;
+            self.entry.send(&build_request("/safe/first", &format!("first{number}"))).await;
+        }
+    }
+
     /// Returns whether both nodes have heard of each other.
     fn is_linked(&self) -> bool {
         [(&self.entry, "n2"), (&self.relay, "n1")].iter().all(|(rig, peer)| {
@@ -95,13 +125,19 @@
     format!("GET {path} HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nx-deadline: 1500\r\n\r\n")
 }
 
-async fn start_node(name: &str, server: SocketAddr, seen: Rc<RefCell<Vec<String>>>) -> Rig {
+async fn start_node(
+    name: &str,
+    server: SocketAddr,
+    seen: Rc<RefCell<Vec<String>>>,
+    relay: Option<SocketAddr>,
+) -> Rig {
     let links = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer = links.local_addr().unwrap();
     let settings = Settings { peer, advertised: peer, ..settings(name, Limits::default()) };
-    let rig = Rig::start_node(settings, server, seen).await;
+    let rig = Rig::start_node(settings, server, seen, relay).await;
     spawn_local(peers::accept(rig.node.clone(), links));
     spawn_local(peers::run_heartbeats(rig.node.clone()));
+    spawn_local(reach::run(rig.node.clone()));
     rig
 }
 
--- a/crates/whinspring-router/tests/path/relay.rs
+++ b/crates/whinspring-router/tests/path/relay.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        pair::{Cut, build_request, run},
+        pair::{Cut, build_request, run, run_with_relay},
         rig,
     },
     std::time::Duration,
@@ -17,6 +17,13 @@
 /// Size of a long response body, in bytes.
 const LONG_BODY: usize = 300_000;
 
+/// What a relay says of a request that may have run.
+const LOST: &str = "HTTP/1.1 502 No\r\nwhinspring-relay-fault: lost\r\ncontent-length: 0\r\n\r\n";
+
+/// What a relay says of a request that it did not send.
+const UNSENT: &str =
+    "HTTP/1.1 502 No\r\nwhinspring-relay-fault: unsent\r\ncontent-length: 0\r\n\r\n";
+
 fn id_of(request: &str) -> &str {
     let line = request.lines().find(|line| line.starts_with("x-id: "));
     line.map_or("", |line| &line[6..])
@@ -209,3 +216,41 @@
         connections.close().await;
     });
 }
+
+/// Guards against a request that may have run and is reported as not run.
+#[test]
+fn a_relay_that_is_lost_with_a_request_does_not_prove_that_it_did_not_run() {
+    run_with_relay(
+        |_| None,
+        |pair, requests| async move {
+            let response = pair.entry.send(&build_request("/once/1", "i1")).await;
+            assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+            assert_eq!(requests.borrow().len(), 1, "{requests:?}");
+        },
+    );
+}
+
+#[test]
+fn a_request_that_a_relay_may_have_sent_is_not_sent_again() {
+    run_with_relay(
+        |_| Some(LOST.to_owned()),
+        |pair, requests| async move {
+            let response = pair.entry.send(&build_request("/once/1", "i1")).await;
+            assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+            assert_eq!(requests.borrow().len(), 1, "{requests:?}");
+        },
+    );
+}
+
+#[test]
+fn a_request_that_no_relay_could_send_is_reported_as_not_run() {
+    run_with_relay(
+        |_| Some(UNSENT.to_owned()),
+        |pair, requests| async move {
+            let response = pair.entry.send(&build_request("/once/1", "i1")).await;
+            assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+            assert!(response.contains("retry-after: "), "{response}");
+            assert!(!requests.borrow().is_empty());
+        },
+    );
+}
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -150,17 +150,19 @@
         let server = listener.local_addr().unwrap();
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
-        Self::start_node(settings("n1", NodeLimits::default()), server, seen).await
+        Self::start_node(settings("n1", NodeLimits::default()), server, seen, None).await
     }
 
-    /// Starts a node that knows its server at an address.
+    /// Starts a node that knows its server at an address. It tells others to use `relay` instead of
+    /// itself, if that is given.
     pub async fn start_node(
         settings: Settings,
         server: SocketAddr,
         seen: Rc<RefCell<Vec<String>>>,
+        relay: Option<SocketAddr>,
     ) -> Self {
-        let relay = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let advertised_relay = relay.local_addr().unwrap();
+        let relayed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let advertised_relay = relay.unwrap_or(relayed.local_addr().unwrap());
         let settings = Settings { advertised_relay, ..settings };
         let node = Node::new(platform(server), settings, Clock::start());
         node.view.borrow_mut().routes = Some(Arc::new(table(false)));
@@ -175,7 +177,7 @@
         spawn_local(frontend::serve(node.clone(), callers, Rc::new(Connections::default())));
         spawn_local(admission::run(node.clone()));
         let relaying = Rc::new(Connections::default());
-        spawn_local(relay::server::serve(node.clone(), relay, relaying.clone()));
+        spawn_local(relay::server::serve(node.clone(), relayed, relaying.clone()));
         Self { node, seen, frontend, relaying }
     }
 
