Requests to a server that a node does not reach go by way of a relay, whatever else it reaches

All others wait for connections that never open (0.5 s each), and the gates count these slots as taken.

Now a connection that does not open marks its server (whinspring::detour): the request goes on by way of a relay in the same attempt, the next ones at once; one of them each half second has the own path probed beside it. A server that no relay reaches either is at fault itself and is not relayed for a second. A relay that does not reach the server says so at once and is passed over for two seconds. A connection may take 0.25 s to open instead of 0.5 s: within a region it takes 3 ms.

What is left is lost in the first three seconds: requests in flight hold slots at the gates until their deadline. A test in which a node does not find out that it reaches no server was seen red: before, it served nobody.

--- a/crates/whinspring-http/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -27,7 +27,7 @@
     whinspring::time::Tick,
 };
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -288,6 +288,7 @@
         sleep(SWEEP_INTERVAL).await;
         notices::count(&node);
         let now = node.now();
+        node.detours.borrow_mut().sweep(node.now());
         node.relays.borrow_mut().sweep(&node.peers.borrow());
         let back = if node.store_lost.get() { now } else { node.store_recovered.get() };
         if node.view.borrow_mut().sweep(now, back, node.clock) {
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -23,7 +23,7 @@
         rc::Rc,
     },
     tokio::sync::Notify,
-    whinspring::{name::Name, reach::Reach, time::Tick},
+    whinspring::{detour::Detours, name::Name, reach::Reach, time::Tick},
     whinspring_http::clock::Clock,
 };
 
@@ -45,6 +45,8 @@
     pub crashes: RefCell<Crashes>,
     /// Paths to the servers.
     pub reach: RefCell<Reach>,
+    /// Servers that this node does not reach itself.
+    pub detours: RefCell<Detours>,
     /// Connections to nodes that relay requests of this one.
     pub relays: RefCell<Relays>,
     /// Notified when this node is cut off from all servers.
@@ -95,6 +97,7 @@
             crashes: RefCell::default(),
             reach: RefCell::new(Reach::new(fastrand::u64(..))),
             doubted: Notify::new(),
+            detours: RefCell::default(),
             relays: RefCell::default(),
             paths_lost: Notify::new(),
             metrics: Metrics::new(),
--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -19,7 +19,7 @@
         reach::{Change, Evidence, PROBE_TIMEOUT, Target},
         time::Tick,
     },
-    whinspring_http::backend::{CallError, Conn, NoStream},
+    whinspring_http::backend::{CallError, Conn, ConnectionPool, NoStream},
 };
 
 /// Interval at which a node in doubt checks whether servers are to be probed.
@@ -91,8 +91,32 @@
 ) {
     match result {
         Ok(conn) if conn.is_reused() => {}
-        Ok(_) => record_open(node, server, true),
-        Err(_) => record_open(node, server, false),
+        Ok(_) => {
+            let failed = node.detours.borrow().proven_failure(server);
+            node.detours.borrow_mut().record_success(server);
+            if let Some(failed) = failed {
+                let failed_ms = node.now().since(failed).as_millis() as u64;
+                info!(event = "path_regained", server = server.as_str(), failed_ms; "the server can be reached from this node again");
+            }
+            record_open(node, server, true);
+        }
+        Err(_) => {
+            node.detours.borrow_mut().record_failure(server, node.now());
+            record_open(node, server, false);
+        }
+    }
+}
+
+/// Opens a connection to a server to find out whether this node reaches it.
+pub async fn probe_path<P: Platform>(
+    node: Rc<Node<P>>,
+    server: Name,
+    pool: Rc<ConnectionPool<NoStream>>,
+) {
+    let result = pool.open().await;
+    record_conn(&node, &server, &result);
+    if let Ok(conn) = result {
+        pool.release(conn).await;
     }
 }
 
--- a/crates/whinspring-router/src/relay/client.rs
+++ b/crates/whinspring-router/src/relay/client.rs
@@ -48,16 +48,15 @@
     }
 }
 
-/// Returns the relay for requests to a server, other than one that has `failed`, if there is one.
-pub fn find<P: Platform>(
-    node: &Rc<Node<P>>,
-    server: &Name,
-    failed: Option<&Name>,
-) -> Option<Relay> {
+/// Returns the relay for requests to a server, if there is one that is not known to fail for it and
+/// that is none of `failed`.
+pub fn find<P: Platform>(node: &Rc<Node<P>>, server: &Name, failed: &[Name]) -> Option<Relay> {
     let now = node.now();
+    let unable = node.detours.borrow().failed_relays(server, now);
+    let is_failed = |name: &Name| failed.contains(name) || unable.contains(name);
     let (name, addr) = {
         let peers = node.peers.borrow();
-        let usable = usable(&peers, now).filter(|(name, _)| Some(*name) != failed);
+        let usable = usable(&peers, now).filter(|(name, _)| !is_failed(name));
         let candidates: Vec<Candidate<'_>> =
             usable.map(|(name, peer)| Candidate { name, domain: &peer.heartbeat.domain }).collect();
         let domain = node.settings.domain.as_str();
--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -138,6 +138,10 @@
         node: &Rc<Node<P>>,
         used: &mut Option<Conn<NoStream>>,
     ) -> Result<Response<hyper::body::Incoming>, Fault> {
+        if node.detours.borrow().is_failing(&self.server, node.now()) {
+            self.probe_path(node);
+            return Err(Fault::Unsent);
+        }
         for fresh in [false, true] {
             let conn = match fresh {
                 false => self.pool.acquire(true).await,
@@ -165,6 +169,13 @@
         Err(Fault::Unsent)
     }
 
+    /// Probes the path to the server if that is due.
+    fn probe_path<P: Platform>(&self, node: &Rc<Node<P>>) {
+        if node.detours.borrow_mut().start_probe(&self.server, node.now()) {
+            spawn_local(reach::probe_path(node.clone(), self.server.clone(), self.pool.clone()));
+        }
+    }
+
     /// Records that the connection broke before a response.
     fn on_lost<P: Platform>(&self, node: &Rc<Node<P>>) {
         let path = self.parts.uri.path_and_query().map_or("", |path| path.as_str());
--- a/crates/whinspring-router/src/request/exchange.rs
+++ b/crates/whinspring-router/src/request/exchange.rs
@@ -1,8 +1,9 @@
 //! Sending of a request and reading of the head of its response, directly or by way of a relay.
 //!
-//! A node that reaches no server uses relays only. While it does not know yet whether it does, a
-//! request whose connection cannot be opened goes on by way of a relay within the same attempt: nothing
-//! was sent. A relay that fails before anything was sent is replaced once by another one.
+//! A request whose connection cannot be opened goes on by way of a relay within the same attempt:
+//! nothing was sent. The next requests to that server use a relay at once, as do all requests of a node
+//! that reaches no server. A relay that fails before anything was sent is replaced by another one, as
+//! long as that takes little time.
 
 use {
     super::{Attempt, RoutedRequest},
@@ -17,6 +18,9 @@
     },
     http::{HeaderValue, Request, Response},
     hyper::body::Incoming,
+    log::info,
+    std::time::Duration,
+    tokio::task::spawn_local,
     whinspring::{
         name::Name,
         notices::{Life, Purpose, Refusal, Source, Wait},
@@ -28,7 +32,10 @@
 };
 
 /// Relays that one attempt may try, as long as nothing was sent.
-const MAX_RELAYS: usize = 2;
+const MAX_RELAYS: usize = 4;
+
+/// Time after which an attempt tries no further relay.
+const RELAY_TIME: Duration = Duration::from_millis(150);
 
 /// How a request is sent to its server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -95,28 +102,78 @@
         path: &mut Path,
     ) -> Result<Response<Incoming>, SendError> {
         let node = &self.node;
-        if !node.is_cut_off() {
-            let result = self.send_directly(attempt).await;
-            match result {
-                Err(error) if error.is_unsent() && node.reach.borrow().is_in_doubt() => {}
+        let is_detoured = node.detours.borrow().is_detoured(&attempt.server, node.now());
+        if is_detoured || node.is_cut_off() {
+            self.probe_path(attempt);
+        } else {
+            match self.send_directly(attempt).await {
+                Err(error) if error.is_unsent() && self.may_relay(&attempt.server) => {}
                 other => return other,
             }
         }
-        let mut failed = None;
-        for _ in 0..MAX_RELAYS {
-            let server = &attempt.server;
-            let Some(relay) = client::find(node, server, failed.as_ref()) else { break };
+        self.send_by_relays(attempt, life, path).await
+    }
+
+    /// Returns whether a request that could not be sent directly may go by way of a relay.
+    fn may_relay(&self, server: &Name) -> bool {
+        let node = &self.node;
+        node.is_cut_off() || node.detours.borrow().is_detoured(server, node.now())
+    }
+
+    /// Probes the own path to the server if that is due.
+    fn probe_path(&self, attempt: &Attempt<P>) {
+        let node = &self.node;
+        if node.detours.borrow_mut().start_probe(&attempt.server, node.now()) {
+            let (server, pool) = (attempt.server.clone(), attempt.backend.clone());
+            spawn_local(reach::probe_path(node.clone(), server, pool));
+        }
+    }
+
+    /// Sends the request to one relay after the other until one has sent it.
+    async fn send_by_relays(
+        &self,
+        attempt: &mut Attempt<P>,
+        life: Life,
+        path: &mut Path,
+    ) -> Result<Response<Incoming>, SendError> {
+        let node = &self.node;
+        let server = attempt.server.clone();
+        let start = node.now();
+        let mut failed = Vec::new();
+        while failed.len() < MAX_RELAYS && node.now().since(start) < RELAY_TIME {
+            let Some(relay) = client::find(node, &server, &failed) else { break };
             *path = Path::Relay(relay.name.clone());
             node.metrics.count("relayed");
-            match self.send_by(&relay, attempt, life).await {
-                Err(error) if error.is_unsent() => node.metrics.count("relay_failed"),
-                other => return other,
+            let result = self.send_by(&relay, attempt, life).await;
+            let now = node.now();
+            match result {
+                Ok(response) => {
+                    self.record_relayed(&server, &relay);
+                    return Ok(response);
+                }
+                Err(error) if !error.is_unsent() => return Err(error),
+                Err(_) => node.metrics.count("relay_failed"),
             }
-            failed = Some(relay.name);
+            node.detours.borrow_mut().record_relay_failure(&server, &relay.name, now);
+            failed.push(relay.name);
         }
+        node.detours.borrow_mut().record_lost(&server, node.now());
         Err(CallError::Unreachable.into())
     }
 
+    /// Records that a relay has reached the server, and logs it if that is news.
+    fn record_relayed(&self, server: &Name, relay: &Relay) {
+        let node = &self.node;
+        let now = node.now();
+        let was_proven = node.detours.borrow().proven_failure(server).is_some();
+        node.detours.borrow_mut().record_relayed(server, now);
+        let failed = node.detours.borrow().proven_failure(server);
+        if let Some(failed) = failed.filter(|_| !was_proven) {
+            let failed_ms = now.since(failed).as_millis() as u64;
+            info!(event = "path_lost", id = self.id(), server = server.as_str(), relay = relay.name.as_str(), failed_ms; "a relay reaches a server that this node does not reach");
+        }
+    }
+
     /// Sends the request over an own connection to the server. A reused connection that fails before
     /// anything was sent is replaced once by a new one.
     async fn send_directly(
--- a/crates/whinspring-router/tests/path/pair.rs
+++ b/crates/whinspring-router/tests/path/pair.rs
@@ -26,6 +26,8 @@
     Refused,
     /// They never open.
     Hanging,
+    /// They are refused, and the node does not find out that it reaches no server.
+    Unnoticed,
 }
 
 pub struct Pair {
@@ -76,11 +78,14 @@
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
         let (unreachable, listener, blocked) = match cut {
-            Cut::Refused => (unused_addr().await, None, Vec::new()),
+            Cut::Refused | Cut::Unnoticed => (unused_addr().await, None, Vec::new()),
             Cut::Hanging => hanging_addr().await,
         };
         let entry = start_node("n1", unreachable, seen.clone(), None).await;
         let relay = start_node("n2", server, seen, relay).await;
+        if !matches!(cut, Cut::Unnoticed) {
+            spawn_local(reach::run(entry.node.clone()));
+        }
         let addr = relay.node.settings.advertised;
         peers::add_peer(&entry.node, &"n2".into(), addr);
         let pair = Self { entry, relay, _blocked: blocked, _listener: listener };
@@ -137,7 +142,6 @@
     let rig = Rig::start_node(settings, server, seen, relay).await;
     spawn_local(peers::accept(rig.node.clone(), links));
     spawn_local(peers::run_heartbeats(rig.node.clone()));
-    spawn_local(reach::run(rig.node.clone()));
     rig
 }
 
--- a/crates/whinspring-router/tests/path/relay.rs
+++ b/crates/whinspring-router/tests/path/relay.rs
@@ -69,6 +69,12 @@
     serves_callers(Cut::Hanging);
 }
 
+/// Guards against a node that has lost its paths to one service only and fails all its requests.
+#[test]
+fn callers_of_a_node_that_does_not_reach_one_server_are_served() {
+    serves_callers(Cut::Unnoticed);
+}
+
 #[test]
 fn a_long_response_to_a_node_that_is_cut_off_arrives_whole() {
     run(answer, Cut::Refused, |pair| async move {
@@ -247,10 +253,15 @@
     run_with_relay(
         |_| Some(UNSENT.to_owned()),
         |pair, requests| async move {
-            let response = pair.entry.send(&build_request("/once/1", "i1")).await;
-            assert!(response.starts_with("HTTP/1.1 503"), "{response}");
-            assert!(response.contains("retry-after: "), "{response}");
-            assert!(!requests.borrow().is_empty());
+            let mut number = 0;
+            while requests.borrow().is_empty() {
+                number += 1;
+                let request = build_request("/once/1", &format!("i{number}"));
+                let response = pair.entry.send(&request).await;
+                assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+                assert!(response.contains("retry-after: "), "{response}");
+                sleep(Duration::from_millis(100)).await;
+            }
         },
     );
 }
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod code;
 pub mod control;
 pub mod declaration;
+pub mod detour;
 pub mod entry;
 pub mod gate;
 pub mod history;
