A node without any path refuses at once, with the time to come back

A node that reaches no server and has no node to relay its requests let each of them take a place at a gate and a connection that does not open, and blamed the owner (code 502). Test: the only relay leaves; without the check it was red, with another code.

--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -14,6 +14,7 @@
         notices,
         platform::{Platform, Position, Word},
         reach,
+        relay::client,
         response::{Body, Rejection, strip_headers},
     },
     bytes::Bytes,
@@ -63,6 +64,9 @@
 /// `Retry-After` when no better estimate is available.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// `Retry-After` while this node reaches no server: another node may, and the paths are probed often.
+const PATH_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Delay before the address of a server that broke a connection is probed.
 const PROBE_DELAY: Duration = Duration::from_millis(30);
 
@@ -218,6 +222,11 @@
     /// Waits until a server is assigned to the request.
     async fn acquire(&self, avoid: Option<Name>) -> Result<(Name, Permit<P>), Rejection> {
         let node = &self.node;
+        if node.is_cut_off() && !client::is_available(node) {
+            node.metrics.count("no_path");
+            info!(event = "no_path", id = self.id(), routes = self.table.version; "rejected: this node reaches no server, and no other node can relay requests");
+            return Err(Rejection::with_retry(Code::NoPath, PATH_RETRY_DELAY));
+        }
         let until = node.now() + MAX_OWNER_WAIT;
         let mut shunned = Vec::new();
         loop {
--- a/crates/whinspring-router/tests/path/relay.rs
+++ b/crates/whinspring-router/tests/path/relay.rs
@@ -5,7 +5,7 @@
         pair::{Cut, build_request, run, run_with_relay},
         rig,
     },
-    std::time::Duration,
+    std::time::{Duration, Instant},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         time::sleep,
@@ -265,3 +265,24 @@
         },
     );
 }
+
+/// Guards against a caller that waits for a server that nobody can reach.
+#[test]
+fn without_a_relay_callers_are_told_to_come_back_at_once() {
+    run_with_relay(
+        |_| None,
+        |pair, requests| async move {
+            pair.relay.node.leaving.set(true);
+            while !pair.entry.node.peers.borrow().nodes["n2"].heartbeat.leaving {
+                sleep(Duration::from_millis(10)).await;
+            }
+            let start = Instant::now();
+            let response = pair.entry.send(&build_request("/once/1", "i1")).await;
+            assert!(start.elapsed() < Duration::from_millis(200), "{:?}", start.elapsed());
+            assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+            assert!(response.contains("whinspring-code: 510"), "{response}");
+            assert!(response.contains("retry-after: "), "{response}");
+            assert!(requests.borrow().is_empty());
+        },
+    );
+}
--- a/crates/whinspring/src/code.rs
+++ b/crates/whinspring/src/code.rs
@@ -108,6 +108,8 @@
     OverShare = 508, NotRun, 429, "the customer exceeds its share";
     /// The owner of the key changed while the request was queued.
     Moved = 509, NotRun, 503, "the key moved and its new owner is not ready";
+    /// The node reaches no server, and no other node can relay the request.
+    NoPath = 510, NotRun, 503, "no backend server can be reached from this node";
 
     /// The backend server was lost while it ran the request.
     ServerLost = 600, Unknown, 502, "the backend server was lost while running the request";
