--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod platform;
 pub mod reach;
 pub mod record;
+pub mod relay;
 pub mod request;
 pub mod response;
 pub mod retries;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -145,6 +145,9 @@
     /// Time for which the sender has known the era, from itself or others.
     #[prost(uint64, tag = "32")]
     pub era_age_ms: u64,
+    /// Address for requests of nodes that reach no server; empty if the node relays none.
+    #[prost(string, tag = "31")]
+    pub relay: String,
     /// Whether the node can reach no server.
     #[prost(bool, tag = "23")]
     pub cut_off: bool,
--- a/crates/whinspring-router/src/response.rs
+++ b/crates/whinspring-router/src/response.rs
@@ -1,7 +1,7 @@
 //! Responses to callers.
 
 use {
-    crate::{platform::Platform, request::Attempt},
+    crate::{platform::Platform, relay::Reader, request::Attempt},
     bytes::Bytes,
     http::{
         HeaderValue, Response, StatusCode,
@@ -25,6 +25,8 @@
     Full(Option<Bytes>),
     /// A body that is streamed from a server.
     Stream(Box<Stream<P>>),
+    /// A body that is streamed to the node that the request came from, with its length if known.
+    Relayed(Box<Reader>, Option<u64>),
 }
 
 /// A body that is streamed from a server, until its time ends or the caller has left.
@@ -70,6 +72,9 @@
             Self::Stream(stream) => {
                 stream.poll_next(cx).map(|next| next.map(|bytes| bytes.map(Frame::Data)))
             }
+            Self::Relayed(reader, _) => {
+                reader.poll_next(cx).map(|next| next.map(|bytes| bytes.map(Frame::Data)))
+            }
         }
     }
 
@@ -77,6 +82,7 @@
         match self {
             Self::Full(bytes) => SizeHint::Exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
             Self::Stream(stream) => stream.length.map_or(SizeHint::Unknown, SizeHint::Exact),
+            Self::Relayed(_, length) => length.map_or(SizeHint::Unknown, SizeHint::Exact),
         }
     }
 }
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -6,7 +6,9 @@
 mod follow;
 mod links;
 mod notices;
+mod pair;
 mod paths;
+mod relay;
 mod rig;
 
 #[path = "../support/setup.rs"]
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -32,12 +32,13 @@
             Answer, Changes, Dialect, Grant, Headers, Kind, Listing, Object, Position, Reply,
             ServerControl, ServerEntry, Store, StoreError,
         },
-        settings::Limits as NodeLimits,
+        relay,
+        settings::{Limits as NodeLimits, Settings},
     },
 };
 
 /// Time after which a test fails.
-const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Separates the start of a response from the bytes that follow it without end.
 pub const FLOOD: &str = "<flood>";
@@ -150,8 +151,9 @@
     }
 }
 
-/// Returns the response to a request; `None` closes the connection, and `wait` leaves the request
-/// unanswered. What follows [`FLOOD`] is sent without end.
+/// Returns the response to a request; `None` closes the connection, `wait` leaves the request
+/// unanswered, and a response that starts with `close:` is the last one on its connection. What
+/// follows [`FLOOD`] is sent without end.
 pub type Script = fn(&str) -> Option<String>;
 
 /// A running node and the requests that its server received.
@@ -159,6 +161,8 @@
     pub node: Rc<Node<Platform>>,
     pub seen: Rc<RefCell<Vec<String>>>,
     frontend: SocketAddr,
+    /// Connections of other nodes that use this one as a relay.
+    pub relaying: Rc<Connections>,
 }
 
 impl Rig {
@@ -168,8 +172,21 @@
         let server = listener.local_addr().unwrap();
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
-        let node =
-            Node::new(platform(server), settings("n1", NodeLimits::default()), Clock::start());
+        Self::start_node(settings("n1", NodeLimits::default()), server, seen, None).await
+    }
+
+    /// Starts a node that knows its server at an address. It tells others to use `relay` instead of
+    /// itself, if that is given.
+    pub async fn start_node(
+        settings: Settings,
+        server: SocketAddr,
+        seen: Rc<RefCell<Vec<String>>>,
+        relay: Option<SocketAddr>,
+    ) -> Self {
+        let relayed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let advertised_relay = relay.unwrap_or(relayed.local_addr().unwrap());
+        let settings = Settings { advertised_relay, ..settings };
+        let node = Node::new(platform(server), settings, Clock::start());
         node.view.borrow_mut().routes = Some(Arc::new(table(false)));
         let entry = Object { name: "s1".into(), position: Position::new(0, 1), value: Vec::new() };
         follow::apply_listing(
@@ -181,7 +198,9 @@
         let frontend = callers.local_addr().unwrap();
         spawn_local(frontend::serve(node.clone(), callers, Rc::new(Connections::default())));
         spawn_local(admission::run(node.clone()));
-        Self { node, seen, frontend }
+        let relaying = Rc::new(Connections::default());
+        spawn_local(relay::server::serve(node.clone(), relayed, relaying.clone()));
+        Self { node, seen, frontend, relaying }
     }
 
     /// Makes the service keyed, with all keys at the server.
@@ -210,6 +229,11 @@
         TcpStream::connect(self.frontend).await.unwrap()
     }
 
+    /// Connects as a node that uses this one as a relay.
+    pub async fn connect_relay(&self) -> TcpStream {
+        TcpStream::connect(self.node.settings.advertised_relay).await.unwrap()
+    }
+
     /// Sends a request on a new connection and returns the response.
     pub async fn send(&self, request: &str) -> String {
         self.send_pieces(&[request.as_bytes()]).await
@@ -224,6 +248,13 @@
         }
         read_response(&mut socket).await
     }
+
+    /// Sends a request as a node that uses this one as a relay.
+    pub async fn send_relayed(&self, request: &str) -> String {
+        let mut socket = self.connect_relay().await;
+        socket.write_all(request.as_bytes()).await.unwrap();
+        read_response(&mut socket).await
+    }
 }
 
 /// Reads a response, or what there is of it when the connection ends.
@@ -255,8 +286,8 @@
     });
 }
 
-/// Accepts connections of the node.
-async fn serve(listener: TcpListener, script: Script, seen: Rc<RefCell<Vec<String>>>) {
+/// Accepts connections of nodes.
+pub async fn serve(listener: TcpListener, script: Script, seen: Rc<RefCell<Vec<String>>>) {
     while let Ok((socket, _)) = listener.accept().await {
         spawn_local(follow_script(socket, script, seen.clone()));
     }
@@ -288,6 +319,10 @@
                 seen.borrow_mut().push("gone".into());
                 return;
             }
+            Some(response) if response.starts_with("close:") => {
+                socket.write_all(&response.as_bytes()["close:".len()..]).await.unwrap();
+                return;
+            }
             Some(response) => socket.write_all(response.as_bytes()).await.unwrap(),
             None => return,
         }
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod code;
 pub mod control;
 pub mod declaration;
+pub mod detour;
 pub mod entry;
 pub mod gate;
 pub mod history;
@@ -24,6 +25,7 @@
 pub mod ranges;
 pub mod reach;
 pub mod record;
+pub mod relay;
 pub mod rendezvous;
 pub mod replica;
 pub mod request;
