Tell a node that comes up which servers leave, and keep notices of servers not listed yet

Callers would see late requests of a node that started after the store had come back from a copy without a notice: it counts the drain from when the server writes its entry again, while the other nodes know of the notice.

Cause: hints were sent once, to the nodes that were live then, and dropped where the server was not listed yet.

Change: a node tells another once, when its heartbeats show that it hears this one, of all servers that leave, with the age of the notices; in a large cluster only within the failure domain. A notice of a run that is not listed is kept 60 s.

--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -3,10 +3,10 @@
 
 use {
     crate::{
-        message::{Body, ServerNotice},
+        message::{Body, ServerNotice, Snapshot},
         node::Node,
         owners,
-        platform::{Answer, Platform, Reply, Word},
+        platform::{Answer, Kind, Platform, Reply, Word},
     },
     log::info,
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -151,6 +151,19 @@
     }
 }
 
+/// Tells a node that has come up which servers leave: it may have started after the store has lost
+/// their notices, or have missed hints. In a large cluster the nodes of its failure domain do.
+pub fn tell<P: Platform>(node: &Rc<Node<P>>, to: &Name, domain: &str) {
+    if node.peers.borrow().is_large_cluster() && *node.settings.domain != *domain {
+        return;
+    }
+    let notices = known(node, |_| true);
+    if !notices.is_empty() {
+        let kind = Kind::Servers.number();
+        node.send(to, Body::Snapshot(Snapshot { kind, notices, ..Snapshot::default() }));
+    }
+}
+
 /// Returns what this node knows of servers that leave, for other nodes.
 pub fn known<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -76,6 +76,8 @@
     /// When the newest heartbeat that it has echoed was sent to it.
     last_echoed: Tick,
     link_opened: Tick,
+    /// When it came up, unless it has been told since then which servers leave.
+    untold: Option<Tick>,
     /// Its last heartbeat, without measurements.
     pub heartbeat: Heartbeat,
     /// Messages to send to it.
@@ -209,7 +211,15 @@
     let now = node.now();
     let heartbeat = Heartbeat { node: name.to_string(), ..Heartbeat::default() };
     let queue = open_link(node.name().clone(), addr);
-    let peer = Peer { addr, last_heard: now, last_echoed: now, link_opened: now, heartbeat, queue };
+    let peer = Peer {
+        addr,
+        last_heard: now,
+        last_echoed: now,
+        link_opened: now,
+        untold: Some(now),
+        heartbeat,
+        queue,
+    };
     peers.nodes.insert(name.clone(), peer);
 }
 
@@ -383,15 +393,24 @@
         request_snapshot(node, from, kind);
     }
     let mut restarted = false;
+    let tell;
     {
         let mut peers = node.peers.borrow_mut();
         let Some(peer) = peers.nodes.get_mut(from) else { return };
         if !peer.is_live(now) {
+            peer.untold = Some(now);
             info!(event = "peer_up", peer = from.as_str(); "heartbeat from a node that was not live");
         }
         restarted |=
             peer.heartbeat.incarnation != 0 && peer.heartbeat.incarnation != heartbeat.incarnation;
+        if restarted {
+            peer.untold = Some(now);
+        }
         peer.record_heartbeat(now, &heartbeat, echo);
+        tell = peer.untold.take_if(|up| echo > *up && echo <= now).is_some();
+    }
+    if tell {
+        notices::tell(node, from, &heartbeat.domain);
     }
     if restarted {
         admission::drop_node(node, from);
--- a/crates/whinspring-router/tests/notices.rs
+++ b/crates/whinspring-router/tests/notices.rs
@@ -11,7 +11,7 @@
     setup::{headers, settings},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         rc::Rc,
         time::Duration,
@@ -63,6 +63,9 @@
 /// Longest time of a cut.
 const MAX_CUT: Duration = Duration::from_millis(4_000);
 
+/// Longest time in which a node that starts is told by the others which servers leave.
+const MAX_GREETING: Duration = Duration::from_millis(1_500);
+
 /// Time after which a call to the store fails that gets no response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -328,6 +331,8 @@
     nodes: Vec<TestNode>,
     /// When each server began to leave.
     leaving: HashMap<Name, Instant>,
+    /// Servers that leave without a notice: they remove their entry.
+    removed: HashSet<Name>,
     /// Entries that servers are about to write, and when.
     writes: Vec<(Instant, Name, Option<Vec<u8>>)>,
     /// Messages between nodes, with the recipient and when they arrive.
@@ -350,6 +355,7 @@
             changed,
             nodes,
             leaving: HashMap::new(),
+            removed: HashSet::new(),
             writes: Vec::new(),
             messages: Vec::new(),
             cuts: Vec::new(),
@@ -390,14 +396,19 @@
             _ => Some(vec![DRAINING]),
         };
         let at = now + self.millis(0..1_500);
+        if value.is_none() {
+            self.removed.insert(server.clone());
+        }
         self.writes.push((at, server, value));
     }
 
     /// A server that the store has lost the notice of writes it again; others write what they are.
+    /// One that leaves without a notice has removed its entry and writes nothing.
     fn rewrite(&mut self, server: Name) {
         let listed = self.world.borrow().entries.get(&server).map(|(_, value)| value.clone());
         let acked = self.world.borrow().acks.contains_key(&server);
         match listed {
+            Some(_) if self.removed.contains(&server) => {}
             Some(value) if acked && value[0] == READY => self.write(&server, Some(vec![DRAINING])),
             Some(value) => self.write(&server, Some(value)),
             None => {}
@@ -419,6 +430,13 @@
         let fresh = TestNode::start(node, &self.world, &self.changed);
         std::mem::replace(&mut self.nodes[node], fresh).close();
         self.messages.retain(|(_, to, _)| *to != node);
+        for from in (0..NODES).filter(|from| *from != node).collect::<Vec<_>>() {
+            let at = Instant::now() + self.millis(300..MAX_GREETING.as_millis() as u64);
+            let notices = notices::known(&self.nodes[from].node, |_| true);
+            let kind = Kind::Servers.number();
+            let snapshot = Snapshot { kind, notices, ..Snapshot::default() };
+            self.messages.push((at, node, Told::Snapshot(snapshot)));
+        }
     }
 
     fn restore(&mut self) {
--- a/crates/whinspring-router/tests/path/notices.rs
+++ b/crates/whinspring-router/tests/path/notices.rs
@@ -205,6 +205,22 @@
     });
 }
 
+/// Guards against a drain that a node counts from its start: the store has lost the notice, and only
+/// the other nodes know.
+#[test]
+fn a_node_that_comes_up_is_told_which_servers_leave() {
+    run(leaving, |rig| async move {
+        rig.send(&build_request("/safe/success", "i1")).await;
+        let expected = notice(0, false, &rig);
+        let (mut peer, mut link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+        let told = peer.next(&mut link).await;
+        let Body::Snapshot(Snapshot { items, mut notices, .. }) = told else { panic!("{told:?}") };
+        assert!(items.is_empty());
+        notices.iter_mut().for_each(|notice| notice.age_ms = 0);
+        assert_eq!(notices, [expected]);
+    });
+}
+
 #[test]
 fn a_hint_on_another_life_is_ignored() {
     run(leaving, |rig| async move {
--- a/crates/whinspring/src/notices.rs
+++ b/crates/whinspring/src/notices.rs
@@ -138,10 +138,21 @@
     }
 }
 
+/// A notice of a run of a server that the store is not yet known to list.
+#[derive(Debug)]
+struct Early {
+    life: Life,
+    since: Tick,
+    /// When it is forgotten; set with the first eviction.
+    until: Option<Tick>,
+}
+
 /// All that a node knows of what servers have said of themselves.
 #[derive(Debug, Default)]
 pub struct Notices {
     servers: HashMap<Name, Known>,
+    /// Notices of runs that are not listed yet, the last one for each name.
+    early: HashMap<Name, Early>,
     /// Pauses of this node by server; empty most of the time.
     pauses: HashMap<Name, Pause>,
     /// Notices by source since they were last taken.
@@ -155,7 +166,9 @@
             Some(known) if known.life == life => known.listed = now,
             _ => {
                 self.pauses.remove(server);
-                self.servers.insert(server.clone(), Known { life, leaving: None, listed: now });
+                let early = self.early.remove(server).filter(|early| early.life == life);
+                let leaving = early.map(|early| early.since);
+                self.servers.insert(server.clone(), Known { life, leaving, listed: now });
             }
         }
     }
@@ -164,7 +177,8 @@
     /// counts from an earlier time than before.
     ///
     /// A later notice never prolongs the time that an earlier one has begun, and nothing takes a
-    /// notice back: a server that leaves ends, and the next run is another one.
+    /// notice back: a server that leaves ends, and the next run is another one. A notice of a run
+    /// that is not listed is kept for a while in case it is.
     pub fn record_leaving(
         &mut self,
         server: &Name,
@@ -173,7 +187,10 @@
         source: Source,
     ) -> bool {
         let known = self.servers.get_mut(server).filter(|known| known.life == life);
-        let Some(known) = known else { return false };
+        let Some(known) = known else {
+            self.keep_early(server, life, since);
+            return false;
+        };
         if known.leaving.is_some_and(|earlier| earlier <= since) {
             return false;
         }
@@ -182,6 +199,13 @@
         true
     }
 
+    /// Keeps a notice of a run that is not listed, with the earliest time for each run.
+    fn keep_early(&mut self, server: &Name, life: Life, since: Tick) {
+        let same = self.early.get(server).filter(|early| early.life == life);
+        let since = same.map_or(since, |early| early.since.min(since));
+        self.early.insert(server.clone(), Early { life, since, until: None });
+    }
+
     /// Records that a server wants nothing from this node for some time. Returns whether this
     /// prolongs what it said before; a shorter time does not shorten it.
     pub fn record_pause(
@@ -268,6 +292,7 @@
             now.since(known.listed) < RETENTION
         });
         self.pauses.retain(|name, _| self.servers.contains_key(name));
+        self.early.retain(|_, early| *early.until.get_or_insert(now + RETENTION) > now);
     }
 
     /// Returns and resets the number of notices by source.
--- a/crates/whinspring/tests/notices.rs
+++ b/crates/whinspring/tests/notices.rs
@@ -104,6 +104,24 @@
     assert_eq!(check(&notices, Purpose::Place, 3_800), Ok(()));
 }
 
+/// Another node may learn of a server earlier than this one.
+#[test]
+fn a_notice_of_a_run_that_is_not_listed_yet_counts_once_it_is() {
+    let mut notices = Notices::default();
+    assert!(!leave(&mut notices, 1, 800, Source::Peer));
+    assert!(!leave(&mut notices, 1, 900, Source::Peer));
+    notices.record_life(&SERVER.into(), life(1), at(1_000));
+    assert_eq!(notices.leaving_since(&SERVER.into()), Some(at(800)));
+    assert!(!leave(&mut notices, 2, 1_100, Source::Peer));
+    notices.record_life(&SERVER.into(), life(3), at(1_200));
+    assert_eq!(notices.leaving_since(&SERVER.into()), None, "another run");
+    assert!(!leave(&mut notices, 4, 1_300, Source::Peer));
+    notices.evict(at(2_000), |_| true);
+    notices.evict(at(63_000), |_| true);
+    notices.record_life(&SERVER.into(), life(4), at(63_000));
+    assert_eq!(notices.leaving_since(&SERVER.into()), None, "kept without end");
+}
+
 /// While the store is down entries expire, and are back after its return.
 #[test]
 fn a_notice_outlives_the_entry_for_a_while() {
