Gates: failed attempts of a node without paths make no server rest

Now an attempt that fails while the node is cut off, or suspects it, is reported as not sent: the slot is free, the server does not rest. The change is in the error arms of `send` only; the failures before the suspicion (three servers) still count. What remains: the slot stays taken for the 0.5 s in which a connection fails to open.

failed_connections_of_a_node_without_paths_make_no_server_rest was red before (the gate on another node was told Failed) and is green; a failure while others are reached stays the server's (a_failed_connection_is_the_servers_...).

--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -15,6 +15,7 @@
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
     whinspring::{
+        gate::ServerOutcome,
         name::Name,
         reach::{Change, Evidence, PROBE_TIMEOUT, Reach, Target},
         time::Tick,
@@ -158,6 +159,15 @@
     }
 }
 
+/// Returns the outcome of a failed attempt for the gate. It is not the server's if this node may be cut
+/// off from all servers: the gate would make the server rest for all nodes.
+pub fn failed_outcome<P: Platform>(node: &Node<P>) -> ServerOutcome {
+    match node.reach.borrow().is_in_doubt() {
+        true => ServerOutcome::NotSent,
+        false => ServerOutcome::Failed,
+    }
+}
+
 /// Has servers probed if the last failure makes the node doubt its paths.
 fn note_doubt<P: Platform>(node: &Node<P>) {
     let known = node.view.borrow().servers.len();
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -412,8 +412,8 @@
         };
         let exchange = self.exchange(&mut attempt, server);
         let Ok(result) = timeout(left, exchange).await else {
-            attempt.permit.outcome = ServerOutcome::Failed;
             reach::record_timeout(node, server, start, attempt.conn.is_some());
+            attempt.permit.outcome = reach::failed_outcome(node);
             return match attempt.conn.is_some() {
                 true => {
                     Outcome::Lost(Code::Deadline, "the server did not respond before the deadline")
@@ -431,8 +431,8 @@
             }
             Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
             Err(SendError::Call(fault)) if fault.is_sent() => {
-                attempt.permit.outcome = ServerOutcome::Failed;
                 reach::record_no_response(node, server);
+                attempt.permit.outcome = reach::failed_outcome(node);
                 let backend = attempt.backend.clone();
                 spawn_local(probe_server(node.clone(), server.clone(), backend, fingerprint));
                 Outcome::Lost(
@@ -441,7 +441,7 @@
                 )
             }
             Err(SendError::Call(_)) => {
-                attempt.permit.outcome = ServerOutcome::Failed;
+                attempt.permit.outcome = reach::failed_outcome(node);
                 Outcome::NotRun(Code::NoOwner)
             }
         }
--- a/crates/whinspring-router/tests/path/paths.rs
+++ b/crates/whinspring-router/tests/path/paths.rs
@@ -1,9 +1,22 @@
 //! Requests of a node that may have lost its paths to all servers.
 
 use {
-    crate::rig::{Rig, run},
+    crate::{
+        links::{FakePeer, LONG_INTERVAL_MS},
+        rig::{Rig, run},
+    },
     std::time::Duration,
-    tokio::{io::AsyncReadExt, net::TcpListener, task::spawn_local, time::sleep},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        task::spawn_local,
+        time::sleep,
+    },
+    whinspring::gate::ServerOutcome,
+    whinspring_router::{
+        message::{Admitted, Body},
+        reach,
+    },
 };
 
 /// Time within which a request that breaks off is taken for a crash.
@@ -51,3 +64,44 @@
         },
     );
 }
+
+/// Returns the outcome that a gate on another node learns of a request whose connection is refused,
+/// after connections to `failed` of three servers have failed.
+async fn outcome_of_refused(rig: &Rig, failed: usize) -> ServerOutcome {
+    let (mut peer, mut link) = FakePeer::connect(rig, true, LONG_INTERVAL_MS).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    rig.node.platform.server.set(listener.local_addr().unwrap());
+    drop(listener);
+    let servers = ["s1", "s2", "s3"];
+    rig.list_servers(&servers);
+    for server in &servers[1..=failed] {
+        reach::record_open(&rig.node, &(*server).into(), false);
+    }
+    let mut caller = rig.connect().await;
+    caller.write_all(REQUEST.as_bytes()).await.unwrap();
+    let Body::Admit(admit) = peer.next(&mut link).await else { panic!("expected a request") };
+    let server = "s1".to_string();
+    peer.send(Body::Admitted(Admitted { number: admit.number, server })).await;
+    let Body::Done(done) = peer.next(&mut link).await else { panic!("expected its end") };
+    done.outcome()
+}
+
+#[test]
+fn a_failed_connection_is_the_servers_while_others_are_reached() {
+    run(
+        |_| None,
+        |rig| async move {
+            assert_eq!(outcome_of_refused(&rig, 0).await, ServerOutcome::Failed);
+        },
+    );
+}
+
+#[test]
+fn failed_connections_of_a_node_without_paths_make_no_server_rest() {
+    run(
+        |_| None,
+        |rig| async move {
+            assert_eq!(outcome_of_refused(&rig, 2).await, ServerOutcome::NotSent);
+        },
+    );
+}
