--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -403,10 +403,10 @@
         };
         let exchange = self.exchange(&mut attempt, life, path);
         let Ok(result) = timeout(left, exchange).await else {
-            attempt.permit.outcome = ServerOutcome::Failed;
             if *path == Path::Direct {
                 reach::record_timeout(node, server, start, attempt.conn.is_some());
             }
+            attempt.permit.outcome = reach::failed_outcome(node);
             return match attempt.conn.is_some() {
                 true => {
                     Outcome::Lost(Code::Deadline, "the server did not respond before the deadline")
@@ -426,19 +426,19 @@
             }
             Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
             Err(SendError::Call(fault)) if fault.is_sent() => {
-                attempt.permit.outcome = ServerOutcome::Failed;
                 if *path == Path::Direct {
                     reach::record_no_response(node, server);
                     let backend = attempt.backend.clone();
                     spawn_local(probe_server(node.clone(), server.clone(), backend, fingerprint));
                 }
+                attempt.permit.outcome = reach::failed_outcome(node);
                 Outcome::Lost(
                     Code::ServerLost,
                     "the connection to the server broke before a response",
                 )
             }
             Err(SendError::Call(_)) => {
-                attempt.permit.outcome = ServerOutcome::Failed;
+                attempt.permit.outcome = reach::failed_outcome(node);
                 Outcome::NotRun(Code::NoOwner)
             }
         }
