Replace a watch that hangs while other nodes hear of changes

Cause: a watch that begins while the store is silent gets no response, not even after that. Nodes begin their watches at the same moments, 250 ms after a change or when the last one has ended, so that they hang all together. They were begun anew only if a call of the node had failed, or if the controller had gone without the store for 2.3 s. After a silence of 1 s it had not: its own call failed and the next one passed, 13 ms later.

The store is silent from 18.26 s to 19.26 s; one node logs store_lost and store_regained, at 19.336 and 19.349. The servers' changes arrive at the others from 19.68 s on once a second. A server's notice is taken by the store at 28.729, the controller has it at 28.880, all other nodes have it at 29.71; they count the usable drain of 1.3 s from there, and requests arrive 2,059 and 2,108 ms after the notice.

Ruled out: the nodes' own delay (the controller hears within 0.15 s; the others hear at the same moment); a cut of the nodes from the store (after it watches go on or end within 1.1 s, and nodes are out of touch).

Change: a watch that is 2 s old or more is begun anew when another node has been ahead for 250 ms, at most once a second. A slow store keeps its watches: a younger one is left alone. In large clusters two watchers of a failure domain could hang in the same way (a known limit).

Test: a_watch_that_hangs_is_replaced_once_another_node_is_ahead, red before (one watch where two are expected), green.

--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -27,6 +27,9 @@
 /// silent gets no response after that either.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a watch is not replaced though another node is ahead: the store may be slow.
+const MIN_WATCH_TIME: Duration = Duration::from_millis(2_000);
+
 /// Time between two watches in which changes are batched.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
 
@@ -99,6 +102,11 @@
                 interrupted = true;
                 continue;
             }
+            () = until_overtaken(node, kind) => {
+                info!(event = "watch_replaced", kind:? = kind, revision:% = position; "another node has a change that this node's watch did not bring; watching anew");
+                interrupted = true;
+                continue;
+            }
         };
         interrupted = false;
         match outcome {
@@ -120,6 +128,18 @@
     }
 }
 
+/// Waits until a watch that begins now seems to hang: another node has learned of a change.
+async fn until_overtaken<P: Platform>(node: &Rc<Node<P>>, kind: Kind) {
+    sleep(MIN_WATCH_TIME).await;
+    loop {
+        node.overtaken.notified().await;
+        let known = node.view.borrow().position(kind);
+        if node.peers.borrow().is_ahead(node.now(), kind, known) {
+            return;
+        }
+    }
+}
+
 /// Returns for how long to watch: a short time if this node has to find out when the store responds
 /// again.
 fn watch_timeout<P: Platform>(node: &Rc<Node<P>>) -> Duration {
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -62,6 +62,8 @@
     /// Notified when the store responds again, to this node or to the controller: a watch that
     /// began earlier may never get a response.
     pub store_returned: Notify,
+    /// Notified when another node has been ahead of this one for a while.
+    pub overtaken: Notify,
     /// Era of the store that this node acts in.
     pub era: Cell<u64>,
     /// Whether this node has seen the store come back in a new era.
@@ -94,6 +96,7 @@
             store_recovered: Cell::default(),
             store_lost: Cell::new(true),
             store_returned: Notify::new(),
+            overtaken: Notify::new(),
             era: Cell::default(),
             era_changed: Cell::new(false),
             era_ended: Notify::new(),
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -13,7 +13,7 @@
         message::{Body, Envelope, FetchRequest, Heartbeat, Hello},
         node::Node,
         notices, owners,
-        platform::{Kind, Platform},
+        platform::{Kind, Platform, Position},
         spread,
     },
     bytes::{Bytes, BytesMut},
@@ -135,6 +135,12 @@
         due
     }
 
+    /// Returns whether a node that is heard has a later change of a kind than the one at a position.
+    pub fn is_ahead(&self, now: Tick, kind: Kind, position: Position) -> bool {
+        let mut heard = self.nodes.values().filter(|peer| peer.is_sending(now));
+        heard.any(|peer| peer.heartbeat.position(kind) > position)
+    }
+
     /// Returns whether the cluster is so large that few nodes watch the store and forward changes.
     pub fn is_large_cluster(&self) -> bool {
         self.nodes.len() >= spread::MIN_NODES
@@ -367,6 +373,7 @@
 pub fn request_snapshot<P: Platform>(node: &Rc<Node<P>>, from: &Name, kind: Kind) {
     if node.peers.borrow_mut().may_fetch(node.now(), kind) {
         node.send(from, Body::FetchRequest(FetchRequest { kind: kind.number() }));
+        node.overtaken.notify_waiters();
     }
 }
 
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -327,3 +327,36 @@
         },
     );
 }
+
+/// Longest time after another node has applied a change until a watch that hangs is replaced.
+const REPLACE_TIME: Duration = Duration::from_millis(700);
+
+/// The store is silent for a second, in which the watch begins; the controller goes without it for so
+/// short that its heartbeats show no outage. They show changes that the watch does not bring.
+#[test]
+fn a_watch_that_hangs_is_replaced_once_another_node_is_ahead() {
+    run(
+        |_| None,
+        |rig| async move {
+            rig.node.platform.silent.set(true);
+            spawn_local(follow::run(rig.node.clone(), Kind::Servers));
+            let (mut leader, _link) = FakePeer::connect(&rig, true, 250).await;
+            leader.term = 1;
+            sleep(DECISION_TIME * 2).await;
+            let watches = || rig.node.platform.watches.get();
+            leader.heartbeat().await;
+            assert_eq!(watches(), 1, "no other node is ahead");
+            leader.servers = 5;
+            let start = rig.node.now();
+            while rig.node.now().since(start) < REPLACE_TIME {
+                leader.heartbeat().await;
+            }
+            assert_eq!(watches(), 2, "the watch hangs on");
+            assert!(rig.node.platform.wait.get() < APPLY_TIME / 4);
+            for _ in 0..10 {
+                leader.heartbeat().await;
+            }
+            assert_eq!(watches(), 2, "a watch that has just begun gets time for its response");
+        },
+    );
+}
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -60,6 +60,8 @@
     pub every: u32,
     /// CPU share that it announces, in hundredths of a core.
     pub cpu_share: u32,
+    /// Revision of the last change of the servers that it announces.
+    pub servers: u64,
     /// Whether it announces that it accepts compressed messages.
     unpacks: bool,
     listener: TcpListener,
@@ -95,6 +97,7 @@
         let link = framed(TcpStream::connect(target).await.unwrap());
         let cpu_share = Limits::default().cpu_percent;
         let (cut_off, term, store_age, every, unpacks, echo) = (false, 0, 0, 250, false, 0);
+        let servers = 0;
         let mut peer = Self {
             name,
             cut_off,
@@ -102,6 +105,7 @@
             store_age,
             every,
             cpu_share,
+            servers,
             unpacks,
             listener,
             target,
@@ -137,6 +141,7 @@
             is_leader: self.term > 0,
             store_age_ms: self.store_age,
             cpu_share: self.cpu_share,
+            servers: self.servers,
             unpacks: self.unpacks,
             ..Heartbeat::default()
         };
