Let the controller's watches end within a second

Cause: the watches of all nodes begin at the same moments. If that is in a silence, they all hang, for up to 16.5 s. The store's silence shows in a node's calls only; the controller reads its record every 1.5 s, so that none of its calls may fall into a shorter silence. Then no node is ahead of the others either, and notices reach nobody.

The store is silent from 18.65 s to 19.05 s; the last notice or removal that any of the eight nodes logs is at 18 s, and none logs store_lost. A server's notice is taken at 22.311 s; requests reach it from 24.362 s on.

Ruled out: shorter watches at all nodes, as each one that returns is a priced call.

Change: a watch of the controller asks the store to wait for 1 s, so that one that hangs ends 2.5 s after it began; nodes count as in touch 3 s after the silence. A node that is elected begins its watches anew, and in a large cluster the controller watches too. The others see it ahead and replace their watches.

Test: a_silence_that_no_call_shows_ends_the_controllers_watch_in_time, red before (a wait of 15 s), green.

--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -158,6 +158,7 @@
         return;
     }
     take_office(node, &known, &record, start);
+    node.store_returned.notify_waiters();
     info!(event = "controller", term = record.term, revision:% = position; "this node was elected as controller");
     restore::gather_owners(node);
 }
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -23,6 +23,10 @@
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The same at the controller. A watch that begins in a short silence of the store hangs at all nodes
+/// at once; this one ends, so that heartbeats show the others that they are behind.
+const LEADER_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Timeout of a watch while the store may not respond. A watch that begins while the store is
 /// silent gets no response after that either.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -143,13 +147,20 @@
 /// Returns for how long to watch: a short time if this node has to find out when the store responds
 /// again.
 fn watch_timeout<P: Platform>(node: &Rc<Node<P>>) -> Duration {
-    let is_watcher = near_watchers(node).is_none_or(|near| near.includes_self);
-    if node.store_lost.get() && is_watcher { PROBE_TIMEOUT } else { WATCH_TIMEOUT }
+    let is_leader = node.control.borrow().is_leader();
+    let is_watcher = is_leader || near_watchers(node).is_none_or(|near| near.includes_self);
+    match node.store_lost.get() {
+        true if is_watcher => PROBE_TIMEOUT,
+        _ if is_leader => LEADER_WATCH_TIMEOUT,
+        _ => WATCH_TIMEOUT,
+    }
 }
 
-/// Returns whether another node watches the store for this node and can reach it.
+/// Returns whether another node watches the store for this node and can reach it. The controller
+/// watches it in any case.
 fn is_delegated<P: Platform>(node: &Rc<Node<P>>) -> bool {
-    near_watchers(node).is_some_and(|near| !near.includes_self && near.is_reachable)
+    !node.control.borrow().is_leader()
+        && near_watchers(node).is_some_and(|near| !near.includes_self && near.is_reachable)
 }
 
 /// The nodes that watch the store for one failure domain.
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -13,7 +13,7 @@
         rendezvous::rank,
     },
     whinspring_router::{
-        follow,
+        control, follow,
         message::{Body, Item, ObjectsChanged, Snapshot},
         notices, peers,
         platform::{Changes, Kind, Listing, Object, Position},
@@ -360,3 +360,33 @@
         },
     );
 }
+
+/// Time after the end of a silence of the store from which notices must be heard.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time that a call of the store may take beyond its wait.
+const CALL_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// The store is silent for less than half a second, and the watches of all nodes begin in it: none of
+/// them gets a response, and no node is ahead of the others.
+#[test]
+fn a_silence_that_no_call_shows_ends_the_controllers_watch_in_time() {
+    run(
+        |_| None,
+        |rig| async move {
+            let platform = &rig.node.platform;
+            platform.calm.set(true);
+            spawn_local(follow::run(rig.node.clone(), Kind::Servers));
+            while platform.watches.get() < 1 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert!(platform.wait.get() > STABLE_TIME, "a node calls the store rarely");
+            spawn_local(control::run(rig.node.clone()));
+            while !rig.node.control.borrow().is_leader() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            sleep(APPLY_TIME).await;
+            assert!(platform.wait.get() + CALL_MARGIN < STABLE_TIME, "{:?}", platform.wait.get());
+        },
+    );
+}
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -15,7 +15,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         task::{LocalSet, spawn_local},
-        time::timeout,
+        time::{sleep, timeout},
     },
     whinspring::{
         name::Name,
@@ -46,6 +46,8 @@
     pub wait: Cell<Duration>,
     /// Whether watches get no answer and do not end.
     pub silent: Cell<bool>,
+    /// Whether nothing changes, and any node may become the controller.
+    pub calm: Cell<bool>,
     /// Objects that the store lists.
     pub listing: RefCell<Listing>,
     /// Whether watches fail as the history was compacted; reset by a listing.
@@ -72,12 +74,21 @@
         Ok(listing)
     }
 
-    async fn watch(&self, _: Kind, _: Position, wait: Duration) -> Result<Changes, StoreError> {
+    async fn watch(
+        &self,
+        _: Kind,
+        position: Position,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
         self.watches.set(self.watches.get() + 1);
         self.wait.set(wait);
         if self.silent.get() {
             pending::<()>().await;
         }
+        if self.calm.get() {
+            sleep(wait).await;
+            return Ok(Changes { position, events: Vec::new() });
+        }
         if self.compacted.get() {
             return Err(StoreError::Compacted);
         }
@@ -85,11 +96,11 @@
     }
 
     async fn read(&self, _: Kind, _: &str) -> Result<Option<Object>, StoreError> {
-        Err(StoreError::NoResponse)
+        if self.calm.get() { Ok(None) } else { Err(StoreError::NoResponse) }
     }
 
     async fn write(&self, _: Kind, _: &str, _: Position, _: &[u8]) -> Result<Position, StoreError> {
-        Err(StoreError::NoResponse)
+        if self.calm.get() { Ok(Position::new(0, 2)) } else { Err(StoreError::NoResponse) }
     }
 }
 
@@ -259,8 +270,8 @@
     let headers = headers();
     let listing = RefCell::new(Listing { position: Position::new(0, 1), items: Vec::new() });
     let (watches, wait, era) = (Cell::new(0), Cell::default(), Cell::new(0));
-    let (silent, compacted) = (Cell::new(false), Cell::new(false));
-    Platform { watches, wait, silent, listing, compacted, era, headers, server }
+    let (silent, calm, compacted) = (Cell::new(false), Cell::new(false), Cell::new(false));
+    Platform { watches, wait, silent, calm, listing, compacted, era, headers, server }
 }
 
 fn table(keyed: bool) -> RouteTable {
