--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -23,10 +23,17 @@
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The same at the controller. A watch that begins in a short silence of the store hangs at all nodes
+/// at once; this one ends, so that heartbeats show the others that they are behind.
+const LEADER_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Timeout of a watch while the store may not respond. A watch that begins while the store is
 /// silent gets no response after that either.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a watch is not replaced though another node is ahead: the store may be slow.
+const MIN_WATCH_TIME: Duration = Duration::from_millis(2_000);
+
 /// Time between two watches in which changes are batched.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
 
@@ -99,6 +106,11 @@
                 interrupted = true;
                 continue;
             }
+            () = until_overtaken(node, kind) => {
+                info!(event = "watch_replaced", kind:? = kind, revision:% = position; "another node has a change that this node's watch did not bring; watching anew");
+                interrupted = true;
+                continue;
+            }
         };
         interrupted = false;
         match outcome {
@@ -120,16 +132,35 @@
     }
 }
 
+/// Waits until a watch that begins now seems to hang: another node has learned of a change.
+async fn until_overtaken<P: Platform>(node: &Rc<Node<P>>, kind: Kind) {
+    sleep(MIN_WATCH_TIME).await;
+    loop {
+        node.overtaken.notified().await;
+        let known = node.view.borrow().position(kind);
+        if node.peers.borrow().is_ahead(node.now(), kind, known) {
+            return;
+        }
+    }
+}
+
 /// Returns for how long to watch: a short time if this node has to find out when the store responds
 /// again.
 fn watch_timeout<P: Platform>(node: &Rc<Node<P>>) -> Duration {
-    let is_watcher = near_watchers(node).is_none_or(|near| near.includes_self);
-    if node.store_lost.get() && is_watcher { PROBE_TIMEOUT } else { WATCH_TIMEOUT }
+    let is_leader = node.control.borrow().is_leader();
+    let is_watcher = is_leader || near_watchers(node).is_none_or(|near| near.includes_self);
+    match node.store_lost.get() {
+        true if is_watcher => PROBE_TIMEOUT,
+        _ if is_leader => LEADER_WATCH_TIMEOUT,
+        _ => WATCH_TIMEOUT,
+    }
 }
 
-/// Returns whether another node watches the store for this node and can reach it.
+/// Returns whether another node watches the store for this node and can reach it. The controller
+/// watches it in any case.
 fn is_delegated<P: Platform>(node: &Rc<Node<P>>) -> bool {
-    near_watchers(node).is_some_and(|near| !near.includes_self && near.is_reachable)
+    !node.control.borrow().is_leader()
+        && near_watchers(node).is_some_and(|near| !near.includes_self && near.is_reachable)
 }
 
 /// The nodes that watch the store for one failure domain.
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -13,7 +13,7 @@
         rendezvous::rank,
     },
     whinspring_router::{
-        follow,
+        control, follow,
         message::{Body, Item, ObjectsChanged, Snapshot},
         notices, peers,
         platform::{Changes, Kind, Listing, Object, Position},
@@ -327,3 +327,66 @@
         },
     );
 }
+
+/// Longest time after another node has applied a change until a watch that hangs is replaced.
+const REPLACE_TIME: Duration = Duration::from_millis(700);
+
+/// The store is silent for a second, in which the watch begins; the controller goes without it for so
+/// short that its heartbeats show no outage. They show changes that the watch does not bring.
+#[test]
+fn a_watch_that_hangs_is_replaced_once_another_node_is_ahead() {
+    run(
+        |_| None,
+        |rig| async move {
+            rig.node.platform.silent.set(true);
+            spawn_local(follow::run(rig.node.clone(), Kind::Servers));
+            let (mut leader, _link) = FakePeer::connect(&rig, true, 250).await;
+            leader.term = 1;
+            sleep(DECISION_TIME * 2).await;
+            let watches = || rig.node.platform.watches.get();
+            leader.heartbeat().await;
+            assert_eq!(watches(), 1, "no other node is ahead");
+            leader.servers = 5;
+            let start = rig.node.now();
+            while rig.node.now().since(start) < REPLACE_TIME {
+                leader.heartbeat().await;
+            }
+            assert_eq!(watches(), 2, "the watch hangs on");
+            assert!(rig.node.platform.wait.get() < APPLY_TIME / 4);
+            for _ in 0..10 {
+                leader.heartbeat().await;
+            }
+            assert_eq!(watches(), 2, "a watch that has just begun gets time for its response");
+        },
+    );
+}
+
+/// Time after the end of a silence of the store from which notices must be heard.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time that a call of the store may take beyond its wait.
+const CALL_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// The store is silent for less than half a second, and the watches of all nodes begin in it: none of
+/// them gets a response, and no node is ahead of the others.
+#[test]
+fn a_silence_that_no_call_shows_ends_the_controllers_watch_in_time() {
+    run(
+        |_| None,
+        |rig| async move {
+            let platform = &rig.node.platform;
+            platform.calm.set(true);
+            spawn_local(follow::run(rig.node.clone(), Kind::Servers));
+            while platform.watches.get() < 1 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert!(platform.wait.get() > STABLE_TIME, "a node calls the store rarely");
+            spawn_local(control::run(rig.node.clone()));
+            while !rig.node.control.borrow().is_leader() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            sleep(APPLY_TIME).await;
+            assert!(platform.wait.get() + CALL_MARGIN < STABLE_TIME, "{:?}", platform.wait.get());
+        },
+    );
+}
