--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -23,10 +23,17 @@
 
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The same at the controller. A watch that begins in a short silence of the store hangs at all nodes
+/// at once; this one ends, so that heartbeats show the others that they are behind.
+const LEADER_WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Timeout of a watch while the store may not respond. A watch that begins while the store is
 /// silent gets no response after that either.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a watch is not replaced though another node is ahead: the store may be slow.
+const MIN_WATCH_TIME: Duration = Duration::from_millis(2_000);
+
 /// Time between two watches in which changes are batched.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
 
@@ -104,6 +111,11 @@
                 interrupted = true;
                 continue;
             }
+            () = until_overtaken(node, kind) => {
+                info!(event = "watch_replaced", kind:? = kind, revision:% = position; "another node has a change that this node's watch did not bring; watching anew");
+                interrupted = true;
+                continue;
+            }
         };
         interrupted = false;
         match outcome {
@@ -131,16 +143,36 @@
     }
 }
 
+/// Waits until a watch that begins now seems to hang: another node has learned of a change.
+async fn until_overtaken<P: Platform>(node: &Rc<Node<P>>, kind: Kind) {
+    sleep(MIN_WATCH_TIME).await;
+    loop {
+        node.overtaken.notified().await;
+        let known = node.view.borrow().position(kind);
+        if node.peers.borrow().is_ahead(node.now(), kind, known) {
+            return;
+        }
+    }
+}
+
 /// Returns for how long to watch: a short time if this node has to find out when the store responds
 /// again.
 fn watch_timeout<P: Platform>(node: &Rc<Node<P>>) -> Duration {
-    let is_watcher = near_watchers(node).is_none_or(|near| near.includes_self);
-    if node.store_lost.get() && is_watcher { PROBE_TIMEOUT } else { WATCH_TIMEOUT }
+    let is_leader = node.control.borrow().is_leader();
+    let is_watcher = is_leader || near_watchers(node).is_none_or(|near| near.includes_self);
+    match node.store_lost.get() {
+        true if is_watcher => PROBE_TIMEOUT,
+        _ if is_leader => LEADER_WATCH_TIMEOUT,
+        _ => WATCH_TIMEOUT,
+    }
 }
 
 /// Returns when another node was last heard that watches the store for this node and can reach it;
-/// `None` if there is none.
+/// `None` if there is none. The controller watches it in any case.
 fn last_delegated<P: Platform>(node: &Rc<Node<P>>) -> Option<Tick> {
+    if node.control.borrow().is_leader() {
+        return None;
+    }
     near_watchers(node).filter(|near| !near.includes_self)?.heard
 }
 
