An outage does not bring back a server that was seen to be gone

Cause: the grace for entries that expire during an outage was asked of the present alone. Whether the store was in an outage when the entry disappeared is kept now.

The test was red before. Not covered: a node that notices the end of an outage late takes removals shortly after it for those of the outage.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -65,6 +65,8 @@
     pub known_since: Tick,
     /// When its entry disappeared.
     pub missing: Option<Tick>,
+    /// Whether the store was not in an outage when its entry disappeared.
+    pub is_gone: bool,
     /// Era in which this instance was first seen.
     pub known_era: u64,
     /// When its warm-up ends.
@@ -465,7 +467,9 @@
         let ended = &mut self.ended;
         self.servers.retain(|_, server| {
             let Some(since) = server.missing else { return true };
-            let used = now < since + REMOVAL_GRACE || now < store_back + OUTAGE_GRACE;
+            server.is_gone |= since >= store_back + OUTAGE_GRACE;
+            let may_return = !server.is_gone && now < store_back + OUTAGE_GRACE;
+            let used = now < since + REMOVAL_GRACE || may_return;
             if !used {
                 let start_ms = server.entry.start_ms;
                 let known = Ended { start_ms, gone: since, at: now, era, back: None };
@@ -621,6 +625,7 @@
             if server.entry.addr == entry.addr && server.entry.start_ms == entry.start_ms =>
         {
             server.missing = None;
+            server.is_gone = false;
             server.entry = entry;
             false
         }
@@ -633,6 +638,7 @@
                 backend: Rc::new(ConnectionPool::new(entry.addr, clock)),
                 known_since: now,
                 missing: None,
+                is_gone: false,
                 known_era: object.position.era,
                 warm_at,
                 entry,
--- a/crates/whinspring-router/tests/eras.rs
+++ b/crates/whinspring-router/tests/eras.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Time between two checks for servers that are gone.
+const SWEEP: Duration = Duration::from_millis(200);
+
 /// The view of a node and its clock.
 struct Rig {
     view: ClusterState,
@@ -153,6 +156,21 @@
     assert!(!rig.view.servers.contains_key("s1"));
 }
 
+/// Guards against requests to a server that was seen to be gone before the store fell silent.
+#[test]
+fn an_outage_does_not_bring_back_a_server_that_was_seen_to_be_gone() {
+    let mut rig = Rig::new();
+    rig.list(Kind::Servers, at(0, 90), &[("s1", 90, &[0, 0])]);
+    rig.list(Kind::Servers, at(0, 91), &[]);
+    let gone = rig.clock.now() + GRACE * 2;
+    rig.view.servers.get_mut("s1").unwrap().missing = Some(gone);
+    rig.view.sweep(gone + SWEEP, Tick::default(), rig.clock);
+    assert!(rig.view.servers.contains_key("s1"), "its keys are being moved");
+    let silent = gone + SWEEP * 2;
+    rig.view.sweep(silent, silent, rig.clock);
+    assert!(!rig.view.servers.contains_key("s1"));
+}
+
 /// Also for nodes that hear of it from this one, until the operator has written it again.
 #[test]
 fn a_lower_version_of_the_routes_does_not_come_back() {
