Log the limits that servers name in their responses

A server in need names in its responses how many requests a second it takes from all nodes. No line told whether a node had read that. Nodes now keep the last statement of each run of a server and log server_limited, server_unlimited and bad_server_limit. Nothing acts on it yet: a later statement replaces an earlier one, and that there is no limit counts only from a request sent after the limit was last named and that ran.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -25,6 +25,7 @@
         time::Duration,
     },
     whinspring::{
+        limits::Limits,
         name::Name,
         notices::{Life, Notices, Source},
         ranges::{HandoverKey, Instance, Ownership, Span},
@@ -130,6 +131,8 @@
     pub servers: HashMap<Name, Server>,
     /// What servers have said of themselves.
     pub notices: Notices,
+    /// How many requests servers take.
+    pub limits: Limits,
     /// Owners by service, with the position at which the controller of their term wrote them.
     pub owners: HashMap<Name, (Position, Rc<Ownership>)>,
     /// Servers that were removed, by name.
@@ -462,6 +465,7 @@
     pub fn sweep(&mut self, now: Tick, store_back: Tick, clock: Clock) -> bool {
         self.servers.values().for_each(|server| server.backend.evict_expired());
         self.notices.evict(now, |name| self.servers.contains_key(name));
+        self.limits.evict(now, |name| self.servers.contains_key(name));
         let era = self.synced(Kind::Servers).era;
         let before = self.servers.len();
         let ended = &mut self.ended;
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod frame;
 pub mod frontend;
+pub mod limits;
 pub mod logs;
 pub mod message;
 pub mod meter;
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -301,6 +301,8 @@
     pub key: HeaderName,
     /// Set by a server that leaves on all its responses.
     pub leaving: HeaderName,
+    /// Requests a second that a server takes from all nodes, as long as it sets it.
+    pub limit: HeaderName,
 }
 
 /// Header names and object formats of the platform.
--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -8,6 +8,7 @@
     super::{Fault, Reader},
     crate::{
         frontend::{self, Connections, IncomingRequest, parse_number, read_body},
+        limits,
         node::Node,
         notices,
         platform::{Platform, Word},
@@ -95,7 +96,8 @@
     let relayed = read(node, request).await?;
     notices::start(node, &relayed.server).map_err(Fault::Refused)?;
     let mut conn = None;
-    let left = relayed.deadline.since(node.now());
+    let start = node.now();
+    let left = relayed.deadline.since(start);
     let Ok(result) = timeout(left, relayed.send(node, &mut conn)).await else {
         return Err(if conn.is_some() { Fault::Lost } else { Fault::Unsent });
     };
@@ -104,6 +106,8 @@
     let names = node.platform.headers();
     let word = Word::read(response.status(), response.headers(), names);
     notices::hear(node, &relayed.server, relayed.life, word, Source::Response);
+    let (status, headers) = (response.status(), response.headers());
+    limits::hear(node, &relayed.server, relayed.life, status, headers, start);
     let (mut parts, body) = response.into_parts();
     strip_headers(&mut parts.headers);
     parts.headers.remove(RELAY_FAULT);
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -9,6 +9,7 @@
     },
     crate::{
         admission::{self, AdmissionRequest, Permit},
+        limits,
         message::{self, CrashReport},
         node::Node,
         notices,
@@ -422,6 +423,7 @@
                 let word =
                     Word::read(response.status(), response.headers(), node.platform.headers());
                 notices::hear(node, server, life, word, Source::Response);
+                limits::hear(node, server, life, response.status(), response.headers(), start);
                 self.handle_response(attempt, response, attempts).await
             }
             Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
--- a/crates/whinspring-router/tests/support/setup.rs
+++ b/crates/whinspring-router/tests/support/setup.rs
@@ -36,5 +36,6 @@
         not_run: HeaderName::from_static("x-not-run"),
         key: HeaderName::from_static("x-key"),
         leaving: HeaderName::from_static("x-leaving"),
+        limit: HeaderName::from_static("x-limit"),
     }
 }
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod holder;
 pub mod ini;
 pub mod lease;
+pub mod limits;
 pub mod message;
 pub mod model;
 pub mod name;
--- /dev/null
+++ b/crates/whinspring/tests/limits.rs
@@ -0,0 +1,83 @@
+//! What nodes know of the limits of servers.
+
+use {
+    std::{net::SocketAddr, time::Duration},
+    whinspring::{
+        limits::{Limits, Named, Rate, Statement, parse_limit},
+        name::Name,
+        notices::Life,
+        time::Tick,
+    },
+};
+
+const SERVER: &str = "s1";
+
+fn life(start_ms: u64) -> Life {
+    Life { start_ms, addr: SocketAddr::from(([127, 0, 0, 1], 1)) }
+}
+
+fn statement(rate: Option<f64>, ms: u64) -> Statement {
+    Statement { rate: rate.and_then(Rate::new), since: Tick::from_millis(ms) }
+}
+
+fn parse(values: &[&str]) -> Named {
+    parse_limit(values.iter().map(|value| value.as_bytes()))
+}
+
+#[test]
+fn the_lowest_readable_limit_counts() {
+    let limit = |rate| Named::Limit(Rate::new(rate).unwrap());
+    assert_eq!(parse(&[]), Named::None);
+    assert_eq!(parse(&["2.4"]), limit(2.4));
+    assert_eq!(parse(&[" 3 "]), limit(3.0));
+    assert_eq!(parse(&["0"]), limit(0.0));
+    assert_eq!(parse(&["3", "1.5", "2"]), limit(1.5));
+    assert_eq!(parse(&["soon", "2"]), limit(2.0));
+    assert_eq!(parse(&["2", "soon"]), limit(2.0));
+    for text in ["", "soon", "-1", "NaN", "inf", "1e400"] {
+        assert_eq!(parse(&[text]), Named::Unreadable, "{text}");
+    }
+}
+
+#[test]
+fn the_later_statement_counts() {
+    let server = Name::from(SERVER);
+    let mut limits = Limits::default();
+    limits.record(&server, life(1), statement(Some(2.0), 1_000));
+    limits.record(&server, life(1), statement(Some(5.0), 900));
+    assert_eq!(limits.rate(&server, life(1)), Rate::new(2.0));
+    limits.record(&server, life(1), statement(None, 950));
+    assert_eq!(limits.rate(&server, life(1)), Rate::new(2.0), "it may have been sent before");
+    limits.record(&server, life(1), statement(None, 1_100));
+    assert_eq!(limits.rate(&server, life(1)), None);
+    limits.record(&server, life(1), statement(Some(2.0), 1_050));
+    assert_eq!(limits.rate(&server, life(1)), None, "it was lifted later");
+}
+
+#[test]
+fn a_limit_binds_one_run_of_a_server() {
+    let server = Name::from(SERVER);
+    let mut limits = Limits::default();
+    limits.record(&server, life(1), statement(Some(2.0), 1_000));
+    assert_eq!(limits.rate(&server, life(2)), None);
+    assert_eq!(limits.statement(&server, life(2)), None);
+}
+
+#[test]
+fn what_needs_no_memory_is_forgotten() {
+    let server = Name::from(SERVER);
+    let mut limits = Limits::default();
+    limits.record(&server, life(1), statement(None, 1_000));
+    assert_eq!(limits.statement(&server, life(1)), None, "it never had a limit");
+    limits.record(&server, life(1), statement(Some(2.0), 1_000));
+    limits.evict(Tick::from_millis(1_000_000), |_| true);
+    assert_eq!(limits.rate(&server, life(1)), Rate::new(2.0), "nothing has lifted it");
+    limits.record(&server, life(1), statement(None, 2_000));
+    limits.evict(Tick::from_millis(3_000), |_| true);
+    assert!(limits.statement(&server, life(1)).is_some(), "others may still believe in it");
+    limits.evict(Tick::from_millis(2_000) + Duration::from_secs(60), |_| true);
+    assert_eq!(limits.statement(&server, life(1)), None);
+    limits.record(&server, life(1), statement(Some(2.0), 3_000));
+    limits.evict(Tick::from_millis(3_000), |_| false);
+    assert_eq!(limits.statement(&server, life(1)), None, "it is not listed any more");
+}
