--- a/crates/whinspring-router/tests/path/pair.rs
+++ b/crates/whinspring-router/tests/path/pair.rs
@@ -1,4 +1,4 @@
-//! Two nodes that know each other, of which only the second one reaches the server.
+//! Two nodes that know each other, of which the first one may not reach the server.
 
 use {
     crate::{
@@ -23,6 +23,8 @@
 /// What happens to the first node's connections to the server.
 #[derive(Debug, Clone, Copy)]
 pub enum Cut {
+    /// They open.
+    None,
     Refused,
     /// They never open.
     Hanging,
@@ -31,7 +33,7 @@
 }
 
 pub struct Pair {
-    /// The node that is cut off.
+    /// The node that may be cut off.
     pub entry: Rig,
     /// The node that reaches the server.
     pub relay: Rig,
@@ -78,13 +80,14 @@
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
         let (unreachable, listener, blocked) = match cut {
+            Cut::None => (server, None, Vec::new()),
             Cut::Refused | Cut::Unnoticed => (unused_addr().await, None, Vec::new()),
             Cut::Hanging => hanging_addr().await,
         };
         let entry = start_node("n1", unreachable, seen.clone(), None).await;
         let relay = start_node("n2", server, seen, relay).await;
-        entry.node.platform.pathless.set(true);
-        if !matches!(cut, Cut::Unnoticed) {
+        entry.node.platform.pathless.set(!matches!(cut, Cut::None));
+        if !matches!(cut, Cut::None | Cut::Unnoticed) {
             spawn_local(reach::run(entry.node.clone()));
         }
         let addr = relay.node.settings.advertised;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -168,6 +168,7 @@
 pub type Script = fn(&str) -> Option<String>;
 
 /// A running node and the requests that its server received.
+#[derive(Clone)]
 pub struct Rig {
     pub node: Rc<Node<Platform>>,
     pub seen: Rc<RefCell<Vec<String>>>,
