Keep the limit that a server names, over all nodes

Ruled out: a share of the limit at each node. Nine nodes that may each start one request at once exceed a limit of 1.6 a second in a window of 4 s, and with hundreds of nodes a share serves nobody. A broadcast of each limit: nodes that start or miss it know nothing, and it is dearer the larger the fleet.

Change: the one gate of a server spaces what it admits (whinspring::limits::Pace) and counts the limit into the wait that it expects, so that what cannot be started in time is refused at once. Nodes pass on what they have read with each request for admission, and gates with each admission, the later statement wins: no node that was told can reach a gate that was not. A gate that is not where the others look for it gives its server one node's share. Nodes of earlier versions do not keep limits: heartbeats say who does, and the gate of a limited server is chosen among these.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -3,7 +3,8 @@
 //! The node is chosen among the live nodes by rendezvous hashing of the pool name, so that all
 //! nodes choose the same one without coordination. While their views differ, or when that node
 //! stops responding, requests use a gate on their own node; servers keep a short queue for the
-//! excess load that this admits.
+//! excess load that this admits. Such a gate gives a server that limits its requests only the share
+//! of one node, and the gate of such a server is chosen among the nodes that keep limits.
 //!
 //! Messages in flight are lost when a link breaks. Therefore a request without a decision is sent
 //! to the gate again, and a gate asks the nodes of long-running requests whether these still run.
@@ -11,6 +12,7 @@
 use {
     crate::{
         cluster::Server,
+        limits,
         message::{Admit, Admitted, Body, Check, Done, Rejected},
         node::Node,
         notices,
@@ -194,6 +196,7 @@
         deadline: request.deadline.since(now).as_millis() as u32,
         avoid: request.avoid.clone().unwrap_or_default().to_string(),
         exclude: request.exclude.iter().map(Name::to_string).collect(),
+        limits: limits::known(node, &request.pool),
     };
     let own = node.name();
     if gate_node != own && node.send(gate_node, Body::Admit(admit.clone())) {
@@ -205,6 +208,7 @@
 
 /// Returns the node of the gate of a pool; prefers the failure domain of the server.
 fn gate_node<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> Name {
+    let is_limited = limits::has_limit(node, pool);
     let view = node.view.borrow();
     let near = view.servers.get(pool).map(|server| &server.entry.domain);
     let peers = node.peers.borrow();
@@ -215,7 +219,7 @@
     let own = (score(node.name(), &node.settings.domain), node.name());
     let others = peers
         .live(now)
-        .filter(|(_, peer)| !peer.heartbeat.leaving)
+        .filter(|(_, peer)| !peer.heartbeat.leaving && (peer.heartbeat.limits || !is_limited))
         .map(|(name, peer)| (score(name, &peer.heartbeat.domain), name));
     others.fold(own, |best, other| best.max(other)).1.clone()
 }
@@ -238,6 +242,7 @@
         avoid: (!admit.avoid.is_empty()).then(|| admit.avoid.into()),
         exclude: admit.exclude.into_iter().map(Name::from).collect(),
     };
+    limits::learn(node, &admit.limits);
     refresh(node, &pool);
     let placed = {
         let mut admission = node.admission.borrow_mut();
@@ -292,7 +297,10 @@
         return;
     }
     let body = match result {
-        Ok(server) => Body::Admitted(Admitted { number, server: server.to_string() }),
+        Ok(server) => {
+            let limit = limits::known_of(node, &server);
+            Body::Admitted(Admitted { number, server: server.to_string(), limit })
+        }
         Err(retry) => Body::Rejected(Rejected { number, retry_ms: retry.as_millis() as u32 }),
     };
     node.send(&ticket.node, body);
@@ -334,8 +342,18 @@
     }
 }
 
+/// Returns the parts into which a limit of the pool's servers is divided: all nodes use one gate
+/// together, but for gates that are not in the place where the others look for them.
+fn limit_parts<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> usize {
+    if !limits::has_limit(node, pool) || gate_node(node, pool) == *node.name() {
+        return 1;
+    }
+    node.peers.borrow().live(node.now()).count() + 1
+}
+
 /// Updates the servers of a gate.
 fn refresh<P: Platform>(node: &Rc<Node<P>>, pool: &Name) {
+    let parts = limit_parts(node, pool);
     let view = node.view.borrow();
     let mut admission = node.admission.borrow_mut();
     let gate = admission.gates.entry(pool.clone()).or_default();
@@ -344,6 +362,8 @@
     let mut update = |server: &Server, purpose| {
         let open = view.notices.check(&server.name, purpose, now, drain).is_ok();
         gate.set_server(&server.name, &server.entry.domain, server.entry.slots, open);
+        let limit = view.limits.rate(&server.name, server.life());
+        gate.set_limit(&server.name, limit.map(|rate| rate.share(parts)), now);
     };
     if let Some(server) = view.servers.get(pool) {
         update(server, Purpose::PlaceKeyed);
--- a/crates/whinspring-router/src/limits.rs
+++ b/crates/whinspring-router/src/limits.rs
@@ -2,10 +2,10 @@
 //! [`whinspring::limits`] decides what follows from it.
 
 use {
-    crate::{node::Node, platform::Platform},
+    crate::{message::ServerLimit, node::Node, platform::Platform},
     http::{HeaderMap, HeaderValue, StatusCode},
     log::info,
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
     whinspring::{
         limits::{Named, Rate, Statement, parse_limit},
         name::Name,
@@ -48,6 +48,73 @@
     }
 }
 
+/// Returns whether a server of a pool has a limit, as far as this node knows.
+pub fn has_limit<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> bool {
+    known(node, pool).iter().any(|limit| limit.rate.is_some())
+}
+
+/// Returns the limit of the server that is a pool of its own, in requests a second.
+pub fn rate<P: Platform>(node: &Rc<Node<P>>, server: &Name) -> Option<f64> {
+    known_of(node, server)?.rate
+}
+
+/// Returns what this node knows of the limit of a server.
+pub fn known_of<P: Platform>(node: &Rc<Node<P>>, server: &Name) -> Option<ServerLimit> {
+    let view = node.view.borrow();
+    let life = view.servers.get(server)?.life();
+    let statement = view.limits.statement(server, life)?;
+    Some(ServerLimit::new(server, life, statement, node.now()))
+}
+
+/// Returns what this node knows of the limits of a pool's servers: one server, or those of a service
+/// without keys.
+pub fn known<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> Vec<ServerLimit> {
+    let now = node.now();
+    let view = node.view.borrow();
+    let is_in_pool = |(name, life, _): &(&Name, Life, Statement)| {
+        let server = view.servers.get(*name).filter(|server| server.life() == *life);
+        server.is_some_and(|server| *name == pool || server.entry.service == *pool)
+    };
+    let statements = view.limits.statements().filter(is_in_pool);
+    statements.map(|(name, life, statement)| ServerLimit::new(name, life, statement, now)).collect()
+}
+
+/// Records what another node knows of the limits of servers.
+pub fn learn<'a, P: Platform>(
+    node: &Rc<Node<P>>,
+    limits: impl IntoIterator<Item = &'a ServerLimit>,
+) {
+    for limit in limits {
+        let Ok(addr) = limit.addr.parse() else {
+            node.metrics.count("link_malformed");
+            continue;
+        };
+        let rate = limit.rate.and_then(Rate::new);
+        if rate.is_none() && !limit.lifted {
+            continue;
+        }
+        let life = Life { start_ms: limit.start_ms, addr };
+        let since = node.now() - Duration::from_millis(limit.age_ms.into());
+        let server = Name::from(limit.server.as_str());
+        record(node, &server, life, Statement { rate, since }, "peer");
+    }
+}
+
+impl ServerLimit {
+    /// Creates a message on what a run of a server has said.
+    fn new(server: &Name, life: Life, statement: Statement, now: Tick) -> Self {
+        let rate = statement.rate.map(Rate::per_second);
+        Self {
+            server: server.to_string(),
+            start_ms: life.start_ms,
+            addr: life.addr.to_string(),
+            rate,
+            lifted: rate.is_none(),
+            age_ms: now.since(statement.since).as_millis() as u32,
+        }
+    }
+}
+
 /// Records what a server has said, to this node or to another one; logs it if the limit changes.
 fn record<P: Platform>(
     node: &Rc<Node<P>>,
@@ -56,7 +123,11 @@
     statement: Statement,
     source: &'static str,
 ) {
-    let limits = &mut node.view.borrow_mut().limits;
+    let mut view = node.view.borrow_mut();
+    if view.servers.get(server).is_some_and(|server| server.life() != life) {
+        return;
+    }
+    let limits = &mut view.limits;
     let before = limits.rate(server, life);
     limits.record(server, life, statement);
     let after = limits.rate(server, life);
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -151,6 +151,9 @@
     /// Whether the node can reach no server.
     #[prost(bool, tag = "23")]
     pub cut_off: bool,
+    /// Whether the node's gates keep the limits that servers name.
+    #[prost(bool, tag = "24")]
+    pub limits: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
@@ -234,6 +237,9 @@
     /// Servers that want nothing from the node now and must not run it.
     #[prost(string, repeated, tag = "7")]
     pub exclude: Vec<String>,
+    /// What the node knows of the limits of the pool's servers.
+    #[prost(message, repeated, tag = "8")]
+    pub limits: Vec<ServerLimit>,
 }
 
 /// Admits a request.
@@ -245,6 +251,32 @@
     /// Server that runs it.
     #[prost(string, tag = "2")]
     pub server: String,
+    /// What the node of the gate knows of the server's limit.
+    #[prost(message, optional, tag = "3")]
+    pub limit: Option<ServerLimit>,
+}
+
+/// What a server has said of how many requests it takes from all nodes. A message that states
+/// neither a limit nor that there is none says nothing.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServerLimit {
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Start time of the server, in milliseconds since the Unix epoch; zero if unknown.
+    #[prost(uint64, tag = "2")]
+    pub start_ms: u64,
+    /// Address of the server.
+    #[prost(string, tag = "3")]
+    pub addr: String,
+    /// Requests a second that it takes.
+    #[prost(double, optional, tag = "4")]
+    pub rate: Option<f64>,
+    /// Whether it names no limit any more.
+    #[prost(bool, tag = "5")]
+    pub lifted: bool,
+    /// Time since the statement was made.
+    #[prost(uint32, tag = "6")]
+    pub age_ms: u32,
 }
 
 /// Rejects a request.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -10,6 +10,7 @@
         control::servers,
         follow,
         frame::{self, Frame, MAX_MESSAGE_BYTES},
+        limits,
         message::{Body, Envelope, FetchRequest, Heartbeat, Hello},
         node::Node,
         notices, owners,
@@ -347,6 +348,7 @@
         Body::Done(done) => admission::handle_done(node, from, &done),
         Body::Check(check) => admission::handle_check(node, from, &check),
         Body::Admitted(admitted) => {
+            limits::learn(node, &admitted.limit);
             node.admission.borrow_mut().resolve(admitted.number, Ok(admitted.server.into()))
         }
         Body::Rejected(rejected) => {
@@ -512,6 +514,7 @@
             era_age_ms: node.era_age(now).as_millis() as u64,
             relay: node.settings.advertised_relay.to_string(),
             cut_off: node.reach.borrow().is_cut_off().is_some(),
+            limits: true,
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -270,7 +270,7 @@
             node.metrics.record_wait(node.now().since(start));
             let server = decision.map_err(|retry| {
                 node.metrics.count("refused_by_gate");
-                info!(event = "refused", id = self.id(), pool = pool.as_str(), retry_ms = retry.as_millis() as u64, routes = self.table.version, priority = self.route.priority; "rejected: the expected wait exceeds the limit");
+                info!(event = "refused", id = self.id(), pool = pool.as_str(), retry_ms = retry.as_millis() as u64, routes = self.table.version, priority = self.route.priority, limit = limits::rate(node, &pool); "rejected: the expected wait exceeds the limit");
                 Rejection::with_retry(Code::Overloaded, retry)
             })?;
             if !self.key.is_none_or(|key| self.owns(key, &server)) {
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -62,6 +62,8 @@
     pub cpu_share: u32,
     /// Revision of the last change of the servers that it announces.
     pub servers: u64,
+    /// Whether it announces that its gates keep the limits of servers.
+    pub limits: bool,
     /// Whether it announces that it accepts compressed messages.
     unpacks: bool,
     listener: TcpListener,
@@ -106,6 +108,7 @@
             every,
             cpu_share,
             servers,
+            limits: true,
             unpacks,
             listener,
             target,
@@ -143,6 +146,7 @@
             cpu_share: self.cpu_share,
             servers: self.servers,
             unpacks: self.unpacks,
+            limits: self.limits,
             ..Heartbeat::default()
         };
         let echo = self.echo;
@@ -217,7 +221,16 @@
 fn admit_message(number: u64) -> Body {
     let (target, deadline) = (500, 10_000);
     let (pool, avoid) = (POOL.to_string(), String::new());
-    Body::Admit(Admit { pool, number, priority: 0, target, deadline, avoid, exclude: Vec::new() })
+    Body::Admit(Admit {
+        pool,
+        number,
+        priority: 0,
+        target,
+        deadline,
+        avoid,
+        exclude: Vec::new(),
+        limits: Vec::new(),
+    })
 }
 
 #[test]
@@ -375,7 +388,7 @@
                 let Body::Admit(admit) = peer.next(&mut link).await else {
                     panic!("expected an admission request")
                 };
-                let admitted = Admitted { number: admit.number, server: "s1".into() };
+                let admitted = Admitted { number: admit.number, server: "s1".into(), limit: None };
                 peer.send(Body::Admitted(admitted)).await;
                 let mut response = Vec::new();
                 while !response.windows(4).any(|end| end == b"\r\n\r\n") {
--- a/crates/whinspring-router/tests/path/notices.rs
+++ b/crates/whinspring-router/tests/path/notices.rs
@@ -339,12 +339,18 @@
         let work = async {
             let Body::Admit(admit) = peer.next(&mut link).await else { panic!("no request") };
             assert!(admit.exclude.is_empty());
-            peer.send(Body::Admitted(Admitted { number: admit.number, server: "s1".into() })).await;
+            peer.send(Body::Admitted(Admitted {
+                number: admit.number,
+                server: "s1".into(),
+                limit: None,
+            }))
+            .await;
             loop {
                 let Body::Admit(admit) = peer.next(&mut link).await else { continue };
                 assert_eq!(admit.exclude, ["s1"]);
                 let server = "s2".into();
-                peer.send(Body::Admitted(Admitted { number: admit.number, server })).await;
+                peer.send(Body::Admitted(Admitted { number: admit.number, server, limit: None }))
+                    .await;
                 return;
             }
         };
@@ -375,7 +381,12 @@
         let request = build_request("/safe/plain", "i1");
         let work = async {
             let Body::Admit(admit) = peer.next(&mut link).await else { panic!("no request") };
-            peer.send(Body::Admitted(Admitted { number: admit.number, server: "s1".into() })).await;
+            peer.send(Body::Admitted(Admitted {
+                number: admit.number,
+                server: "s1".into(),
+                limit: None,
+            }))
+            .await;
             let mut told = false;
             loop {
                 match peer.next(&mut link).await {
@@ -386,7 +397,12 @@
                     Body::Admit(admit) => {
                         assert_eq!(admit.exclude, ["s1"]);
                         let server = "s2".into();
-                        peer.send(Body::Admitted(Admitted { number: admit.number, server })).await;
+                        peer.send(Body::Admitted(Admitted {
+                            number: admit.number,
+                            server,
+                            limit: None,
+                        }))
+                        .await;
                         return told;
                     }
                     _ => {}
--- a/crates/whinspring-router/tests/path/paths.rs
+++ b/crates/whinspring-router/tests/path/paths.rs
@@ -81,7 +81,7 @@
     caller.write_all(REQUEST.as_bytes()).await.unwrap();
     let Body::Admit(admit) = peer.next(&mut link).await else { panic!("expected a request") };
     let server = "s1".to_string();
-    peer.send(Body::Admitted(Admitted { number: admit.number, server })).await;
+    peer.send(Body::Admitted(Admitted { number: admit.number, server, limit: None })).await;
     let Body::Done(done) = peer.next(&mut link).await else { panic!("expected its end") };
     done.outcome()
 }
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -5,10 +5,15 @@
 //! requests to one pool: either one server that owns keys, or all servers of a service without
 //! keys. It admits as many requests as there are slots and queues the others by priority. A request
 //! that cannot be started in time is rejected as soon as that is known, with the time until the
-//! backlog has drained as its retry delay.
+//! backlog has drained as its retry delay. A server that limits how many requests a second it takes
+//! gets them spaced accordingly.
 
 use {
-    crate::{name::Name, time::Tick},
+    crate::{
+        limits::{Pace, Rate},
+        name::Name,
+        time::Tick,
+    },
     std::{collections::HashMap, time::Duration},
 };
 
@@ -106,6 +111,8 @@
     failures: u32,
     /// Point in time before which no request is sent, because of failures.
     backoff_until: Tick,
+    /// Spacing of requests, if the server limits them.
+    pace: Option<Pace>,
 }
 
 /// Admission queue of a pool of servers.
@@ -138,9 +145,20 @@
             measured_at: Tick::default(),
             failures: 0,
             backoff_until: Tick::default(),
+            pace: None,
         });
     }
 
+    /// Sets how many requests a second a server of the pool gets; `None` for no limit.
+    pub fn set_limit(&mut self, name: &Name, limit: Option<Rate>, now: Tick) {
+        let Some(position) = self.positions.get(name) else { return };
+        let server = &mut self.servers[*position];
+        match (&mut server.pace, limit) {
+            (Some(pace), Some(rate)) => pace.set_rate(rate, now),
+            (pace, limit) => *pace = limit.map(|rate| Pace::new(rate, now)),
+        }
+    }
+
     /// Removes the servers for which `keep` returns false.
     pub fn retain_servers(&mut self, keep: impl Fn(&Name) -> bool) {
         let before = self.servers.len();
@@ -230,6 +248,9 @@
             let request = self.queue.remove(index);
             let server = &mut self.servers[server];
             server.running.insert(request.ticket.clone(), now);
+            if let Some(pace) = &mut server.pace {
+                pace.record_start(now);
+            }
             decisions.push(Decision::Admit(request.ticket, server.name.clone()));
             index = 0;
         }
@@ -256,17 +277,18 @@
 
     /// Rejects the requests that cannot be started in time.
     fn reject(&mut self, decisions: &mut Vec<Decision>, now: Tick, service_time: Duration) {
-        let all = self.usable_slots(&[]);
+        let all = self.capacity(&[], service_time);
         let mut ahead = 0;
         let mut kept = Vec::with_capacity(self.queue.len());
         for request in std::mem::take(&mut self.queue) {
             let is_free = request.exclude.is_empty();
-            let slots = if is_free { all } else { self.usable_slots(&request.exclude) };
-            let each = service_time / slots.max(1);
+            let capacity =
+                if is_free { all } else { self.capacity(&request.exclude, service_time) };
+            let each = if capacity > 0.0 { service_time.div_f64(capacity) } else { service_time };
             let wait = each * (ahead + 1);
             let limit =
                 request.deadline.since(now).saturating_sub(service_time) * MAX_WAIT_PERCENT / 100;
-            if slots == 0 || wait > limit {
+            if capacity <= 0.0 || wait > limit {
                 let retry = (each * (ahead + 1)).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
                 decisions.push(Decision::Reject(request.ticket, retry));
             } else {
@@ -277,10 +299,11 @@
         self.queue = kept;
     }
 
-    /// Returns the slots of the open servers that are not excluded.
-    fn usable_slots(&self, exclude: &[Name]) -> u32 {
+    /// Returns how many requests the open servers that are not excluded run at a time.
+    fn capacity(&self, exclude: &[Name], service_time: Duration) -> f64 {
         let open = self.servers.iter().filter(|server| server.open);
-        open.filter(|server| !exclude.contains(&server.name)).map(|server| server.slots).sum()
+        let usable = open.filter(|server| !exclude.contains(&server.name));
+        usable.map(|server| server.capacity(service_time)).sum()
     }
 
     /// Returns the mean of the known service times of the servers.
@@ -293,9 +316,17 @@
 }
 
 impl Server {
-    /// Returns whether the server has a free slot and is neither closed nor in backoff.
+    /// Returns whether the server has a free slot, and is neither closed nor in backoff nor at its
+    /// limit.
     fn is_available(&self, now: Tick) -> bool {
-        self.open && (self.running.len() as u32) < self.slots && now >= self.backoff_until
+        let is_open = self.open && self.pace.as_ref().is_none_or(|pace| pace.is_open(now));
+        is_open && (self.running.len() as u32) < self.slots && now >= self.backoff_until
+    }
+
+    /// Returns how many requests the server runs at a time, within its limit.
+    fn capacity(&self, service_time: Duration) -> f64 {
+        let limit = self.pace.as_ref().map(|pace| pace.per_second() * service_time.as_secs_f64());
+        f64::from(self.slots).min(limit.unwrap_or(f64::INFINITY))
     }
 
     /// Updates the service time, or the backoff, from the outcome of a request.
--- a/crates/whinspring/src/limits.rs
+++ b/crates/whinspring/src/limits.rs
@@ -1,13 +1,23 @@
 //! How many requests a second servers take, as they say themselves.
 //!
 //! Load pattern: for seconds or minutes a server in need takes far fewer requests than arrive for it
-//! at many nodes.
+//! at many nodes. Each node knows what it has read last, and passes it on with each request for
+//! admission and each admission, so that the one gate of the server knows what any of its nodes
+//! knows. [`Pace`] spaces what a gate admits. `docs/design/server-notices.md` tells where the facts
+//! come from.
 
 use {
     crate::{name::Name, notices::Life, time::Tick},
     std::{collections::HashMap, time::Duration},
 };
 
+/// Lowest rate at which a server still gets requests, in requests a second: only a response tells
+/// that it takes more again.
+const MIN_RATE: f64 = 0.25;
+
+/// Time for which requests that were not started may be started later.
+const BURST_TIME: Duration = Duration::from_secs(1);
+
 /// Time after which it is forgotten that a server has lifted its limit.
 const LIFTED_RETENTION: Duration = Duration::from_secs(60);
 
@@ -25,6 +35,11 @@
     pub const fn per_second(self) -> f64 {
         self.0
     }
+
+    /// Returns an equal part of the rate.
+    pub fn share(self, parts: usize) -> Self {
+        Self(self.0 / parts.max(1) as f64)
+    }
 }
 
 /// What a server has said of its limit.
@@ -66,6 +81,11 @@
         self.statement(server, life)?.rate
     }
 
+    /// Returns the statements on runs of servers that ever named a limit.
+    pub fn statements(&self) -> impl Iterator<Item = (&Name, Life, Statement)> {
+        self.known.iter().map(|(name, (life, statement))| (name, *life, *statement))
+    }
+
     /// Forgets servers that are not listed any more, and limits that were lifted long ago.
     pub fn evict(&mut self, now: Tick, is_listed: impl Fn(&Name) -> bool) {
         self.known.retain(|name, (_, statement)| {
@@ -96,3 +116,48 @@
     };
     values.fold(Named::None, lowest)
 }
+
+/// Spaces requests so that a server gets no more than its limit.
+///
+/// Nothing may be started at the beginning; what was not started within [`BURST_TIME`] is forgotten.
+#[derive(Debug)]
+pub struct Pace {
+    rate: f64,
+    /// Requests that may start now, as known at `at`.
+    level: f64,
+    at: Tick,
+}
+
+impl Pace {
+    pub fn new(rate: Rate, now: Tick) -> Self {
+        Self { rate: rate.0.max(MIN_RATE), level: 0.0, at: now }
+    }
+
+    /// Changes the rate; what may start already stays.
+    pub fn set_rate(&mut self, rate: Rate, now: Tick) {
+        self.level = self.level_at(now);
+        self.at = now;
+        self.rate = rate.0.max(MIN_RATE);
+    }
+
+    /// Returns the requests that start in one second.
+    pub fn per_second(&self) -> f64 {
+        self.rate
+    }
+
+    /// Returns whether a request may start now.
+    pub fn is_open(&self, now: Tick) -> bool {
+        self.level_at(now) >= 1.0
+    }
+
+    /// Records that a request starts.
+    pub fn record_start(&mut self, now: Tick) {
+        self.level = self.level_at(now) - 1.0;
+        self.at = now;
+    }
+
+    fn level_at(&self, now: Tick) -> f64 {
+        let most = (self.rate * BURST_TIME.as_secs_f64()).max(1.0);
+        (self.level + self.rate * now.since(self.at).as_secs_f64()).min(most)
+    }
+}
--- a/crates/whinspring/tests/gate.rs
+++ b/crates/whinspring/tests/gate.rs
@@ -6,6 +6,7 @@
     std::{collections::BTreeMap, time::Duration},
     whinspring::{
         gate::{Decision, Gate, PendingRequest, ServerOutcome, Ticket},
+        limits::Rate,
         name::Name,
         time::Tick,
     },
@@ -116,6 +117,10 @@
         self.now = until;
     }
 
+    fn advance(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
     fn served_ratio(&self, priority: u8) -> f64 {
         let tally = &self.tallies[&priority];
         f64::from(tally.served) / f64::from(tally.submitted)
@@ -346,3 +351,52 @@
     });
     assert_eq!(gate.decide(now), [Decision::Admit(ticket, last)]);
 }
+
+/// The owner of a key limits its requests while far more arrive: it gets no more, and what cannot be
+/// started in time is rejected at once.
+#[test]
+fn a_limited_server_gets_no_more_than_it_takes() {
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut simulation = Simulation::new(&[100]);
+        let server = Name::from("s0");
+        let rate = rng.random_range(0.5..4.0);
+        simulation.gate.set_limit(&server, Rate::new(rate), simulation.now);
+        for number in 0..300 {
+            simulation.submit(number, rng.random_range(0..3));
+            simulation.advance(Duration::from_millis(rng.random_range(20..80)));
+        }
+        let served: u32 = simulation.tallies.values().map(|tally| tally.served).sum();
+        let seconds = simulation.now.since(Tick::from_millis(1)).as_secs_f64();
+        let most = rate * seconds + rate.max(1.0);
+        assert!(f64::from(served) <= most, "seed {seed}: {served} of at most {most}");
+        assert!(f64::from(served) >= rate * seconds * 0.8 - 1.0, "seed {seed}: {served} of {most}");
+        assert!(simulation.max_wait <= Duration::from_millis(800), "seed {seed}");
+    }
+}
+
+/// Other servers of the service take what the limited one does not.
+#[test]
+fn requests_go_to_servers_that_are_not_at_their_limit() {
+    let mut simulation = Simulation::new(&[50, 50]);
+    simulation.gate.set_limit(&Name::from("s0"), Rate::new(0.5), simulation.now);
+    for number in 0..200 {
+        simulation.submit(number, 0);
+        simulation.advance(Duration::from_millis(50));
+    }
+    assert_eq!(simulation.tallies[&0].refused, 0);
+}
+
+/// A limit that is lifted holds back nothing.
+#[test]
+fn a_lifted_limit_holds_back_nothing() {
+    let mut simulation = Simulation::new(&[50]);
+    let server = Name::from("s0");
+    simulation.gate.set_limit(&server, Rate::new(0.0), simulation.now);
+    simulation.gate.set_limit(&server, None, simulation.now);
+    for number in 0..100 {
+        simulation.submit(number, 0);
+        simulation.advance(Duration::from_millis(50));
+    }
+    assert_eq!(simulation.tallies[&0].refused, 0);
+}
--- a/crates/whinspring/tests/limits.rs
+++ b/crates/whinspring/tests/limits.rs
@@ -3,7 +3,7 @@
 use {
     std::{net::SocketAddr, time::Duration},
     whinspring::{
-        limits::{Limits, Named, Rate, Statement, parse_limit},
+        limits::{Limits, Named, Pace, Rate, Statement, parse_limit},
         name::Name,
         notices::Life,
         time::Tick,
@@ -81,3 +81,53 @@
     limits.evict(Tick::from_millis(3_000), |_| false);
     assert_eq!(limits.statement(&server, life(1)), None, "it is not listed any more");
 }
+
+/// Returns the most starts within one span of `window`.
+fn most_in_window(starts: &[Tick], window: Duration) -> usize {
+    let after =
+        |from: &Tick| starts.iter().filter(|at| *at >= from && **at <= *from + window).count();
+    starts.iter().map(after).max().unwrap_or(0)
+}
+
+/// Requests come all the time: as many start as the server takes, and any four seconds hold no more
+/// than the users' pages allow.
+#[test]
+fn requests_are_spaced() {
+    for rate in [0.0, 0.5, 1.6, 2.4, 10.0] {
+        let mut pace = Pace::new(Rate::new(rate).unwrap(), Tick::default());
+        let mut starts = Vec::new();
+        for now in (0..20_000).map(Tick::from_millis) {
+            if pace.is_open(now) {
+                pace.record_start(now);
+                starts.push(now);
+            }
+        }
+        let most = most_in_window(&starts, Duration::from_secs(4)) as f64;
+        assert!(most <= rate * 4.0 * 1.5 + 5.0, "{rate}: {most} in four seconds");
+        let expected = rate.max(0.25) * 20.0;
+        assert!(starts.len() as f64 >= expected - 1.0, "{rate}: {} started", starts.len());
+    }
+}
+
+/// Requests come after a rest: what was not started before is started for one second at most.
+#[test]
+fn a_rest_does_not_add_up() {
+    let mut pace = Pace::new(Rate::new(3.0).unwrap(), Tick::default());
+    let now = Tick::from_millis(60_000);
+    let started = (0..10).filter(|_| {
+        let open = pace.is_open(now);
+        if open {
+            pace.record_start(now);
+        }
+        open
+    });
+    assert_eq!(started.count(), 3);
+}
+
+#[test]
+fn a_changed_rate_counts_from_now_on() {
+    let mut pace = Pace::new(Rate::new(1.0).unwrap(), Tick::default());
+    pace.set_rate(Rate::new(10.0).unwrap(), Tick::from_millis(500));
+    assert!(!pace.is_open(Tick::from_millis(540)));
+    assert!(pace.is_open(Tick::from_millis(560)));
+}
