Move keys off servers that limit their requests

The other servers had room; the controller did not know, as no node told it and a limited server looks as fast as any.

Change: heartbeats to the controller carry what servers have said of late, and the capacity of a server is at most what its limit lets it do. A word is repeated for two seconds, so that a new controller gets it.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -219,7 +219,7 @@
     let own = (score(node.name(), &node.settings.domain), node.name());
     let others = peers
         .live(now)
-        .filter(|(_, peer)| !peer.heartbeat.leaving && (peer.heartbeat.limits || !is_limited))
+        .filter(|(_, peer)| !peer.heartbeat.leaving && (peer.heartbeat.keeps_limits || !is_limited))
         .map(|(name, peer)| (score(name, &peer.heartbeat.domain), name));
     others.fold(own, |best, other| best.max(other)).1.clone()
 }
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -105,6 +105,8 @@
     decayed_at: Tick,
     /// Measured over expected latency by server; 1.0 is as expected.
     slowness: HashMap<Name, f64>,
+    /// Expected time of a request by server, in seconds.
+    work: HashMap<Name, f64>,
     leases: Leases,
     /// Servers that refuse connections or whose address another server has.
     down: HashMap<Instance, servers::Refusals>,
@@ -184,6 +186,8 @@
             let ratio = f64::from(latency.total_ms) / f64::from(latency.expected_ms);
             let server = Name::from(latency.server.as_str());
             self.last_response.insert(server.clone(), now);
+            let each = f64::from(latency.expected_ms) / f64::from(latency.count.max(1)) / 1_000.0;
+            self.work.insert(server.clone(), each);
             if heartbeat.cut_off {
                 continue;
             }
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -48,6 +48,9 @@
 /// Capacity of a server that has just started, relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
 
+/// Assumed time of a request before any measurement, in seconds.
+const DEFAULT_WORK_S: f64 = 0.13;
+
 /// Returns the servers of a service that can own keys, sorted by instance.
 pub(super) fn candidates<P: Platform>(
     node: &Rc<Node<P>>,
@@ -65,6 +68,10 @@
             let slowness = control.slowness.get(&server.name).copied().unwrap_or(1.0);
             let cold = if now < server.warm_at { COLD_CAPACITY } else { 1.0 };
             let capacity = f64::from(server.entry.slots) * cold / slowness.clamp(0.3, 10.0);
+            let work = control.work.get(&server.name).copied().unwrap_or(DEFAULT_WORK_S);
+            let limit = view.limits.rate(&server.name, server.life());
+            let limit = limit.map_or(f64::INFINITY, |rate| rate.per_second() * work);
+            let capacity = capacity.min(limit);
             let down = control.down.get(&instance).is_some_and(|refusals| refusals.are_recent(now));
             let leaving = view.notices.leaving_since(&server.name).is_some()
                 || server.missing.is_some()
--- a/crates/whinspring-router/src/limits.rs
+++ b/crates/whinspring-router/src/limits.rs
@@ -14,6 +14,9 @@
     },
 };
 
+/// Time for which the controller is told what a server has said.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+
 /// Records what a server has said of its limit in a response to a request that was sent at `sent`.
 pub fn hear<P: Platform>(
     node: &Rc<Node<P>>,
@@ -79,6 +82,17 @@
     statements.map(|(name, life, statement)| ServerLimit::new(name, life, statement, now)).collect()
 }
 
+/// Returns what servers have said of late, for the controller: each word in a few heartbeats, so that
+/// a controller that has just taken over or missed one gets it.
+pub fn recent<P: Platform>(node: &Rc<Node<P>>) -> Vec<ServerLimit> {
+    let now = node.now();
+    let view = node.view.borrow();
+    let is_recent =
+        |(_, _, statement): &(&Name, Life, Statement)| now.since(statement.since) < REPORT_TIME;
+    let statements = view.limits.statements().filter(is_recent);
+    statements.map(|(name, life, statement)| ServerLimit::new(name, life, statement, now)).collect()
+}
+
 /// Records what another node knows of the limits of servers.
 pub fn learn<'a, P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -153,7 +153,10 @@
     pub cut_off: bool,
     /// Whether the node's gates keep the limits that servers name.
     #[prost(bool, tag = "24")]
-    pub limits: bool,
+    pub keeps_limits: bool,
+    /// What servers have said of their limits of late, to the controller.
+    #[prost(message, repeated, tag = "25")]
+    pub limits: Vec<ServerLimit>,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -425,6 +425,7 @@
     if restarted {
         admission::drop_node(node, from);
     }
+    limits::learn(node, &heartbeat.limits);
     let was_silent = node.control.borrow().is_store_silent();
     node.control.borrow_mut().on_heartbeat(now, from, &heartbeat);
     if was_silent && !node.control.borrow().is_store_silent() {
@@ -514,12 +515,13 @@
             era_age_ms: node.era_age(now).as_millis() as u64,
             relay: node.settings.advertised_relay.to_string(),
             cut_off: node.reach.borrow().is_cut_off().is_some(),
-            limits: true,
+            keeps_limits: true,
+            limits: Vec::new(),
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
     let frame = Frame::new(Body::Heartbeat(heartbeat.clone()));
-    let measured = Heartbeat { keys, latencies, ..heartbeat };
+    let measured = Heartbeat { keys, latencies, limits: limits::recent(node), ..heartbeat };
     let controller = node.control.borrow().controller().cloned();
     for (name, peer) in &node.peers.borrow().nodes {
         let frame = match &controller {
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -2,13 +2,15 @@
 
 use {
     crate::fake::{
-        FaultRates, World, advance, exchange_heartbeats, start, start_with, with_paused_clock,
+        FaultRates, Platform, SERVICE, World, advance, exchange_heartbeats, start, start_with,
+        with_paused_clock,
     },
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
     whinspring_router::{
-        control, follow,
-        message::{Heartbeat, ServerLatency},
+        control, follow, limits,
+        message::{Heartbeat, KeyLoad, ServerLatency, ServerLimit},
+        node::Node,
         platform::{Kind, Store},
         settings::Limits,
     },
@@ -150,6 +152,65 @@
     });
 }
 
+/// A server that limits its requests to a seventh of what arrives for its keys: most of them go to
+/// the others, and come back once the limit is lifted.
+#[test]
+fn keys_leave_a_server_while_it_limits_its_requests() {
+    scenario(async {
+        let world = World::new(1, 4);
+        let node = start(&world, "n1");
+        advance(4_000).await;
+        let loaded = |count: u32| {
+            let key = |number: u32| KeyLoad {
+                service: SERVICE.into(),
+                key: number * 65_536 / count,
+                work_ms: 20,
+            };
+            let latency = |server: &str| ServerLatency {
+                server: server.into(),
+                count: 2,
+                total_ms: 260,
+                expected_ms: 260,
+            };
+            Heartbeat {
+                keys: (0..count).map(key).collect(),
+                latencies: ["s00", "s01", "s02", "s03"].map(latency).into(),
+                ..Heartbeat::default()
+            }
+        };
+        let run = async |rate: Option<f64>| {
+            for _ in 0..50 {
+                advance(200).await;
+                node.control.borrow_mut().record_measurements(node.now(), &loaded(40));
+                limits::learn(&node, &[limit_of(&node, "s02", rate)]);
+            }
+        };
+        run(None).await;
+        let before = world.borrow().share(2);
+        assert!(before > 0.2, "{before}");
+        run(Some(1.0)).await;
+        let limited = world.borrow().share(2);
+        assert!(limited < 0.1, "{limited}");
+        run(None).await;
+        let after = world.borrow().share(2);
+        assert!(after > 0.15, "{after}");
+        check(&world);
+    });
+}
+
+/// Returns what a node says of the limit of a server.
+fn limit_of(node: &Rc<Node<Platform>>, server: &str, rate: Option<f64>) -> ServerLimit {
+    let life = node.view.borrow().servers[server].life();
+    ServerLimit {
+        server: server.into(),
+        start_ms: life.start_ms,
+        addr: life.addr.to_string(),
+        rate,
+        lifted: rate.is_none(),
+        age_ms: 0,
+    }
+}
+
 /// A leaving server refuses connections while its last requests end.
 #[test]
 fn a_leaving_server_is_not_dead_at_once() {
--- a/crates/whinspring-router/tests/path/limits.rs
+++ b/crates/whinspring-router/tests/path/limits.rs
@@ -244,3 +244,35 @@
         assert_eq!(known_rate(&rig), Some(LIMIT));
     });
 }
+
+/// The controller hears of limits and of their end in heartbeats, other nodes do not.
+#[test]
+fn the_controller_is_told_of_limits() {
+    for term in [0, 1] {
+        rig::run(limited, move |rig| async move {
+            let (mut peer, mut link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+            peer.term = term;
+            peer.heartbeat().await;
+            assert!(rig.send(&build_request(1)).await.starts_with("HTTP/1.1 200"));
+            let mut told = Vec::new();
+            for _ in 0..8 {
+                if let Some(beat) = peer.read_heartbeat(&mut link).await {
+                    told.extend(beat.limits.into_iter().map(|limit| limit.rate));
+                }
+            }
+            let is_told = told.contains(&Some(LIMIT));
+            assert_eq!(is_told, term > 0, "{told:?}");
+        });
+    }
+}
+
+/// A controller learns of limits from other nodes' heartbeats.
+#[test]
+fn limits_in_heartbeats_are_learned() {
+    rig::run(limited, |rig| async move {
+        let (mut peer, _link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+        peer.limited = vec![message(&rig, Some(LIMIT), 0)];
+        peer.heartbeat().await;
+        assert_eq!(known_rate(&rig), Some(LIMIT));
+    });
+}
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -24,7 +24,7 @@
         frame::Frame,
         message::{
             Admit, Admitted, Body, Check, Done, Envelope, FetchRequest, HandoverRecord,
-            HandoversFinished, Heartbeat, Hello, Item, Snapshot,
+            HandoversFinished, Heartbeat, Hello, Item, ServerLimit, Snapshot,
         },
         peers,
         platform::Kind,
@@ -64,6 +64,8 @@
     pub servers: u64,
     /// Whether it announces that its gates keep the limits of servers.
     pub limits: bool,
+    /// What its heartbeats tell of the limits of servers.
+    pub limited: Vec<ServerLimit>,
     /// Whether it announces that it accepts compressed messages.
     unpacks: bool,
     listener: TcpListener,
@@ -109,6 +111,7 @@
             cpu_share,
             servers,
             limits: true,
+            limited: Vec::new(),
             unpacks,
             listener,
             target,
@@ -146,7 +149,8 @@
             cpu_share: self.cpu_share,
             servers: self.servers,
             unpacks: self.unpacks,
-            limits: self.limits,
+            keeps_limits: self.limits,
+            limits: self.limited.clone(),
             ..Heartbeat::default()
         };
         let echo = self.echo;
@@ -186,13 +190,12 @@
         link
     }
 
-    /// Reads a heartbeat of the node under test.
-    async fn read_heartbeat(&mut self, link: &mut Link) {
-        if let Body::Heartbeat(beat) =
-            timeout(DETECTION_TIMEOUT, read(link)).await.expect("no heartbeat in time")
-        {
-            self.echo = beat.sent_ms;
-        }
+    /// Reads a message of the node under test; returns it if it is a heartbeat.
+    pub async fn read_heartbeat(&mut self, link: &mut Link) -> Option<Heartbeat> {
+        let body = timeout(DETECTION_TIMEOUT, read(link)).await.expect("no heartbeat in time");
+        let Body::Heartbeat(beat) = body else { return None };
+        self.echo = beat.sent_ms;
+        Some(beat)
     }
 
     fn addr(&self) -> SocketAddr {
