Hear what a server says as the time of a request ends

Change: the server is given 10 ms less than the node waits; a relay waits as long as the entry node does. The test was red before (1484 of 1485 ms).

--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -13,7 +13,7 @@
         notices,
         platform::{Platform, Word},
         reach,
-        request::{fingerprint, forward_headers, probe_server},
+        request::{VERDICT_TIME, fingerprint, forward_headers, probe_server, time_for_server},
         response::{Body, set_connection_close, strip_headers},
     },
     bytes::Bytes,
@@ -125,7 +125,7 @@
     let (parts, ext) = request.into_parts();
     let (_, body) = RequestExt::replace_body(ext, ());
     let left = parse_number(&parts.headers, &names.deadline).ok_or(Fault::Unsent)?;
-    let deadline = node.now() + Duration::from_millis(left);
+    let deadline = node.now() + Duration::from_millis(left) + VERDICT_TIME;
     let body = read_body(body, &parts.headers, usize::MAX).await.map_err(|_| Fault::Unsent)?;
     let start_ms: u64 = parse_number(&parts.headers, &SERVER_START).ok_or(Fault::Unsent)?;
     let target = parts.headers.get(&names.target).and_then(|value| value.to_str().ok());
@@ -199,7 +199,7 @@
         *request.uri_mut() = self.parts.uri.clone();
         let headers = request.headers_mut();
         *headers = forward_headers(self.parts.headers.clone(), &[&SERVER_START]);
-        let left = self.deadline.since(node.now()).as_millis().max(1) as u64;
+        let left = time_for_server(self.deadline, node.now());
         headers.insert(names.deadline.clone(), left.into());
         request
     }
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -1,6 +1,9 @@
 //! Forwarding of one request: from its head to the start of its response.
 
-pub use self::{attempt::Attempt, exchange::Path};
+pub use self::{
+    attempt::Attempt,
+    exchange::{Path, VERDICT_TIME, time_for_server},
+};
 
 use {
     self::{
--- a/crates/whinspring-router/src/request/exchange.rs
+++ b/crates/whinspring-router/src/request/exchange.rs
@@ -24,6 +24,7 @@
     whinspring::{
         name::Name,
         notices::{Life, Purpose, Refusal, Source, Wait},
+        time::Tick,
     },
     whinspring_http::{
         backend::{CallError, Conn, NoStream, RequestBody},
@@ -37,6 +38,15 @@
 /// Time after which an attempt tries no further relay.
 const RELAY_TIME: Duration = Duration::from_millis(150);
 
+/// Time in which the last word of a server reaches this node: a server that turns a request away as
+/// its time is over may say that it wants nothing for a while.
+pub const VERDICT_TIME: Duration = Duration::from_millis(10);
+
+/// Returns the milliseconds that a server is given for a request.
+pub fn time_for_server(deadline: Tick, now: Tick) -> u64 {
+    deadline.since(now).saturating_sub(VERDICT_TIME).as_millis().max(1) as u64
+}
+
 /// How a request is sent to its server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Path {
@@ -282,7 +292,7 @@
         let headers = request.headers_mut();
         *headers = self.headers.clone();
         let names = self.node.platform.headers();
-        let left = self.deadline.since(self.node.now()).as_millis().max(1) as u64;
+        let left = time_for_server(self.deadline, self.node.now());
         headers.insert(names.deadline.clone(), left.into());
         if let Ok(value) = HeaderValue::from_str(server) {
             headers.insert(names.target.clone(), value);
--- a/crates/whinspring-router/tests/path/notices.rs
+++ b/crates/whinspring-router/tests/path/notices.rs
@@ -21,6 +21,12 @@
 
 const SERVER: &str = "s1";
 
+/// Milliseconds before the caller's deadline at which a node answers.
+const RESPONSE_MARGIN_MS: u64 = 15;
+
+/// Milliseconds that a server's last word may take to the node.
+const VERDICT_TIME_MS: u64 = 10;
+
 /// Time in which a message arrives.
 const DELIVERY_TIME: Duration = Duration::from_millis(100);
 
@@ -281,6 +287,24 @@
     }
 }
 
+/// Returns the milliseconds that a server is given for a request.
+fn time_given(request: &str) -> u64 {
+    let line = request.lines().find_map(|line| line.strip_prefix("x-deadline: "));
+    line.unwrap_or_else(|| panic!("{request}")).parse().unwrap()
+}
+
+/// A server that turns a request away when its time is over, and wants nothing for a while, is still
+/// heard: the node waits longer than it tells the server.
+#[test]
+fn a_server_ends_before_the_node_stops_listening() {
+    run(leaving, |rig| async move {
+        rig.send(&build_request("/once/plain", "i1")).await;
+        let given = time_given(&rig.seen.borrow()[0]);
+        let listens = 1_500 - RESPONSE_MARGIN_MS;
+        assert!(given + VERDICT_TIME_MS <= listens, "{given} of {listens} ms");
+    });
+}
+
 #[test]
 fn a_pause_ends_the_wait_of_queued_requests_for_a_key() {
     run(leaving, |rig| async move {
