--- a/crates/whinspring-bench/src/fleet.rs
+++ b/crates/whinspring-bench/src/fleet.rs
@@ -16,7 +16,7 @@
     error::Error,
     operator::{CommandOutput, Operator},
     ports::free_addr,
-    process::{Process, Usage},
+    process::{Process, Usage, program_path},
     server::Server,
     shape::{KeyShape, ServerShape, ServiceShape, Shape},
 };
--- a/crates/whinspring-bench/src/fleet/process.rs
+++ b/crates/whinspring-bench/src/fleet/process.rs
@@ -52,7 +52,16 @@
 impl Process {
     /// Starts a program of the same build; its output is appended to `NAME.log` in `dir`.
     pub fn start(dir: &Path, name: &str, program: &str, args: &[OsString]) -> Result<Self, Error> {
-        let program = program_path(program);
+        Self::start_at(dir, name, program_path(program), args)
+    }
+
+    /// Starts the program at a path; its output is appended to `NAME.log` in `dir`.
+    pub fn start_at(
+        dir: &Path,
+        name: &str,
+        program: PathBuf,
+        args: &[OsString],
+    ) -> Result<Self, Error> {
         let log = dir.join(format!("{name}.log"));
         let log_start = file_len(&log);
         let child = spawn(&program, args, &log)?;
@@ -80,6 +89,12 @@
         Ok(())
     }
 
+    /// Sets the program and the arguments of the next start.
+    pub fn set_program(&mut self, program: PathBuf, args: Vec<OsString>) {
+        self.program = program;
+        self.args = args;
+    }
+
     /// Returns the process id of the child.
     pub fn pid(&self) -> i32 {
         self.pid
@@ -190,7 +205,7 @@
 }
 
 /// Returns the path of a program in the build directory of the current executable.
-pub(super) fn program_path(program: &str) -> PathBuf {
+pub fn program_path(program: &str) -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
     let dir = own.parent().unwrap_or(Path::new("."));
     let is_test = dir.ends_with("deps");
