Replace links that are silent in both directions

After two stalls the links between them passed nothing in either direction, while both reached everybody else: neither was heard, so that neither learned that it was not heard, and a link was replaced only if the peer was heard.

Change: a link is replaced when the peer has echoed no heartbeat for the same time as before, heard or not. The test was red before (no new link).

--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -184,9 +184,11 @@
         now.since(self.last_echoed) < self.heartbeat.half_open_after()
     }
 
-    /// Returns whether its heartbeats arrive but it does not receive those of this node.
-    fn is_half_open(&self, now: Tick) -> bool {
-        self.is_sending(now) && !self.is_receiving(now)
+    /// Returns whether the link to it has been open for long and it is not known to receive what this
+    /// node sends. Its own link may be silent, too, so that it cannot tell.
+    fn is_link_silent(&self, now: Tick) -> bool {
+        let is_old = now.since(self.link_opened) >= self.heartbeat.half_open_after();
+        is_old && !self.is_receiving(now)
     }
 
     /// Records a heartbeat; `echo` is when the newest heartbeat was sent that the peer has
@@ -441,7 +443,7 @@
         sleep(interval).await;
         let now = node.now();
         reset_after_freeze(&node, now);
-        reopen_half_open(&node, now);
+        reopen_silent(&node, now);
         send_heartbeats(&node, now);
         let silent: Vec<Name> = {
             let mut peers = node.peers.borrow_mut();
@@ -470,15 +472,16 @@
     }
 }
 
-/// Opens new links to nodes that do not receive what this node sends.
-fn reopen_half_open<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
+/// Opens new links to nodes that do not receive what this node sends, as far as known. The first new
+/// link after an echo is logged: a node that has ended gets some more.
+fn reopen_silent<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
     let mut peers = node.peers.borrow_mut();
-    let half_open = peers.nodes.iter_mut().filter(|(_, peer)| peer.is_half_open(now));
-    for (name, peer) in half_open
-        .filter(|(_, peer)| now.since(peer.link_opened) >= peer.heartbeat.half_open_after())
-    {
+    for (name, peer) in peers.nodes.iter_mut().filter(|(_, peer)| peer.is_link_silent(now)) {
         let silence = now.since(peer.last_echoed).as_millis() as u64;
-        info!(event = "link_reopened", peer = name.as_str(), silence_ms = silence; "node sends heartbeats but does not echo this node's; opening a new link");
+        node.metrics.count("link_reopened");
+        if peer.link_opened <= peer.last_echoed || peer.is_sending(now) {
+            info!(event = "link_reopened", peer = name.as_str(), silence_ms = silence, heard = peer.is_sending(now); "node does not echo this node's heartbeats; opening a new link");
+        }
         peer.queue = open_link(node.name().clone(), peer.addr);
         peer.link_opened = now;
     }
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -259,6 +259,30 @@
     );
 }
 
+/// Guards against two nodes that never hear each other again: the links of both have gone silent, so
+/// that neither hears that the other one does not hear it.
+#[test]
+fn links_that_are_silent_in_both_directions_are_replaced() {
+    run(
+        |_| None,
+        |rig| async move {
+            let (mut peer, mut link) = FakePeer::connect(&rig, false, 250).await;
+            for _ in 0..4 {
+                peer.read_heartbeat(&mut link).await;
+                peer.heartbeat().await;
+            }
+            assert!(is_live(&rig, &peer));
+            sleep(DETECTION_TIMEOUT).await;
+            assert!(!is_live(&rig, &peer), "nothing passes in either direction");
+            let mut fresh = peer.accept().await;
+            peer.read_heartbeat(&mut fresh).await;
+            peer.reconnect().await;
+            peer.heartbeat().await;
+            assert!(is_live(&rig, &peer), "both hear each other on new links");
+        },
+    );
+}
+
 /// Guards against slots that stay taken when the message with the end of a request is lost: the
 /// gate asks the node of the request whether it still runs.
 #[test]
