Shares of a limit near zero add up to no more than the limit

Found on a read of the change: a gate that is not in the place where the others look for it gives its server one node's share, but the lowest rate (one request in four seconds) was kept for each share. With 300 nodes that are all on their own, a server that takes nothing got 75 requests a second. The lowest rate is now that of the whole limit. The test was red before (9 parts).

--- a/crates/whinspring/src/limits.rs
+++ b/crates/whinspring/src/limits.rs
@@ -36,9 +36,10 @@
         self.0
     }
 
-    /// Returns an equal part of the rate.
+    /// Returns an equal part of the rate at which a server with this limit gets requests, which is
+    /// never zero.
     pub fn share(self, parts: usize) -> Self {
-        Self(self.0 / parts.max(1) as f64)
+        Self(self.0.max(MIN_RATE) / parts.max(1) as f64)
     }
 }
 
@@ -130,14 +131,14 @@
 
 impl Pace {
     pub fn new(rate: Rate, now: Tick) -> Self {
-        Self { rate: rate.0.max(MIN_RATE), level: 0.0, at: now }
+        Self { rate: rate.0, level: 0.0, at: now }
     }
 
     /// Changes the rate; what may start already stays.
     pub fn set_rate(&mut self, rate: Rate, now: Tick) {
         self.level = self.level_at(now);
         self.at = now;
-        self.rate = rate.0.max(MIN_RATE);
+        self.rate = rate.0;
     }
 
     /// Returns the requests that start in one second.
--- a/crates/whinspring/tests/limits.rs
+++ b/crates/whinspring/tests/limits.rs
@@ -94,7 +94,7 @@
 #[test]
 fn requests_are_spaced() {
     for rate in [0.0, 0.5, 1.6, 2.4, 10.0] {
-        let mut pace = Pace::new(Rate::new(rate).unwrap(), Tick::default());
+        let mut pace = Pace::new(Rate::new(rate).unwrap().share(1), Tick::default());
         let mut starts = Vec::new();
         for now in (0..20_000).map(Tick::from_millis) {
             if pace.is_open(now) {
@@ -109,6 +109,24 @@
     }
 }
 
+/// Hundreds of gates that each give a server their share of a limit near zero: together they start no
+/// more than one gate would.
+#[test]
+fn shares_of_a_limit_near_zero_add_up_to_one_request_in_four_seconds() {
+    for parts in [1, 9, 300] {
+        let share = Rate::new(0.0).unwrap().share(parts);
+        let mut pace = Pace::new(share, Tick::default());
+        let starts = (0..4 * parts as u64).map(|s| Tick::from_millis(s * 1_000)).filter(|now| {
+            let open = pace.is_open(*now);
+            if open {
+                pace.record_start(*now);
+            }
+            open
+        });
+        assert!(starts.count() <= 1, "{parts} parts");
+    }
+}
+
 /// Requests come after a rest: what was not started before is started for one second at most.
 #[test]
 fn a_rest_does_not_add_up() {
