--- a/crates/whinspring-router/src/limits.rs
+++ b/crates/whinspring-router/src/limits.rs
@@ -13,7 +13,7 @@
     whinspring::{
         limits::{Named, Rate, Statement, parse_limit},
         name::Name,
-        notices::Life,
+        notices::{Life, Source},
         time::Tick,
     },
 };
@@ -47,25 +47,17 @@
 pub fn hear<P: Platform>(node: &Rc<Node<P>>, server: &Name, life: Life, head: &Head<'_>) {
     let names = node.platform.headers();
     let values = head.headers.get_all(&names.limit).iter().map(HeaderValue::as_bytes);
-    match parse_limit(values) {
-        Named::Limit(rate) => {
-            record(
-                node,
-                server,
-                life,
-                Statement { rate: Some(rate), since: node.now() },
-                "response",
-            );
-        }
-        Named::None if head.is_of_run(names) => {
-            record(node, server, life, Statement { rate: None, since: head.sent }, "response");
-        }
-        Named::None => {}
+    let statement = match parse_limit(values) {
+        Named::Limit(rate) => Statement { rate: Some(rate), since: node.now() },
+        Named::None if head.is_of_run(names) => Statement { rate: None, since: head.sent },
+        Named::None => return,
         Named::Unreadable => {
             node.metrics.count("bad_server_limit");
             info!(event = "bad_server_limit", server = server.as_str(); "server named a limit that is no number of requests a second; keeping what is known");
+            return;
         }
-    }
+    };
+    record(node, server, life, statement, Source::Response);
 }
 
 /// Returns whether a server of a pool has a limit, as far as this node knows.
@@ -127,7 +119,7 @@
         let life = Life { start_ms: limit.start_ms, addr };
         let since = node.now() - Duration::from_millis(limit.age_ms.into());
         let server = Name::from(limit.server.as_str());
-        record(node, &server, life, Statement { rate, since }, "peer");
+        record(node, &server, life, Statement { rate, since }, Source::Peer);
     }
 }
 
@@ -152,7 +144,7 @@
     server: &Name,
     life: Life,
     statement: Statement,
-    source: &'static str,
+    source: Source,
 ) {
     let mut view = node.view.borrow_mut();
     if view.servers.get(server).is_some_and(|server| server.life() != life) {
@@ -170,11 +162,11 @@
     match after {
         Some(rate) => {
             node.metrics.count("server_limited");
-            info!(event = "server_limited", server = server.as_str(), source, rate = rate.per_second(), before, age_ms; "server takes a limited number of requests a second from all nodes");
+            info!(event = "server_limited", server = server.as_str(), source = source.text(), rate = rate.per_second(), before, age_ms; "server takes a limited number of requests a second from all nodes");
         }
         None => {
             node.metrics.count("server_unlimited");
-            info!(event = "server_unlimited", server = server.as_str(), source, before, age_ms; "server names no limit any more");
+            info!(event = "server_unlimited", server = server.as_str(), source = source.text(), before, age_ms; "server names no limit any more");
         }
     }
 }
