--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -119,6 +119,7 @@
             pool: self.pool.to_string(),
             number: self.number,
             outcome: Done::number_of(self.outcome),
+            load: None,
         };
         let from = self.node.name().clone();
         if self.gate_node == from {
@@ -197,6 +198,7 @@
         avoid: request.avoid.clone().unwrap_or_default().to_string(),
         exclude: request.exclude.iter().map(Name::to_string).collect(),
         limits: limits::known(node, &request.pool),
+        ..Admit::default()
     };
     let own = node.name();
     if gate_node != own && node.send(gate_node, Body::Admit(admit.clone())) {
@@ -241,6 +243,8 @@
         deadline: now + Duration::from_millis(admit.deadline.into()),
         avoid: (!admit.avoid.is_empty()).then(|| admit.avoid.into()),
         exclude: admit.exclude.into_iter().map(Name::from).collect(),
+        budget: Duration::from_millis(admit.budget.into()),
+        returning: admit.returning,
     };
     limits::learn(node, &admit.limits);
     refresh(node, &pool);
@@ -315,7 +319,8 @@
     for number in gone {
         node.metrics.count("end_told_again");
         let outcome = Done::number_of(ServerOutcome::NotSent);
-        node.send(from, Body::Done(Done { pool: check.pool.clone(), number, outcome }));
+        let done = Done { pool: check.pool.clone(), number, outcome, load: None };
+        node.send(from, Body::Done(done));
     }
 }
 
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -157,6 +157,9 @@
     /// What servers have said of their limits of late, to the controller.
     #[prost(message, repeated, tag = "25")]
     pub limits: Vec<ServerLimit>,
+    /// Whether the node weights the places of gates by CPU share.
+    #[prost(bool, tag = "26")]
+    pub weighs_gates: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
@@ -243,6 +246,12 @@
     /// What the node knows of the limits of the pool's servers.
     #[prost(message, repeated, tag = "8")]
     pub limits: Vec<ServerLimit>,
+    /// Longest time in milliseconds after which the caller may be told to come back.
+    #[prost(uint32, tag = "9")]
+    pub budget: u32,
+    /// Whether the caller comes back as it was told.
+    #[prost(bool, tag = "10")]
+    pub returning: bool,
 }
 
 /// Admits a request.
@@ -302,9 +311,29 @@
     /// Number of the request.
     #[prost(uint64, tag = "2")]
     pub number: u64,
-    /// Outcome: 0 if the request was not sent, 1 if it ran, 2 if it failed.
+    /// Outcome: 0 if the request was not sent, 1 if it ran, 2 if it failed, 3 if the server did not
+    /// run it, 4 if the server responded with an error of its own.
     #[prost(uint32, tag = "3")]
     pub outcome: u32,
+    /// What the server said of its load in its response.
+    #[prost(message, optional, tag = "4")]
+    pub load: Option<ServerLoad>,
+}
+
+/// Load of a server, as it states it itself.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct ServerLoad {
+    /// Requests that run.
+    #[prost(uint32, tag = "1")]
+    pub running: u32,
+    /// Requests that wait.
+    #[prost(uint32, tag = "2")]
+    pub waiting: u32,
+    #[prost(uint32, tag = "3")]
+    pub slots: u32,
+    /// Time that work takes now, in hundredths of the usual time; zero if not stated.
+    #[prost(uint32, tag = "4")]
+    pub slowness: u32,
 }
 
 /// Names the sender on a link.
@@ -506,6 +535,8 @@
             ServerOutcome::NotSent => 0,
             ServerOutcome::Completed => 1,
             ServerOutcome::Failed => 2,
+            ServerOutcome::Shed => 3,
+            ServerOutcome::Errored => 4,
         }
     }
 
@@ -514,6 +545,8 @@
         match self.outcome {
             1 => ServerOutcome::Completed,
             2 => ServerOutcome::Failed,
+            3 => ServerOutcome::Shed,
+            4 => ServerOutcome::Errored,
             _ => ServerOutcome::NotSent,
         }
     }
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -520,6 +520,7 @@
             cut_off: node.reach.borrow().is_cut_off().is_some(),
             keeps_limits: true,
             limits: Vec::new(),
+            weighs_gates: true,
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/tests/path/limits.rs
+++ b/crates/whinspring-router/tests/path/limits.rs
@@ -228,7 +228,13 @@
             };
             if matches!(decision, Body::Admitted(_)) {
                 admitted += 1;
-                peer.send(Body::Done(Done { pool: POOL.into(), number, outcome: 1 })).await;
+                peer.send(Body::Done(Done {
+                    pool: POOL.into(),
+                    number,
+                    outcome: 1,
+                    ..Done::default()
+                }))
+                .await;
             }
             sleep(SEND_INTERVAL).await;
         }
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -233,6 +233,7 @@
         avoid,
         exclude: Vec::new(),
         limits: Vec::new(),
+        ..Admit::default()
     })
 }
 
@@ -304,7 +305,7 @@
             let mut numbers = check.numbers.clone();
             numbers.sort_unstable();
             assert_eq!((check.pool.as_str(), numbers), (POOL, vec![1, 2]));
-            peer.send(Body::Done(Done { pool: POOL.into(), number: 1, outcome: 0 })).await;
+            peer.send(Body::Done(Done { pool: POOL.into(), number: 1, ..Done::default() })).await;
             let Body::Admitted(admitted) = peer.next(&mut link).await else {
                 panic!("expected a decision")
             };
--- a/crates/whinspring-router/tests/upgrade.rs
+++ b/crates/whinspring-router/tests/upgrade.rs
@@ -73,6 +73,8 @@
         avoid: "s2".into(),
         exclude: vec!["s3".into()],
         limits: vec![limit.clone()],
+        budget: 700,
+        returning: true,
     };
     let admitted = Admitted { number: 5, server: "s1".into(), limit: Some(limit.clone()) };
     let heartbeat = Heartbeat {
@@ -108,6 +110,7 @@
         cut_off: true,
         keeps_limits: true,
         limits: vec![limit],
+        weighs_gates: true,
     };
     let bodies = [Body::Heartbeat(heartbeat), Body::Admit(admit), Body::Admitted(admitted)];
     for (body, line) in bodies.into_iter().zip(golden.lines()) {
@@ -115,8 +118,14 @@
         let later = Envelope { body: Some(body), echo: 1_234 }.encode_to_vec();
         let mut stripped = Envelope::decode(later.as_slice()).unwrap();
         match stripped.body.as_mut().unwrap() {
-            Body::Heartbeat(it) => (it.keeps_limits, it.limits) = (false, Vec::new()),
-            Body::Admit(it) => it.limits.clear(),
+            Body::Heartbeat(it) => {
+                (it.keeps_limits, it.limits) = (false, Vec::new());
+                it.weighs_gates = false;
+            }
+            Body::Admit(it) => {
+                it.limits.clear();
+                (it.budget, it.returning) = (0, false);
+            }
             Body::Admitted(it) => it.limit = None,
             _ => {}
         }
