Place gates by CPU share where all nodes do

Cause: the one gate of a service lay on the node that ranks first by a hash, whatever its CPU. With 420 requests a second on a VM with 0.075 of a core, all requests of the service waited for that VM. Change: while all live nodes say that they do the same, the gate of a service lies on one of the nodes with the most CPU, and those of single servers on nodes in proportion to their CPU.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -31,7 +31,7 @@
         gate::{Decision, Gate, PendingRequest, ServerOutcome, Ticket},
         name::Name,
         notices::Purpose,
-        rendezvous::rank,
+        rendezvous::{rank, weighted_rank},
         time::Tick,
     },
 };
@@ -209,20 +209,31 @@
 }
 
 /// Returns the node of the gate of a pool; prefers the failure domain of the server.
+///
+/// The gate of a service with all its servers lies on one of the nodes with the most CPU, and those of
+/// single servers on nodes in proportion to their CPU. Versions that hash the names alone would choose
+/// another node, so that all nodes do as they do while one of them is live.
 fn gate_node<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> Name {
     let is_limited = limits::has_limit(node, pool);
     let view = node.view.borrow();
     let near = view.servers.get(pool).map(|server| &server.entry.domain);
     let peers = node.peers.borrow();
     let now = node.now();
-    let score = |name: &Name, domain: &str| {
-        (near.is_some_and(|near| near == domain), rank(&[name, pool], 0))
+    let is_weighted = peers.live(now).all(|(_, peer)| peer.heartbeat.weighs_gates);
+    let score = |name: &Name, domain: &str, cpu: u32| {
+        let is_near = near.is_some_and(|near| near == domain);
+        match (is_weighted, near) {
+            (false, _) => (is_near, 0, rank(&[name, pool], 0)),
+            (true, None) => (is_near, cpu, rank(&[name, pool], 0)),
+            (true, Some(_)) => (is_near, 0, weighted_rank(&[name, pool], cpu)),
+        }
     };
-    let own = (score(node.name(), &node.settings.domain), node.name());
+    let own_cpu = node.settings.limits.cpu_percent;
+    let own = (score(node.name(), &node.settings.domain, own_cpu), node.name());
     let others = peers
         .live(now)
         .filter(|(_, peer)| !peer.heartbeat.leaving && (peer.heartbeat.keeps_limits || !is_limited))
-        .map(|(name, peer)| (score(name, &peer.heartbeat.domain), name));
+        .map(|(name, peer)| (score(name, &peer.heartbeat.domain, peer.heartbeat.cpu_share), name));
     others.fold(own, |best, other| best.max(other)).1.clone()
 }
 
