Evacuations: failure domains without requests, as the operators ask

Cause: an operator could not withdraw the servers of a failure domain from use.

Change: objects of the kind `evacuations` are replicated like the other kinds, if the setting `evacuate_ms` is present. The controller moves the keys of evacuated servers, the spans with the most load first, and splits a span that would overfill a server.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -15,7 +15,7 @@
         limits,
         message::{Admit, Admitted, Body, Check, Done, Rejected},
         node::Node,
-        notices,
+        notices::Usable,
         platform::Platform,
     },
     std::{
@@ -363,9 +363,9 @@
     let mut admission = node.admission.borrow_mut();
     let gate = admission.gates.entry(pool.clone()).or_default();
     let now = node.now();
-    let drain = notices::usable_drain(node);
+    let usable = Usable::of(node);
     let mut update = |server: &Server, purpose| {
-        let open = view.notices.check(&server.name, purpose, now, drain).is_ok();
+        let open = usable.check(&view, &server.name, purpose, now).is_ok();
         gate.set_server(&server.name, &server.entry.domain, server.entry.slots, open);
         let limit = view.limits.rate(&server.name, server.life());
         gate.set_limit(&server.name, limit.map(|rate| rate.share(parts)), now);
--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -25,6 +25,7 @@
         time::Duration,
     },
     whinspring::{
+        evacuation::Evacuations,
         limits::Limits,
         name::Name,
         notices::{Life, Notices, Source},
@@ -77,6 +78,8 @@
     pub known_era: u64,
     /// When its warm-up ends.
     pub warm_at: Tick,
+    /// Cloned by each request of this node that runs on it.
+    pub running: Rc<()>,
 }
 
 impl Server {
@@ -88,6 +91,11 @@
         self.entry.life()
     }
 
+    /// Returns how many requests of this node run on it.
+    pub fn running_count(&self) -> usize {
+        Rc::strong_count(&self.running) - 1
+    }
+
     /// Returns since when it may have been gone: its entry is missing, or came back with a copy of
     /// the store and may be that of a server that has ended.
     fn gone_since(&self) -> Option<Tick> {
@@ -157,6 +165,8 @@
     pub servers: HashMap<Name, Server>,
     /// What servers have said of themselves.
     pub notices: Notices,
+    /// Failure domains that the operators evacuate.
+    pub evacuations: Evacuations,
     /// How many requests servers take.
     pub limits: Limits,
     /// Owners by service, with the position at which the controller of their term wrote them.
@@ -256,7 +266,7 @@
         if listing.position < raw.synced {
             return Vec::new();
         }
-        let base = Position::new(listing.position.era, 0);
+        let base = base_position(kind, listing.position.era);
         let since = raw.confirmed;
         raw.synced = listing.position;
         let newest = listing.items.iter().map(|item| item.position).max().unwrap_or(base);
@@ -413,6 +423,7 @@
             Kind::Routes => self.decode_routes(fresh, dialect),
             Kind::Servers => self.decode_servers(fresh, since, dialect, clock),
             Kind::Owners => self.decode_owners(fresh),
+            Kind::Evacuations => self.decode_evacuations(changes, since, clock.now()),
             Kind::Control | Kind::Nodes => {}
         }
     }
@@ -484,6 +495,33 @@
         items.into_iter().flatten().for_each(|item| item.value = Vec::new());
     }
 
+    /// Applies changed evacuations, which the store acknowledged after `since`. What a listing of a new
+    /// era lacks was lost, not deleted.
+    fn decode_evacuations(&mut self, changes: &[(Object, bool)], since: Tick, now: Tick) {
+        let era = self.synced(Kind::Evacuations).era;
+        for (Object { name, position, .. }, gone) in changes {
+            let domain = name.as_str();
+            if !gone && self.evacuations.record(name, since) {
+                let age_ms = now.since(since).as_millis() as u64;
+                info!(event = "evacuation_started", domain, age_ms, revision:% = position; "the operator evacuates a failure domain");
+            } else if *gone && position.era < era {
+                info!(event = "evacuation_lost", domain, revision:% = position; "the store has lost the request to evacuate a failure domain; keeping it for a while");
+                self.evacuations.record_lost(name, now);
+            } else if *gone && self.evacuations.record_deleted(name, now) {
+                info!(event = "evacuation_ended", domain, revision:% = position; "the failure domain is used again");
+            }
+        }
+    }
+
+    /// Ends evacuations that the store has lost and nobody has requested again.
+    fn sweep_evacuations(&mut self, now: Tick) -> bool {
+        let ended = self.evacuations.sweep(now);
+        for domain in &ended {
+            info!(event = "evacuation_ended", domain = domain.as_str(); "the store has lost the request to evacuate, and nobody wrote it again; the failure domain is used again");
+        }
+        !ended.is_empty()
+    }
+
     /// Removes servers that are gone, and takes back those whose entries came back to stay. Returns
     /// whether there were any.
     ///
@@ -508,7 +546,8 @@
             used
         });
         let removed = self.servers.len() != before;
-        self.take_back(now, clock) || removed
+        let ended = self.sweep_evacuations(now);
+        self.take_back(now, clock) || removed || ended
     }
 
     /// Uses servers again whose entries came back with a copy and did not expire since. Returns
@@ -535,6 +574,12 @@
     }
 }
 
+/// Returns the position of a kind without objects. That of no evacuations differs from that of a node
+/// that has not listed any, so that such a node fetches a snapshot from others.
+const fn base_position(kind: Kind, era: u64) -> Position {
+    Position::new(era, matches!(kind, Kind::Evacuations) as u64)
+}
+
 /// Keeps the value of the newest routes that are known, also for nodes that hear of them from this
 /// one, until the operator has written them again.
 fn keep_routes(
@@ -671,6 +716,7 @@
                 is_gone: false,
                 known_era: object.position.era,
                 warm_at,
+                running: Rc::default(),
                 entry,
             };
             servers.insert(object.name.clone(), server);
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -45,13 +45,15 @@
 
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Starts the pending handovers that are not running yet.
+/// Starts the pending handovers that are not running yet, in the order in which they were planned.
 pub(super) fn start_handovers<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership) {
     let now = node.now();
     if let Some(progress) = node.control.borrow_mut().handovers.get_mut(service) {
         progress.released.retain(|key, _| owned.is_pending(key));
     }
-    for span in owned.spans.iter().filter(|span| span.former.is_some()) {
+    let mut pending: Vec<&Span> = owned.spans.iter().filter(|span| span.former.is_some()).collect();
+    pending.sort_by_key(|span| span.fence);
+    for span in pending {
         if node.control.borrow().is_unsettled(span) {
             continue;
         }
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -51,7 +51,8 @@
 /// Assumed time of a request before any measurement, in seconds.
 const DEFAULT_WORK_S: f64 = 0.13;
 
-/// Returns the servers of a service that can own keys, sorted by instance.
+/// Returns the servers of a service that can own keys, sorted by instance. Those of evacuated failure
+/// domains lose their keys, which stay where they are as long as no other server can take them.
 pub(super) fn candidates<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
@@ -73,7 +74,9 @@
             let limit = limit.map_or(f64::INFINITY, |rate| rate.per_second() * work);
             let capacity = capacity.min(limit);
             let down = control.down.get(&instance).is_some_and(|refusals| refusals.are_recent(now));
-            let leaving = view.notices.leaving_since(&server.name).is_some()
+            let evacuated = view.evacuations.is_evacuated(&server.entry.domain);
+            let leaving = evacuated
+                || view.notices.leaving_since(&server.name).is_some()
                 || server.missing.is_some()
                 || down;
             Candidate { instance, capacity, leaving }
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -4,7 +4,7 @@
     crate::{
         admission, control,
         endpoints::{self, Endpoint},
-        follow,
+        evacuations, follow,
         frontend::{self, Connections},
         node::Node,
         peers,
@@ -128,6 +128,10 @@
     spawn_local(register(node.clone()));
     spawn_local(follow::run(node.clone(), Kind::Routes));
     spawn_local(follow::run(node.clone(), Kind::Servers));
+    if follow::follows(&node, Kind::Evacuations) {
+        spawn_local(follow::run(node.clone(), Kind::Evacuations));
+        spawn_local(evacuations::run(node.clone()));
+    }
     spawn_local(follow::sweep(node.clone()));
     spawn_local(load_owners(node.clone()));
     spawn_local(peers::run_heartbeats(node.clone()));
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,8 +7,9 @@
 
 use {
     crate::{
+        evacuations,
         frame::Frame,
-        message::{Body, Item, ObjectsChanged, Snapshot},
+        message::{Body, Item, ObjectsChanged, ServerNotice, Snapshot},
         node::Node,
         notices,
         peers::{self, Peer},
@@ -92,7 +93,7 @@
 async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut position: Position) {
     let mut interrupted = false;
     loop {
-        if let Some(heard) = last_delegated(node) {
+        if let Some(heard) = last_delegated(node, kind) {
             node.set_store_reachable(true);
             node.view.borrow_mut().confirm(kind, heard);
             sleep(WATCH_CHECK_INTERVAL).await;
@@ -102,7 +103,7 @@
         if position.era != node.platform.era() {
             return;
         }
-        let wait = if interrupted { PROBE_TIMEOUT } else { watch_timeout(node) };
+        let wait = if interrupted { PROBE_TIMEOUT } else { watch_timeout(node, kind) };
         let gap = node.now().since(node.view.borrow().confirmed(kind));
         let outcome = tokio::select! {
             outcome = node.platform.watch(kind, position, wait) => outcome,
@@ -157,9 +158,9 @@
 
 /// Returns for how long to watch: a short time if this node has to find out when the store responds
 /// again.
-fn watch_timeout<P: Platform>(node: &Rc<Node<P>>) -> Duration {
+fn watch_timeout<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> Duration {
     let is_leader = node.control.borrow().is_leader();
-    let is_watcher = is_leader || near_watchers(node).is_none_or(|near| near.includes_self);
+    let is_watcher = is_leader || near_watchers(node, kind).is_none_or(|near| near.includes_self);
     match node.store_lost.get() {
         true if is_watcher => PROBE_TIMEOUT,
         _ if is_leader => LEADER_WATCH_TIMEOUT,
@@ -169,11 +170,11 @@
 
 /// Returns when another node was last heard that watches the store for this node and can reach it;
 /// `None` if there is none. The controller watches it in any case.
-fn last_delegated<P: Platform>(node: &Rc<Node<P>>) -> Option<Tick> {
+fn last_delegated<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> Option<Tick> {
     if node.control.borrow().is_leader() {
         return None;
     }
-    near_watchers(node).filter(|near| !near.includes_self)?.heard
+    near_watchers(node, kind).filter(|near| !near.includes_self)?.heard
 }
 
 /// The nodes that watch the store for one failure domain.
@@ -184,16 +185,19 @@
     heard: Option<Tick>,
 }
 
-/// Returns the nodes that watch the store for the failure domain of this node, or `None` if each
-/// node has to watch it itself.
-fn near_watchers<P: Platform>(node: &Rc<Node<P>>) -> Option<Watchers> {
+/// Returns the nodes that watch a kind for the failure domain of this node, or `None` if each node has
+/// to watch it itself. Nodes of earlier versions watch no evacuations.
+fn near_watchers<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> Option<Watchers> {
     let peers = node.peers.borrow();
     if !peers.is_large_cluster() {
         return None;
     }
     let is_near =
         |peer: &Peer| !peer.heartbeat.leaving && peer.heartbeat.domain == *node.settings.domain;
-    let live = peers.live(node.now()).filter(|(_, peer)| is_near(peer));
+    let is_watcher = |peer: &Peer| {
+        kind != Kind::Evacuations || peer.heartbeat.position(kind) != Position::default()
+    };
+    let live = peers.live(node.now()).filter(|(_, peer)| is_near(peer) && is_watcher(peer));
     let order = |name, peer: &Peer| spread::order(name, peer.heartbeat.cpu_share);
     let mut others: Vec<_> =
         live.map(|(name, peer)| (order(name, peer), last_reached(peer))).collect();
@@ -253,6 +257,8 @@
     if message.kind == Kind::Servers.number() {
         let names: HashSet<&str> = message.items.iter().map(|item| item.name.as_str()).collect();
         message.notices = notices::known(node, |name| names.contains(name.as_str()));
+    } else if message.kind == Kind::Evacuations.number() {
+        message.notices = evacuations::ages(node);
     }
     let frame = Frame::new(Body::ObjectsChanged(message));
     node.peers.borrow().send_to_domain(&node.settings.domain, &frame);
@@ -260,7 +266,8 @@
 
 /// Applies changes that a watching node forwards. Fetches a snapshot from it if there is a gap.
 pub fn apply_forwarded<P: Platform>(node: &Rc<Node<P>>, from: &Name, changed: ObjectsChanged) {
-    let Some(kind) = Kind::from_number(changed.kind) else { return };
+    let kind = Kind::from_number(changed.kind).filter(|kind| follows(node, *kind));
+    let Some(kind) = kind else { return };
     node.learn_era(changed.era);
     let known = node.view.borrow().synced(kind);
     let position = Position::new(changed.era, changed.synced_revision);
@@ -279,7 +286,7 @@
     let events = changed.items.into_iter().map(event).collect();
     let changes = Changes { position, events };
     node.view.borrow_mut().apply_changes(kind, changes, &node.platform, node.clock);
-    notices::apply_known(node, changed.notices);
+    apply_ages(node, kind, changed.notices);
     node.notify_change();
 }
 
@@ -288,6 +295,7 @@
     let snapshot = node.view.borrow().snapshot(kind);
     match kind {
         Kind::Servers => Snapshot { notices: notices::known(node, |_| true), ..snapshot },
+        Kind::Evacuations => Snapshot { notices: evacuations::ages(node), ..snapshot },
         _ => snapshot,
     }
 }
@@ -335,13 +343,27 @@
 /// Applies a snapshot of another node, if it is newer than what this node has. Newer owners and
 /// notices of servers that leave are kept whatever the store has.
 pub fn adopt_snapshot<P: Platform>(node: &Rc<Node<P>>, mut snapshot: Snapshot) {
+    let kind = Kind::from_number(snapshot.kind).filter(|kind| follows(node, *kind));
+    let Some(kind) = kind else { return };
     let notices = std::mem::take(&mut snapshot.notices);
-    adopt_objects(node, snapshot);
-    notices::apply_known(node, notices);
+    adopt_objects(node, kind, snapshot);
+    apply_ages(node, kind, notices);
+}
+
+/// Applies what another node tells of the age of notices or of evacuations.
+fn apply_ages<P: Platform>(node: &Rc<Node<P>>, kind: Kind, notices: Vec<ServerNotice>) {
+    match kind {
+        Kind::Evacuations => evacuations::apply_ages(node, &notices),
+        _ => notices::apply_known(node, notices),
+    }
+}
+
+/// Returns whether this node keeps a copy of a kind.
+pub fn follows<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> bool {
+    kind != Kind::Evacuations || node.settings.limits.evacuate_ms.is_some()
 }
 
-fn adopt_objects<P: Platform>(node: &Rc<Node<P>>, snapshot: Snapshot) {
-    let Some(kind) = Kind::from_number(snapshot.kind) else { return };
+fn adopt_objects<P: Platform>(node: &Rc<Node<P>>, kind: Kind, snapshot: Snapshot) {
     if kind == Kind::Owners {
         node.view.borrow_mut().learn_snapshot(&snapshot);
     }
@@ -372,5 +394,8 @@
         if node.view.borrow_mut().sweep(now, back, node.clock) {
             node.notify_change();
         }
+        if !node.view.borrow().evacuations.is_empty() {
+            node.paused.notify_waiters();
+        }
     }
 }
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crashes;
 pub mod daemon;
 pub mod endpoints;
+pub mod evacuations;
 pub mod follow;
 pub mod frame;
 pub mod frontend;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -160,6 +160,11 @@
     /// Whether the node weights the places of gates by CPU share.
     #[prost(bool, tag = "26")]
     pub weighs_gates: bool,
+    /// Revision of the evacuations that the node knows, and its era; zero if it follows none.
+    #[prost(uint64, tag = "27")]
+    pub evacuations: u64,
+    #[prost(uint64, tag = "28")]
+    pub evacuations_era: u64,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
@@ -175,6 +180,7 @@
             Kind::Routes => Position::new(self.routes_era, self.routes),
             Kind::Servers => Position::new(self.servers_era, self.servers),
             Kind::Owners => Position::new(self.owners_era, self.owners),
+            Kind::Evacuations => Position::new(self.evacuations_era, self.evacuations),
             Kind::Control | Kind::Nodes => Position::default(),
         }
     }
@@ -380,7 +386,7 @@
     /// Era of all its revisions.
     #[prost(uint64, tag = "5")]
     pub era: u64,
-    /// Servers that leave, as far as the sender knows.
+    /// Servers that leave, or evacuated domains in place of servers, as far as the sender knows.
     #[prost(message, repeated, tag = "6")]
     pub notices: Vec<ServerNotice>,
 }
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -41,6 +41,10 @@
     pub relaying: Gauge,
     /// Whether this node is cut off from all servers.
     pub cut_off: Gauge,
+    /// Failure domains that are evacuated.
+    pub evacuated_domains: Gauge,
+    /// Ranges of keys that servers of evacuated domains own.
+    pub evacuated_spans: Gauge,
 }
 
 impl Metrics {
@@ -68,7 +72,24 @@
         let cut_off = Gauge::default();
         let text = "1 while this node can reach no backend server, otherwise 0";
         registry.register("cut_off", text, cut_off.clone());
-        Self { registry, responses, events, latency, waiting, callers, relaying, cut_off }
+        let evacuated_domains = Gauge::default();
+        let text = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", text, evacuated_domains.clone());
+        let evacuated_spans = Gauge::default();
+        let text = "Ranges of keys that servers of evacuated failure domains own";
+        registry.register("evacuated_spans", text, evacuated_spans.clone());
+        Self {
+            registry,
+            responses,
+            events,
+            latency,
+            waiting,
+            callers,
+            relaying,
+            cut_off,
+            evacuated_domains,
+            evacuated_spans,
+        }
     }
 
     /// Records a response.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -237,6 +237,10 @@
         }
         let view = self.view.borrow();
         let Some(routes) = &view.routes else { return false };
+        let evacuates = self.settings.limits.evacuate_ms.is_some();
+        if evacuates && view.position(Kind::Evacuations) == Position::default() {
+            return false;
+        }
         let mut keyed = routes.services.iter().filter(|(_, service)| service.keyed);
         keyed.all(|(name, _)| view.owners.contains_key(name)) && !view.servers.is_empty()
     }
--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -3,6 +3,8 @@
 
 use {
     crate::{
+        cluster::ClusterState,
+        evacuations,
         message::{Body, ServerNotice, Snapshot},
         node::Node,
         owners,
@@ -33,14 +35,45 @@
     purpose: Purpose,
     now: Tick,
 ) -> Result<(), Refusal> {
-    node.view.borrow().notices.check(server, purpose, now, usable_drain(node))
+    Usable::of(node).check(&node.view.borrow(), server, purpose, now)
+}
+
+/// Times for which servers get requests that leave, or whose failure domain is evacuated.
+#[derive(Debug, Clone, Copy)]
+pub struct Usable {
+    drain: Duration,
+    evacuation: Duration,
+}
+
+impl Usable {
+    pub fn of<P: Platform>(node: &Rc<Node<P>>) -> Self {
+        Self { drain: usable_drain(node), evacuation: evacuations::usable_time(node) }
+    }
+
+    /// Checks whether a request may go to a server at `now`, as far as the view knows.
+    pub fn check(
+        self,
+        view: &ClusterState,
+        server: &Name,
+        purpose: Purpose,
+        now: Tick,
+    ) -> Result<(), Refusal> {
+        evacuations::check(view, server, purpose, now, self.evacuation)?;
+        view.notices.check(server, purpose, now, self.drain)
+    }
 }
 
 /// Returns the time for which a leaving server gets requests.
 pub fn usable_drain<P: Platform>(node: &Rc<Node<P>>) -> Duration {
     let drain = Duration::from_millis(node.settings.limits.drain_ms.into());
+    drain.saturating_sub(drain_margin(node))
+}
+
+/// Returns the time before the end of a drain or of an evacuation at which a server gets its last
+/// request.
+pub fn drain_margin<P: Platform>(node: &Rc<Node<P>>) -> Duration {
     let is_large = node.peers.borrow().is_large_cluster();
-    drain.saturating_sub(if is_large { RELAYED_DRAIN_MARGIN } else { DRAIN_MARGIN })
+    if is_large { RELAYED_DRAIN_MARGIN } else { DRAIN_MARGIN }
 }
 
 /// Records what a server has said in a response of its own. The first node that hears that a server
@@ -94,11 +127,14 @@
     }
 }
 
-/// Waits until a server wants nothing from this node; returns why.
+/// Waits until a server wants nothing from this node, or its failure domain is evacuated and may get
+/// no more; returns why.
 pub async fn until_paused<P: Platform>(node: &Rc<Node<P>>, server: &Name) -> Refusal {
     loop {
         let paused = node.paused.notified();
-        if let Err(refusal @ Refusal::Paused(_)) = check(node, server, Purpose::Write, node.now()) {
+        if let Err(refusal) = check(node, server, Purpose::Write, node.now())
+            && (refusal != Refusal::Left || evacuations::is_evacuated(node, server))
+        {
             return refusal;
         }
         paused.await;
@@ -127,14 +163,14 @@
     exclude: &[Name],
 ) -> Result<(), Refusal> {
     let now = node.now();
-    let drain = usable_drain(node);
+    let usable = Usable::of(node);
     let view = node.view.borrow();
     let mut found = Refusal::Left;
     for server in view.servers.values().filter(|server| server.entry.service == *service) {
-        if view.notices.check(&server.name, Purpose::Place, now, drain).is_err() {
+        if usable.check(&view, &server.name, Purpose::Place, now).is_err() {
             continue;
         }
-        match view.notices.check(&server.name, Purpose::Start, now, drain) {
+        match usable.check(&view, &server.name, Purpose::Start, now) {
             Ok(()) if exclude.contains(&server.name) => {}
             Ok(()) => return Ok(()),
             Err(refusal) if found.wait().is_none_or(|wait| refusal.wait() < Some(wait)) => {
@@ -183,7 +219,7 @@
 }
 
 /// Returns the age of a notice as told to other nodes; the highest number if it is unknown.
-fn age_ms(now: Tick, since: Tick) -> u32 {
+pub fn age_ms(now: Tick, since: Tick) -> u32 {
     match since == Tick::default() {
         true => u32::MAX,
         false => now.since(since).as_millis() as u32,
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -399,7 +399,8 @@
     let now = node.now();
     let behind = {
         let view = node.view.borrow();
-        Kind::REPLICATED.into_iter().find(|kind| heartbeat.position(*kind) > view.position(*kind))
+        let mut followed = Kind::REPLICATED.into_iter().filter(|kind| follow::follows(node, *kind));
+        followed.find(|kind| heartbeat.position(*kind) > view.position(*kind))
     };
     if let Some(kind) = behind {
         request_snapshot(node, from, kind);
@@ -521,6 +522,8 @@
             keeps_limits: true,
             limits: Vec::new(),
             weighs_gates: true,
+            evacuations: view.position(Kind::Evacuations).revision,
+            evacuations_era: view.position(Kind::Evacuations).era,
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -34,11 +34,14 @@
     /// The elected controller.
     Control,
     Nodes,
+    /// The operators' requests to evacuate failure domains, which are the names of the objects.
+    Evacuations,
 }
 
 impl Kind {
-    /// Kinds that each node keeps a copy of.
-    pub const REPLICATED: [Self; 3] = [Self::Routes, Self::Servers, Self::Owners];
+    /// Kinds that each node keeps a copy of, if its settings use them.
+    pub const REPLICATED: [Self; 4] =
+        [Self::Routes, Self::Servers, Self::Owners, Self::Evacuations];
 
     /// Returns the number of the kind in messages between nodes.
     pub const fn number(self) -> u32 {
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         admission::{self, AdmissionRequest, Permit},
-        limits,
+        evacuations, limits,
         message::{self, CrashReport},
         node::Node,
         notices,
@@ -316,14 +316,19 @@
     }
 
     /// Returns the servers that no request without a key may go to: those that want nothing from
-    /// this node, and `shunned`. Rejects the request if there is no other one.
+    /// this node, and `shunned`. Rejects the request if there is no other one. Evacuated servers are
+    /// named only if the gate has assigned one that this node refuses.
     fn excluded(&self, shunned: &[Name]) -> Result<Vec<Name>, Rejection> {
         if self.key.is_some() {
             return Ok(Vec::new());
         }
         let mut exclude = notices::paused(&self.node);
         exclude.extend_from_slice(shunned);
-        if !exclude.is_empty()
+        if !shunned.is_empty() {
+            exclude.extend(evacuations::servers_of(&self.node, &self.service));
+        }
+        let is_evacuating = !self.node.view.borrow().evacuations.is_empty();
+        if (is_evacuating || !exclude.is_empty())
             && let Err(refusal) = notices::check_service(&self.node, &self.service, &exclude)
         {
             return Err(self.refuse(&self.service, refusal));
@@ -388,14 +393,17 @@
         let node = &self.node;
         let backend = {
             let view = node.view.borrow();
-            view.servers.get(server).map(|server| (server.backend.clone(), server.life()))
+            view.servers
+                .get(server)
+                .map(|server| (server.backend.clone(), server.life(), server.running.clone()))
         };
-        let Some((backend, life)) = backend else { return Outcome::NotRun(Code::NoOwner) };
+        let Some((backend, life, running)) = backend else { return Outcome::NotRun(Code::NoOwner) };
         let start = node.now();
         let left = self.deadline.since(start);
         let mut attempt = Attempt {
             permit,
             node: node.clone(),
+            running,
             backend,
             outcome: ServerOutcome::Completed,
             conn: None,
--- a/crates/whinspring-router/src/request/attempt.rs
+++ b/crates/whinspring-router/src/request/attempt.rs
@@ -27,6 +27,9 @@
     /// Permit of the gate; its drop frees the slot.
     pub(super) permit: Permit<P>,
     pub(super) node: Rc<Node<P>>,
+    /// Counts the request at its server; see [`Server::running`](crate::cluster::Server::running).
+    #[expect(dead_code, reason = "counts until it is dropped")]
+    pub(super) running: Rc<()>,
     pub(super) backend: Rc<ConnectionPool<NoStream>>,
     /// Outcome to report once the response has been read.
     pub(super) outcome: ServerOutcome,
--- a/crates/whinspring-router/src/settings.rs
+++ b/crates/whinspring-router/src/settings.rs
@@ -40,6 +40,9 @@
     pub grace: Duration,
     /// Drain time of a leaving server, in milliseconds.
     pub drain_ms: u32,
+    /// Time after which the servers of an evacuated failure domain may get no more requests, in
+    /// milliseconds; `None` if the deployment evacuates none.
+    pub evacuate_ms: Option<u32>,
     /// Longest lease on keys, in milliseconds.
     pub hold_ms: u32,
     /// Retries allowed per request.
@@ -130,6 +133,7 @@
         Self {
             grace: Duration::from_secs(6),
             drain_ms: 2_000,
+            evacuate_ms: None,
             hold_ms: 10_000,
             retry_ratio: 0.2,
             retry_extra: 50.0,
@@ -147,6 +151,7 @@
         let mut reader = Reader::new(&section, faults);
         let grace_s = limit(&mut reader, "grace_s", 0.0..=3_600.0, base.grace.as_secs_f64());
         let drain_ms = limit(&mut reader, "drain_ms", 0.0..=MAX_TIME_MS, base.drain_ms.into());
+        let evacuate_ms = optional_limit(&mut reader, "evacuate_ms", 0.0..=MAX_TIME_MS);
         let hold_ms = limit(&mut reader, "hold_ms", 1.0..=MAX_TIME_MS, base.hold_ms.into());
         let retry_ratio = limit(&mut reader, "retry_ratio", 0.0..=1.0, base.retry_ratio);
         let retry_extra = limit(&mut reader, "retry_extra", 0.0..=1e9, base.retry_extra);
@@ -156,6 +161,7 @@
         Self {
             grace: Duration::from_secs_f64(grace_s),
             drain_ms: drain_ms as u32,
+            evacuate_ms: evacuate_ms.map(|ms| ms as u32),
             hold_ms: hold_ms as u32,
             retry_ratio,
             retry_extra,
@@ -173,20 +179,29 @@
     section
 }
 
-/// Returns the number that is set for a limit. Reports a fault and returns the nearest end of
-/// `range` if it is out of range, and `default` if it is no number.
+/// Returns the number that is set for a limit, or `default` if none is.
 fn limit(
     reader: &mut Reader<'_>,
     key: &'static str,
     range: RangeInclusive<f64>,
     default: f64,
 ) -> f64 {
+    optional_limit(reader, key, range).unwrap_or(default)
+}
+
+/// Returns the number that is set for a limit. Reports a fault and returns the nearest end of
+/// `range` if it is out of range, and `None` if it is no number.
+fn optional_limit(
+    reader: &mut Reader<'_>,
+    key: &'static str,
+    range: RangeInclusive<f64>,
+) -> Option<f64> {
     let hint = format!("write a number from {} to {}", range.start(), range.end());
     let is_number = |number: &f64| number.is_finite();
     let value = reader.optional(key, &hint, |text| text.parse().ok().filter(is_number));
-    let Some(value) = value else { return default };
+    let value = value?;
     if !range.contains(&value) {
         reader.fault(key, &format!("`{value}` is out of range"), &hint);
     }
-    value.clamp(*range.start(), *range.end())
+    Some(value.clamp(*range.start(), *range.end()))
 }
--- a/crates/whinspring-router/tests/upgrade.rs
+++ b/crates/whinspring-router/tests/upgrade.rs
@@ -111,6 +111,8 @@
         keeps_limits: true,
         limits: vec![limit],
         weighs_gates: true,
+        evacuations: 14,
+        evacuations_era: 2,
     };
     let bodies = [Body::Heartbeat(heartbeat), Body::Admit(admit), Body::Admitted(admitted)];
     for (body, line) in bodies.into_iter().zip(golden.lines()) {
@@ -121,6 +123,7 @@
             Body::Heartbeat(it) => {
                 (it.keeps_limits, it.limits) = (false, Vec::new());
                 it.weighs_gates = false;
+                (it.evacuations, it.evacuations_era) = (0, 0);
             }
             Body::Admit(it) => {
                 it.limits.clear();
--- a/crates/whinspring/src/notices.rs
+++ b/crates/whinspring/src/notices.rs
@@ -77,7 +77,7 @@
 /// Why a request may not go to a server now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
-    /// The server leaves, for good.
+    /// The server leaves for good, or its failure domain is evacuated.
     Left,
     /// The server wants nothing from this node for so long.
     Paused(Duration),
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -111,7 +111,9 @@
     sorted
 }
 
-/// Moves the keys of servers that are leaving or gone to the least utilized servers.
+/// Moves the keys of servers that are leaving or gone to the least utilized servers, the spans with the
+/// most load first. A span is split where it would fill a server beyond [`TARGET_UTILIZATION`], or
+/// beyond the mean if all servers together have more load than that.
 fn evacuate(
     draft: &mut Ownership,
     remaining: &[&Candidate],
@@ -120,15 +122,52 @@
     base: f64,
     moves: &mut Vec<Move>,
 ) {
-    for span in draft.spans.clone() {
-        if span.former.is_some() || server_loads.contains_key(&span.owner) {
-            continue;
+    let spans = draft.spans.iter();
+    let homeless = spans.filter(|s| s.former.is_none() && !server_loads.contains_key(&s.owner));
+    let mut pending: Vec<(f64, u16, u16)> = homeless
+        .map(|span| (range_load(loads, base, span.first, span.last), span.first, span.last))
+        .collect();
+    pending.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let total: f64 = pending.iter().map(|(load, ..)| load).chain(server_loads.values()).sum();
+    let capacity: f64 = remaining.iter().map(|server| server.capacity.max(MIN_CAPACITY)).sum();
+    let level = TARGET_UTILIZATION.max(total / capacity);
+    for (mut load, mut first, last) in pending {
+        loop {
+            let Some(to) = least_utilized(remaining, server_loads) else { return };
+            let free = (level - utilization(to, server_loads)).max(MIN_HEADROOM);
+            let room = free * to.capacity.max(MIN_CAPACITY);
+            let end =
+                if load <= room { last } else { prefix_end(loads, base, (first, last), room) };
+            let planned = Move { first, last: end, to: to.instance.clone() };
+            apply(draft, server_loads, loads, base, &planned);
+            moves.push(planned);
+            if end == last {
+                break;
+            }
+            first = end + 1;
+            load = range_load(loads, base, first, last);
+        }
+    }
+}
+
+/// Returns the last key of the longest start of a range whose load is at most `room`, or the first key
+/// of the range if that alone has more.
+fn prefix_end(loads: &KeyLoads, base: f64, (first, last): (u16, u16), room: f64) -> u16 {
+    let keys_of = |left: f64| if base > 0.0 { (left / base).max(0.0) as u32 } else { u32::MAX };
+    let mut measured = 0.0;
+    for (key, load) in loads.range(first..=last) {
+        let before = u32::from(key - first);
+        let allowed = keys_of(room - measured);
+        if allowed < before {
+            return first + allowed.max(1).min(before) as u16 - 1;
+        }
+        measured += load;
+        if measured + base * f64::from(before + 1) > room {
+            return if *key == first { first } else { key - 1 };
         }
-        let Some(to) = least_utilized(remaining, server_loads) else { return };
-        let planned = Move { first: span.first, last: span.last, to: to.instance.clone() };
-        apply(draft, server_loads, loads, base, &planned);
-        moves.push(planned);
     }
+    let allowed = keys_of(room - measured).max(1) - 1;
+    first + allowed.min(u32::from(last - first)) as u16
 }
 
 /// Applies a move to the draft.
--- a/crates/whinspring/tests/ranges.rs
+++ b/crates/whinspring/tests/ranges.rs
@@ -207,3 +207,64 @@
         }
     }
 }
+
+/// Returns six servers, of which the first three leave, and the load of their keys.
+fn evacuated(seed: u64) -> (Vec<Candidate>, KeyLoads) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut servers = candidates(&[2.0, 2.0, 2.0, 1.6, 2.4, 2.0]);
+    servers[..3].iter_mut().for_each(|server| server.leaving = true);
+    let mut loads = KeyLoads::new();
+    for span in &even(6).spans {
+        for _ in 0..40 {
+            let key = rng.random_range(span.first..=span.last);
+            loads.insert(key, rng.random_range(0.005..0.04));
+        }
+    }
+    (servers, loads)
+}
+
+/// Keys that wait longest for their handover get no service meanwhile: those with the most load must
+/// not be the last.
+#[test]
+fn spans_with_the_most_load_leave_first() {
+    for seed in 0..20 {
+        let (mut servers, mut loads) = evacuated(seed);
+        servers[3..].iter_mut().for_each(|server| server.capacity = 100.0);
+        let hot = even(6).spans[1].first;
+        loads.insert(hot, 3.0);
+        let moves = plan_moves(&even(6), &servers, &loads, BASE);
+        let load = |first: u16, last: u16| loads.range(first..=last).map(|it| it.1).sum::<f64>();
+        let order: Vec<f64> =
+            moves.iter().take(3).map(|step| load(step.first, step.last)).collect();
+        assert!(order.is_sorted_by(|a, b| a >= b), "seed {seed}: {order:?}");
+        assert_eq!(moves[0].first, hot, "seed {seed}");
+    }
+}
+
+/// One server that takes a whole span of a lost third would be overloaded while others have room.
+#[test]
+fn a_split_span_overfills_no_server() {
+    for seed in 0..50 {
+        let (servers, mut loads) = evacuated(seed);
+        let mut owned = even(6);
+        let hot = owned.spans[1].clone();
+        loads.range_mut(hot.first..=hot.last).for_each(|(_, load)| *load *= 8.0);
+        let moves = plan_moves(&owned, &servers, &loads, BASE);
+        apply_moves(&mut owned, &moves);
+        let left =
+            owned.spans.iter().any(|span| servers[..3].iter().any(|s| s.instance == span.owner));
+        assert!(!left, "seed {seed}: {owned:?}");
+        let levels = utilizations(&owned, &servers, &loads, BASE);
+        let (low, high) = (levels[0], levels[levels.len() - 1]);
+        assert!(high - low < 0.35, "seed {seed}: {levels:?}");
+        assert!(moves.len() < 30, "seed {seed}: {} moves", moves.len());
+    }
+}
+
+/// If no other server is left, the keys stay where they are.
+#[test]
+fn nothing_moves_if_all_servers_leave() {
+    let mut servers = candidates(&[2.0; 4]);
+    servers.iter_mut().for_each(|server| server.leaving = true);
+    assert_eq!(plan_moves(&even(4), &servers, &hot_loads(1), BASE), []);
+}
