--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -179,6 +179,8 @@
     pub fault_rates: FaultRates,
     /// A server that says in its responses that it leaves.
     pub speaking: Option<Name>,
+    /// Servers that are in the failure domain `b` instead of `a`.
+    pub far: Vec<Name>,
     pub rng: SeededRng,
     /// Violations found.
     pub faults: Vec<String>,
@@ -210,6 +212,7 @@
             most_in_flight: 0,
             fault_rates: FaultRates::default(),
             speaking: None,
+            far: Vec::new(),
             rng: SeededRng(ChaCha8Rng::seed_from_u64(seed)),
             faults: Vec::new(),
             history: Vec::new(),
@@ -744,7 +747,7 @@
         Some(ServerEntry {
             service: SERVICE.into(),
             addr: addr(index),
-            domain: "a".into(),
+            domain: if self.world.borrow().far.contains(&object.name) { "b" } else { "a" }.into(),
             slots: 2,
             leaving: object.value[0] == 1,
             warmup: Duration::ZERO,
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -62,6 +62,8 @@
     pub cpu_share: u32,
     /// Revision of the last change of the servers that it announces.
     pub servers: u64,
+    /// Revision of the last change of the evacuations that it announces.
+    pub evacuations: u64,
     /// Whether it announces that its gates keep the limits of servers.
     pub limits: bool,
     /// What its heartbeats tell of the limits of servers.
@@ -110,6 +112,7 @@
             every,
             cpu_share,
             servers,
+            evacuations: 0,
             limits: true,
             limited: Vec::new(),
             unpacks,
@@ -148,6 +151,7 @@
             store_age_ms: self.store_age,
             cpu_share: self.cpu_share,
             servers: self.servers,
+            evacuations: self.evacuations,
             unpacks: self.unpacks,
             keeps_limits: self.limits,
             limits: self.limited.clone(),
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod denied;
 mod endless;
+mod evacuations;
 mod follow;
 mod limits;
 mod links;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -145,11 +145,11 @@
         None
     }
 
-    fn parse_server(&self, _: &Object) -> Option<ServerEntry> {
+    fn parse_server(&self, object: &Object) -> Option<ServerEntry> {
         Some(ServerEntry {
             service: "plain".into(),
             addr: self.server.get(),
-            domain: "a".into(),
+            domain: if object.name.starts_with('b') { "b" } else { "a" }.into(),
             slots: 2,
             leaving: false,
             warmup: Duration::ZERO,
@@ -179,12 +179,12 @@
 
 impl Rig {
     /// Starts a node whose server follows a script.
-    async fn start(script: Script) -> Self {
+    async fn start(limits: NodeLimits, script: Script) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = listener.local_addr().unwrap();
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
-        Self::start_node(settings("n1", NodeLimits::default()), server, seen, None).await
+        Self::start_node(settings("n1", limits), server, seen, None).await
     }
 
     /// Starts a node that knows its server at an address. It tells others to use `relay` instead of
@@ -290,10 +290,19 @@
 
 /// Runs a test on one thread.
 pub fn run<F: Future<Output = ()>>(script: Script, test: impl FnOnce(Rig) -> F) {
+    run_with(NodeLimits::default(), script, test);
+}
+
+/// Runs a test of a node with limits on one thread.
+pub fn run_with<F: Future<Output = ()>>(
+    limits: NodeLimits,
+    script: Script,
+    test: impl FnOnce(Rig) -> F,
+) {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     let runtime = builder.enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
-        let rig = Rig::start(script).await;
+        let rig = Rig::start(limits, script).await;
         timeout(TEST_TIMEOUT, test(rig)).await.expect("the test timed out");
     });
 }
