Large clusters: fewer calls to a store that does not respond

Change: nodes that others watch for, and kinds other than the one that a watcher probes with, wait up to 1.6 s and 0.8 s between calls, or until the store is known to respond again. Small clusters call as before.

--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -49,16 +49,25 @@
 
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Longest time between two calls to a store that does not respond, of a node that has others to watch
+/// it: while hundreds of nodes call in vain, only the answers to a few of them tell anything.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_600);
+
+/// The same at a node that watches the store, for kinds other than the one that it probes with.
+const MAX_WATCHER_DELAY: Duration = Duration::from_millis(800);
+
 /// Time between two checks for servers that are gone.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Lists and watches a kind. Never returns.
 pub async fn run<P: Platform>(node: Rc<Node<P>>, kind: Kind) {
     let mut delay = DISCOVERY_DELAY;
+    let mut failures = 0;
     loop {
         let asked = node.now();
         match node.platform.list(kind).await {
             Ok(listing) => {
+                failures = 0;
                 node.set_store_reachable(true);
                 let position = listing.position;
                 let base = node.view.borrow().synced(kind);
@@ -71,19 +80,26 @@
                 sleep(std::mem::take(&mut delay)).await;
                 watch(&node, kind, position).await;
             }
-            Err(error) => back_off(&node, kind, error).await,
+            Err(error) => {
+                back_off(&node, kind, error, failures).await;
+                failures += 1;
+            }
         }
     }
 }
 
 pub async fn list_with_retry<P: Platform>(node: &Rc<Node<P>>, kind: Kind) -> Listing {
+    let mut failures = 0;
     loop {
         match node.platform.list(kind).await {
             Ok(listing) => {
                 node.set_store_reachable(true);
                 return listing;
             }
-            Err(error) => back_off(node, kind, error).await,
+            Err(error) => {
+                back_off(node, kind, error, failures).await;
+                failures += 1;
+            }
         }
     }
 }
@@ -92,6 +108,7 @@
 /// the history that a watch needs, or has come back in a new era.
 async fn watch<P: Platform>(node: &Rc<Node<P>>, kind: Kind, mut position: Position) {
     let mut interrupted = false;
+    let mut failures = 0;
     loop {
         if let Some(heard) = last_delegated(node, kind) {
             node.set_store_reachable(true);
@@ -121,6 +138,7 @@
         interrupted = false;
         match outcome {
             Ok(changes) => {
+                failures = 0;
                 node.set_store_reachable(true);
                 position = position.max(changes.position);
                 let now = node.now();
@@ -139,7 +157,10 @@
                 return;
             }
             Err(StoreError::EraEnded) => return node.check_era(),
-            Err(error) => back_off(node, kind, error).await,
+            Err(error) => {
+                back_off(node, kind, error, failures).await;
+                failures += 1;
+            }
         }
     }
 }
@@ -300,12 +321,31 @@
     }
 }
 
-/// Records a failed call and waits before the next attempt.
-async fn back_off<P: Platform>(node: &Rc<Node<P>>, kind: Kind, error: StoreError) {
+/// Records a failed call and waits before the next attempt, or until the store is known to respond
+/// again; `failures` calls have failed before this one.
+async fn back_off<P: Platform>(node: &Rc<Node<P>>, kind: Kind, error: StoreError, failures: u32) {
+    let returned = node.store_returned.notified();
     node.set_store_reachable(error == StoreError::EraEnded);
     node.metrics.count("store_failed");
     log::debug!(event = "store_failed", kind:? = kind; "{error}");
-    sleep(RETRY_DELAY.mul_f64(0.5 + fastrand::f64())).await;
+    let delay = retry_delay(node, kind, failures).mul_f64(0.5 + fastrand::f64());
+    tokio::select! {
+        () = sleep(delay) => {}
+        () = returned => sleep(RETRY_DELAY.mul_f64(fastrand::f64() / 2.0)).await,
+    }
+}
+
+/// Returns the mean time between two calls to a store that does not respond. In a large cluster it
+/// grows, except at the nodes that find out for the others when the store responds again.
+fn retry_delay<P: Platform>(node: &Rc<Node<P>>, kind: Kind, failures: u32) -> Duration {
+    let is_leader = node.control.borrow().is_leader();
+    let most = match near_watchers(node, kind) {
+        None => RETRY_DELAY,
+        Some(near) if !is_leader && !near.includes_self => MAX_RETRY_DELAY,
+        Some(_) if kind == Kind::Servers => RETRY_DELAY,
+        Some(_) => MAX_WATCHER_DELAY,
+    };
+    (RETRY_DELAY * (1 << failures.min(8))).min(most)
 }
 
 /// Applies a listing. Returns the changes, with `true` for objects that are gone.
