Evacuations: requests that wait at the gate of another node are tested

Cause: three tests of the path also passed without the code that they guard.

Change: the age of a forwarded change is checked directly, and two tests use a gate on a node that does not respond.

--- a/crates/whinspring-router/tests/path/evacuations.rs
+++ b/crates/whinspring-router/tests/path/evacuations.rs
@@ -13,6 +13,7 @@
     whinspring::{
         name::Name,
         notices::{Purpose, Refusal},
+        rendezvous::rank,
     },
     whinspring_router::{
         evacuations::{self, Remainder},
@@ -189,6 +190,42 @@
     });
 }
 
+/// The gate is on a node that does not respond: no request of a service without another server may be
+/// held back for it.
+#[test]
+fn no_gate_is_asked_for_a_service_whose_servers_are_all_evacuated() {
+    run(answer, |rig| async move {
+        list(&rig, at(0, 5), &["a"]);
+        let (_peer, _link) = FakePeer::connect(&rig, true, LONG_INTERVAL_MS).await;
+        let start = Instant::now();
+        let response = rig.send(&build_request("i1")).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(start.elapsed() < SETTLE_TIME, "{:?}", start.elapsed());
+    });
+}
+
+/// The gate of an owner is on a node that does not respond, or of an earlier version: a request that
+/// waits for it is rejected at the bound, not at its deadline.
+#[test]
+fn a_request_that_waits_at_the_gate_of_another_node_is_rejected_at_the_bound() {
+    run(answer, |rig| async move {
+        rig.set_keyed();
+        spawn_local(follow::sweep(rig.node.clone()));
+        let score = |name: &str| rank(&[name, "s1"], 0);
+        let mut names = (2..).map(|number| format!("n{number}"));
+        let name = names.find(|name| score(name) > score("n1")).unwrap();
+        let mut peer = FakePeer::join_as(&rig, name).await;
+        peer.every = LONG_INTERVAL_MS;
+        peer.heartbeat().await;
+        list(&rig, at(0, 5), &["a"]);
+        let start = Instant::now();
+        let response = rig.send(&build_request("i1")).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(start.elapsed() > BOUND / 3 && start.elapsed() < BOUND, "{:?}", start.elapsed());
+        assert_eq!(sent(&rig), 0);
+    });
+}
+
 /// A relay may know more than the node that sends the request through it.
 #[test]
 fn a_relay_sends_nothing_to_an_evacuated_server() {
@@ -291,8 +328,8 @@
         let changed = ObjectsChanged { kind, base: 4, synced_revision: 7, items, era: 0, notices };
         peer.send(Body::ObjectsChanged(changed)).await;
         sleep(SETTLE_TIME).await;
-        assert!(rig.send(&build_request("i1")).await.starts_with("HTTP/1.1 503"));
-        assert_eq!(sent(&rig), 0);
+        let checked = notices::check(&rig.node, &"s1".into(), Purpose::Write, rig.node.now());
+        assert_eq!(checked, Err(Refusal::Left));
     });
 }
 
