Requests: nothing is sent for a caller who has left

Cause: the handler of a request looks at the caller's connection only after the request itself has made no further progress, and knows of it what the runtime last saw. On a node that gets no processor time for seconds, a request whose caller has left meanwhile is read, or gets its server, and is written in the same step.

Change: the socket is asked right before the request is written, on the node and on a relay.

Tests: `a_caller_that_left_while_its_request_waited_causes_no_request`, `a_caller_that_left_before_its_request_was_read_causes_no_request` and `a_node_that_left_before_its_request_was_read_causes_no_request` failed before.

--- a/crates/whinspring-http/src/caller.rs
+++ b/crates/whinspring-http/src/caller.rs
@@ -6,7 +6,7 @@
     std::{
         cell::Cell,
         convert::Infallible,
-        future::poll_fn,
+        future::{pending, poll_fn},
         io,
         mem::MaybeUninit,
         os::fd::AsFd,
@@ -114,6 +114,26 @@
         }
     }
 
+    /// Waits for ever if the caller has closed its side of the connection, and not at all otherwise: the
+    /// handler of the request ends as soon as [`Conn::wait_closed`] does.
+    ///
+    /// The socket is asked directly. What the runtime knows of it may be as old as the last time at which
+    /// it looked, which is seconds where there is little processor time.
+    pub async fn ensure_open(&self) {
+        if self.has_closed() {
+            pending::<()>().await;
+        }
+    }
+
+    /// Returns whether the caller has closed its side, as far as the socket shows behind unread data.
+    fn has_closed(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.probe).peek(&mut byte);
+        let is_at_end = peeked
+            .map_or_else(|error| error.kind() != io::ErrorKind::WouldBlock, |bytes| bytes == 0);
+        is_at_end || self.is_closed()
+    }
+
     /// Returns whether the caller has closed its side and all data has been read.
     pub fn is_at_eof(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -155,6 +155,7 @@
             };
             reach::record_conn(node, &self.server, &conn);
             let conn = conn.map_err(|_| Fault::Unsent)?;
+            caller::Conn::current().ensure_open().await;
             let checked = notices::check(node, &self.server, Purpose::Write, node.now());
             if let Err(refusal) = checked {
                 self.pool.release(conn).await;
--- a/crates/whinspring-router/src/request/exchange.rs
+++ b/crates/whinspring-router/src/request/exchange.rs
@@ -28,6 +28,7 @@
     },
     whinspring_http::{
         backend::{CallError, Conn, NoStream, RequestBody},
+        caller,
         headers::SERVER_START,
     },
 };
@@ -242,7 +243,8 @@
         }
     }
 
-    /// Sends the request on a connection, unless the server has said meanwhile that it wants none.
+    /// Sends the request on a connection, unless the server has said meanwhile that it wants none, or the
+    /// caller has left.
     /// `life` is the instance of the server that a relay is to use.
     async fn send_on(
         &self,
@@ -254,6 +256,7 @@
         if let Some(life) = life {
             request.headers_mut().insert(SERVER_START, life.start_ms.into());
         }
+        caller::Conn::current().ensure_open().await;
         let now = self.node.now();
         if let Err(refusal) = notices::check(&self.node, &attempt.server, Purpose::Write, now) {
             attempt.backend.release(conn).await;
--- a/crates/whinspring-router/tests/owners/evacuations.rs
+++ b/crates/whinspring-router/tests/owners/evacuations.rs
@@ -4,7 +4,7 @@
     crate::fake::{
         Platform, World, advance, exchange_heartbeats, name, start_with, with_paused_clock,
     },
-    std::{cell::RefCell, rc::Rc},
+    std::{cell::RefCell, rc::Rc, slice},
     tokio::task::spawn_local,
     whinspring_router::{
         evacuations, follow,
@@ -58,7 +58,7 @@
         let node = start(&world, "n1");
         advance(4_000).await;
         assert!(share(&world, 0..FAR) > 0.3);
-        list(&[node.clone()], 5, &["b"]);
+        list(slice::from_ref(&node), 5, &["b"]);
         assert!(evacuations::remainders(&node)["b"].spans > 0);
         advance(MOVE_MS).await;
         assert_eq!(share(&world, 0..FAR), 0.0);
@@ -93,9 +93,9 @@
             let world = world(seed);
             let node = start(&world, "n1");
             advance(4_000).await;
-            list(&[node.clone()], 5, &["b"]);
+            list(slice::from_ref(&node), 5, &["b"]);
             advance(350 + seed * 20).await;
-            list(&[node.clone()], 6, &[]);
+            list(slice::from_ref(&node), 6, &[]);
             advance(3_000).await;
             assert_eq!(share(&world, 0..SERVERS), 1.0, "seed {seed}");
             check(&world);
@@ -141,7 +141,7 @@
         let node = start(&world, "n1");
         advance(4_000).await;
         world.borrow_mut().store_down = true;
-        list(&[node.clone()], 5, &["b"]);
+        list(slice::from_ref(&node), 5, &["b"]);
         advance(6_000).await;
         assert!(node.view.borrow().evacuations.is_evacuated("b"));
         world.borrow_mut().store_down = false;
--- a/crates/whinspring-router/tests/path/answers.rs
+++ b/crates/whinspring-router/tests/path/answers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::rig::run,
-    std::time::Duration,
+    std::{io::Write as _, time::Duration},
     tokio::{
         io::AsyncWriteExt,
         task::spawn_local,
@@ -235,3 +235,50 @@
         assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     });
 }
+
+/// Guards against a request that is sent for a caller who has left before the node came to it: the node
+/// has little processor time, and everything that the request waits for is ready at once.
+#[test]
+fn a_caller_that_left_before_its_request_was_read_causes_no_request() {
+    for path in ["/safe/1", "/once/1"] {
+        run(success, move |rig| async move {
+            let first = rig.send(&build_request("GET", path, "i0")).await;
+            assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+            sleep(Duration::from_millis(50)).await;
+            let addr = rig.connect().await.peer_addr().unwrap();
+            let mut caller = std::net::TcpStream::connect(addr).unwrap();
+            caller.write_all(build_request("GET", path, "i1").as_bytes()).unwrap();
+            drop(caller);
+            sleep(Duration::from_millis(300)).await;
+            assert_eq!(rig.seen.borrow().len(), 1, "{path}: {:?}", rig.seen.borrow());
+        });
+    }
+}
+
+/// Guards against a request that waits for a server, and is sent after its caller has left: the node
+/// learns of the free server and of the caller at the same time, and has an idle connection.
+#[test]
+fn a_caller_that_left_while_its_request_waited_causes_no_request() {
+    run(
+        |_| Some("wait".to_owned()),
+        |rig| async move {
+            let addr = rig.connect().await.peer_addr().unwrap();
+            let mut callers = Vec::new();
+            for number in 0..3 {
+                let mut caller = std::net::TcpStream::connect(addr).unwrap();
+                let request = build_request("GET", "/safe/1", &format!("i{number}"));
+                caller.write_all(request.as_bytes()).unwrap();
+                callers.push(caller);
+                sleep(Duration::from_millis(100)).await;
+            }
+            assert_eq!(rig.seen.borrow().len(), 2, "the third one waits");
+            let pool = rig.node.view.borrow().servers["s1"].backend.clone();
+            pool.release(pool.open().await.unwrap()).await;
+            callers.clear();
+            sleep(Duration::from_millis(300)).await;
+            let seen = rig.seen.borrow();
+            let sent = seen.iter().filter(|seen| *seen != "gone").count();
+            assert_eq!(sent, 2, "{seen:?}");
+        },
+    );
+}
--- a/crates/whinspring-router/tests/path/relay.rs
+++ b/crates/whinspring-router/tests/path/relay.rs
@@ -5,7 +5,7 @@
         pair::{Cut, build_request, run, run_with_relay},
         rig,
     },
-    std::time::Duration,
+    std::{io::Write as _, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         time::sleep,
@@ -284,3 +284,18 @@
         },
     );
 }
+
+/// Guards against a request that a relay sends for a node that has given up before the relay came to it.
+#[test]
+fn a_node_that_left_before_its_request_was_read_causes_no_request() {
+    rig::run(answer, |rig| async move {
+        rig.send_relayed(&relayed("/once/1", "i0", 0)).await;
+        sleep(Duration::from_millis(50)).await;
+        let addr = rig.node.settings.advertised_relay;
+        let mut entry = std::net::TcpStream::connect(addr).unwrap();
+        entry.write_all(relayed("/once/1", "i1", 0).as_bytes()).unwrap();
+        drop(entry);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(rig.seen.borrow().len(), 1, "{:?}", rig.seen.borrow());
+    });
+}
