--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         links::{FakePeer, LONG_INTERVAL_MS},
-        rig::{Rig, run},
+        rig::{Rig, run, run_with},
     },
     std::time::Duration,
     tokio::{task::spawn_local, time::sleep},
@@ -17,6 +17,7 @@
         message::{Body, Item, ObjectsChanged, Snapshot},
         notices, peers,
         platform::{Changes, Kind, Listing, Object, Position},
+        settings::Limits,
     },
 };
 
@@ -394,3 +395,25 @@
         },
     );
 }
+
+/// Nodes of an earlier version watch no evacuations, so that a node which relied on them would hear of
+/// none.
+#[test]
+fn a_node_relies_only_on_others_that_follow_the_evacuations() {
+    for (revision, watches) in [(0, true), (1, false)] {
+        run_with(
+            Limits { evacuate_ms: Some(5_000), ..Limits::default() },
+            |_| None,
+            move |rig| async move {
+                for other in &mut join(&rig, 2, false, CPU_SHARE).await {
+                    other.evacuations = revision;
+                    other.send_beat().await;
+                }
+                sleep(DELIVERY_TIME).await;
+                spawn_local(follow::run(rig.node.clone(), Kind::Evacuations));
+                sleep(DECISION_TIME).await;
+                assert_eq!(rig.node.platform.watches.get() > 0, watches, "{revision}");
+            },
+        );
+    }
+}
