Outcomes: errors and shed requests are told apart from failures

Cause: a 5xx response that was passed on counted as a completed request, its few milliseconds as the speed of the server, at the gate, in the meter and for the planner. A request that was not run, and a key that had moved, counted as failures of the server; so did a caller that left while its response was sent.

Change: 5xx is reported as Errored, "not run" as Shed, 421 of an owner as NotSent. The meter takes no latency from an error and reports errors (ServerLatency.errors); an owner whose share of errors is high loses capacity unless most servers of its service fail.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -14,6 +14,7 @@
     log::warn,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     whinspring::{
+        errors::ErrorShare,
         name::Name,
         ranges::{Instance, Span, balance::KeyLoads},
         time::Tick,
@@ -103,6 +104,8 @@
     loads: HashMap<Name, KeyLoads>,
     /// When the loads were last decayed.
     decayed_at: Tick,
+    /// Recent errors in the responses of servers.
+    errors: HashMap<Name, ErrorShare>,
     /// Measured over expected latency by server; 1.0 is as expected.
     slowness: HashMap<Name, f64>,
     /// Expected time of a request by server, in seconds.
@@ -182,6 +185,14 @@
             let amount = f64::from(load.work_ms) / 1_000.0 / LOAD_DECAY_S;
             *loads.entry(load.key as u16).or_default() += amount;
         }
+        for latency in &heartbeat.latencies {
+            let server = Name::from(latency.server.as_str());
+            if latency.errors > 0 {
+                self.last_response.insert(server.clone(), now);
+            }
+            let known = self.errors.entry(server).or_default();
+            known.record(now, latency.count, latency.errors);
+        }
         for latency in heartbeat.latencies.iter().filter(|latency| latency.expected_ms > 0) {
             let ratio = f64::from(latency.total_ms) / f64::from(latency.expected_ms);
             let server = Name::from(latency.server.as_str());
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -48,10 +48,18 @@
 /// Capacity of a server that has just started, relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
 
+/// Capacity lost with the share of errors. A retried error costs its callers as much as another
+/// request, and a server half of whose responses are errors is to keep next to no keys.
+const ERROR_COST: f64 = 2.0;
+
+/// Least capacity of a server that responds with errors, relative to a healthy one.
+const FAILING_CAPACITY: f64 = 0.05;
+
 /// Assumed time of a request before any measurement, in seconds.
 const DEFAULT_WORK_S: f64 = 0.13;
 
-/// Returns the servers of a service that can own keys, sorted by instance.
+/// Returns the servers of a service that can own keys, sorted by instance. A server that responds
+/// with errors loses capacity, unless most of the service do: moves would not help them.
 pub(super) fn candidates<P: Platform>(
     node: &Rc<Node<P>>,
     service: &Name,
@@ -59,10 +67,11 @@
 ) -> Vec<Candidate> {
     let view = node.view.borrow();
     let control = node.control.borrow();
-    let mut found: Vec<Candidate> = view
-        .servers
-        .values()
-        .filter(|server| server.entry.service == *service)
+    let errors = |name: &Name| control.errors.get(name).map_or(0.0, |errors| errors.high(now));
+    let servers = || view.servers.values().filter(|server| server.entry.service == *service);
+    let failing = servers().filter(|server| errors(&server.name) > 0.0).count();
+    let is_outlier = failing * 2 <= servers().count();
+    let mut found: Vec<Candidate> = servers()
         .map(|server| {
             let instance = server.instance();
             let slowness = control.slowness.get(&server.name).copied().unwrap_or(1.0);
@@ -71,7 +80,8 @@
             let work = control.work.get(&server.name).copied().unwrap_or(DEFAULT_WORK_S);
             let limit = view.limits.rate(&server.name, server.life());
             let limit = limit.map_or(f64::INFINITY, |rate| rate.per_second() * work);
-            let capacity = capacity.min(limit);
+            let healthy = if is_outlier { 1.0 - ERROR_COST * errors(&server.name) } else { 1.0 };
+            let capacity = capacity.min(limit) * healthy.max(FAILING_CAPACITY);
             let down = control.down.get(&instance).is_some_and(|refusals| refusals.are_recent(now));
             let leaving = view.notices.leaving_since(&server.name).is_some()
                 || server.missing.is_some()
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -217,6 +217,9 @@
     /// Total time that the requests were expected to take.
     #[prost(uint32, tag = "4")]
     pub expected_ms: u32,
+    /// Responses with an error of the server's own; not counted in `count`.
+    #[prost(uint32, tag = "5")]
+    pub errors: u32,
 }
 
 /// Requests admission of a request at a gate.
--- a/crates/whinspring-router/src/meter.rs
+++ b/crates/whinspring-router/src/meter.rs
@@ -19,9 +19,21 @@
     typical: HashMap<Name, f64>,
     /// Work by service and key, in milliseconds.
     keys: HashMap<(Name, u16), f64>,
-    /// Per server: number of requests, total latency, and total typical latency of their routes,
-    /// both in milliseconds.
-    latencies: HashMap<Name, (u32, f64, f64)>,
+    servers: HashMap<Name, Responses>,
+}
+
+/// Responses of a server.
+#[derive(Debug, Default)]
+struct Responses {
+    /// Responses that measure the speed of the server.
+    count: u32,
+    /// Total latency of these, in milliseconds.
+    elapsed: f64,
+    /// Total typical latency of their routes, in milliseconds.
+    typical: f64,
+    /// Responses with an error of the server's own. They may come within milliseconds and measure
+    /// no speed.
+    errors: u32,
 }
 
 impl Meter {
@@ -37,8 +49,15 @@
         let typical = self.typical_ms(route);
         let next = typical + (elapsed - typical) * SMOOTHING;
         self.typical.insert(route.clone(), next);
-        let latency = self.latencies.entry(server.clone()).or_default();
-        *latency = (latency.0 + 1, latency.1 + elapsed, latency.2 + typical);
+        let responses = self.servers.entry(server.clone()).or_default();
+        responses.count += 1;
+        responses.elapsed += elapsed;
+        responses.typical += typical;
+    }
+
+    /// Records a response with an error of the server's own.
+    pub fn record_error(&mut self, server: &Name) {
+        self.servers.entry(server.clone()).or_default().errors += 1;
     }
 
     /// Returns the typical latency of a route.
@@ -53,13 +72,13 @@
             key: key.into(),
             work_ms: work as u32,
         });
-        let latencies =
-            self.latencies.drain().map(|(server, (count, elapsed, typical))| ServerLatency {
-                server: server.to_string(),
-                count,
-                total_ms: elapsed as u32,
-                expected_ms: typical as u32,
-            });
+        let latencies = self.servers.drain().map(|(server, responses)| ServerLatency {
+            server: server.to_string(),
+            count: responses.count,
+            total_ms: responses.elapsed as u32,
+            expected_ms: responses.typical as u32,
+            errors: responses.errors,
+        });
         (keys.collect(), latencies.collect())
     }
 }
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -462,31 +462,33 @@
         let (mut parts, body) = response.into_parts();
         let length = body.size_hint().exact();
         attempt.body = Some(body);
-        attempt.permit.outcome = ServerOutcome::Failed;
         if parts.headers.get(&names.id) != Some(&self.id) {
+            attempt.permit.outcome = ServerOutcome::Failed;
             return Outcome::Lost(Code::ServerLost, "the response has the id of another request");
         }
+        let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
         if parts.headers.contains_key(&names.not_run) {
-            attempt.outcome = ServerOutcome::Failed;
+            let outcome = if is_misdirected { self.misdirected() } else { ServerOutcome::Shed };
+            attempt.set_outcome(outcome);
             attempt.drain().await;
-            let code = match parts.status {
-                StatusCode::MISDIRECTED_REQUEST => Code::Moved,
-                _ => Code::Shed,
-            };
-            return Outcome::NotRun(code);
+            return Outcome::NotRun(if is_misdirected { Code::Moved } else { Code::Shed });
         }
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        if is_misdirected {
+            attempt.set_outcome(self.misdirected());
             return Outcome::NotRun(Code::Moved);
         }
         let sealed = parts.headers.contains_key(&names.seal);
         if parts.status.is_success() && !sealed {
+            attempt.permit.outcome = ServerOutcome::Failed;
             return Outcome::Lost(Code::ServerLost, "the response lacks the seal header");
         }
         let failed = parts.status.is_server_error();
+        if failed {
+            attempt.set_outcome(ServerOutcome::Errored);
+            self.node.metrics.count("server_failed");
+        }
         if failed && self.may_retry(attempts, true) {
-            attempt.outcome = ServerOutcome::Failed;
             attempt.drain().await;
-            self.node.metrics.count("server_failed");
             return Outcome::Retry(Code::ServerLost, "the server responded with a 5xx status");
         }
         strip_headers(&mut parts.headers);
@@ -501,9 +503,11 @@
                         self.stream(attempt, None)
                     }
                     Ok(Collected::Broken) => {
+                        attempt.permit.outcome = ServerOutcome::Failed;
                         return Outcome::Lost(Code::Truncated, "the response body was truncated");
                     }
                     Err(_) => {
+                        attempt.permit.outcome = ServerOutcome::Failed;
                         return Outcome::Lost(
                             Code::Deadline,
                             "the response body was not complete at the deadline",
@@ -518,6 +522,12 @@
         Outcome::Response(response)
     }
 
+    /// Returns the outcome of a request that was sent to the wrong server. An owner whose key has
+    /// moved is neither ill nor full; a server without keys should not have been at the address.
+    fn misdirected(&self) -> ServerOutcome {
+        if self.key.is_some() { ServerOutcome::NotSent } else { ServerOutcome::Failed }
+    }
+
     /// Returns the body of a response that is too long to buffer.
     fn stream(&self, attempt: Attempt<P>, length: Option<u64>) -> Body<P> {
         let limit = self.deadline.since(self.node.now()) + LATE_STREAM_TIME;
--- a/crates/whinspring-router/src/request/attempt.rs
+++ b/crates/whinspring-router/src/request/attempt.rs
@@ -67,14 +67,20 @@
                 Poll::Ready(None)
             }
             Err(_) => {
+                self.permit.outcome = ServerOutcome::Failed;
                 self.conn = None;
                 Poll::Ready(Some(Err(io::ErrorKind::UnexpectedEof.into())))
             }
         }
     }
 
-    /// Breaks off the response; the request's `id` and `why` are for the log.
+    /// Breaks off the response; the request's `id` and `why` are for the log. A caller that has left
+    /// says nothing of the server.
     pub fn abort(&mut self, id: &str, why: &'static str) {
+        self.permit.outcome = match why {
+            "caller_gone" => ServerOutcome::NotSent,
+            _ => ServerOutcome::Failed,
+        };
         let elapsed = self.node.now().since(self.start).as_millis() as u64;
         self.node.metrics.count("stream_broken_off");
         info!(event = "stream_broken_off", id, server = self.server.as_str(), route = self.route.as_str(), why, elapsed_ms = elapsed; "the rest of the server's response is not forwarded");
@@ -103,6 +109,12 @@
         }
     }
 
+    /// Sets the outcome to report, also if the rest of the response is not read.
+    pub(super) fn set_outcome(&mut self, outcome: ServerOutcome) {
+        self.outcome = outcome;
+        self.permit.outcome = outcome;
+    }
+
     /// Discards a response that is not forwarded. Drops the connection if the body is long or slow:
     /// the caller is waiting.
     pub(super) async fn drain(&mut self) {
@@ -117,10 +129,13 @@
         self.body = None;
         self.permit.outcome = self.outcome;
         let elapsed = self.node.now().since(self.start);
-        if self.outcome != ServerOutcome::Completed {
-            return self.release_conn();
+        let mut meter = self.node.meter.borrow_mut();
+        match self.outcome {
+            ServerOutcome::Completed => meter.record_latency(&self.route, &self.server, elapsed),
+            ServerOutcome::Errored => meter.record_error(&self.server),
+            ServerOutcome::Failed | ServerOutcome::Shed | ServerOutcome::NotSent => {}
         }
-        self.node.meter.borrow_mut().record_latency(&self.route, &self.server, elapsed);
+        drop(meter);
         self.release_conn();
     }
 
--- a/crates/whinspring-router/tests/owners/paths.rs
+++ b/crates/whinspring-router/tests/owners/paths.rs
@@ -171,8 +171,13 @@
     with_paused_clock(5, async {
         let world = World::new(5, SERVERS);
         let nodes = cluster(&world, 1).await;
-        let slow =
-            ServerLatency { server: "s02".into(), count: 50, total_ms: 50_000, expected_ms: 5_000 };
+        let slow = ServerLatency {
+            server: "s02".into(),
+            count: 50,
+            total_ms: 50_000,
+            expected_ms: 5_000,
+            errors: 0,
+        };
         let heartbeat = Heartbeat { cut_off, latencies: vec![slow], ..Heartbeat::default() };
         for _ in 0..10 {
             nodes[0].control.borrow_mut().record_measurements(nodes[0].now(), &heartbeat);
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -140,8 +140,13 @@
         let node = start(&world, "n1");
         advance(4_000).await;
         world.borrow_mut().refuse_connections(2);
-        let latency =
-            ServerLatency { server: "s02".into(), count: 1, total_ms: 100, expected_ms: 100 };
+        let latency = ServerLatency {
+            server: "s02".into(),
+            count: 1,
+            total_ms: 100,
+            expected_ms: 100,
+            errors: 0,
+        };
         let heartbeat = Heartbeat { latencies: vec![latency], ..Heartbeat::default() };
         for _ in 0..15 {
             advance(200).await;
@@ -152,6 +157,56 @@
     });
 }
 
+/// Guards against a planner that takes errors within milliseconds for speed and gives keys to the
+/// server that sends them. If all servers send errors, no keys move.
+#[test]
+fn keys_leave_a_server_that_responds_with_errors() {
+    for failing in [&["s02"][..], &["s00", "s01", "s02", "s03"]] {
+        scenario(async {
+            let world = World::new(1, 4);
+            let node = start(&world, "n1");
+            advance(4_000).await;
+            let measured = |server: &str, is_failing: bool| {
+                let (count, errors) = if is_failing { (1, 9) } else { (10, 0) };
+                let total_ms = count * 130;
+                let server = server.into();
+                ServerLatency { server, count, total_ms, expected_ms: total_ms, errors }
+            };
+            let run = async |failing: &[&str]| {
+                for _ in 0..25 {
+                    advance(200).await;
+                    let servers = ["s00", "s01", "s02", "s03"];
+                    let latencies =
+                        servers.map(|server| measured(server, failing.contains(&server))).into();
+                    let keys = (0..40).map(|number| KeyLoad {
+                        service: SERVICE.into(),
+                        key: number * 65_536 / 40,
+                        work_ms: 20,
+                    });
+                    let heartbeat =
+                        Heartbeat { keys: keys.collect(), latencies, ..Heartbeat::default() };
+                    node.control.borrow_mut().record_measurements(node.now(), &heartbeat);
+                }
+            };
+            run(&[]).await;
+            let before = world.borrow().share(2);
+            run(failing).await;
+
+            let during = world.borrow().share(2);
+            match failing.len() {
+                1 => assert!(during < 0.1, "{before} {during}"),
+                _ => assert_eq!(during, before),
+            }
+            run(&[]).await;
+            run(&[]).await;
+            run(&[]).await;
+            let after = world.borrow().share(2);
+            assert!(after > 0.15, "{after}");
+            check(&world);
+        });
+    }
+}
+
 /// A server that limits its requests to a seventh of what arrives for its keys: most of them go to
 /// the others, and come back once the limit is lifted.
 #[test]
@@ -171,6 +226,7 @@
                 count: 2,
                 total_ms: 260,
                 expected_ms: 260,
+                errors: 0,
             };
             Heartbeat {
                 keys: (0..count).map(key).collect(),
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -4,6 +4,7 @@
 mod denied;
 mod endless;
 mod follow;
+mod health;
 mod limits;
 mod links;
 mod notices;
--- a/crates/whinspring-router/tests/upgrade.rs
+++ b/crates/whinspring-router/tests/upgrade.rs
@@ -94,6 +94,7 @@
             count: 2,
             total_ms: 300,
             expected_ms: 260,
+            errors: 3,
         }],
         is_leader: true,
         interval_ms: 250,
@@ -121,6 +122,7 @@
             Body::Heartbeat(it) => {
                 (it.keeps_limits, it.limits) = (false, Vec::new());
                 it.weighs_gates = false;
+                it.latencies.iter_mut().for_each(|latency| latency.errors = 0);
             }
             Body::Admit(it) => {
                 it.limits.clear();
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod declaration;
 pub mod detour;
 pub mod entry;
+pub mod errors;
 pub mod gate;
 pub mod history;
 pub mod holder;
