Gate: health of servers, reported load, no pass over all servers per message

Cause: a server that responds with errors within milliseconds always has a free slot and attracts requests; a server that sheds at random is backed off like one that fails; complete, assigned_server and the mean service time look at all servers of a pool with each message.

Change: gate::health ejects outliers, probes and readmits them, at most half of a pool and none of one that fails as a whole. gate::load parses what servers report and holds load beyond the gate's own against free slots and cost. A server that sheds and reports its load has no backoff. Tickets are mapped to servers, the sum of the service times is kept, old ones are looked for when one may have expired, and nothing is decided for an empty queue.

--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -9,7 +9,11 @@
 //! gets them spaced accordingly.
 
 use {
-    self::server::Server,
+    self::{
+        health::{HealthChange, PoolHealth},
+        load::Load,
+        server::Server,
+    },
     crate::{
         limits::{Pace, Rate},
         name::Name,
@@ -18,6 +22,8 @@
     std::{collections::HashMap, time::Duration},
 };
 
+pub mod health;
+pub mod load;
 mod placement;
 mod queue;
 mod server;
@@ -88,6 +94,31 @@
     /// each request.
     positions: HashMap<Name, usize>,
     queue: Vec<PendingRequest>,
+    /// Servers of the admitted requests.
+    assigned: HashMap<Ticket, Name>,
+    service_times: ServiceTimes,
+    /// Earliest time after which a service time may have to be discarded.
+    next_expiry: Option<Tick>,
+    health: PoolHealth,
+}
+
+/// Sum of the known service times of the servers of a pool. It spares a pass over all of them with
+/// each message.
+#[derive(Debug, Default)]
+struct ServiceTimes {
+    sum: Duration,
+    count: u32,
+}
+
+impl ServiceTimes {
+    fn replace(&mut self, before: Option<Duration>, after: Option<Duration>) {
+        self.sum = self.sum + after.unwrap_or_default() - before.unwrap_or_default();
+        self.count = self.count + u32::from(after.is_some()) - u32::from(before.is_some());
+    }
+
+    fn mean(&self) -> Duration {
+        if self.count == 0 { INITIAL_SERVICE_TIME } else { self.sum / self.count }
+    }
 }
 
 impl Gate {
@@ -96,9 +127,13 @@
         if let Some(position) = self.positions.get(name) {
             let server = &mut self.servers[*position];
             server.slots = slots;
-            server.open = open;
+            if server.open != open {
+                server.open = open;
+                self.health.recount();
+            }
             return;
         }
+        self.health.recount();
         self.positions.insert(name.clone(), self.servers.len());
         self.servers.push(Server::new(name.clone(), domain.clone(), slots, open));
     }
@@ -120,21 +155,28 @@
         if self.servers.len() < before {
             let names = self.servers.iter().map(|server| server.name.clone());
             self.positions = names.zip(0..).collect();
+            self.assigned.retain(|_, server| self.positions.contains_key(server));
+            self.service_times = ServiceTimes::default();
+            for server in &self.servers {
+                self.service_times.replace(None, server.service_time);
+            }
+            self.health.recount();
         }
     }
 
-    /// Adds a request to the queue unless it is already queued. The next [`Gate::decide`] decides on
-    /// it.
+    /// Adds a request to the queue unless it is queued or runs already. The next [`Gate::decide`]
+    /// decides on it.
     pub fn enqueue(&mut self, request: PendingRequest) {
-        if !self.queue.iter().any(|other| other.ticket == request.ticket) {
+        let is_known = self.assigned.contains_key(&request.ticket)
+            || self.queue.iter().any(|other| other.ticket == request.ticket);
+        if !is_known {
             self.queue.push(request);
         }
     }
 
     /// Returns the server that is running an admitted request.
     pub fn assigned_server(&self, ticket: &Ticket) -> Option<&Name> {
-        let server = self.servers.iter().find(|server| server.running.contains_key(ticket));
-        server.map(|server| &server.name)
+        self.assigned.get(ticket)
     }
 
     /// Returns the requests that were admitted before `point` and have not completed.
@@ -145,12 +187,35 @@
 
     /// Removes a request from the queue or from its server, and records its outcome.
     pub fn complete(&mut self, ticket: &Ticket, outcome: ServerOutcome, now: Tick) {
-        self.queue.retain(|request| request.ticket != *ticket);
-        for server in &mut self.servers {
-            if let Some(since) = server.running.remove(ticket) {
-                server.record_outcome(outcome, since, now);
-            }
-        }
+        self.complete_with_load(ticket, outcome, None, now);
+    }
+
+    /// Removes a request as [`Gate::complete`] does, and records the load that its server reported.
+    pub fn complete_with_load(
+        &mut self,
+        ticket: &Ticket,
+        outcome: ServerOutcome,
+        load: Option<Load>,
+        now: Tick,
+    ) {
+        let Some(name) = self.assigned.remove(ticket) else {
+            self.queue.retain(|request| request.ticket != *ticket);
+            return;
+        };
+        let mean = self.service_times.mean();
+        let Some(position) = self.positions.get(&name) else { return };
+        let server = &mut self.servers[*position];
+        let Some(since) = server.running.remove(ticket) else { return };
+        let before = server.service_time;
+        server.record_outcome(outcome, load, mean, since, now);
+        self.service_times.replace(before, server.service_time);
+        self.next_expiry = earliest(self.next_expiry, server.service_time_expiry());
+        self.health.update(&server.name, &mut server.health, now);
+    }
+
+    /// Returns the servers that were ejected or readmitted since the last call.
+    pub fn take_health_changes(&mut self) -> Vec<HealthChange> {
+        self.health.take_changes()
     }
 
     /// Removes all requests of a node.
@@ -159,12 +224,22 @@
         for server in &mut self.servers {
             server.running.retain(|ticket, _| ticket.node != node);
         }
+        self.assigned.retain(|ticket, _| ticket.node != node);
+        self.next_expiry = Some(Tick::default());
     }
 
     /// Removes requests that were admitted before `oldest`: their completion was never reported.
     pub fn expire_running(&mut self, oldest: Tick) {
         for server in &mut self.servers {
-            server.running.retain(|_, since| *since >= oldest);
+            let assigned = &mut self.assigned;
+            server.running.retain(|ticket, since| {
+                let is_kept = *since >= oldest;
+                if !is_kept {
+                    assigned.remove(ticket);
+                    self.next_expiry = Some(Tick::default());
+                }
+                is_kept
+            });
         }
     }
 
@@ -175,9 +250,13 @@
     /// Admits and rejects the queued requests that can be decided now.
     pub fn decide(&mut self, now: Tick) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        let service_time = self.mean_service_time();
-        for server in &mut self.servers {
-            server.expire_service_time(now);
+        let service_time = self.service_times.mean();
+        self.expire_service_times(now);
+        let servers = self.servers.iter_mut();
+        let health = servers.map(|server| (&server.name, &mut server.health, server.open));
+        self.health.check(health, now);
+        if self.queue.is_empty() {
+            return decisions;
         }
         queue::sort(&mut self.queue, now, service_time);
         self.admit(&mut decisions, now);
@@ -189,7 +268,7 @@
     /// Admits requests in queue order while servers are available. A request that excludes servers
     /// holds up none behind it.
     fn admit(&mut self, decisions: &mut Vec<Decision>, now: Tick) {
-        let mean = self.mean_service_time();
+        let mean = self.service_times.mean();
         let mut index = 0;
         while index < self.queue.len() {
             let request = &self.queue[index];
@@ -203,6 +282,7 @@
             let request = self.queue.remove(index);
             let server = &mut self.servers[server];
             server.running.insert(request.ticket.clone(), now);
+            self.assigned.insert(request.ticket.clone(), server.name.clone());
             if let Some(pace) = &mut server.pace {
                 pace.record_start(now);
             }
@@ -211,11 +291,21 @@
         }
     }
 
-    /// Returns the mean of the known service times of the servers.
-    fn mean_service_time(&self) -> Duration {
-        let known: Vec<Duration> =
-            self.servers.iter().filter_map(|server| server.service_time).collect();
-        let count = known.len() as u32;
-        if count == 0 { INITIAL_SERVICE_TIME } else { known.iter().sum::<Duration>() / count }
+    /// Discards old service times, if there may be any.
+    fn expire_service_times(&mut self, now: Tick) {
+        if self.next_expiry.is_none_or(|expiry| now <= expiry) {
+            return;
+        }
+        self.next_expiry = None;
+        for server in &mut self.servers {
+            let before = server.service_time;
+            server.expire_service_time(now);
+            self.service_times.replace(before, server.service_time);
+            self.next_expiry = earliest(self.next_expiry, server.service_time_expiry());
+        }
     }
 }
+
+fn earliest(one: Option<Tick>, other: Option<Tick>) -> Option<Tick> {
+    one.into_iter().chain(other).min()
+}
--- a/crates/whinspring/src/gate/server.rs
+++ b/crates/whinspring/src/gate/server.rs
@@ -1,7 +1,11 @@
 //! What a gate knows of one server: its running requests, its speed, and whether it may get more.
 
 use {
-    super::{ServerOutcome, Ticket},
+    super::{
+        ServerOutcome, Ticket,
+        health::Health,
+        load::{ExcessLoad, Load},
+    },
     crate::{limits::Pace, name::Name, time::Tick},
     std::{collections::HashMap, time::Duration},
 };
@@ -41,6 +45,8 @@
     backoff_until: Tick,
     /// Spacing of requests, if the server limits them.
     pub(super) pace: Option<Pace>,
+    pub(super) health: Health,
+    excess: ExcessLoad,
 }
 
 impl Server {
@@ -57,24 +63,59 @@
             failures: 0,
             backoff_until: Tick::default(),
             pace: None,
+            health: Health::default(),
+            excess: ExcessLoad::default(),
         }
     }
 
     /// Returns whether the server has a free slot, and is neither closed nor in backoff nor at its
-    /// limit.
+    /// limit, nor ejected unless a probe is due.
     pub(super) fn is_available(&self, now: Tick) -> bool {
         let is_open = self.open && self.pace.as_ref().is_none_or(|pace| pace.is_open(now));
-        is_open && (self.running.len() as u32) < self.slots && now >= self.backoff_until
+        let may_send = now >= self.backoff_until && self.health.may_send(self.running.len(), now);
+        is_open && may_send && (self.load(now) as u32) < self.slots
     }
 
-    /// Returns how many requests the server runs at a time, within its limit.
+    /// Returns the requests at the server: those of the gate, and others that it has reported.
+    pub(super) fn load(&self, now: Tick) -> usize {
+        self.running.len() + self.excess.requests(now)
+    }
+
+    /// Returns the expected time of a request now; `mean` is that of a server without a measurement.
+    pub(super) fn expected_time(&self, mean: Duration, now: Tick) -> Duration {
+        self.excess.slow_down(self.service_time.unwrap_or(mean), now)
+    }
+
+    /// Returns how many requests the server runs at a time, within its limit; none if it only gets
+    /// probes.
     pub(super) fn capacity(&self, service_time: Duration) -> f64 {
+        if self.health.is_ejected() {
+            return 0.0;
+        }
         let limit = self.pace.as_ref().map(|pace| pace.per_second() * service_time.as_secs_f64());
         f64::from(self.slots).min(limit.unwrap_or(f64::INFINITY))
     }
 
-    /// Updates the service time, or the backoff, from the outcome of a request.
-    pub(super) fn record_outcome(&mut self, outcome: ServerOutcome, since: Tick, now: Tick) {
+    /// Updates the service time, the health, or the backoff, from the outcome of a request and the
+    /// load that its response reports; `mean` is the service time of a server without a measurement.
+    ///
+    /// An error causes no backoff: where there are other servers, the health decides. A server that
+    /// sheds while it reports its load is used as the load allows.
+    pub(super) fn record_outcome(
+        &mut self,
+        outcome: ServerOutcome,
+        load: Option<Load>,
+        mean: Duration,
+        since: Tick,
+        now: Tick,
+    ) {
+        self.health.record(outcome, now);
+        self.excess.record_end(now);
+        if let Some(load) = load {
+            let service_time = self.service_time.unwrap_or(mean);
+            let is_shed = outcome == ServerOutcome::Shed;
+            self.excess.record(load, self.running.len(), service_time, is_shed, now);
+        }
         match outcome {
             ServerOutcome::Completed => {
                 let took = now.since(since);
@@ -85,14 +126,15 @@
                 self.measured_at = now;
                 self.failures = 0;
             }
-            ServerOutcome::Failed | ServerOutcome::Errored | ServerOutcome::Shed => {
+            ServerOutcome::Shed if load.is_some() => {}
+            ServerOutcome::Failed | ServerOutcome::Shed => {
                 self.failures += 1;
                 if self.failures > TOLERATED_FAILURES {
                     let step = (self.failures - TOLERATED_FAILURES).min(MAX_BACKOFF_DOUBLINGS);
                     self.backoff_until = now + BACKOFF_UNIT * (1 << step);
                 }
             }
-            ServerOutcome::NotSent => {}
+            ServerOutcome::Errored | ServerOutcome::NotSent => {}
         }
     }
 
@@ -102,4 +144,10 @@
             self.service_time = None;
         }
     }
+
+    /// Returns after when the service time is to be discarded, if the server stays idle.
+    pub(super) fn service_time_expiry(&self) -> Option<Tick> {
+        let is_idle = self.running.is_empty() && self.service_time.is_some();
+        is_idle.then(|| self.measured_at + SERVICE_TIME_TTL)
+    }
 }
