Server-Load reaches the gate; a shed request returns to its owner after 20 to 40 ms

Cause: the load that servers report was not read, and a request that the owner of its key had shed was sent again at once.

Change: Server-Load is parsed from each response and passed with Done unless it is older than 200 ms; the malformed are counted. Ejection and readmission are logged and counted. A retry at the owner of a key waits for 20 to 40 ms, within attempts, retry budget and deadline as before.

Tests seen to fail first: none was run against the code before; the fields did not exist. path/health.rs covers both.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -13,11 +13,12 @@
     crate::{
         cluster::Server,
         limits,
-        message::{Admit, Admitted, Body, Check, Done, Rejected},
+        message::{Admit, Admitted, Body, Check, Done, Rejected, ServerLoad},
         node::Node,
         notices,
         platform::Platform,
     },
+    log::info,
     std::{
         collections::{HashMap, HashSet},
         rc::Rc,
@@ -28,7 +29,9 @@
         time::{sleep, sleep_until, timeout},
     },
     whinspring::{
-        gate::{Decision, Gate, PendingRequest, ServerOutcome, Ticket},
+        gate::{
+            Decision, Gate, PendingRequest, ServerOutcome, Ticket, health::HealthChange, load::Load,
+        },
         name::Name,
         notices::Purpose,
         rendezvous::rank,
@@ -51,6 +54,10 @@
 /// Age at which a running request is dropped, as the message with its end was lost.
 const EXPIRE_AFTER: Duration = Duration::from_secs(15);
 
+/// Age at which the load that a server has reported is no longer passed on: a response may be read
+/// for seconds after its head, and the gate counts the age from the end.
+const LOAD_TTL: Duration = Duration::from_millis(200);
+
 /// Result of a request at a gate: the server to use, or the time after which the caller may retry.
 pub type GateResult = Result<Name, Duration>;
 
@@ -100,6 +107,8 @@
     number: u64,
     /// Outcome to report to the gate.
     pub outcome: ServerOutcome,
+    /// Load that the server reported, and when the report was read.
+    pub load: Option<(Load, Tick)>,
 }
 
 impl<P: Platform> Permit<P> {
@@ -115,11 +124,13 @@
             admission.waiting.remove(&self.number);
             admission.active.remove(&self.number);
         }
+        let now = self.node.now();
+        let load = self.load.filter(|(_, read)| now.since(*read) < LOAD_TTL);
         let done = Done {
             pool: self.pool.to_string(),
             number: self.number,
             outcome: Done::number_of(self.outcome),
-            load: None,
+            load: load.map(|(load, _)| load.into()),
         };
         let from = self.node.name().clone();
         if self.gate_node == from {
@@ -151,7 +162,7 @@
         let local = permit.gate_node == *node.name();
         if !local && !node.peers.borrow().is_live(&permit.gate_node, node.now()) {
             node.metrics.count("gate_bypassed");
-            log::info!(event = "gate_bypassed", pool = request.pool.as_str(), home = permit.gate_node.as_str(); "the node of the gate stopped responding; using the local gate");
+            info!(event = "gate_bypassed", pool = request.pool.as_str(), home = permit.gate_node.as_str(); "the node of the gate stopped responding; using the local gate");
             (permit, decision) = enqueue(node, request, node.name().clone());
         }
     }
@@ -174,10 +185,8 @@
     };
     let gate_node = send_admit(node, request, &gate_node, number);
     let pool = request.pool.clone();
-    (
-        Permit { node: node.clone(), gate_node, pool, number, outcome: ServerOutcome::NotSent },
-        decision,
-    )
+    let outcome = ServerOutcome::NotSent;
+    (Permit { node: node.clone(), gate_node, pool, number, outcome, load: None }, decision)
 }
 
 /// Sends a request to the gate on `gate_node`, or on this node if there is no link; returns the
@@ -269,7 +278,12 @@
     let ticket = Ticket { node: from.clone(), number: done.number };
     let now = node.now();
     if let Some(gate) = node.admission.borrow_mut().gates.get_mut(&pool) {
-        gate.complete(&ticket, done.outcome(), now);
+        let outcome = done.outcome();
+        if outcome == ServerOutcome::Shed {
+            node.metrics.count("server_shed");
+        }
+        let load = done.load.and_then(ServerLoad::load);
+        gate.complete_with_load(&ticket, outcome, load, now);
     }
     step(node, &pool, now);
 }
@@ -281,15 +295,30 @@
 
 /// Sends the decisions that a gate can make now.
 fn step<P: Platform>(node: &Rc<Node<P>>, pool: &Name, now: Tick) {
-    let decisions = match node.admission.borrow_mut().gates.get_mut(pool) {
-        Some(gate) => gate.decide(now),
+    let (decisions, changes) = match node.admission.borrow_mut().gates.get_mut(pool) {
+        Some(gate) => (gate.decide(now), gate.take_health_changes()),
         None => return,
     };
+    changes.iter().for_each(|change| log_health(node, pool, change));
     for decision in decisions {
         send_decision(node, decision);
     }
 }
 
+fn log_health<P: Platform>(node: &Rc<Node<P>>, pool: &Name, change: &HealthChange) {
+    let pool = pool.as_str();
+    match change {
+        HealthChange::Ejected(server) => {
+            node.metrics.count("server_ejected");
+            info!(event = "server_ejected", server = server.as_str(), pool; "most of the last requests of the server failed; it gets probes only");
+        }
+        HealthChange::Readmitted(server) => {
+            node.metrics.count("server_readmitted");
+            info!(event = "server_readmitted", server = server.as_str(), pool; "the server gets requests again");
+        }
+    }
+}
+
 fn send_decision<P: Platform>(node: &Rc<Node<P>>, decision: Decision) {
     let (ticket, result) = match decision {
         Decision::Admit(ticket, server) => (ticket, Ok(server)),
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -10,7 +10,10 @@
     },
     prost::{Message, Oneof},
     std::time::Duration,
-    whinspring::{gate::ServerOutcome, name::Name},
+    whinspring::{
+        gate::{ServerOutcome, load::Load},
+        name::Name,
+    },
 };
 
 /// One message on a link.
@@ -555,6 +558,21 @@
     }
 }
 
+impl From<Load> for ServerLoad {
+    fn from(load: Load) -> Self {
+        let Load { running, waiting, slots, slowness } = load;
+        Self { running, waiting, slots, slowness }
+    }
+}
+
+impl ServerLoad {
+    /// Decodes the load; `None` if it cannot be one.
+    pub fn load(self) -> Option<Load> {
+        let Self { running, waiting, slots, slowness } = self;
+        (slots > 0).then_some(Load { running, waiting, slots, slowness })
+    }
+}
+
 impl From<&Object> for Item {
     fn from(object: &Object) -> Self {
         Self {
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -303,6 +303,8 @@
     pub leaving: HeaderName,
     /// Requests a second that a server takes from all nodes, as long as it sets it.
     pub limit: HeaderName,
+    /// Load of a server as it answers: `RUNNING,WAITING,SLOTS[,SLOWNESS]`.
+    pub load: HeaderName,
 }
 
 /// Header names and object formats of the platform.
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -41,7 +41,10 @@
     },
     whinspring::{
         code::{Class, Code},
-        gate::ServerOutcome,
+        gate::{
+            ServerOutcome,
+            load::{Load, Reported, parse_load},
+        },
         name::Name,
         notices::{Purpose, Refusal, Source},
         routes::{Route, RouteTable},
@@ -83,6 +86,13 @@
 /// Shortest time to the deadline that still allows a retry.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(60);
 
+/// Shortest time until a request that the owner of its key has shed is sent there again: about the
+/// time in which one of two slots becomes free.
+const MIN_SHED_DELAY: Duration = Duration::from_millis(20);
+
+/// Random addition to it, so that requests that were shed together do not return together.
+const SHED_DELAY_SPREAD: Duration = Duration::from_millis(20);
+
 /// A validated request and the configuration it is handled under.
 pub struct RoutedRequest<P: Platform> {
     pub node: Rc<Node<P>>,
@@ -152,6 +162,7 @@
             let mut path = Path::Direct;
             let outcome = self.send(&server, permit, attempts, fingerprint, &mut path).await;
             avoid = Some(server.clone());
+            let is_shed = matches!(outcome, Outcome::NotRun(Code::Shed));
             let (code, why, again) = match outcome {
                 Outcome::Response(response) => return Ok(response),
                 Outcome::Refused(refusal) => {
@@ -181,6 +192,9 @@
                 return Err(Rejection::with_retry(code, self.retry_delay(&server)));
             }
             node.metrics.count("sent_again");
+            if is_shed && self.key.is_some() {
+                sleep(MIN_SHED_DELAY + SHED_DELAY_SPREAD.mul_f64(fastrand::f64())).await;
+            }
         }
     }
 
@@ -467,6 +481,7 @@
             return Outcome::Lost(Code::ServerLost, "the response has the id of another request");
         }
         let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+        attempt.permit.load = self.read_load(&parts.headers, &attempt.server);
         if parts.headers.contains_key(&names.not_run) {
             let outcome = if is_misdirected { self.misdirected() } else { ServerOutcome::Shed };
             attempt.set_outcome(outcome);
@@ -522,6 +537,21 @@
         Outcome::Response(response)
     }
 
+    /// Returns the load that a server reports with its response, and the time.
+    fn read_load(&self, headers: &HeaderMap, server: &Name) -> Option<(Load, Tick)> {
+        let node = &self.node;
+        let values = headers.get_all(&node.platform.headers().load);
+        match parse_load(values.iter().map(HeaderValue::as_bytes)) {
+            Reported::Load(load) => Some((load, node.now())),
+            Reported::None => None,
+            Reported::Malformed => {
+                node.metrics.count("bad_server_load");
+                debug!("server {server} reports a load that cannot be read; it is ignored");
+                None
+            }
+        }
+    }
+
     /// Returns the outcome of a request that was sent to the wrong server. An owner whose key has
     /// moved is neither ill nor full; a server without keys should not have been at the address.
     fn misdirected(&self) -> ServerOutcome {
--- a/crates/whinspring-router/tests/path/health.rs
+++ b/crates/whinspring-router/tests/path/health.rs
@@ -3,12 +3,16 @@
 use {
     crate::{
         links::{FakePeer, LONG_INTERVAL_MS},
-        rig::{self, Rig},
+        rig::{self, Rig, read_response},
     },
-    tokio::task::spawn_local,
+    std::{
+        cell::Cell,
+        time::{Duration, Instant},
+    },
+    tokio::{io::AsyncWriteExt, task::spawn_local},
     whinspring::rendezvous::rank,
     whinspring_router::{
-        message::{Admit, Admitted, Body, Done},
+        message::{Admit, Admitted, Body, Done, ServerLoad},
         peers,
     },
 };
@@ -91,3 +95,54 @@
         expect(|request| respond(request, "421 No"), keyed, outcome);
     }
 }
+
+#[test]
+fn the_gate_is_told_what_the_server_reports_of_its_load() {
+    let told: [(rig::Script, _); 3] = [
+        (|request| respond(request, "503 No\r\nx-not-run: 1\r\nx-load: 2,8,2,300"), Some((8, 300))),
+        (|request| respond(request, "200 OK\r\nx-seal: s\r\nx-load: 1,0,2"), Some((0, 100))),
+        (|request| respond(request, "200 OK\r\nx-seal: s\r\nx-load: busy"), None),
+    ];
+    for (script, expected) in told {
+        rig::run(script, move |rig| async move {
+            let load = done(&rig, false).await.load;
+            let load = load.map(|ServerLoad { waiting, slowness, .. }| (waiting, slowness));
+            assert_eq!(load, expected);
+            let text = rig.node.metrics.encode();
+            assert_eq!(text.contains("bad_server_load"), expected.is_none());
+        });
+    }
+}
+
+thread_local! {
+    /// Requests that the server has shed in a test.
+    static SHED: Cell<u32> = const { Cell::new(0) };
+}
+
+/// Sheds the first request it gets.
+fn shed_once(request: &str) -> Option<String> {
+    if SHED.replace(SHED.get() + 1) == 0 {
+        respond(request, "503 No\r\nx-not-run: 1\r\nx-load: 1,0,2")
+    } else {
+        respond(request, "200 OK\r\nx-seal: s")
+    }
+}
+
+/// A request that the owner of its key has shed is sent there once more, after a short time.
+#[test]
+fn a_shed_request_returns_to_the_owner_of_its_key() {
+    rig::run(shed_once, |rig| async move {
+        rig.set_keyed();
+        let mut socket = rig.connect().await;
+        let start = Instant::now();
+        let head = "GET /once/1 HTTP/1.1\r\nhost: a.example\r\nx-key: 7\r\nx-id: i1";
+        let request = format!("{head}\r\nx-deadline: 1500\r\n\r\n");
+        socket.write_all(request.as_bytes()).await.unwrap();
+        let response = read_response(&mut socket).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        let elapsed = start.elapsed();
+        assert!(elapsed >= Duration::from_millis(20), "{elapsed:?}");
+        assert!(elapsed < Duration::from_millis(500), "{elapsed:?}");
+        assert_eq!(SHED.get(), 2);
+    });
+}
