Test that a server that responds with errors is ejected, by way of a node

Guards against health that is computed but not used or reported: of 30 requests to two servers 4 to 8 reach the failing one.

--- a/crates/whinspring-router/tests/path/health.rs
+++ b/crates/whinspring-router/tests/path/health.rs
@@ -6,7 +6,7 @@
         rig::{self, Rig, read_response},
     },
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
         time::{Duration, Instant},
     },
     tokio::{io::AsyncWriteExt, task::spawn_local},
@@ -146,3 +146,34 @@
         assert_eq!(SHED.get(), 2);
     });
 }
+
+thread_local! {
+    /// Server of the first request of a test.
+    static FIRST: RefCell<Option<String>> = const { RefCell::new(None) };
+}
+
+/// Responds with an error as the server that is used first, and with success as any other.
+fn fail_as_first(request: &str) -> Option<String> {
+    let target = request.lines().find(|line| line.starts_with("x-target: ")).unwrap();
+    let is_first = FIRST.with_borrow_mut(|it| it.get_or_insert_with(|| target.into()) == target);
+    match is_first {
+        true => respond(request, "500 No"),
+        false => respond(request, "200 OK\r\nx-seal: s"),
+    }
+}
+
+/// Guards against a failing server that keeps getting requests as it is always free.
+#[test]
+fn a_server_that_responds_with_errors_is_ejected() {
+    rig::run(fail_as_first, |rig| async move {
+        rig.list_servers(&["s1", "s2"]);
+        let mut failed = 0;
+        for number in 0..30 {
+            let head = format!("GET /once/{number} HTTP/1.1\r\nhost: a.example\r\nx-id: i{number}");
+            let response = rig.send(&format!("{head}\r\nx-deadline: 1500\r\n\r\n")).await;
+            failed += u32::from(response.starts_with("HTTP/1.1 500"));
+        }
+        assert!((4..=8).contains(&failed), "{failed}");
+        assert!(rig.node.metrics.encode().contains("event=\"server_ejected\""));
+    });
+}
