--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod evacuations;
 mod follow;
+mod health;
 mod limits;
 mod links;
 mod notices;
--- a/crates/whinspring-router/tests/upgrade.rs
+++ b/crates/whinspring-router/tests/upgrade.rs
@@ -94,6 +94,7 @@
             count: 2,
             total_ms: 300,
             expected_ms: 260,
+            errors: 3,
         }],
         is_leader: true,
         interval_ms: 250,
@@ -124,6 +125,7 @@
                 (it.keeps_limits, it.limits) = (false, Vec::new());
                 it.weighs_gates = false;
                 (it.evacuations, it.evacuations_era) = (0, 0);
+                it.latencies.iter_mut().for_each(|latency| latency.errors = 0);
             }
             Body::Admit(it) => {
                 it.limits.clear();
