Gate: requests stay in their failure domain until the wait exceeds the crossing

Cause: a server of another domain counted as twice as expensive whatever the load.

Change: gate/locality.rs weighs, for each domain, room, demand and waiting requests. A request leaves when its expected wait exceeds the crossing and what its slot is worth to the callers of the receiving domain. Requests that wait for their own domain hold up none behind them.

--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -9,7 +9,7 @@
 //! gets them spaced accordingly.
 
 use {
-    self::server::Server,
+    self::{locality::Locality, server::Server},
     crate::{
         limits::{Pace, Rate},
         name::Name,
@@ -18,6 +18,7 @@
     std::{collections::HashMap, time::Duration},
 };
 
+mod locality;
 mod placement;
 mod queue;
 mod server;
@@ -80,6 +81,15 @@
     Reject(Ticket, Duration),
 }
 
+/// Numbers of admitted requests by where they run.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Crossings {
+    /// Requests on servers of their own failure domain.
+    pub inside: u64,
+    /// Requests on servers of other failure domains.
+    pub outside: u64,
+}
+
 /// Admission queue of a pool of servers.
 #[derive(Debug, Default)]
 pub struct Gate {
@@ -88,6 +98,8 @@
     /// each request.
     positions: HashMap<Name, usize>,
     queue: Vec<PendingRequest>,
+    locality: Locality,
+    crossings: Crossings,
 }
 
 impl Gate {
@@ -127,6 +139,7 @@
     /// it.
     pub fn enqueue(&mut self, request: PendingRequest) {
         if !self.queue.iter().any(|other| other.ticket == request.ticket) {
+            self.locality.record_arrival(&request.domain);
             self.queue.push(request);
         }
     }
@@ -146,6 +159,7 @@
     /// Removes a request from the queue or from its server, and records its outcome.
     pub fn complete(&mut self, ticket: &Ticket, outcome: ServerOutcome, now: Tick) {
         self.queue.retain(|request| request.ticket != *ticket);
+        self.locality.complete(ticket);
         for server in &mut self.servers {
             if let Some(since) = server.running.remove(ticket) {
                 server.record_outcome(outcome, since, now);
@@ -156,6 +170,7 @@
     /// Removes all requests of a node.
     pub fn remove_node(&mut self, node: &str) {
         self.queue.retain(|request| request.ticket.node != node);
+        self.locality.retain_running(|ticket, _| ticket.node != node);
         for server in &mut self.servers {
             server.running.retain(|ticket, _| ticket.node != node);
         }
@@ -163,11 +178,17 @@
 
     /// Removes requests that were admitted before `oldest`: their completion was never reported.
     pub fn expire_running(&mut self, oldest: Tick) {
+        self.locality.retain_running(|_, since| since >= oldest);
         for server in &mut self.servers {
             server.running.retain(|_, since| *since >= oldest);
         }
     }
 
+    /// Returns how many requests were admitted inside and outside their failure domains.
+    pub fn crossings(&self) -> Crossings {
+        self.crossings
+    }
+
     pub fn queue_len(&self) -> usize {
         self.queue.len()
     }
@@ -186,28 +207,35 @@
         decisions
     }
 
-    /// Admits requests in queue order while servers are available. A request that excludes servers
-    /// holds up none behind it.
+    /// Admits requests in queue order while servers are available. A request that waits for its own
+    /// failure domain, or excludes servers, holds up none behind it.
     fn admit(&mut self, decisions: &mut Vec<Decision>, now: Tick) {
+        if self.queue.is_empty() {
+            return;
+        }
         let mean = self.mean_service_time();
+        self.locality.refresh(&self.servers, &self.queue, mean, now);
         let mut index = 0;
-        while index < self.queue.len() {
+        while index < self.queue.len() && self.locality.has_room() {
             let request = &self.queue[index];
-            let Some(server) = placement::find_server(&self.servers, request, mean, now) else {
-                if request.exclude.is_empty() {
-                    return;
-                }
+            let domains = self.locality.choices(request, now);
+            let found = placement::find_server(&self.servers, request, &domains, mean, now);
+            let Some(server) = found else {
+                self.locality.record_wait(request);
                 index += 1;
                 continue;
             };
             let request = self.queue.remove(index);
             let server = &mut self.servers[server];
+            self.locality.record_start(&request, &server.domain, now);
+            let is_inside = server.domain == request.domain;
+            self.crossings.inside += u64::from(is_inside);
+            self.crossings.outside += u64::from(!is_inside);
             server.running.insert(request.ticket.clone(), now);
             if let Some(pace) = &mut server.pace {
                 pace.record_start(now);
             }
             decisions.push(Decision::Admit(request.ticket, server.name.clone()));
-            index = 0;
         }
     }
 
--- a/crates/whinspring/src/gate/placement.rs
+++ b/crates/whinspring/src/gate/placement.rs
@@ -2,33 +2,36 @@
 
 use {
     super::{PendingRequest, server::Server},
-    crate::time::Tick,
+    crate::{name::Name, time::Tick},
     std::time::Duration,
 };
 
-/// Surcharge for a server in another failure domain, as a divisor of its cost.
-const CROSS_DOMAIN_DIVISOR: u64 = 1;
-
 /// Returns the index of the available server with the lowest cost for a request; `mean` is the service
-/// time of a server without a measurement.
+/// time of a server without a measurement. Servers outside `domains` are not chosen; those of the
+/// earlier domains are preferred.
 pub(super) fn find_server(
     servers: &[Server],
     request: &PendingRequest,
+    domains: &[Name],
     mean: Duration,
     now: Tick,
 ) -> Option<usize> {
+    if domains.is_empty() {
+        return None;
+    }
     let usable = servers.iter().enumerate().filter(|(_, server)| server.is_available(now));
     let usable = usable.filter(|(_, server)| !request.exclude.contains(&server.name));
-    let key = |server: &Server| {
-        (request.avoid.as_ref() == Some(&server.name), cost(server, request, mean))
-    };
-    usable.min_by_key(|(_, server)| key(server)).map(|(index, _)| index)
+    let ranked = usable.filter_map(|(index, server)| {
+        let rank = domains.iter().position(|domain| *domain == server.domain)?;
+        let is_avoided = request.avoid.as_ref() == Some(&server.name);
+        Some((is_avoided, rank, cost(server, mean), index))
+    });
+    ranked.min().map(|(.., index)| index)
 }
 
-/// Returns the cost of a server for a request, in microseconds.
-fn cost(server: &Server, request: &PendingRequest, mean: Duration) -> u64 {
+/// Returns the cost of a server for the next request, in microseconds.
+fn cost(server: &Server, mean: Duration) -> u64 {
     let service_time = server.service_time.unwrap_or(mean).as_micros() as u64;
     let running = server.running.len() as u64;
-    let loaded = service_time + service_time * running / u64::from(server.slots.max(1));
-    if server.domain == request.domain { loaded } else { loaded + loaded / CROSS_DOMAIN_DIVISOR }
+    service_time + service_time * running / u64::from(server.slots.max(1))
 }
