Balance: new hot spots are measured in fractions of a second, hot keys placed alone

Cause: the load of a key was a mean over 3 s, so that a new hot spot was seen at an eighth of its load after 400 ms. A range of 0.38 of all requests was spread over 180 servers 3.6 s after its onset (mean of 18 spots that last 5 s), and each round moved as much as it saw: 113 moves and 4,065 keys for each spot, while 0.12 of the load exceeded what its servers can do. A key hotter than any server was never moved; in 7 of 18 cases it was not alone on a fast server within 5 s.

Change: ranges/demand.rs scales the mean of each key by a shorter mean of blocks of 64 keys where a block shows a change beyond chance.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -15,7 +15,7 @@
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     whinspring::{
         name::Name,
-        ranges::{Instance, Span, balance::KeyLoads},
+        ranges::{Instance, Span, demand::Demand},
         time::Tick,
     },
 };
@@ -38,12 +38,6 @@
 /// Time since the store last responded to the controller from which a check of it has failed.
 const SILENT_AFTER: Duration = Duration::from_millis(2_300);
 
-/// Time constant of the exponential decay of measured loads, in seconds.
-const LOAD_DECAY_S: f64 = 3.0;
-
-/// Load below which a key is dropped, in slots.
-const MIN_LOAD: f64 = 0.0005;
-
 /// Weight of one request in the moving average of a server's slowness.
 const LATENCY_SMOOTHING: f64 = 0.06;
 
@@ -99,10 +93,8 @@
     confirming: bool,
     /// Low part of the last fencing token issued in this term.
     fence_count: u64,
-    /// Load by service and key, in slots.
-    loads: HashMap<Name, KeyLoads>,
-    /// When the loads were last decayed.
-    decayed_at: Tick,
+    /// Load of the keys by service.
+    demands: HashMap<Name, Demand>,
     /// Measured over expected latency by server; 1.0 is as expected.
     slowness: HashMap<Name, f64>,
     /// Expected time of a request by server, in seconds.
@@ -176,11 +168,11 @@
     /// Adds the loads and latencies that a node measured. The latencies of a node that is cut off from
     /// all servers tell nothing of the servers.
     pub fn record_measurements(&mut self, now: Tick, heartbeat: &Heartbeat) {
-        self.decay_loads(now);
+        let domain = Name::from(heartbeat.domain.as_str());
         for load in &heartbeat.keys {
-            let loads = self.loads.entry(Name::from(load.service.as_str())).or_default();
-            let amount = f64::from(load.work_ms) / 1_000.0 / LOAD_DECAY_S;
-            *loads.entry(load.key as u16).or_default() += amount;
+            let demand = self.demands.entry(Name::from(load.service.as_str())).or_default();
+            demand.decay(now);
+            demand.record(load.key as u16, f64::from(load.work_ms) / 1_000.0, &domain);
         }
         for latency in heartbeat.latencies.iter().filter(|latency| latency.expected_ms > 0) {
             let ratio = f64::from(latency.total_ms) / f64::from(latency.expected_ms);
@@ -197,18 +189,6 @@
         }
     }
 
-    fn decay_loads(&mut self, now: Tick) {
-        let span = now.since(self.decayed_at).as_secs_f64();
-        self.decayed_at = now;
-        let factor = (-span / LOAD_DECAY_S).exp();
-        for loads in self.loads.values_mut() {
-            loads.retain(|_, load| {
-                *load *= factor;
-                *load > MIN_LOAD
-            });
-        }
-    }
-
     /// Returns a fencing token above all earlier ones. The [`FENCE_STEP`] - 1 tokens below it are
     /// free for commands to the former owner.
     fn fence(&mut self) -> u64 {
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -382,7 +382,9 @@
             return;
         }
         progress.planned = now;
-        let loads = control.loads.get(service).cloned().unwrap_or_default();
+        let demand = control.demands.entry(service.clone()).or_default();
+        demand.decay(now);
+        let loads = demand.loads();
         let capacity: f64 = servers.iter().map(|server| server.capacity).sum();
         let base = capacity * BASE_LOAD_SHARE / (f64::from(MAX_KEY) + 1.0);
         if now.since(progress.logged) >= LOG_INTERVAL {
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -8,6 +8,7 @@
 use crate::name::Name;
 
 pub mod balance;
+pub mod demand;
 
 pub const MAX_KEY: u16 = u16::MAX;
 
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{Instance, Ownership},
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, HashMap, HashSet},
 };
 
 /// Limit of moves in one round for a small number of servers.
@@ -35,6 +35,20 @@
 /// target: where all servers are busy, it takes half of the difference.
 const MIN_HEADROOM: f64 = 0.2;
 
+/// Number of keys moved to faster servers in one round because they are too hot for their owners.
+const MAX_HOT_KEYS: usize = 8;
+
+/// Factor by which a server must be faster than the owner of a key that is too hot for its owner.
+/// Measured speeds vary by less.
+const MIN_SPEEDUP: f64 = 1.25;
+
+/// Load, relative to its capacity, that the owner of a key which fills it may have from other keys:
+/// to move the last ones away costs more than it gains.
+const MIN_REST: f64 = 0.05;
+
+/// Share of the highest capacity from which a server counts as one of the fastest.
+const FASTEST_SHARE: f64 = 0.9;
+
 /// Lower bound of a server's capacity; avoids a division by zero.
 const MIN_CAPACITY: f64 = 0.01;
 
@@ -83,6 +97,7 @@
         }
     }
     evacuate(&mut draft, &remaining, &mut server_loads, loads, base, &mut moves);
+    place_hot_keys(&mut draft, &remaining, &mut server_loads, loads, base, &mut moves);
     for _ in 0..MIN_MOVE_LIMIT.max(remaining.len() / MOVE_LIMIT_DIVISOR) {
         let Some(planned) = next_move(&draft, &remaining, &server_loads, loads, base) else {
             break;
@@ -131,6 +146,49 @@
     }
 }
 
+/// Moves keys that alone fill their owners to the fastest servers without such a key. The other keys
+/// of these servers move away like those of any server that is highly utilized.
+fn place_hot_keys(
+    draft: &mut Ownership,
+    remaining: &[&Candidate],
+    server_loads: &mut HashMap<Instance, f64>,
+    loads: &KeyLoads,
+    base: f64,
+    moves: &mut Vec<Move>,
+) {
+    let capacities: HashMap<&Instance, f64> =
+        remaining.iter().map(|server| (&server.instance, server.capacity)).collect();
+    let lowest = capacities.values().copied().fold(f64::INFINITY, f64::min);
+    let mut hot: Vec<(f64, u16, &Candidate)> = Vec::new();
+    for (key, load) in loads.iter().filter(|(_, load)| **load > lowest * TARGET_UTILIZATION) {
+        let owner = draft.find(*key).map(|span| &span.owner);
+        let owner = remaining.iter().find(|server| Some(&server.instance) == owner);
+        if let Some(owner) = owner.filter(|it| *load > it.capacity * TARGET_UTILIZATION) {
+            hot.push((*load, *key, owner));
+        }
+    }
+    hot.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut taken: HashSet<Instance> =
+        hot.iter().map(|(_, _, owner)| owner.instance.clone()).collect();
+    for (_, key, owner) in hot.into_iter().take(MAX_HOT_KEYS) {
+        if draft.find(key).is_none_or(|span| span.former.is_some()) {
+            continue;
+        }
+        let free = remaining.iter().filter(|server| !taken.contains(&server.instance));
+        let highest = free.clone().map(|server| server.capacity).fold(0.0, f64::max);
+        let fastest: Vec<&Candidate> =
+            free.copied().filter(|server| server.capacity >= highest * FASTEST_SHARE).collect();
+        let Some(to) = least_utilized(&fastest, server_loads) else { return };
+        if to.capacity < owner.capacity * MIN_SPEEDUP {
+            continue;
+        }
+        taken.insert(to.instance.clone());
+        let planned = Move { first: key, last: key, to: to.instance.clone() };
+        apply(draft, server_loads, loads, base, &planned);
+        moves.push(planned);
+    }
+}
+
 /// Applies a move to the draft.
 fn apply(
     draft: &mut Ownership,
@@ -193,6 +251,16 @@
         let headroom = TARGET_UTILIZATION - utilization(dest, server_loads);
         let wanted =
             if headroom < MIN_HEADROOM { half } else { half.min(headroom * dest.capacity) };
+        let hot = hot_load(draft, source, loads);
+        let wanted = if hot > 0.0 {
+            let rest = server_loads.get(&source.instance).copied().unwrap_or_default() - hot;
+            if rest < MIN_REST * source.capacity {
+                continue;
+            }
+            wanted.min(rest)
+        } else {
+            wanted
+        };
         if let Some((first, last)) = best_range(draft, &source.instance, loads, base, wanted) {
             return Some(Move { first, last, to: dest.instance.clone() });
         }
@@ -200,6 +268,14 @@
     None
 }
 
+/// Returns the load of the keys that alone fill their owner.
+fn hot_load(draft: &Ownership, owner: &Candidate, loads: &KeyLoads) -> f64 {
+    let spans = draft.spans.iter().filter(|span| span.owner == owner.instance);
+    let keys = spans.flat_map(|span| loads.range(span.first..=span.last));
+    let hot = keys.filter(|(_, load)| **load > owner.capacity * TARGET_UTILIZATION);
+    hot.map(|(_, load)| load).sum()
+}
+
 /// Returns a short range of a server's keys whose load is close to `wanted` and not far above it.
 fn best_range(
     draft: &Ownership,
