--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -51,6 +51,9 @@
 /// Age at which a running request is dropped, as the message with its end was lost.
 const EXPIRE_AFTER: Duration = Duration::from_secs(15);
 
+/// Interval between log lines on the overflow of a pool's failure domains; small pools change often.
+const OVERFLOW_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Result of a request at a gate: the server to use, or the time after which the caller may retry.
 pub type GateResult = Result<Name, Duration>;
 
@@ -65,6 +68,8 @@
     active: HashSet<u64>,
     last_number: u64,
     last_check: Tick,
+    /// Number of overflowing domains by pool and when it was logged.
+    overflows: HashMap<Name, (usize, Tick)>,
 }
 
 impl Admission {
@@ -388,14 +393,33 @@
         let pools: Vec<Name> = {
             let mut admission = node.admission.borrow_mut();
             admission.gates.values_mut().for_each(|gate| gate.expire_running(now - EXPIRE_AFTER));
-            let busy = admission.gates.iter().filter(|(_, gate)| gate.queue_len() > 0);
+            let is_busy = |gate: &Gate| gate.queue_len() > 0 || gate.overflowing() > 0;
+            let busy = admission.gates.iter().filter(|(_, gate)| is_busy(gate));
             busy.map(|(pool, _)| pool.clone()).collect()
         };
         for pool in pools {
             refresh(&node, &pool);
             step(&node, &pool, now);
         }
+        report_overflow(&node, now);
+    }
+}
+
+/// Sets the gauge of the domains that requests leave, and logs changes.
+fn report_overflow<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
+    let mut admission = node.admission.borrow_mut();
+    let Admission { gates, overflows, .. } = &mut *admission;
+    let mut total = 0;
+    for (pool, gate) in gates {
+        let domains = gate.overflowing();
+        total += domains;
+        let (before, logged) = overflows.get(pool).copied().unwrap_or_default();
+        if before != domains && now.since(logged) >= OVERFLOW_LOG_INTERVAL {
+            overflows.insert(pool.clone(), (domains, now));
+            log::info!(event = "overflow", pool = pool.as_str(), before, domains; "failure domains that requests leave because of their load");
+        }
     }
+    node.metrics.overflowing.set(total as i64);
 }
 
 /// Waits until the view changes, at most to `until`.
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -41,6 +41,8 @@
     pub relaying: Gauge,
     /// Whether this node is cut off from all servers.
     pub cut_off: Gauge,
+    /// Failure domains that requests leave because of their load, over all gates of this node.
+    pub overflowing: Gauge,
 }
 
 impl Metrics {
@@ -68,7 +70,21 @@
         let cut_off = Gauge::default();
         let text = "1 while this node can reach no backend server, otherwise 0";
         registry.register("cut_off", text, cut_off.clone());
-        Self { registry, responses, events, latency, waiting, callers, relaying, cut_off }
+        let overflowing = Gauge::default();
+        let text =
+            "Failure domains that requests leave because of their load, at gates of this node";
+        registry.register("overflowing", text, overflowing.clone());
+        Self {
+            registry,
+            responses,
+            events,
+            latency,
+            waiting,
+            callers,
+            relaying,
+            cut_off,
+            overflowing,
+        }
     }
 
     /// Records a response.
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -388,9 +388,14 @@
         let node = &self.node;
         let backend = {
             let view = node.view.borrow();
-            view.servers.get(server).map(|server| (server.backend.clone(), server.life()))
+            view.servers.get(server).map(|server| {
+                let is_outside = server.entry.domain != node.settings.domain;
+                (server.backend.clone(), server.life(), is_outside)
+            })
+        };
+        let Some((backend, life, is_outside)) = backend else {
+            return Outcome::NotRun(Code::NoOwner);
         };
-        let Some((backend, life)) = backend else { return Outcome::NotRun(Code::NoOwner) };
         let start = node.now();
         let left = self.deadline.since(start);
         let mut attempt = Attempt {
@@ -403,6 +408,7 @@
             prefix: None,
             route: self.route.name.clone(),
             server: server.clone(),
+            is_outside,
             start,
         };
         let exchange = self.exchange(&mut attempt, life, path);
@@ -420,6 +426,7 @@
         };
         match result {
             Ok(response) => {
+                attempt.record_sent(self.body.len());
                 if *path == Path::Direct {
                     reach::record_response(node);
                 }
--- a/crates/whinspring-router/src/request/attempt.rs
+++ b/crates/whinspring-router/src/request/attempt.rs
@@ -37,6 +37,8 @@
     pub(super) prefix: Option<Bytes>,
     pub(super) route: Name,
     pub(super) server: Name,
+    /// Whether the server is in another failure domain.
+    pub(super) is_outside: bool,
     /// Start of the attempt.
     pub(super) start: Tick,
 }
@@ -61,7 +63,10 @@
             return Poll::Ready(None);
         };
         match ready!(conn.poll_next(body, cx)) {
-            Ok(Some(bytes)) => Poll::Ready(Some(Ok(bytes))),
+            Ok(Some(bytes)) => {
+                self.record_bytes(bytes.len());
+                Poll::Ready(Some(Ok(bytes)))
+            }
             Ok(None) => {
                 self.finish();
                 Poll::Ready(None)
@@ -73,6 +78,20 @@
         }
     }
 
+    /// Counts a request that reached its server, and its bytes if they crossed failure domains.
+    pub(super) fn record_sent(&self, bytes: usize) {
+        let event = if self.is_outside { "served_outside" } else { "served_inside" };
+        self.node.metrics.count(event);
+        self.record_bytes(bytes);
+    }
+
+    /// Counts bytes of a body that crossed failure domains.
+    fn record_bytes(&self, bytes: usize) {
+        if self.is_outside {
+            self.node.metrics.add("bytes_outside", bytes as u64);
+        }
+    }
+
     /// Breaks off the response; the request's `id` and `why` are for the log.
     pub fn abort(&mut self, id: &str, why: &'static str) {
         let elapsed = self.node.now().since(self.start).as_millis() as u64;
@@ -90,7 +109,10 @@
                 return Collected::Broken;
             };
             match conn.next(body).await {
-                Ok(Some(bytes)) => all.extend_from_slice(&bytes),
+                Ok(Some(bytes)) => {
+                    all.extend_from_slice(&bytes);
+                    self.record_bytes(bytes.len());
+                }
                 Ok(None) => {
                     self.finish();
                     return Collected::Complete(all.freeze());
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -81,15 +81,6 @@
     Reject(Ticket, Duration),
 }
 
-/// Numbers of admitted requests by where they run.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct Crossings {
-    /// Requests on servers of their own failure domain.
-    pub inside: u64,
-    /// Requests on servers of other failure domains.
-    pub outside: u64,
-}
-
 /// Admission queue of a pool of servers.
 #[derive(Debug, Default)]
 pub struct Gate {
@@ -99,7 +90,6 @@
     positions: HashMap<Name, usize>,
     queue: Vec<PendingRequest>,
     locality: Locality,
-    crossings: Crossings,
 }
 
 impl Gate {
@@ -184,9 +174,9 @@
         }
     }
 
-    /// Returns how many requests were admitted inside and outside their failure domains.
-    pub fn crossings(&self) -> Crossings {
-        self.crossings
+    /// Returns the number of failure domains from which requests leave because of their load.
+    pub fn overflowing(&self) -> usize {
+        self.locality.overflowing()
     }
 
     pub fn queue_len(&self) -> usize {
@@ -210,7 +200,7 @@
     /// Admits requests in queue order while servers are available. A request that waits for its own
     /// failure domain, or excludes servers, holds up none behind it.
     fn admit(&mut self, decisions: &mut Vec<Decision>, now: Tick) {
-        if self.queue.is_empty() {
+        if self.queue.is_empty() && self.overflowing() == 0 {
             return;
         }
         let mean = self.mean_service_time();
@@ -228,9 +218,6 @@
             let request = self.queue.remove(index);
             let server = &mut self.servers[server];
             self.locality.record_start(&request, &server.domain, now);
-            let is_inside = server.domain == request.domain;
-            self.crossings.inside += u64::from(is_inside);
-            self.crossings.outside += u64::from(!is_inside);
             server.running.insert(request.ticket.clone(), now);
             if let Some(pace) = &mut server.pace {
                 pace.record_start(now);
--- a/crates/whinspring/src/gate/locality.rs
+++ b/crates/whinspring/src/gate/locality.rs
@@ -193,6 +193,11 @@
         self.domains.iter().any(|domain| domain.room.free > 0.0)
     }
 
+    /// Returns the number of domains that requests leave because of their load.
+    pub(super) fn overflowing(&self) -> usize {
+        self.domains.iter().filter(|domain| domain.overflowing).count()
+    }
+
     /// Returns the domains in which a request may start now, the preferred one first.
     pub(super) fn choices(&self, request: &PendingRequest, now: Tick) -> Vec<Name> {
         let home = self.domains.iter().find(|domain| domain.name == request.domain);
