--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -45,6 +45,8 @@
     pub evacuated_domains: Gauge,
     /// Ranges of keys that servers of evacuated domains own.
     pub evacuated_spans: Gauge,
+    /// Failure domains that requests leave because of their load, over all gates of this node.
+    pub overflowing: Gauge,
 }
 
 impl Metrics {
@@ -78,6 +80,10 @@
         let evacuated_spans = Gauge::default();
         let text = "Ranges of keys that servers of evacuated failure domains own";
         registry.register("evacuated_spans", text, evacuated_spans.clone());
+        let overflowing = Gauge::default();
+        let text =
+            "Failure domains that requests leave because of their load, at gates of this node";
+        registry.register("overflowing", text, overflowing.clone());
         Self {
             registry,
             responses,
@@ -89,6 +95,7 @@
             cut_off,
             evacuated_domains,
             evacuated_spans,
+            overflowing,
         }
     }
 
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -12,6 +12,7 @@
     self::{
         health::{HealthChange, PoolHealth},
         load::Load,
+        locality::Locality,
         server::Server,
     },
     crate::{
@@ -24,6 +25,7 @@
 
 pub mod health;
 pub mod load;
+mod locality;
 mod placement;
 mod queue;
 mod server;
@@ -100,6 +102,7 @@
     /// Earliest time after which a service time may have to be discarded.
     next_expiry: Option<Tick>,
     health: PoolHealth,
+    locality: Locality,
 }
 
 /// Sum of the known service times of the servers of a pool. It spares a pass over all of them with
@@ -170,6 +173,7 @@
         let is_known = self.assigned.contains_key(&request.ticket)
             || self.queue.iter().any(|other| other.ticket == request.ticket);
         if !is_known {
+            self.locality.record_arrival(&request.domain);
             self.queue.push(request);
         }
     }
@@ -198,6 +202,7 @@
         load: Option<Load>,
         now: Tick,
     ) {
+        self.locality.complete(ticket);
         let Some(name) = self.assigned.remove(ticket) else {
             self.queue.retain(|request| request.ticket != *ticket);
             return;
@@ -221,6 +226,7 @@
     /// Removes all requests of a node.
     pub fn remove_node(&mut self, node: &str) {
         self.queue.retain(|request| request.ticket.node != node);
+        self.locality.retain_running(|ticket, _| ticket.node != node);
         for server in &mut self.servers {
             server.running.retain(|ticket, _| ticket.node != node);
         }
@@ -230,6 +236,7 @@
 
     /// Removes requests that were admitted before `oldest`: their completion was never reported.
     pub fn expire_running(&mut self, oldest: Tick) {
+        self.locality.retain_running(|_, since| since >= oldest);
         for server in &mut self.servers {
             let assigned = &mut self.assigned;
             server.running.retain(|ticket, since| {
@@ -243,6 +250,11 @@
         }
     }
 
+    /// Returns the number of failure domains from which requests leave because of their load.
+    pub fn overflowing(&self) -> usize {
+        self.locality.overflowing()
+    }
+
     pub fn queue_len(&self) -> usize {
         self.queue.len()
     }
@@ -265,29 +277,33 @@
         decisions
     }
 
-    /// Admits requests in queue order while servers are available. A request that excludes servers
-    /// holds up none behind it.
+    /// Admits requests in queue order while servers are available. A request that waits for its own
+    /// failure domain, or excludes servers, holds up none behind it.
     fn admit(&mut self, decisions: &mut Vec<Decision>, now: Tick) {
+        if self.queue.is_empty() && self.overflowing() == 0 {
+            return;
+        }
         let mean = self.service_times.mean();
+        self.locality.refresh(&self.servers, &self.queue, mean, now);
         let mut index = 0;
-        while index < self.queue.len() {
+        while index < self.queue.len() && self.locality.has_room() {
             let request = &self.queue[index];
-            let Some(server) = placement::find_server(&self.servers, request, mean, now) else {
-                if request.exclude.is_empty() {
-                    return;
-                }
+            let domains = self.locality.choices(request, now);
+            let found = placement::find_server(&self.servers, request, &domains, mean, now);
+            let Some(server) = found else {
+                self.locality.record_wait(request);
                 index += 1;
                 continue;
             };
             let request = self.queue.remove(index);
             let server = &mut self.servers[server];
+            self.locality.record_start(&request, &server.domain, now);
             server.running.insert(request.ticket.clone(), now);
             self.assigned.insert(request.ticket.clone(), server.name.clone());
             if let Some(pace) = &mut server.pace {
                 pace.record_start(now);
             }
             decisions.push(Decision::Admit(request.ticket, server.name.clone()));
-            index = 0;
         }
     }
 
