Limits: spacing with a burst and turns; bound of cold servers over all gates

Cause: a server that starts crashes well above the rate that its service names, and nothing paced requests to it. Pace allowed a second's worth at once after an idle time, which two gates exceed.

--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -11,7 +11,7 @@
 use {
     self::server::Server,
     crate::{
-        limits::{Pace, Rate},
+        limits::{Pace, Rate, Spacing},
         name::Name,
         time::Tick,
     },
@@ -105,11 +105,16 @@
 
     /// Sets how many requests a second a server of the pool gets; `None` for no limit.
     pub fn set_limit(&mut self, name: &Name, limit: Option<Rate>, now: Tick) {
+        self.set_spacing(name, limit.map(Spacing::from), now);
+    }
+
+    /// Sets how the requests to a server of the pool are spaced; `None` for not at all.
+    pub fn set_spacing(&mut self, name: &Name, spacing: Option<Spacing>, now: Tick) {
         let Some(position) = self.positions.get(name) else { return };
         let server = &mut self.servers[*position];
-        match (&mut server.pace, limit) {
-            (Some(pace), Some(rate)) => pace.set_rate(rate, now),
-            (pace, limit) => *pace = limit.map(|rate| Pace::new(rate, now)),
+        match (&mut server.pace, spacing) {
+            (Some(pace), Some(spacing)) => pace.set_spacing(spacing, now),
+            (pace, spacing) => *pace = spacing.map(|spacing| Pace::new(spacing, now)),
         }
     }
 
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -6,6 +6,7 @@
 //! actions.
 
 pub mod code;
+pub mod cold;
 pub mod control;
 pub mod declaration;
 pub mod detour;
--- a/crates/whinspring/src/limits.rs
+++ b/crates/whinspring/src/limits.rs
@@ -3,8 +3,8 @@
 //! Load pattern: for seconds or minutes a server in need takes far fewer requests than arrive for it
 //! at many nodes. Each node knows what it has read last, and passes it on with each request for
 //! admission and each admission, so that the one gate of the server knows what any of its nodes
-//! knows. [`Pace`] spaces what a gate admits. `docs/design/server-notices.md` tells where the facts
-//! come from.
+//! knows. [`Pace`] spaces what a gate admits, also to a server that is cold ([`crate::cold`]).
+//! `docs/design/server-notices.md` tells where the facts come from.
 
 use {
     crate::{name::Name, notices::Life, time::Tick},
@@ -26,6 +26,8 @@
 pub struct Rate(f64);
 
 impl Rate {
+    pub const ZERO: Self = Self(0.0);
+
     /// Creates a rate; `None` if the number is negative or not finite.
     pub fn new(per_second: f64) -> Option<Self> {
         (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
@@ -82,6 +84,11 @@
         self.statement(server, life)?.rate
     }
 
+    /// Returns whether any server may have a limit.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Returns the statements on runs of servers that ever named a limit.
     pub fn statements(&self) -> impl Iterator<Item = (&Name, Life, Statement)> {
         self.known.iter().map(|(name, (life, statement))| (name, *life, *statement))
@@ -118,37 +125,95 @@
     values.fold(Named::None, lowest)
 }
 
+/// Recurring window of time in which one of several gates may start requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Turn {
+    /// Start of one of the windows.
+    pub start: Tick,
+    /// Length of a window.
+    pub open: Duration,
+    /// Time from the start of one window to that of the next.
+    pub period: Duration,
+}
+
+impl Turn {
+    /// Returns whether a window is open.
+    pub fn is_open(&self, now: Tick) -> bool {
+        let period = self.period.as_micros().max(1) as u64;
+        let offset = (now.0 % period + period - self.start.0 % period) % period;
+        Duration::from_micros(offset) < self.open
+    }
+}
+
+/// How a gate spaces the requests to a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Spacing {
+    pub rate: Rate,
+    /// Requests that may start at once after an idle period, at least one.
+    pub burst: f64,
+    /// When requests may start; `None` for any time.
+    pub turn: Option<Turn>,
+}
+
+impl From<Rate> for Spacing {
+    /// Allows what was not started within [`BURST_TIME`] to start later.
+    fn from(rate: Rate) -> Self {
+        let burst = (rate.0 * BURST_TIME.as_secs_f64()).max(1.0);
+        Self { rate, burst, turn: None }
+    }
+}
+
+impl Spacing {
+    /// Returns a spacing that keeps within both.
+    pub fn combine(self, other: Self) -> Self {
+        let rate = if other.rate < self.rate { other.rate } else { self.rate };
+        Self { rate, burst: self.burst.min(other.burst), turn: self.turn.or(other.turn) }
+    }
+
+    /// Returns the requests that start in one second on average.
+    pub fn per_second(&self) -> f64 {
+        let Some(turn) = &self.turn else { return self.rate.0 };
+        let starts = (self.rate.0 * turn.open.as_secs_f64()).max(1.0);
+        self.rate.0.min(starts / turn.period.as_secs_f64())
+    }
+}
+
 /// Spaces requests so that a server gets no more than its limit.
 ///
-/// Nothing may be started at the beginning; what was not started within [`BURST_TIME`] is forgotten.
+/// Nothing may be started at the beginning; what exceeds the burst of the spacing is forgotten.
 #[derive(Debug)]
 pub struct Pace {
-    rate: f64,
+    spacing: Spacing,
     /// Requests that may start now, as known at `at`.
     level: f64,
     at: Tick,
 }
 
 impl Pace {
-    pub fn new(rate: Rate, now: Tick) -> Self {
-        Self { rate: rate.0, level: 0.0, at: now }
+    pub fn new(spacing: impl Into<Spacing>, now: Tick) -> Self {
+        Self { spacing: spacing.into(), level: 0.0, at: now }
     }
 
     /// Changes the rate; what may start already stays.
     pub fn set_rate(&mut self, rate: Rate, now: Tick) {
-        self.level = self.level_at(now);
+        self.set_spacing(rate.into(), now);
+    }
+
+    /// Changes the spacing; what may start already stays, up to the new burst.
+    pub fn set_spacing(&mut self, spacing: Spacing, now: Tick) {
+        self.level = self.level_at(now).min(spacing.burst);
         self.at = now;
-        self.rate = rate.0;
+        self.spacing = spacing;
     }
 
     /// Returns the requests that start in one second.
     pub fn per_second(&self) -> f64 {
-        self.rate
+        self.spacing.per_second()
     }
 
     /// Returns whether a request may start now.
     pub fn is_open(&self, now: Tick) -> bool {
-        self.level_at(now) >= 1.0
+        self.level_at(now) >= 1.0 && self.spacing.turn.is_none_or(|turn| turn.is_open(now))
     }
 
     /// Records that a request starts.
@@ -158,7 +223,7 @@
     }
 
     fn level_at(&self, now: Tick) -> f64 {
-        let most = (self.rate * BURST_TIME.as_secs_f64()).max(1.0);
-        (self.level + self.rate * now.since(self.at).as_secs_f64()).min(most)
+        let gained = self.spacing.rate.0 * now.since(self.at).as_secs_f64();
+        (self.level + gained).min(self.spacing.burst)
     }
 }
