Configuration: warm-up time and rate of cold servers, cold_overrun and cold_slack

Services get ColdStartS (seconds) and ColdPerS; settings get cold_overrun and cold_slack, absent where the deployment does not name them. Cold-Ms becomes a known header.

--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -303,6 +303,8 @@
     pub leaving: HeaderName,
     /// Requests a second that a server takes from all nodes, as long as it sets it.
     pub limit: HeaderName,
+    /// Milliseconds for which the server remains cold, where it sets it.
+    pub cold: HeaderName,
 }
 
 /// Header names and object formats of the platform.
--- a/crates/whinspring-router/src/settings.rs
+++ b/crates/whinspring-router/src/settings.rs
@@ -51,6 +51,11 @@
     /// CPU that the node may use, in hundredths of a core; the election of the controller prefers
     /// nodes with more.
     pub cpu_percent: u32,
+    /// Requests that a cold server may get in any second, as a multiple of its rate; `None` turns the
+    /// limits of cold servers off.
+    pub cold_overrun: Option<f64>,
+    /// Requests that it may get besides in any second; `None` turns the limits of cold servers off.
+    pub cold_slack: Option<f64>,
 }
 
 /// Known sections.
@@ -135,6 +140,8 @@
             retry_extra: 50.0,
             log_lines: 100,
             cpu_percent: 100,
+            cold_overrun: None,
+            cold_slack: None,
         }
     }
 }
@@ -152,6 +159,8 @@
         let retry_extra = limit(&mut reader, "retry_extra", 0.0..=1e9, base.retry_extra);
         let cores = limit(&mut reader, "cores", 0.001..=1e6, f64::from(base.cpu_percent) / 100.0);
         let log_lines = limit(&mut reader, "log_lines", 1.0..=10_000.0, base.log_lines.into());
+        let cold_overrun = optional_limit(&mut reader, "cold_overrun", 0.0..=1_000.0);
+        let cold_slack = optional_limit(&mut reader, "cold_slack", 0.0..=1e6);
         reader.close();
         Self {
             grace: Duration::from_secs_f64(grace_s),
@@ -161,6 +170,8 @@
             retry_extra,
             log_lines: log_lines as u32,
             cpu_percent: ((cores * 100.0) as u32).max(1),
+            cold_overrun,
+            cold_slack,
         }
     }
 }
@@ -181,12 +192,20 @@
     range: RangeInclusive<f64>,
     default: f64,
 ) -> f64 {
+    optional_limit(reader, key, range).unwrap_or(default)
+}
+
+/// Returns the number that is set for a limit, as [`limit`] does; `None` if it is not set or no number.
+fn optional_limit(
+    reader: &mut Reader<'_>,
+    key: &'static str,
+    range: RangeInclusive<f64>,
+) -> Option<f64> {
     let hint = format!("write a number from {} to {}", range.start(), range.end());
     let is_number = |number: &f64| number.is_finite();
-    let value = reader.optional(key, &hint, |text| text.parse().ok().filter(is_number));
-    let Some(value) = value else { return default };
+    let value = reader.optional(key, &hint, |text| text.parse().ok().filter(is_number))?;
     if !range.contains(&value) {
         reader.fault(key, &format!("`{value}` is out of range"), &hint);
     }
-    value.clamp(*range.start(), *range.end())
+    Some(value.clamp(*range.start(), *range.end()))
 }
--- a/crates/whinspring-router/tests/support/setup.rs
+++ b/crates/whinspring-router/tests/support/setup.rs
@@ -37,5 +37,6 @@
         key: HeaderName::from_static("x-key"),
         leaving: HeaderName::from_static("x-leaving"),
         limit: HeaderName::from_static("x-limit"),
+        cold: HeaderName::from_static("x-cold"),
     }
 }
--- a/crates/whinspring/src/routes.rs
+++ b/crates/whinspring/src/routes.rs
@@ -5,7 +5,7 @@
 //! replaces a higher one.
 
 use {
-    crate::name::Name,
+    crate::{limits::Rate, name::Name},
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -68,6 +68,10 @@
 pub struct Service {
     /// Whether each server owns ranges of keys exclusively.
     pub keyed: bool,
+    /// Time for which a server is cold after its start.
+    pub warmup: Duration,
+    /// Requests a second that a cold server tolerates; `None` if there is no such limit.
+    pub cold_rate: Option<Rate>,
 }
 
 impl RouteTable {
--- a/crates/whinspring/tests/routes.rs
+++ b/crates/whinspring/tests/routes.rs
@@ -29,7 +29,7 @@
         route("a.example", "/x/y/", &[("two", 1)]),
         route("b.example", "/", &[("one", 90), ("two", 10)]),
     ];
-    let services = HashMap::from([("one".into(), Service { keyed: true })]);
+    let services = HashMap::from([("one".into(), Service { keyed: true, ..Service::default() })]);
     RouteTable::new(7, routes, services, Limits::default())
 }
 
