Gates keep the limits of cold servers; warm-ups follow each change of an entry

Cause: the end of a warm-up was read once, when an instance was first seen, and no gate kept a rate for cold servers. The planner gave each cold server half the keys of a warm one. Each admission asked up to three times whether a pool has limits, and built messages for that.

Change: Server::record_warmup takes each entry and Cold-Ms of responses. Gates of a cold pool are on nodes that say keeps_cold (heartbeat field 29). The planner's capacity follows the rate. Limits are asked once on each side of an admission, without messages.

Tests: path cold::*, owners keys_leave_a_server_that_becomes_cold_and_come_back, upgrade.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -3,8 +3,8 @@
 //! The node is chosen among the live nodes by rendezvous hashing of the pool name, so that all
 //! nodes choose the same one without coordination. While their views differ, or when that node
 //! stops responding, requests use a gate on their own node; servers keep a short queue for the
-//! excess load that this admits. Such a gate gives a server that limits its requests only the share
-//! of one node, and the gate of such a server is chosen among the nodes that keep limits.
+//! excess load that this admits. Such a gate gives a server that limits its requests, or is cold, only
+//! the share of one node, and the gate of such a server is chosen among the nodes that keep limits.
 //!
 //! Messages in flight are lost when a link breaks. Therefore a request without a decision is sent
 //! to the gate again, and a gate asks the nodes of long-running requests whether these still run.
@@ -12,8 +12,8 @@
 use {
     crate::{
         cluster::Server,
-        limits,
-        message::{Admit, Admitted, Body, Check, Done, Rejected},
+        cold, limits,
+        message::{Admit, Admitted, Body, Check, Done, Heartbeat, Rejected},
         node::Node,
         notices,
         platform::Platform,
@@ -28,7 +28,9 @@
         time::{sleep, sleep_until, timeout},
     },
     whinspring::{
+        cold::Seat,
         gate::{Decision, Gate, PendingRequest, ServerOutcome, Ticket},
+        limits::Spacing,
         name::Name,
         notices::Purpose,
         rendezvous::rank,
@@ -135,7 +137,7 @@
     node: &Rc<Node<P>>,
     request: &AdmissionRequest,
 ) -> (Permit<P>, Result<Name, Duration>) {
-    let gate_node = gate_node(node, &request.pool);
+    let gate_node = gate_node(node, &request.pool, Needs::of(node, &request.pool));
     let (mut permit, mut decision) = enqueue(node, request, gate_node);
     let mut last_sent = node.now();
     loop {
@@ -208,9 +210,31 @@
     own.clone()
 }
 
+/// What the gate of a pool has to keep.
+#[derive(Debug, Clone, Copy)]
+struct Needs {
+    /// A server has a limit.
+    limits: bool,
+    /// A server is cold and has a limit for that time.
+    cold: bool,
+}
+
+impl Needs {
+    /// Returns the needs of a pool, as far as this node knows.
+    fn of<P: Platform>(node: &Node<P>, pool: &Name) -> Self {
+        let view = node.view.borrow();
+        let cold = cold::has_limit(&node.settings.limits, &view, pool, node.now());
+        Self { limits: limits::has_limit(&view, pool), cold }
+    }
+
+    /// Returns whether the gates of a node keep it.
+    fn are_kept_by(self, heartbeat: &Heartbeat) -> bool {
+        (heartbeat.keeps_limits || !self.limits) && (heartbeat.keeps_cold || !self.cold)
+    }
+}
+
 /// Returns the node of the gate of a pool; prefers the failure domain of the server.
-fn gate_node<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> Name {
-    let is_limited = limits::has_limit(node, pool);
+fn gate_node<P: Platform>(node: &Rc<Node<P>>, pool: &Name, needs: Needs) -> Name {
     let view = node.view.borrow();
     let near = view.servers.get(pool).map(|server| &server.entry.domain);
     let peers = node.peers.borrow();
@@ -221,7 +245,7 @@
     let own = (score(node.name(), &node.settings.domain), node.name());
     let others = peers
         .live(now)
-        .filter(|(_, peer)| !peer.heartbeat.leaving && (peer.heartbeat.keeps_limits || !is_limited))
+        .filter(|(_, peer)| !peer.heartbeat.leaving && needs.are_kept_by(&peer.heartbeat))
         .map(|(name, peer)| (score(name, &peer.heartbeat.domain), name));
     others.fold(own, |best, other| best.max(other)).1.clone()
 }
@@ -347,18 +371,32 @@
     }
 }
 
-/// Returns the parts into which a limit of the pool's servers is divided: all nodes use one gate
-/// together, but for gates that are not in the place where the others look for them.
-fn limit_parts<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> usize {
-    if !limits::has_limit(node, pool) || gate_node(node, pool) == *node.name() {
-        return 1;
+/// Place of a gate on this node: all nodes use one gate together, but for gates that are not where
+/// the others look for them.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    /// Parts into which a limit of the pool's servers is divided.
+    parts: usize,
+    /// Position among the gates of the pool, if a server of it is cold and has a limit.
+    seat: Option<Seat>,
+}
+
+impl Place {
+    fn of<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> Self {
+        let needs = Needs::of(node, pool);
+        if !needs.limits && !needs.cold {
+            return Self { parts: 1, seat: None };
+        }
+        let is_elected = gate_node(node, pool, needs) == *node.name();
+        let live = node.peers.borrow().live(node.now()).count();
+        let parts = if is_elected || !needs.limits { 1 } else { live + 1 };
+        Self { parts, seat: needs.cold.then(|| cold::seat(node, live, is_elected)) }
     }
-    node.peers.borrow().live(node.now()).count() + 1
 }
 
 /// Updates the servers of a gate.
 fn refresh<P: Platform>(node: &Rc<Node<P>>, pool: &Name) {
-    let parts = limit_parts(node, pool);
+    let place = Place::of(node, pool);
     let view = node.view.borrow();
     let mut admission = node.admission.borrow_mut();
     let gate = admission.gates.entry(pool.clone()).or_default();
@@ -368,7 +406,10 @@
         let open = view.notices.check(&server.name, purpose, now, drain).is_ok();
         gate.set_server(&server.name, &server.entry.domain, server.entry.slots, open);
         let limit = view.limits.rate(&server.name, server.life());
-        gate.set_limit(&server.name, limit.map(|rate| rate.share(parts)), now);
+        let limit = limit.map(|rate| Spacing::from(rate.share(place.parts)));
+        let cold = place.seat.and_then(|seat| cold::spacing(node, &view, server, seat));
+        let lower = limit.zip(cold).map(|(limit, cold)| limit.combine(cold));
+        gate.set_spacing(&server.name, lower.or(limit).or(cold), now);
     };
     if let Some(server) = view.servers.get(pool) {
         update(server, Purpose::PlaceKeyed);
--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -75,8 +75,10 @@
     pub is_gone: bool,
     /// Era in which this instance was first seen.
     pub known_era: u64,
-    /// When its warm-up ends.
+    /// When its warm-up ends, as it said last.
     pub warm_at: Tick,
+    /// When it said that, or earlier.
+    warmth_known: Tick,
 }
 
 impl Server {
@@ -94,8 +96,19 @@
         self.missing.or(self.returned.map(|(since, _)| since))
     }
 
-    /// Applies a changed entry of the same instance.
-    fn update(&mut self, object: &Object, entry: ServerEntry) {
+    /// Records that the server remains cold for `left`. It said so at `since` or later; what it said
+    /// in a response before a change of its entry extends the warm-up only.
+    pub fn record_warmup(&mut self, left: Duration, since: Tick, now: Tick) {
+        let warm_at = now + left;
+        if since >= self.warmth_known || warm_at > self.warm_at {
+            self.warm_at = warm_at;
+            self.warmth_known = self.warmth_known.max(since);
+        }
+    }
+
+    /// Applies an entry of the same instance that changed after `since`.
+    fn update(&mut self, object: &Object, entry: ServerEntry, since: Tick, now: Tick) {
+        self.record_warmup(entry.warmup, since, now);
         let is_copy = object.position.era > self.position.era;
         if let Some(since) = self.missing.take().filter(|_| is_copy) {
             self.returned = Some((since, object.position));
@@ -638,7 +651,6 @@
     log: bool,
 ) -> bool {
     let now = clock.now();
-    let warm_at = now + entry.warmup;
     if servers.get(&object.name).is_some_and(|server| is_former_life(server, object, &entry)) {
         return false;
     }
@@ -654,7 +666,7 @@
         Some(server)
             if server.entry.addr == entry.addr && server.entry.start_ms == entry.start_ms =>
         {
-            server.update(object, entry);
+            server.update(object, entry, since, now);
             false
         }
         _ => {
@@ -670,7 +682,8 @@
                 position: object.position,
                 is_gone: false,
                 known_era: object.position.era,
-                warm_at,
+                warm_at: now + entry.warmup,
+                warmth_known: since,
                 entry,
             };
             servers.insert(object.name.clone(), server);
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -3,6 +3,7 @@
 use {
     super::Controller,
     crate::{
+        cold,
         message::{Body, ProbeRequest, ProbeResult},
         node::Node,
         platform::{Platform, Reply},
@@ -45,7 +46,7 @@
 /// Time for which a server that does not respond is remembered.
 const SILENCE_RETENTION: Duration = Duration::from_secs(20);
 
-/// Capacity of a server that has just started, relative to a warm one.
+/// Capacity of a cold server without a rate, relative to a warm one.
 const COLD_CAPACITY: f64 = 0.5;
 
 /// Assumed time of a request before any measurement, in seconds.
@@ -66,12 +67,14 @@
         .map(|server| {
             let instance = server.instance();
             let slowness = control.slowness.get(&server.name).copied().unwrap_or(1.0);
-            let cold = if now < server.warm_at { COLD_CAPACITY } else { 1.0 };
+            let cold_rate = cold::rate(&node.settings.limits, &view, server, now);
+            let is_slow = cold_rate.is_none() && cold::is_cold(&view, server, now);
+            let cold = if is_slow { COLD_CAPACITY } else { 1.0 };
             let capacity = f64::from(server.entry.slots) * cold / slowness.clamp(0.3, 10.0);
             let work = control.work.get(&server.name).copied().unwrap_or(DEFAULT_WORK_S);
             let limit = view.limits.rate(&server.name, server.life());
-            let limit = limit.map_or(f64::INFINITY, |rate| rate.per_second() * work);
-            let capacity = capacity.min(limit);
+            let rates = limit.into_iter().chain(cold_rate);
+            let capacity = rates.map(|rate| rate.per_second() * work).fold(capacity, f64::min);
             let down = control.down.get(&instance).is_some_and(|refusals| refusals.are_recent(now));
             let leaving = view.notices.leaving_since(&server.name).is_some()
                 || server.missing.is_some()
--- a/crates/whinspring-router/src/daemon.rs
+++ b/crates/whinspring-router/src/daemon.rs
@@ -218,6 +218,7 @@
             peers::add_peer(node, &Name::from(object.name.as_str()), addr);
         }
     }
+    node.cold.borrow_mut().members.record_listing();
     peers::send_heartbeats(node, node.now());
     era
 }
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        cold,
         frame::Frame,
         message::{Body, Item, ObjectsChanged, Snapshot},
         node::Node,
@@ -365,6 +366,7 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         notices::count(&node);
+        cold::sweep(&node);
         let now = node.now();
         node.detours.borrow_mut().sweep(node.now());
         node.relays.borrow_mut().sweep(&node.peers.borrow());
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod cluster;
+pub mod cold;
 pub mod control;
 pub mod crashes;
 pub mod daemon;
--- a/crates/whinspring-router/src/limits.rs
+++ b/crates/whinspring-router/src/limits.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        cluster::ClusterState,
         message::ServerLimit,
         node::Node,
         platform::{Headers, Platform},
@@ -35,7 +36,7 @@
 impl Head<'_> {
     /// Returns whether the response is that of the request, and the request ran: a late response to
     /// another one may be older.
-    fn is_of_run(&self, names: &Headers) -> bool {
+    pub fn is_of_run(&self, names: &Headers) -> bool {
         let is_own = self.id.is_some() && self.headers.get(&names.id) == self.id;
         let was_rejected = self.status == StatusCode::MISDIRECTED_REQUEST
             || self.headers.contains_key(&names.not_run);
@@ -61,8 +62,17 @@
 }
 
 /// Returns whether a server of a pool has a limit, as far as this node knows.
-pub fn has_limit<P: Platform>(node: &Rc<Node<P>>, pool: &Name) -> bool {
-    known(node, pool).iter().any(|limit| limit.rate.is_some())
+pub fn has_limit(view: &ClusterState, pool: &Name) -> bool {
+    if view.limits.is_empty() {
+        return false;
+    }
+    if let Some(server) = view.servers.get(pool) {
+        return view.limits.rate(pool, server.life()).is_some();
+    }
+    view.limits.statements().any(|(name, life, statement)| {
+        let server = view.servers.get(name).filter(|server| server.life() == life);
+        statement.rate.is_some() && server.is_some_and(|server| server.entry.service == *pool)
+    })
 }
 
 /// Returns the limit of the server that is a pool of its own, in requests a second.
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -160,6 +160,9 @@
     /// Whether the node weights the places of gates by CPU share.
     #[prost(bool, tag = "26")]
     pub weighs_gates: bool,
+    /// Whether the node's gates keep the limits of cold servers.
+    #[prost(bool, tag = "29")]
+    pub keeps_cold: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -41,6 +41,8 @@
     pub relaying: Gauge,
     /// Whether this node is cut off from all servers.
     pub cut_off: Gauge,
+    /// Servers that are cold.
+    pub cold: Gauge,
 }
 
 impl Metrics {
@@ -68,7 +70,9 @@
         let cut_off = Gauge::default();
         let text = "1 while this node can reach no backend server, otherwise 0";
         registry.register("cut_off", text, cut_off.clone());
-        Self { registry, responses, events, latency, waiting, callers, relaying, cut_off }
+        let cold = Gauge::default();
+        registry.register("cold_servers", "Servers that are cold", cold.clone());
+        Self { registry, responses, events, latency, waiting, callers, relaying, cut_off, cold }
     }
 
     /// Records a response.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -6,6 +6,7 @@
     crate::{
         admission::Admission,
         cluster::ClusterState,
+        cold::ColdState,
         control::Controller,
         crashes::Crashes,
         frame::Frame,
@@ -46,6 +47,8 @@
     pub crashes: RefCell<Crashes>,
     /// Paths to the servers.
     pub reach: RefCell<Reach>,
+    /// Nodes that may run gates of cold servers, and the servers that are cold.
+    pub cold: RefCell<ColdState>,
     /// Servers that this node does not reach itself.
     pub detours: RefCell<Detours>,
     /// Connections to nodes that relay requests of this one.
@@ -103,6 +106,7 @@
             reach: RefCell::new(Reach::new(fastrand::u64(..))),
             doubted: Notify::new(),
             detours: RefCell::default(),
+            cold: RefCell::default(),
             relays: RefCell::default(),
             paths_lost: Notify::new(),
             metrics: Metrics::new(),
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -521,6 +521,7 @@
             keeps_limits: true,
             limits: Vec::new(),
             weighs_gates: true,
+            keeps_cold: true,
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -7,6 +7,7 @@
 use {
     super::{Fault, Reader},
     crate::{
+        cold,
         frontend::{self, Connections, IncomingRequest, parse_number, read_body},
         limits,
         node::Node,
@@ -110,6 +111,7 @@
     let id = relayed.parts.headers.get(&names.id);
     let head = limits::Head { status, headers, id, sent: start };
     limits::hear(node, &relayed.server, relayed.life, &head);
+    cold::hear(node, &relayed.server, relayed.life, &head);
     let (mut parts, body) = response.into_parts();
     strip_headers(&mut parts.headers);
     parts.headers.remove(RELAY_FAULT);
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         admission::{self, AdmissionRequest, Permit},
-        limits,
+        cold, limits,
         message::{self, CrashReport},
         node::Node,
         notices,
@@ -429,6 +429,7 @@
                 let (status, headers) = (response.status(), response.headers());
                 let head = limits::Head { status, headers, id: Some(&self.id), sent: start };
                 limits::hear(node, server, life, &head);
+                cold::hear(node, server, life, &head);
                 self.handle_response(attempt, response, attempts).await
             }
             Err(SendError::Refused(refusal)) => Outcome::Refused(refusal),
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -19,6 +19,7 @@
         time::{Instant, sleep, sleep_until},
     },
     whinspring::{
+        limits::Rate,
         name::Name,
         ranges::{Instance, Ownership},
         routes::{Limits, RouteTable, Service},
@@ -757,6 +758,12 @@
     }
 }
 
+/// Returns the service; its servers take one request a second while they are cold, if the node's
+/// settings tell to keep that.
+fn service() -> Service {
+    Service { keyed: true, cold_rate: Rate::new(1.0), ..Service::default() }
+}
+
 /// Starts a node with its controller; it gets heartbeats only through [`exchange_heartbeats`].
 pub fn start(world: &Rc<RefCell<World>>, node: &str) -> Rc<Node<Platform>> {
     start_with(world, node, NodeLimits::default())
@@ -773,7 +780,7 @@
     let settings = settings(node, limits);
     let node = Node::new(platform, settings, Clock::from_runtime());
     node.set_store_reachable(true);
-    let services = HashMap::from([(Name::from(SERVICE), Service { keyed: true })]);
+    let services = HashMap::from([(Name::from(SERVICE), service())]);
     let table = RouteTable::new(1, Vec::new(), services, Limits::default());
     node.view.borrow_mut().routes = Some(Arc::new(table));
     show_servers(&node);
--- a/crates/whinspring-router/tests/owners/scenarios.rs
+++ b/crates/whinspring-router/tests/owners/scenarios.rs
@@ -5,7 +5,7 @@
         FaultRates, Platform, SERVICE, World, advance, exchange_heartbeats, start, start_with,
         with_paused_clock,
     },
-    std::{cell::RefCell, rc::Rc},
+    std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::task::spawn_local,
     whinspring_router::{
         control, follow, limits,
@@ -198,6 +198,45 @@
     });
 }
 
+/// Guards against a planner that gives a cold server half of a warm one's keys whatever it tolerates,
+/// and against keys that stay away once the server is warm.
+#[test]
+fn keys_leave_a_server_that_becomes_cold_and_come_back() {
+    scenario(async {
+        let world = World::new(1, 4);
+        let (cold_overrun, cold_slack) = (Some(1.5), Some(2.0));
+        let limits = Limits { cold_overrun, cold_slack, ..Limits::default() };
+        let node = start_with(&world, "n1", limits);
+        advance(4_000).await;
+        let key = |number: u32| KeyLoad {
+            service: SERVICE.into(),
+            key: number * 65_536 / 40,
+            work_ms: 20,
+        };
+        let loaded = Heartbeat { keys: (0..40).map(key).collect(), ..Heartbeat::default() };
+        let run = async |rounds: u32, left_ms: u64| {
+            for _ in 0..rounds {
+                advance(200).await;
+                let now = node.now();
+                node.control.borrow_mut().record_measurements(now, &loaded);
+                let left = Duration::from_millis(left_ms);
+                let mut view = node.view.borrow_mut();
+                view.servers.get_mut("s02").unwrap().record_warmup(left, now, now);
+            }
+        };
+        run(50, 0).await;
+        let before = world.borrow().share(2);
+        assert!(before > 0.2, "{before}");
+        run(50, 5_000).await;
+        let cold = world.borrow().share(2);
+        assert!(cold < 0.1, "{cold}");
+        run(25, 0).await;
+        let after = world.borrow().share(2);
+        assert!(after > 0.15, "{after}");
+        check(&world);
+    });
+}
+
 /// Returns what a node says of the limit of a server.
 fn limit_of(node: &Rc<Node<Platform>>, server: &str, rate: Option<f64>) -> ServerLimit {
     let life = node.view.borrow().servers[server].life();
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -64,6 +64,8 @@
     pub servers: u64,
     /// Whether it announces that its gates keep the limits of servers.
     pub limits: bool,
+    /// Whether it announces that its gates keep the limits of cold servers.
+    pub cold: bool,
     /// What its heartbeats tell of the limits of servers.
     pub limited: Vec<ServerLimit>,
     /// Whether it announces that it accepts compressed messages.
@@ -111,6 +113,7 @@
             cpu_share,
             servers,
             limits: true,
+            cold: true,
             limited: Vec::new(),
             unpacks,
             listener,
@@ -150,6 +153,7 @@
             servers: self.servers,
             unpacks: self.unpacks,
             keeps_limits: self.limits,
+            keeps_cold: self.cold,
             limits: self.limited.clone(),
             ..Heartbeat::default()
         };
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! Requests over real sockets: responses to callers and requests to servers.
 
 mod answers;
+mod cold;
 mod denied;
 mod endless;
 mod follow;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -19,6 +19,7 @@
         time::{sleep, timeout},
     },
     whinspring::{
+        limits::Rate,
         name::Name,
         ranges::Ownership,
         routes::{Limits, Route, RouteTable, Service, TrafficSplit},
@@ -40,6 +41,13 @@
 /// Time after which a test fails.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Settings of the limits of cold servers.
+pub const COLD_OVERRUN: f64 = 1.5;
+pub const COLD_SLACK: f64 = 2.0;
+
+/// Requests a second that a cold server of the service tolerates, once it is set.
+pub const COLD_RATE: f64 = 4.0;
+
 /// Separates the start of a response from the bytes that follow it without end.
 pub const FLOOD: &str = "<flood>";
 
@@ -145,14 +153,16 @@
         None
     }
 
-    fn parse_server(&self, _: &Object) -> Option<ServerEntry> {
+    /// The value of an object is the time for which its server remains cold, in milliseconds.
+    fn parse_server(&self, object: &Object) -> Option<ServerEntry> {
+        let left = str::from_utf8(&object.value).ok()?.parse().unwrap_or(0);
         Some(ServerEntry {
             service: "plain".into(),
             addr: self.server.get(),
             domain: "a".into(),
             slots: 2,
             leaving: false,
-            warmup: Duration::ZERO,
+            warmup: Duration::from_millis(left),
             start_ms: 0,
         })
     }
@@ -184,7 +194,9 @@
         let server = listener.local_addr().unwrap();
         let seen = Rc::new(RefCell::new(Vec::new()));
         spawn_local(serve(listener, script, seen.clone()));
-        Self::start_node(settings("n1", NodeLimits::default()), server, seen, None).await
+        let (cold_overrun, cold_slack) = (Some(COLD_OVERRUN), Some(COLD_SLACK));
+        let limits = NodeLimits { cold_overrun, cold_slack, ..NodeLimits::default() };
+        Self::start_node(settings("n1", limits), server, seen, None).await
     }
 
     /// Starts a node that knows its server at an address. It tells others to use `relay` instead of
@@ -224,6 +236,24 @@
         view.apply_owners("plain".into(), Position::new(0, 1), Rc::new(owned));
     }
 
+    /// Gives the service a rate for cold servers.
+    pub fn set_cold_rate(&self, keyed: bool) {
+        let mut table = table(keyed);
+        table.services.get_mut("plain").unwrap().cold_rate = Rate::new(COLD_RATE);
+        self.node.view.borrow_mut().routes = Some(Arc::new(table));
+        self.node.cold.borrow_mut().members.record_listing();
+    }
+
+    /// Changes the server's entry: it remains cold for some time.
+    pub fn set_cold(&self, revision: u64, left_ms: u64) {
+        let position = Position::new(0, revision);
+        let value = left_ms.to_string().into_bytes();
+        let entry = Object { name: "s1".into(), position, value };
+        let mut view = self.node.view.borrow_mut();
+        let changes = Changes { position, events: vec![(entry, false)] };
+        view.apply_changes(Kind::Servers, changes, &self.node.platform, self.node.clock);
+    }
+
     /// Lists servers in the store, all at the address of the one.
     pub fn list_servers(&self, names: &[&str]) {
         let item = |name: &&str| Object {
@@ -379,7 +409,7 @@
         splits: vec![TrafficSplit { service: "plain".into(), weight: 1 }],
         max_attempts: 2,
     };
-    let services = HashMap::from([(Name::from("plain"), Service { keyed })]);
+    let services = HashMap::from([(Name::from("plain"), Service { keyed, ..Service::default() })]);
     let limits = Limits { body_bytes: 100, ..Limits::default() };
     RouteTable::new(1, vec![route("/safe/", true), route("/once/", false)], services, limits)
 }
--- a/crates/whinspring-router/tests/upgrade.rs
+++ b/crates/whinspring-router/tests/upgrade.rs
@@ -111,6 +111,7 @@
         keeps_limits: true,
         limits: vec![limit],
         weighs_gates: true,
+        keeps_cold: true,
     };
     let bodies = [Body::Heartbeat(heartbeat), Body::Admit(admit), Body::Admitted(admitted)];
     for (body, line) in bodies.into_iter().zip(golden.lines()) {
@@ -121,6 +122,7 @@
             Body::Heartbeat(it) => {
                 (it.keeps_limits, it.limits) = (false, Vec::new());
                 it.weighs_gates = false;
+                it.keeps_cold = false;
             }
             Body::Admit(it) => {
                 it.limits.clear();
