--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -159,6 +159,32 @@
     back: Option<(Tick, Object, ServerEntry)>,
 }
 
+/// Entries of servers that cannot be parsed.
+#[derive(Debug, Default)]
+pub struct MalformedEntries {
+    names: HashSet<Name>,
+    /// Entries since the last call of [`MalformedEntries::take_count`].
+    count: u64,
+}
+
+impl MalformedEntries {
+    /// Counts an entry; returns whether it was not malformed before.
+    fn record(&mut self, name: &Name) -> bool {
+        self.count += 1;
+        self.names.insert(name.clone())
+    }
+
+    /// Returns the number of objects that are malformed now.
+    pub fn number(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Returns the number of malformed entries that were read since the last call.
+    pub fn take_count(&mut self) -> u64 {
+        std::mem::take(&mut self.count)
+    }
+}
+
 /// The node's replica of the store's objects.
 #[derive(Debug, Default)]
 pub struct ClusterState {
@@ -176,6 +202,8 @@
     pub owners: HashMap<Name, (Position, Rc<Ownership>)>,
     /// Servers that were removed, by name.
     ended: HashMap<Name, Ended>,
+    /// Entries that name no server because they are malformed.
+    pub malformed: MalformedEntries,
     /// Handovers by service that have finished, though the owners still name the former one.
     handed_over: HashMap<Name, HashSet<HandoverKey>>,
 }
@@ -458,9 +486,11 @@
         for object in fresh {
             let Some(entry) = dialect.parse_server(object) else {
                 let leaving = dialect.is_leaving(object).then_some(since);
-                note_malformed(&self.servers, &mut self.notices, object, leaving, now);
+                let is_new = self.malformed.record(&object.name);
+                note_malformed(&self.servers, &mut self.notices, object, leaving, now, is_new);
                 continue;
             };
+            self.malformed.names.remove(&object.name);
             let gone = gone_since(&self.servers, &self.ended, &object.name, &entry);
             if has_ended(&mut self.ended, object, &entry, now) {
                 continue;
@@ -476,6 +506,7 @@
                 added < MAX_LOGGED,
             ));
         }
+        self.malformed.names.retain(|name| raw.items.contains_key(name));
         if added > MAX_LOGGED {
             info!(event = "servers", come = added, known = self.servers.len(), revision:% = raw.position; "more new servers than are logged one by one");
         }
@@ -628,10 +659,13 @@
     object: &Object,
     leaving: Option<Tick>,
     now: Tick,
+    log: bool,
 ) {
     let server = object.name.as_str();
     let known = servers.get(server).map(Server::life);
-    log::warn!(event = "bad_entry", server, known = known.is_some(), leaving = leaving.is_some(), revision:% = object.position; "cannot parse the entry of a server; keeping what is known of it");
+    if log {
+        log::warn!(event = "bad_entry", server, known = known.is_some(), leaving = leaving.is_some(), revision:% = object.position; "cannot parse the entry of a server; keeping what is known of it");
+    }
     let (Some(life), Some(since)) = (known, leaving) else { return };
     if notices.record_leaving(&object.name, life, since, Source::Store) {
         let age = now.since(since).as_millis() as u64;
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -361,11 +361,25 @@
     apply_listing_at(node, kind, listing, Some(claimed));
 }
 
+/// Counts the objects that could not be read, and the entries of servers that are malformed.
+fn count_malformed<P: Platform>(node: &Rc<Node<P>>) {
+    let mut view = node.view.borrow_mut();
+    let counts = [
+        ("unreadable_object", node.platform.take_unreadable()),
+        ("bad_entry", view.malformed.take_count()),
+    ];
+    for (event, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
+        node.metrics.add(event, count);
+    }
+    node.metrics.malformed.set(view.malformed.number() as i64);
+}
+
 /// Removes servers that are gone. Never returns.
 pub async fn sweep<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
         notices::count(&node);
+        count_malformed(&node);
         cold::sweep(&node);
         let now = node.now();
         node.detours.borrow_mut().sweep(node.now());
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -43,6 +43,8 @@
     pub cut_off: Gauge,
     /// Servers that are cold.
     pub cold: Gauge,
+    /// Entries of servers that name none, as they are malformed.
+    pub malformed: Gauge,
 }
 
 impl Metrics {
@@ -72,7 +74,21 @@
         registry.register("cut_off", text, cut_off.clone());
         let cold = Gauge::default();
         registry.register("cold_servers", "Servers that are cold", cold.clone());
-        Self { registry, responses, events, latency, waiting, callers, relaying, cut_off, cold }
+        let malformed = Gauge::default();
+        let text = "Entries of servers in the store that cannot be parsed";
+        registry.register("malformed_entries", text, malformed.clone());
+        Self {
+            registry,
+            responses,
+            events,
+            latency,
+            waiting,
+            callers,
+            relaying,
+            cut_off,
+            cold,
+            malformed,
+        }
     }
 
     /// Records a response.
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -145,6 +145,12 @@
     /// from now on.
     fn raise_era(&self, era: u64);
 
+    /// Returns how many objects could not be read since the last call. They are left out of listings
+    /// and changes.
+    fn take_unreadable(&self) -> u64 {
+        0
+    }
+
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, StoreError>>;
 
     /// Waits for changes of a kind after `position`, at most for `wait`.
