Slow readers: bounded buffers, callers that read nothing are closed

Cause: a response to a caller that reads nothing was kept, with its slot at the server, until its route's timeout or 20 s of TCP_USER_TIMEOUT, without a log line, and the socket's buffer could grow to megabytes. Request bodies for servers that read nothing had no bound in sum: 64 MB each.

Change: a connection whose caller takes no byte for 5 s is reset, logged (caller_stalled) and counted; at most 128 wait at a time, the oldest is given up. Callers' sockets buffer 64 KiB.

--- a/crates/whinspring-http/src/caller.rs
+++ b/crates/whinspring-http/src/caller.rs
@@ -1,16 +1,20 @@
-//! State of a caller's connection: whether the caller has disconnected, and whether it is idle.
+//! State of a caller's connection: whether the caller has disconnected, whether it is idle, and whether
+//! it reads what is written to it.
 
 use {
-    futures_util::FutureExt,
+    futures_util::{FutureExt, poll},
     socket2::SockRef,
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
+        collections::BTreeMap,
         convert::Infallible,
         future::poll_fn,
         io,
         mem::MaybeUninit,
+        net::Shutdown,
         os::fd::AsFd,
-        rc::Rc,
+        pin::pin,
+        rc::{Rc, Weak},
         task::{Context, Poll, ready},
         time::Duration,
     },
@@ -43,6 +47,64 @@
     request_started: Cell<bool>,
     /// Wakes the task that waits for the connection to become idle.
     idle: Notify,
+    /// Limit on writes that make no progress, if there is one.
+    stalls: Option<Rc<Stalls>>,
+    /// Wakes the write that is to be given up.
+    given_up: Notify,
+    /// Whether the caller did not read what was written.
+    stalled: Cell<bool>,
+}
+
+/// Limits writes to callers that do not read.
+///
+/// Each connection holds a bounded number of bytes while it waits for its caller. If too many wait, the
+/// one that has waited for longest is closed.
+#[derive(Debug)]
+pub struct Stalls {
+    /// Longest time in which a caller takes no byte.
+    limit: Duration,
+    /// Most connections that may wait at a time.
+    max_waiting: usize,
+    /// Connections that wait, the oldest first.
+    waiting: RefCell<BTreeMap<u64, Weak<Conn>>>,
+    last: Cell<u64>,
+}
+
+/// A write that waits for its caller, until it is dropped.
+struct Waiting<'a> {
+    stalls: &'a Stalls,
+    number: u64,
+}
+
+impl Stalls {
+    pub fn new(limit: Duration, max_waiting: usize) -> Rc<Self> {
+        let (waiting, last) = (RefCell::default(), Cell::new(0));
+        Rc::new(Self { limit, max_waiting, waiting, last })
+    }
+
+    /// Returns the number of connections whose callers take no bytes at the moment.
+    pub fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Records that a connection waits; gives up the oldest one if there are too many.
+    fn enter(&self, conn: &Rc<Conn>) -> Waiting<'_> {
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.insert(number, Rc::downgrade(conn));
+        if waiting.len() > self.max_waiting {
+            let oldest = waiting.pop_first().and_then(|(_, conn)| conn.upgrade());
+            oldest.inspect(|conn| conn.given_up.notify_one());
+        }
+        Waiting { stalls: self, number }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.stalls.waiting.borrow_mut().remove(&self.number);
+    }
 }
 
 /// Marks a request as in progress until it is dropped.
@@ -64,9 +126,58 @@
             awaiting_request: Cell::new(false),
             request_started: Cell::new(false),
             idle: Notify::new(),
+            stalls: None,
+            given_up: Notify::new(),
+            stalled: Cell::new(false),
         }))
     }
 
+    /// Creates the state of a new connection that is closed if its caller does not read. The socket
+    /// buffers at most `send_buffer` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Conn::new`] does, or if the size of the buffer cannot be set.
+    pub fn with_stalls(
+        stream: &net::TcpStream,
+        stalls: &Rc<Stalls>,
+        send_buffer: usize,
+    ) -> io::Result<Rc<Self>> {
+        let mut conn = Self::new(stream)?;
+        SockRef::from(&conn.probe).set_send_buffer_size(send_buffer)?;
+        if let Some(conn) = Rc::get_mut(&mut conn) {
+            conn.stalls = Some(stalls.clone());
+        }
+        Ok(conn)
+    }
+
+    /// Returns whether the connection was closed because the caller did not read.
+    pub fn is_stalled(&self) -> bool {
+        self.stalled.get()
+    }
+
+    /// Completes a write. If the caller takes no byte in time, resets the connection, so that the write
+    /// fails and what the socket has buffered is discarded.
+    async fn complete_write<T>(self: Rc<Self>, write: impl Future<Output = T>) -> T {
+        let mut write = pin!(write);
+        if let Poll::Ready(written) = poll!(write.as_mut()) {
+            return written;
+        }
+        let Some(stalls) = &self.stalls else { return write.await };
+        let _waiting = stalls.enter(&self);
+        tokio::select! {
+            biased;
+            written = write.as_mut() => return written,
+            () = sleep(stalls.limit) => {}
+            () = self.given_up.notified() => {}
+        }
+        self.stalled.set(true);
+        let socket = SockRef::from(&self.probe);
+        let _ = socket.set_linger(Some(Duration::ZERO));
+        let _ = socket.shutdown(Shutdown::Both);
+        write.await
+    }
+
     /// Returns the connection that the current task serves.
     ///
     /// # Panics
@@ -180,7 +291,7 @@
 
 impl AsyncBufWrite for CallerStream {
     fn write<B: BoundedBuf>(&self, buf: B) -> impl Future<Output = (io::Result<usize>, B)> {
-        self.stream.write(buf)
+        self.conn.clone().complete_write(self.stream.write(buf))
     }
 
     fn shutdown(self, direction: std::net::Shutdown) -> impl Future<Output = io::Result<()>> {
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -381,6 +381,8 @@
         notices::count(&node);
         count_malformed(&node);
         cold::sweep(&node);
+        node.metrics.buffered.set(node.buffers.used() as i64);
+        node.metrics.stalled.set(node.stalls.waiting() as i64);
         let now = node.now();
         node.detours.borrow_mut().sweep(node.now());
         node.relays.borrow_mut().sweep(&node.peers.borrow());
--- a/crates/whinspring-router/src/frontend.rs
+++ b/crates/whinspring-router/src/frontend.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
+        buffers::{Buffer, Buffers, Full, MIN_COUNTED},
         endpoints::ACCEPT_BACKOFF,
         node::Node,
         platform::Platform,
         request::{RoutedRequest, forward_headers, request_deadline},
         response::{Body, Rejection, set_connection_close},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{
         HeaderMap, HeaderValue, Request, Response, Version,
         header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
@@ -17,7 +18,10 @@
     log::info,
     prometheus_client::metrics::gauge::Gauge,
     socket2::SockRef,
-    std::{cell::Cell, convert::Infallible, future::poll_fn, pin::Pin, rc::Rc, time::Duration},
+    std::{
+        cell::Cell, convert::Infallible, future::poll_fn, pin::Pin, rc::Rc, sync::Arc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Notify,
@@ -26,7 +30,7 @@
     },
     tokio_util::sync::CancellationToken,
     whinspring::{code::Code, name::Name},
-    whinspring_http::caller::{Acceptor, Conn},
+    whinspring_http::caller::{Acceptor, Conn, Stalls},
     xitca_http::{
         HttpServiceBuilder, RequestBody,
         body::{Body as _, Frame},
@@ -55,6 +59,19 @@
 /// `TCP_USER_TIMEOUT` of connections.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Longest time in which a caller takes no byte of what is written to it.
+const STALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Most connections whose callers take no bytes at the moment. Each holds up to a write buffer, a
+/// chunk of the server's response and the socket's buffer, 256 KiB in all.
+const MAX_STALLED: usize = 128;
+
+/// Send buffer of a caller's socket, in bytes; the kernel doubles it for its own needs.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
+/// `Retry-After` if there is no space for a request's body.
+const NO_SPACE_RETRY: Duration = Duration::from_millis(500);
+
 /// `Retry-After` while the node has no configuration; another node may have one.
 const NOT_READY_RETRY: Duration = Duration::from_millis(200);
 
@@ -123,14 +140,19 @@
             continue;
         };
         let (service, connections, gauge) = (service.clone(), connections.clone(), gauge.clone());
+        let node = node.clone();
         connections.open.set(connections.open.get() + 1);
         gauge.inc();
         spawn_local(async move {
-            if let Ok((stream, conn)) = prepare(stream) {
+            if let Ok((stream, conn)) = prepare(stream, &node.stalls) {
                 tokio::select! {
                     _ = conn.clone().scope(service.call((stream, addr))) => {}
                     () = connections.until_closable(&conn) => {}
                 }
+                if conn.is_stalled() {
+                    node.metrics.count("caller_stalled");
+                    info!(event = "caller_stalled", caller:% = addr; "the caller did not read its response; its connection is closed");
+                }
             }
             gauge.dec();
             connections.open.set(connections.open.get() - 1);
@@ -139,11 +161,16 @@
     }
 }
 
-fn prepare(stream: TcpStream) -> std::io::Result<(net::TcpStream, Rc<Conn>)> {
+/// Returns the limit on callers that do not read.
+pub fn stalls() -> Rc<Stalls> {
+    Stalls::new(STALL_TIMEOUT, MAX_STALLED)
+}
+
+fn prepare(stream: TcpStream, stalls: &Rc<Stalls>) -> std::io::Result<(net::TcpStream, Rc<Conn>)> {
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
     let stream = net::TcpStream::from(stream);
-    let conn = Conn::new(&stream)?;
+    let conn = Conn::with_stalls(&stream, stalls, SEND_BUFFER_BYTES)?;
     Ok((stream, conn))
 }
 
@@ -206,7 +233,7 @@
     let Some(table) = table else {
         return Err(Rejection::with_retry(Code::NotReady, NOT_READY_RETRY));
     };
-    let bytes = read_body(body, &parts.headers, table.limits.body_bytes).await?;
+    let bytes = read_body(body, &parts.headers, table.limits.body_bytes, &node.buffers).await?;
     let path = validate(&parts, table.limits.header_bytes)?;
     let names = node.platform.headers();
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
@@ -253,6 +280,12 @@
     Ok(Name::from(path))
 }
 
+impl From<Full> for Rejection {
+    fn from(_: Full) -> Self {
+        Self::with_retry(Code::Overloaded, NO_SPACE_RETRY)
+    }
+}
+
 /// Parses the number in a header.
 pub fn parse_number<T: std::str::FromStr>(
     headers: &HeaderMap,
@@ -261,30 +294,33 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
-/// Reads a request body of at most `limit` bytes.
+/// Reads a request body of at most `limit` bytes, if there is space for it.
 pub async fn read_body(
     mut body: RequestBody,
     headers: &HeaderMap,
     limit: usize,
+    buffers: &Arc<Buffers>,
 ) -> Result<Bytes, Rejection> {
     let length: Option<usize> = parse_number(headers, &CONTENT_LENGTH);
     if length.is_some_and(|length| length > limit) {
         return Err(Rejection::with_status(Code::BadRequest, 413));
     }
     let mut first: Option<Bytes> = None;
-    let mut all = BytesMut::new();
+    let mut all = Buffer::new(buffers);
     loop {
         let next = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
         let Ok(next) = timeout(BODY_TIMEOUT, next).await else {
             return Err(Code::BodyCut.into());
         };
         match next {
-            Some(Ok(Frame::Data(bytes))) if first.is_none() => first = Some(bytes),
+            Some(Ok(Frame::Data(bytes))) if first.is_none() && bytes.len() <= MIN_COUNTED => {
+                first = Some(bytes);
+            }
             Some(Ok(Frame::Data(bytes))) => {
                 if all.is_empty() {
-                    all.extend_from_slice(first.as_deref().unwrap_or_default());
+                    all.extend(first.get_or_insert_default())?;
                 }
-                all.extend_from_slice(&bytes);
+                all.extend(&bytes)?;
             }
             Some(Ok(Frame::Trailers(_))) => {}
             Some(Err(_)) => return Err(Code::BadRequest.into()),
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -5,6 +5,7 @@
 //! implements the traits in [`platform`]. All tasks of a node run on one thread.
 
 pub mod admission;
+pub mod buffers;
 pub mod cluster;
 pub mod cold;
 pub mod control;
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -45,6 +45,10 @@
     pub cold: Gauge,
     /// Entries of servers that name none, as they are malformed.
     pub malformed: Gauge,
+    /// Bytes of request bodies that are kept.
+    pub buffered: Gauge,
+    /// Callers that take no bytes at the moment.
+    pub stalled: Gauge,
 }
 
 impl Metrics {
@@ -77,6 +81,12 @@
         let malformed = Gauge::default();
         let text = "Entries of servers in the store that cannot be parsed";
         registry.register("malformed_entries", text, malformed.clone());
+        let buffered = Gauge::default();
+        let text = "Request bodies that wait for a server or are sent to one";
+        registry.register_with_unit("buffered", text, Unit::Bytes, buffered.clone());
+        let stalled = Gauge::default();
+        let text = "Callers that take no bytes of their responses at the moment";
+        registry.register("stalled_callers", text, stalled.clone());
         Self {
             registry,
             responses,
@@ -88,6 +98,8 @@
             cut_off,
             cold,
             malformed,
+            buffered,
+            stalled,
         }
     }
 
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -5,11 +5,13 @@
 use {
     crate::{
         admission::Admission,
+        buffers::{Buffers, MAX_BODY_BYTES},
         cluster::ClusterState,
         cold::ColdState,
         control::Controller,
         crashes::Crashes,
         frame::Frame,
+        frontend,
         message::Body,
         meter::Meter,
         metrics::Metrics,
@@ -22,11 +24,12 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::sync::Notify,
     whinspring::{detour::Detours, name::Name, reach::Reach, time::Tick},
-    whinspring_http::clock::Clock,
+    whinspring_http::{caller::Stalls, clock::Clock},
 };
 
 pub struct Node<P> {
@@ -58,6 +61,10 @@
     /// Notified when this node may have lost its paths to all servers.
     pub doubted: Notify,
     pub metrics: Metrics,
+    /// Space for the bodies of requests.
+    pub buffers: Arc<Buffers>,
+    /// Limit on callers that do not read.
+    pub stalls: Rc<Stalls>,
     /// Notified when the view changes.
     pub changed: Notify,
     /// Notified when a server wants nothing from this node for a while.
@@ -110,6 +117,8 @@
             relays: RefCell::default(),
             paths_lost: Notify::new(),
             metrics: Metrics::new(),
+            buffers: Buffers::new(MAX_BODY_BYTES),
+            stalls: frontend::stalls(),
             changed: Notify::new(),
             paused: Notify::new(),
             leaving: Cell::new(false),
--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -128,7 +128,9 @@
     let (_, body) = RequestExt::replace_body(ext, ());
     let left = parse_number(&parts.headers, &names.deadline).ok_or(Fault::Unsent)?;
     let deadline = node.now() + Duration::from_millis(left) + VERDICT_TIME;
-    let body = read_body(body, &parts.headers, usize::MAX).await.map_err(|_| Fault::Unsent)?;
+    let body = read_body(body, &parts.headers, usize::MAX, &node.buffers)
+        .await
+        .map_err(|_| Fault::Unsent)?;
     let start_ms: u64 = parse_number(&parts.headers, &SERVER_START).ok_or(Fault::Unsent)?;
     let target = parts.headers.get(&names.target).and_then(|value| value.to_str().ok());
     let server = Name::from(target.ok_or(Fault::Unsent)?);
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod paths;
 mod relay;
 mod rig;
+mod slow;
 
 #[path = "../support/setup.rs"]
 mod setup;
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -236,6 +236,23 @@
         view.apply_owners("plain".into(), Position::new(0, 1), Rc::new(owned));
     }
 
+    /// Changes the longest body of a request.
+    pub fn set_body_limit(&self, bytes: usize) {
+        let mut table = table(false);
+        table.limits.body_bytes = bytes;
+        self.node.view.borrow_mut().routes = Some(Arc::new(table));
+    }
+
+    /// Lets responses take a minute.
+    pub fn set_stream_time(&self) {
+        let mut table = table(false);
+        let route = table.find("a.example", "/safe/1").unwrap().as_ref().clone();
+        let timeout = Duration::from_secs(60);
+        let routes = vec![Route { timeout, ..route }];
+        table = RouteTable::new(2, routes, table.services, table.limits);
+        self.node.view.borrow_mut().routes = Some(Arc::new(table));
+    }
+
     /// Gives the service a rate for cold servers.
     pub fn set_cold_rate(&self, keyed: bool) {
         let mut table = table(keyed);
