--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -388,9 +388,11 @@
             return Self { parts: 1, seat: None };
         }
         let is_elected = gate_node(node, pool, needs) == *node.name();
-        let live = node.peers.borrow().live(node.now()).count();
-        let parts = if is_elected || !needs.limits { 1 } else { live + 1 };
-        Self { parts, seat: needs.cold.then(|| cold::seat(node, live, is_elected)) }
+        let parts = match is_elected || !needs.limits {
+            true => 1,
+            false => node.peers.borrow().live(node.now()).count() + 1,
+        };
+        Self { parts, seat: needs.cold.then(|| cold::seat(node, is_elected)) }
     }
 }
 
--- a/crates/whinspring-router/src/cold.rs
+++ b/crates/whinspring-router/src/cold.rs
@@ -50,6 +50,11 @@
     now < warm_at(view, server)
 }
 
+/// Returns whether the settings of a node name the bound of cold servers.
+pub fn is_bounded(settings: &Limits) -> bool {
+    settings.cold_overrun.is_some() && settings.cold_slack.is_some()
+}
+
 /// Returns the limit of a service's servers while they are cold, if the settings and the configuration
 /// name one.
 fn service_limit(settings: &Limits, view: &ClusterState, service: &Name) -> Option<ColdLimit> {
@@ -78,13 +83,10 @@
     service_limit(settings, view, pool).is_some() && servers.any(|it| is_cold(view, it, now))
 }
 
-/// Returns the position of a gate of this node; `live` is the number of other live nodes, and
-/// `is_elected` tells whether this node chooses itself. Other nodes do not use the gate of a node that
-/// is stopping.
-pub fn seat<P: Platform>(node: &Node<P>, live: usize, is_elected: bool) -> Seat {
-    let is_elected = is_elected && !node.leaving.get();
-    let peers = node.peers.borrow();
-    node.cold.borrow().members.seat(node.name(), peers.nodes.keys(), live, is_elected)
+/// Returns the position of a gate of this node; `is_elected` tells whether this node chooses itself.
+/// Other nodes do not use the gate of a node that is stopping.
+pub fn seat<P: Platform>(node: &Node<P>, is_elected: bool) -> Seat {
+    node.cold.borrow().members.seat(is_elected && !node.leaving.get())
 }
 
 /// Returns how a gate of this node spaces the requests to a server because it is cold.
@@ -119,7 +121,10 @@
 pub fn sweep<P: Platform>(node: &Rc<Node<P>>) {
     let now = node.now();
     let mut state = node.cold.borrow_mut();
-    state.members.record_live(node.peers.borrow().live(now).map(|(name, _)| name), now);
+    let peers = node.peers.borrow();
+    let known = peers.nodes.iter().map(|(name, peer)| (name, peer.is_live(now)));
+    state.members.update(node.name(), known, now);
+    drop(peers);
     let view = node.view.borrow();
     let cold = view.servers.values().filter(|server| is_cold(&view, server, now));
     let cold: HashSet<Name> = cold.map(|server| server.name.clone()).collect();
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        admission,
+        admission, cold,
         control::servers,
         follow,
         frame::{self, Frame, MAX_MESSAGE_BYTES},
@@ -521,7 +521,7 @@
             keeps_limits: true,
             limits: Vec::new(),
             weighs_gates: true,
-            keeps_cold: true,
+            keeps_cold: cold::is_bounded(&node.settings.limits),
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -26,7 +26,7 @@
     },
     whinspring_http::clock::Clock,
     whinspring_router::{
-        admission, follow,
+        admission, cold, follow,
         frontend::{self, Connections},
         node::Node,
         platform::{
@@ -259,6 +259,7 @@
         table.services.get_mut("plain").unwrap().cold_rate = Rate::new(COLD_RATE);
         self.node.view.borrow_mut().routes = Some(Arc::new(table));
         self.node.cold.borrow_mut().members.record_listing();
+        cold::sweep(&self.node);
     }
 
     /// Changes the server's entry: it remains cold for some time.
--- a/crates/whinspring/src/cold.rs
+++ b/crates/whinspring/src/cold.rs
@@ -119,48 +119,70 @@
 /// Nodes that may run gates, whether they are connected to this one or not.
 #[derive(Debug, Default)]
 pub struct Members {
-    /// When each node was last heard.
+    /// When each other node was last heard.
     heard: BTreeMap<Name, Tick>,
     /// Whether the nodes that the store lists are known.
     is_listed: bool,
+    /// What follows for a gate of this node; `None` before the first update.
+    seats: Option<Seats>,
+}
+
+/// Positions of a gate of this node.
+#[derive(Debug, Clone, Copy)]
+struct Seats {
+    /// That of a node that chooses itself.
+    own: Seat,
+    /// That of another one.
+    other: Seat,
 }
 
 impl Members {
-    /// Records that the nodes that the store lists are known.
+    /// Records that this node has links to the nodes that the store lists. Counts from the next update.
     pub fn record_listing(&mut self) {
         self.is_listed = true;
     }
 
-    /// Records the nodes that are live, and forgets those that were not heard for a long time.
-    pub fn record_live<'a>(&mut self, live: impl Iterator<Item = &'a Name>, now: Tick) {
-        for name in live {
+    /// Records the other nodes that the node `own` has a link to, and whether each responds; forgets
+    /// nodes that were not heard for a long time.
+    pub fn update<'a>(
+        &mut self,
+        own: &Name,
+        known: impl Iterator<Item = (&'a Name, bool)>,
+        now: Tick,
+    ) {
+        let mut live = 0;
+        let mut silent = BTreeSet::new();
+        for (name, is_live) in known {
+            if !is_live {
+                silent.insert(name);
+                continue;
+            }
+            live += 1;
             match self.heard.get_mut(name) {
                 Some(heard) => *heard = now,
                 None => drop(self.heard.insert(name.clone(), now)),
             }
         }
         self.heard.retain(|_, heard| now.since(*heard) < MEMBER_RETENTION);
+        let unheard = silent.into_iter().filter(|name| !self.heard.contains_key(*name));
+        let (mut count, mut index) = (1, 0);
+        for name in self.heard.keys().chain(unheard) {
+            count += 1;
+            index += usize::from(name < own);
+        }
+        let separate = Seat::Separate { index, count };
+        let is_connected = (live + 1) * 2 > count;
+        let seats = match self.is_listed {
+            true if is_connected => Seats { own: Seat::Elected, other: separate },
+            false if count == 1 => Seats { own: Seat::Unknown, other: Seat::Unknown },
+            _ => Seats { own: separate, other: separate },
+        };
+        self.seats = Some(seats);
     }
 
-    /// Returns the position of a gate on the node `own`; `known` are the other nodes that it has a link
-    /// to, of which `live` respond, and `is_elected` tells whether the node chooses itself.
-    pub fn seat<'a>(
-        &'a self,
-        own: &'a Name,
-        known: impl Iterator<Item = &'a Name>,
-        live: usize,
-        is_elected: bool,
-    ) -> Seat {
-        let mut names: BTreeSet<&Name> = known.chain(self.heard.keys()).collect();
-        names.insert(own);
-        let count = names.len();
-        if !self.is_listed && count == 1 {
-            return Seat::Unknown;
-        }
-        if is_elected && self.is_listed && (live + 1) * 2 > count {
-            return Seat::Elected;
-        }
-        let index = names.iter().take_while(|name| **name < own).count();
-        Seat::Separate { index, count }
+    /// Returns the position of a gate of this node; `is_elected` tells whether the node chooses itself.
+    pub fn seat(&self, is_elected: bool) -> Seat {
+        let Some(seats) = self.seats else { return Seat::Unknown };
+        if is_elected { seats.own } else { seats.other }
     }
 }
