--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -76,10 +76,12 @@
     pub is_gone: bool,
     /// Era in which this instance was first seen.
     pub known_era: u64,
-    /// When its warm-up ends.
+    /// When its warm-up ends, as it said last.
     pub warm_at: Tick,
     /// Cloned by each request of this node that runs on it.
     pub running: Rc<()>,
+    /// When it said that, or earlier.
+    warmth_known: Tick,
 }
 
 impl Server {
@@ -102,8 +104,24 @@
         self.missing.or(self.returned.map(|(since, _)| since))
     }
 
-    /// Applies a changed entry of the same instance.
-    fn update(&mut self, object: &Object, entry: ServerEntry) {
+    /// Records that the server remains cold for `left`. It said so at `since` or later; what it said
+    /// in a response before a change of its entry extends the warm-up only.
+    pub fn record_warmup(&mut self, left: Duration, since: Tick, now: Tick) {
+        let warm_at = now + left;
+        if since >= self.warmth_known || warm_at > self.warm_at {
+            self.warm_at = warm_at;
+            self.warmth_known = self.warmth_known.max(since);
+        }
+    }
+
+    /// Returns whether it has said since `at` how long it remains cold.
+    pub fn has_stated_warmth(&self, at: Tick) -> bool {
+        self.warmth_known > at
+    }
+
+    /// Applies an entry of the same instance that changed after `since`.
+    fn update(&mut self, object: &Object, entry: ServerEntry, since: Tick, now: Tick) {
+        self.record_warmup(entry.warmup, since, now);
         let is_copy = object.position.era > self.position.era;
         if let Some(since) = self.missing.take().filter(|_| is_copy) {
             self.returned = Some((since, object.position));
@@ -154,6 +172,32 @@
     back: Option<(Tick, Object, ServerEntry)>,
 }
 
+/// Entries of servers that cannot be parsed.
+#[derive(Debug, Default)]
+pub struct MalformedEntries {
+    names: HashSet<Name>,
+    /// Entries since the last call of [`MalformedEntries::take_count`].
+    count: u64,
+}
+
+impl MalformedEntries {
+    /// Counts an entry; returns whether it was not malformed before.
+    fn record(&mut self, name: &Name) -> bool {
+        self.count += 1;
+        self.names.insert(name.clone())
+    }
+
+    /// Returns the number of objects that are malformed now.
+    pub fn number(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Returns the number of malformed entries that were read since the last call.
+    pub fn take_count(&mut self) -> u64 {
+        std::mem::take(&mut self.count)
+    }
+}
+
 /// The node's replica of the store's objects.
 #[derive(Debug, Default)]
 pub struct ClusterState {
@@ -173,6 +217,8 @@
     pub owners: HashMap<Name, (Position, Rc<Ownership>)>,
     /// Servers that were removed, by name.
     ended: HashMap<Name, Ended>,
+    /// Entries that name no server because they are malformed.
+    pub malformed: MalformedEntries,
     /// Handovers by service that have finished, though the owners still name the former one.
     handed_over: HashMap<Name, HashSet<HandoverKey>>,
 }
@@ -456,9 +502,11 @@
         for object in fresh {
             let Some(entry) = dialect.parse_server(object) else {
                 let leaving = dialect.is_leaving(object).then_some(since);
-                note_malformed(&self.servers, &mut self.notices, object, leaving, now);
+                let is_new = self.malformed.record(&object.name);
+                note_malformed(&self.servers, &mut self.notices, object, leaving, now, is_new);
                 continue;
             };
+            self.malformed.names.remove(&object.name);
             let gone = gone_since(&self.servers, &self.ended, &object.name, &entry);
             if has_ended(&mut self.ended, object, &entry, now) {
                 continue;
@@ -474,6 +522,7 @@
                 added < MAX_LOGGED,
             ));
         }
+        self.malformed.names.retain(|name| raw.items.contains_key(name));
         if added > MAX_LOGGED {
             info!(event = "servers", come = added, known = self.servers.len(), revision:% = raw.position; "more new servers than are logged one by one");
         }
@@ -660,10 +709,13 @@
     object: &Object,
     leaving: Option<Tick>,
     now: Tick,
+    log: bool,
 ) {
     let server = object.name.as_str();
     let known = servers.get(server).map(Server::life);
-    log::warn!(event = "bad_entry", server, known = known.is_some(), leaving = leaving.is_some(), revision:% = object.position; "cannot parse the entry of a server; keeping what is known of it");
+    if log {
+        log::warn!(event = "bad_entry", server, known = known.is_some(), leaving = leaving.is_some(), revision:% = object.position; "cannot parse the entry of a server; keeping what is known of it");
+    }
     let (Some(life), Some(since)) = (known, leaving) else { return };
     if notices.record_leaving(&object.name, life, since, Source::Store) {
         let age = now.since(since).as_millis() as u64;
@@ -683,7 +735,6 @@
     log: bool,
 ) -> bool {
     let now = clock.now();
-    let warm_at = now + entry.warmup;
     if servers.get(&object.name).is_some_and(|server| is_former_life(server, object, &entry)) {
         return false;
     }
@@ -699,7 +750,7 @@
         Some(server)
             if server.entry.addr == entry.addr && server.entry.start_ms == entry.start_ms =>
         {
-            server.update(object, entry);
+            server.update(object, entry, since, now);
             false
         }
         _ => {
@@ -715,7 +766,8 @@
                 position: object.position,
                 is_gone: false,
                 known_era: object.position.era,
-                warm_at,
+                warm_at: now + entry.warmup,
+                warmth_known: since,
                 running: Rc::default(),
                 entry,
             };
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        evacuations,
+        cold, evacuations,
         frame::Frame,
         message::{Body, Item, ObjectsChanged, ServerNotice, Snapshot},
         node::Node,
@@ -422,11 +422,28 @@
     apply_listing_at(node, kind, listing, Some(claimed));
 }
 
+/// Counts the objects that could not be read, and the entries of servers that are malformed.
+fn count_malformed<P: Platform>(node: &Rc<Node<P>>) {
+    let mut view = node.view.borrow_mut();
+    let counts = [
+        ("unreadable_object", node.platform.take_unreadable()),
+        ("bad_entry", view.malformed.take_count()),
+    ];
+    for (event, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
+        node.metrics.add(event, count);
+    }
+    node.metrics.malformed.set(view.malformed.number() as i64);
+}
+
 /// Removes servers that are gone. Never returns.
 pub async fn sweep<P: Platform>(node: Rc<Node<P>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
         notices::count(&node);
+        count_malformed(&node);
+        cold::sweep(&node);
+        node.metrics.buffered.set(node.buffers.used() as i64);
+        node.metrics.stalled.set(node.stalls.waiting() as i64);
         let now = node.now();
         node.detours.borrow_mut().sweep(node.now());
         node.relays.borrow_mut().sweep(&node.peers.borrow());
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -5,7 +5,9 @@
 //! implements the traits in [`platform`]. All tasks of a node run on one thread.
 
 pub mod admission;
+pub mod buffers;
 pub mod cluster;
+pub mod cold;
 pub mod control;
 pub mod crashes;
 pub mod daemon;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -168,6 +168,9 @@
     pub evacuations: u64,
     #[prost(uint64, tag = "28")]
     pub evacuations_era: u64,
+    /// Whether the node's gates keep the limits of cold servers.
+    #[prost(bool, tag = "29")]
+    pub keeps_cold: bool,
 }
 
 /// Heartbeat intervals without a heartbeat after which a node counts as lost, in tenths.
--- a/crates/whinspring-router/src/metrics.rs
+++ b/crates/whinspring-router/src/metrics.rs
@@ -47,6 +47,14 @@
     pub evacuated_spans: Gauge,
     /// Failure domains that requests leave because of their load, over all gates of this node.
     pub overflowing: Gauge,
+    /// Servers that are cold.
+    pub cold: Gauge,
+    /// Entries of servers that name none, as they are malformed.
+    pub malformed: Gauge,
+    /// Bytes of request bodies that are kept.
+    pub buffered: Gauge,
+    /// Callers that take no bytes at the moment.
+    pub stalled: Gauge,
 }
 
 impl Metrics {
@@ -84,6 +92,17 @@
         let text =
             "Failure domains that requests leave because of their load, at gates of this node";
         registry.register("overflowing", text, overflowing.clone());
+        let cold = Gauge::default();
+        registry.register("cold_servers", "Servers that are cold", cold.clone());
+        let malformed = Gauge::default();
+        let text = "Entries of servers in the store that cannot be parsed";
+        registry.register("malformed_entries", text, malformed.clone());
+        let buffered = Gauge::default();
+        let text = "Request bodies that wait for a server or are sent to one";
+        registry.register_with_unit("buffered", text, Unit::Bytes, buffered.clone());
+        let stalled = Gauge::default();
+        let text = "Callers that take no bytes of their responses at the moment";
+        registry.register("stalled_callers", text, stalled.clone());
         Self {
             registry,
             responses,
@@ -96,6 +115,10 @@
             evacuated_domains,
             evacuated_spans,
             overflowing,
+            cold,
+            malformed,
+            buffered,
+            stalled,
         }
     }
 
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -5,10 +5,13 @@
 use {
     crate::{
         admission::Admission,
+        buffers::{Buffers, MAX_BODY_BYTES},
         cluster::ClusterState,
+        cold::ColdState,
         control::Controller,
         crashes::Crashes,
         frame::Frame,
+        frontend,
         message::Body,
         meter::Meter,
         metrics::Metrics,
@@ -21,11 +24,12 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::sync::Notify,
     whinspring::{detour::Detours, name::Name, reach::Reach, time::Tick},
-    whinspring_http::clock::Clock,
+    whinspring_http::{caller::Stalls, clock::Clock},
 };
 
 pub struct Node<P> {
@@ -46,6 +50,8 @@
     pub crashes: RefCell<Crashes>,
     /// Paths to the servers.
     pub reach: RefCell<Reach>,
+    /// Nodes that may run gates of cold servers, and the servers that are cold.
+    pub cold: RefCell<ColdState>,
     /// Servers that this node does not reach itself.
     pub detours: RefCell<Detours>,
     /// Connections to nodes that relay requests of this one.
@@ -55,6 +61,10 @@
     /// Notified when this node may have lost its paths to all servers.
     pub doubted: Notify,
     pub metrics: Metrics,
+    /// Space for the bodies of requests.
+    pub buffers: Arc<Buffers>,
+    /// Limit on callers that do not read.
+    pub stalls: Rc<Stalls>,
     /// Notified when the view changes.
     pub changed: Notify,
     /// Notified when a server wants nothing from this node for a while.
@@ -103,9 +113,12 @@
             reach: RefCell::new(Reach::new(fastrand::u64(..))),
             doubted: Notify::new(),
             detours: RefCell::default(),
+            cold: RefCell::default(),
             relays: RefCell::default(),
             paths_lost: Notify::new(),
             metrics: Metrics::new(),
+            buffers: Buffers::new(MAX_BODY_BYTES),
+            stalls: frontend::stalls(),
             changed: Notify::new(),
             paused: Notify::new(),
             leaving: Cell::new(false),
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        admission,
+        admission, cold,
         control::servers,
         follow,
         frame::{self, Frame, MAX_MESSAGE_BYTES},
@@ -524,6 +524,7 @@
             weighs_gates: true,
             evacuations: view.position(Kind::Evacuations).revision,
             evacuations_era: view.position(Kind::Evacuations).era,
+            keeps_cold: cold::is_bounded(&node.settings.limits),
         }
     };
     let (keys, latencies) = node.meter.borrow_mut().take();
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -148,6 +148,12 @@
     /// from now on.
     fn raise_era(&self, era: u64);
 
+    /// Returns how many objects could not be read since the last call. They are left out of listings
+    /// and changes.
+    fn take_unreadable(&self) -> u64 {
+        0
+    }
+
     fn list(&self, kind: Kind) -> impl Future<Output = Result<Listing, StoreError>>;
 
     /// Waits for changes of a kind after `position`, at most for `wait`.
@@ -308,6 +314,8 @@
     pub limit: HeaderName,
     /// Load of a server as it answers: `RUNNING,WAITING,SLOTS[,SLOWNESS]`.
     pub load: HeaderName,
+    /// Milliseconds for which the server remains cold, where it sets it.
+    pub cold: HeaderName,
 }
 
 /// Header names and object formats of the platform.
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -66,6 +66,8 @@
     pub evacuations: u64,
     /// Whether it announces that its gates keep the limits of servers.
     pub limits: bool,
+    /// Whether it announces that its gates keep the limits of cold servers.
+    pub cold: bool,
     /// What its heartbeats tell of the limits of servers.
     pub limited: Vec<ServerLimit>,
     /// Whether it announces that it accepts compressed messages.
@@ -114,6 +116,7 @@
             servers,
             evacuations: 0,
             limits: true,
+            cold: true,
             limited: Vec::new(),
             unpacks,
             listener,
@@ -154,6 +157,7 @@
             evacuations: self.evacuations,
             unpacks: self.unpacks,
             keeps_limits: self.limits,
+            keeps_cold: self.cold,
             limits: self.limited.clone(),
             ..Heartbeat::default()
         };
--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -1,6 +1,7 @@
 //! Requests over real sockets: responses to callers and requests to servers.
 
 mod answers;
+mod cold;
 mod denied;
 mod endless;
 mod evacuations;
@@ -13,6 +14,7 @@
 mod paths;
 mod relay;
 mod rig;
+mod slow;
 
 #[path = "../support/setup.rs"]
 mod setup;
--- a/crates/whinspring-router/tests/support/setup.rs
+++ b/crates/whinspring-router/tests/support/setup.rs
@@ -38,5 +38,6 @@
         leaving: HeaderName::from_static("x-leaving"),
         limit: HeaderName::from_static("x-limit"),
         load: HeaderName::from_static("x-load"),
+        cold: HeaderName::from_static("x-cold"),
     }
 }
--- a/crates/whinspring-router/tests/upgrade.rs
+++ b/crates/whinspring-router/tests/upgrade.rs
@@ -114,6 +114,7 @@
         weighs_gates: true,
         evacuations: 14,
         evacuations_era: 2,
+        keeps_cold: true,
     };
     let bodies = [Body::Heartbeat(heartbeat), Body::Admit(admit), Body::Admitted(admitted)];
     for (body, line) in bodies.into_iter().zip(golden.lines()) {
@@ -126,6 +127,7 @@
                 it.weighs_gates = false;
                 (it.evacuations, it.evacuations_era) = (0, 0);
                 it.latencies.iter_mut().for_each(|latency| latency.errors = 0);
+                it.keeps_cold = false;
             }
             Body::Admit(it) => {
                 it.limits.clear();
