A request that its server shed comes back after 50 ms

Cause: a caller whose request a server shed at random was told to come back after 300 ms, too late for its latency target. Change: 50 ms.

--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -74,6 +74,10 @@
 /// `Retry-After` when no better estimate is available.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// `Retry-After` of a request that its server shed: the gate lets through no more than the server has
+/// room for, so that the next attempt is as likely to run as this one was, and still may be on time.
+const SHED_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// `Retry-After` while this node reaches no server: another node may, and the paths are probed often.
 const PATH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -189,7 +193,7 @@
                 return Err(Rejection::from(if refused { self.lost_code(code) } else { code }));
             }
             if !again {
-                return Err(Rejection::with_retry(code, self.retry_delay(&server)));
+                return Err(Rejection::with_retry(code, self.retry_delay(code, &server)));
             }
             node.metrics.count("sent_again");
             if is_shed && self.key.is_some() {
@@ -214,9 +218,10 @@
     }
 
     /// Returns the time after which the caller may retry a request that a server did not run.
-    fn retry_delay(&self, server: &Name) -> Duration {
+    fn retry_delay(&self, code: Code, server: &Name) -> Duration {
         let refusal = self.key.and_then(|_| self.check(server).err());
-        refusal.and_then(Refusal::wait).map_or(RETRY_DELAY, |wait| wait.max(RETRY_DELAY))
+        let least = if code == Code::Shed { SHED_RETRY_DELAY } else { RETRY_DELAY };
+        refusal.and_then(Refusal::wait).map_or(least, |wait| wait.max(RETRY_DELAY))
     }
 
     /// Returns the result code for a request that may have run and is not retried.
