Gate: requests that cannot be on time give way, and are rejected at once under a lasting overload

Cause: under a lasting overload of one key the queue ran each request just before or after its target and rejected the others late.

--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -10,6 +10,7 @@
 
 use {
     self::{
+        arrivals::Arrivals,
         health::{HealthChange, PoolHealth},
         load::Load,
         locality::Locality,
@@ -23,6 +24,7 @@
     std::{collections::HashMap, time::Duration},
 };
 
+mod arrivals;
 pub mod health;
 pub mod load;
 mod locality;
@@ -96,6 +98,7 @@
     /// each request.
     positions: HashMap<Name, usize>,
     queue: Vec<PendingRequest>,
+    arrivals: Arrivals,
     /// Servers of the admitted requests.
     assigned: HashMap<Ticket, Name>,
     service_times: ServiceTimes,
@@ -179,6 +182,7 @@
             || self.queue.iter().any(|other| other.ticket == request.ticket);
         if !is_known {
             self.locality.record_arrival(&request.domain);
+            self.arrivals.count();
             self.queue.push(request);
         }
     }
@@ -275,10 +279,12 @@
         if self.queue.is_empty() {
             return decisions;
         }
+        self.arrivals.update(now);
         queue::sort(&mut self.queue, now, service_time);
         self.admit(&mut decisions, now);
         let queue = std::mem::take(&mut self.queue);
-        self.queue = queue::reject(queue, &self.servers, &mut decisions, now, service_time);
+        let (servers, arrivals) = (&self.servers, &self.arrivals);
+        self.queue = queue::reject(queue, servers, arrivals, &mut decisions, now, service_time);
         decisions
     }
 
