Tests: circumstances that other operators reported

A second copy of a response on an idle connection and on one to a relay, a response that breaks off with each framing, and a planned stop with requests that have begun or wait at a gate.

--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod pair;
 mod paths;
 mod relay;
+mod reports;
 mod rig;
 
 #[path = "../support/setup.rs"]
--- /dev/null
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -0,0 +1,434 @@
+//! Circumstances in which operators of similar systems saw wrong, truncated or lost responses; see
+//! `docs/incidents/reports-of-others.md`.
+
+use {
+    crate::{
+        pair::run_with_relay,
+        rig::{Rig, TEST_TIMEOUT, read_response, run},
+        setup::settings,
+    },
+    socket2::SockRef,
+    std::{cell::RefCell, io::Write as _, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::{LocalSet, spawn_local},
+        time::{sleep, timeout},
+    },
+    whinspring_router::settings::Limits,
+};
+
+/// Time that the server takes for a request after the first one.
+const RUN_TIME: Duration = Duration::from_millis(100);
+
+/// Time in which bytes arrive over loopback and are read.
+const ARRIVAL_TIME: Duration = Duration::from_millis(30);
+
+/// Size of a body that is streamed instead of buffered, in bytes.
+const LONG_BODY: usize = 100_000;
+
+/// When the server sends the second copy of its first response.
+#[derive(Debug, Clone, Copy)]
+enum Copy {
+    /// A time after the response.
+    After(Duration),
+    /// After the first byte of the next request on the connection.
+    InHead,
+    /// After the whole head of the next request.
+    AfterHead,
+    /// The first half a time after the response, the rest after the head of the next request.
+    Split(Duration),
+}
+
+/// What a server saw on its connections, in order: their number and the id of a request, or `copy`.
+type Events = Rc<RefCell<Vec<(usize, String)>>>;
+
+/// How the requests reach the node under test.
+#[derive(Debug, Clone, Copy)]
+enum Role {
+    /// From a caller.
+    Entry,
+    /// From a node that uses this one as a relay.
+    Relay,
+}
+
+fn id_of(request: &str) -> &str {
+    let line = request.lines().find(|line| line.starts_with("x-id: "));
+    line.map_or("", |line| &line[6..])
+}
+
+fn build_request(role: Role, method: &str, path: &str, id: &str) -> String {
+    let internal = match role {
+        Role::Entry => "",
+        Role::Relay => "x-target: s1\r\nwhinspring-server-start-ms: 0\r\n",
+    };
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-id: {id}\r\nx-key: 1\r\nx-deadline: 1500\r\n{internal}\r\n"
+    )
+}
+
+/// Returns the response to a request of a server that sends its first response twice.
+fn own_response(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: {}\r\n\r\nof {id}",
+        id.len() + 3
+    )
+}
+
+/// Runs a test on one thread.
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        timeout(TEST_TIMEOUT, test).await.expect("the test timed out");
+    });
+}
+
+/// Starts a server. If `copied` is given, it is the first response, and is sent again.
+async fn start_server(copied: Option<(String, Copy)>) -> (SocketAddr, Events) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let events = Events::default();
+    let seen = events.clone();
+    spawn_local(async move {
+        let mut number = 0;
+        while let Ok((socket, _)) = listener.accept().await {
+            spawn_local(serve(socket, number, copied.clone(), seen.clone()));
+            number += 1;
+        }
+    });
+    (addr, events)
+}
+
+/// Responds to the requests on a connection.
+async fn serve(
+    mut socket: TcpStream,
+    number: usize,
+    copied: Option<(String, Copy)>,
+    events: Events,
+) {
+    let record = |event: &str| events.borrow_mut().push((number, event.into()));
+    let mut read = Vec::new();
+    // Sent after the head of the next request.
+    let mut pending = Vec::new();
+    loop {
+        let Some(request) = read_head(&mut socket, &mut read).await else { return };
+        let is_first = events.borrow().is_empty();
+        record(id_of(&request));
+        if let Some((first, copy)) = copied.as_ref().filter(|_| is_first) {
+            let first = first.as_bytes();
+            let (start, rest) = first.split_at(first.len() / 2);
+            socket.write_all(first).await.unwrap();
+            match copy {
+                Copy::After(delay) => {
+                    let all = async { while socket.read_buf(&mut read).await.unwrap_or(0) > 0 {} };
+                    let _ = timeout(*delay, all).await;
+                    if !read.is_empty() {
+                        record(id_of(&text(&read)));
+                    }
+                    record("copy");
+                    let _ = socket.write_all(first).await;
+                    if !read.is_empty() {
+                        let request = text(&std::mem::take(&mut read));
+                        sleep(RUN_TIME).await;
+                        let own = own_response(id_of(&request));
+                        let _ = socket.write_all(own.as_bytes()).await;
+                    }
+                }
+                Copy::InHead => {
+                    let mut byte = [0];
+                    if socket.read_exact(&mut byte).await.is_err() {
+                        return;
+                    }
+                    let _ = socket.write_all(first).await;
+                    read.extend(byte);
+                    let Some(request) = read_head(&mut socket, &mut read).await else { return };
+                    record(id_of(&request));
+                    record("copy");
+                    sleep(RUN_TIME).await;
+                    let _ = socket.write_all(own_response(id_of(&request)).as_bytes()).await;
+                }
+                Copy::AfterHead => pending = first.to_vec(),
+                Copy::Split(delay) => {
+                    sleep(*delay).await;
+                    record("copy");
+                    let _ = socket.write_all(start).await;
+                    pending = rest.to_vec();
+                }
+            }
+            continue;
+        }
+        if !pending.is_empty() {
+            record("copy");
+            let _ = socket.write_all(&std::mem::take(&mut pending)).await;
+        }
+        sleep(RUN_TIME).await;
+        let _ = socket.write_all(own_response(id_of(&request)).as_bytes()).await;
+    }
+}
+
+/// Reads the head of a request of which `bytes` have been read.
+async fn read_head(socket: &mut TcpStream, bytes: &mut Vec<u8>) -> Option<String> {
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if socket.read_buf(bytes).await.unwrap_or(0) == 0 {
+            return None;
+        }
+    }
+    Some(text(&std::mem::take(bytes)))
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Sends a request on a new connection and returns the response.
+async fn send(rig: &Rig, role: Role, path: &str, id: &str) -> String {
+    let request = build_request(role, "GET", path, id);
+    match role {
+        Role::Entry => rig.send(&request).await,
+        Role::Relay => rig.send_relayed(&request).await,
+    }
+}
+
+/// Sends a request, and others `gap` later, to a server that sends its first response twice.
+fn assert_copy_is_discarded(role: Role, copy: Copy, gap: Duration) {
+    for path in ["/safe/1", "/once/1"] {
+        block_on(async {
+            let (server, events) = start_server(Some((own_response("i1"), copy))).await;
+            let settings = settings("n1", Limits::default());
+            let rig = Rig::start_node(settings, server, Rc::default(), None).await;
+            let case = format!("{role:?} {copy:?} {gap:?} {path}");
+            let response = send(&rig, role, path, "i1").await;
+            assert!(response.ends_with("of i1"), "{case}: {response}");
+            sleep(gap).await;
+            for number in 2..6 {
+                let id = format!("i{number}");
+                let response = send(&rig, role, path, &id).await;
+                let is_own =
+                    response.starts_with("HTTP/1.1 200") && response.ends_with(&format!("of {id}"));
+                let is_error = response.starts_with("HTTP/1.1 50");
+                assert!(is_own || is_error, "{case}: {id}: {response}");
+                sleep(ARRIVAL_TIME).await;
+            }
+            let events = events.borrow();
+            let at =
+                events.iter().position(|(_, event)| event == "copy").expect("no copy was sent");
+            let reused = events[at + 1..].iter().any(|(number, _)| *number == events[at].0);
+            assert!(!reused, "{case}: used after the copy: {events:?}");
+        });
+    }
+}
+
+/// Guards against a caller that gets the response of an earlier request, whose second copy came while
+/// the connection was idle.
+#[test]
+fn a_copy_on_an_idle_connection_is_no_response() {
+    for role in [Role::Entry, Role::Relay] {
+        for ms in [0, 1, 50] {
+            let delay = Duration::from_millis(ms);
+            assert_copy_is_discarded(role, Copy::After(delay), delay + ARRIVAL_TIME);
+            assert_copy_is_discarded(role, Copy::Split(delay), delay + ARRIVAL_TIME);
+        }
+        let delay = Duration::from_millis(2_000);
+        assert_copy_is_discarded(role, Copy::After(delay), delay + ARRIVAL_TIME);
+    }
+}
+
+/// Guards against a caller that gets the response of an earlier request, whose second copy came on the
+/// connection to a relay.
+#[test]
+fn a_copy_from_a_relay_is_no_response() {
+    let twice = |request: &str| {
+        let id = id_of(request);
+        (!id.starts_with("first")).then(|| own_response(id).repeat(2))
+    };
+    run_with_relay(twice, |pair, _| async move {
+        let mut served = 0;
+        for number in 1..6 {
+            let id = format!("i{number}");
+            let response = send(&pair.entry, Role::Entry, "/once/1", &id).await;
+            let is_own = response.ends_with(&format!("of {id}"));
+            assert!(is_own || response.starts_with("HTTP/1.1 50"), "{id}: {response}");
+            served += usize::from(is_own);
+        }
+        assert!(served > 0, "no copy was sent");
+    });
+}
+
+/// How a server tells the length of a body.
+#[derive(Debug, Clone, Copy)]
+enum Framing {
+    Length,
+    Chunked,
+    /// The body ends with the connection.
+    None,
+}
+
+/// Sends the start of a response to each request and closes the connection, by a reset or not.
+async fn start_breaker(framing: Framing, bytes: usize, reset: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            spawn_local(async move {
+                let Some(request) = read_head(&mut socket, &mut Vec::new()).await else { return };
+                let head = format!("HTTP/1.1 200 OK\r\nx-id: {}\r\nx-seal: s\r\n", id_of(&request));
+                let body = "b".repeat(bytes);
+                let response = match framing {
+                    Framing::Length => format!("{head}content-length: {}\r\n\r\n{body}", bytes * 2),
+                    Framing::Chunked => {
+                        format!("{head}transfer-encoding: chunked\r\n\r\n{bytes:x}\r\n{body}\r\n")
+                    }
+                    Framing::None => format!("{head}\r\n{body}"),
+                };
+                let _ = socket.write_all(response.as_bytes()).await;
+                sleep(ARRIVAL_TIME).await;
+                if reset {
+                    SockRef::from(&socket).set_linger(Some(Duration::ZERO)).unwrap();
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Returns whether a response ends where its head says, by its length or its last chunk.
+fn is_complete(response: &str) -> bool {
+    let Some((head, body)) = response.split_once("\r\n\r\n") else { return false };
+    let head = head.to_ascii_lowercase();
+    match head.lines().find_map(|line| line.strip_prefix("content-length: ")) {
+        Some(length) => body.len() >= length.parse::<usize>().unwrap(),
+        None => !head.contains("transfer-encoding: chunked") || body.ends_with("0\r\n\r\n"),
+    }
+}
+
+/// Guards against a response that breaks off and reaches the caller as complete. A body that ends with
+/// its connection is broken off only by a reset.
+#[test]
+fn a_response_that_breaks_off_never_looks_complete() {
+    let cases = [
+        (Framing::Length, false),
+        (Framing::Length, true),
+        (Framing::Chunked, false),
+        (Framing::Chunked, true),
+        (Framing::None, true),
+    ];
+    for (framing, reset) in cases {
+        for bytes in [10, LONG_BODY] {
+            for role in [Role::Entry, Role::Relay] {
+                block_on(async {
+                    let server = start_breaker(framing, bytes, reset).await;
+                    let settings = settings("n1", Limits::default());
+                    let rig = Rig::start_node(settings, server, Rc::default(), None).await;
+                    let request = build_request(role, "GET", "/once/1", "i1");
+                    let mut socket = match role {
+                        Role::Entry => rig.connect().await,
+                        Role::Relay => rig.connect_relay().await,
+                    };
+                    socket.write_all(request.as_bytes()).await.unwrap();
+                    let mut response = Vec::new();
+                    let read = timeout(2 * RUN_TIME, async {
+                        while socket.read_buf(&mut response).await.unwrap_or(0) > 0 {}
+                    });
+                    let is_closed = read.await.is_ok();
+                    let response = text(&response);
+                    let shown = &response[..response.len().min(200)];
+                    let case = format!("{framing:?} {reset} {bytes} {role:?}: {shown}");
+                    let is_success = response.starts_with("HTTP/1.1 200");
+                    assert!(!is_success || !is_complete(&response), "complete: {case}");
+                    assert!(!is_success || is_closed, "left open: {case}");
+                });
+            }
+        }
+    }
+}
+
+/// Connections that each test of a planned stop uses, as the order of events on one of them varies.
+const CALLERS: usize = 16;
+
+/// Begins a planned stop: the listener stays, as in the time in which the balancer learns of it.
+fn stop(rig: &Rig) {
+    rig.node.leaving.set(true);
+    let callers = rig.callers.clone();
+    spawn_local(async move { callers.close().await });
+}
+
+fn succeed(request: &str) -> Option<String> {
+    Some(own_response(id_of(request)))
+}
+
+/// Guards against a request that is cut off by a planned stop as its head arrives in pieces, before and
+/// after the stop begins.
+#[test]
+fn a_stop_waits_for_a_head_that_has_begun() {
+    run(succeed, |rig| async move {
+        for split in [1, 20, 60] {
+            let request = build_request(Role::Entry, "GET", "/safe/1", "i1");
+            let (start, rest) = request.as_bytes().split_at(split);
+            let mut socket = rig.connect().await;
+            socket.write_all(start).await.unwrap();
+            sleep(ARRIVAL_TIME).await;
+            stop(&rig);
+            sleep(2 * RUN_TIME).await;
+            socket.write_all(rest).await.unwrap();
+            let response = read_response(&mut socket).await;
+            assert!(response.ends_with("of i1"), "{split}: {response}");
+            assert!(response.contains("connection: close"), "{split}: {response}");
+        }
+    });
+}
+
+/// Guards against a request that is cut off by a planned stop between its head and its body.
+#[test]
+fn a_stop_waits_for_a_body() {
+    run(
+        |request| request.ends_with("\r\n\r\n").then(|| own_response(id_of(request))),
+        |rig| async move {
+            let mut socket = rig.connect().await;
+            let head = build_request(Role::Entry, "POST", "/once/1", "i1");
+            let head = head.replacen("\r\n\r\n", "\r\ncontent-length: 4\r\n\r\n", 1);
+            socket.write_all(head.as_bytes()).await.unwrap();
+            sleep(ARRIVAL_TIME).await;
+            stop(&rig);
+            sleep(2 * RUN_TIME).await;
+            socket.write_all(b"\r\n\r\n").await.unwrap();
+            let response = read_response(&mut socket).await;
+            assert!(response.ends_with("of i1"), "{response}");
+        },
+    );
+}
+
+/// Guards against requests that wait at a gate and are cut off by a planned stop: those for which there
+/// is time run, and the others are rejected before their connections are closed.
+#[test]
+fn a_stop_answers_the_requests_that_wait_at_a_gate() {
+    for closes_queue in [false, true] {
+        block_on(async {
+            let (server, _) = start_server(None).await;
+            let settings = settings("n1", Limits::default());
+            let rig = Rig::start_node(settings, server, Rc::default(), None).await;
+            let mut sockets = Vec::new();
+            for number in 1..=6 {
+                let mut socket = rig.connect().await;
+                let request = build_request(Role::Entry, "POST", "/once/1", &format!("i{number}"));
+                socket.write_all(request.as_bytes()).await.unwrap();
+                sockets.push(socket);
+            }
+            sleep(RUN_TIME / 2).await;
+            stop(&rig);
+            if closes_queue {
+                rig.node.close_queue();
+            }
+            let mut statuses = Vec::new();
+            for (number, socket) in (1..).zip(&mut sockets) {
+                let response = read_response(socket).await;
+                assert!(response.contains(&format!("x-id: i{number}")), "{response}");
+                assert!(response.contains("connection: close"), "{response}");
+                statuses.push(response[9..12].to_owned());
+            }
+            let rejected = statuses.iter().filter(|status| *status == "503").count();
+            assert_eq!(rejected > 0, closes_queue, "{statuses:?}");
+            assert!(statuses.iter().all(|status| status == "200" || status == "503"));
+            rig.callers.close().await;
+        });
+    }
+}
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -173,6 +173,8 @@
     pub node: Rc<Node<Platform>>,
     pub seen: Rc<RefCell<Vec<String>>>,
     frontend: SocketAddr,
+    /// Connections of callers.
+    pub callers: Rc<Connections>,
     /// Connections of other nodes that use this one as a relay.
     pub relaying: Rc<Connections>,
 }
@@ -206,13 +208,14 @@
             Kind::Servers,
             Listing { position: Position::new(0, 1), items: vec![entry] },
         );
-        let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let frontend = callers.local_addr().unwrap();
-        spawn_local(frontend::serve(node.clone(), callers, Rc::new(Connections::default())));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let frontend = listener.local_addr().unwrap();
+        let callers = Rc::new(Connections::default());
+        spawn_local(frontend::serve(node.clone(), listener, callers.clone()));
         spawn_local(admission::run(node.clone()));
         let relaying = Rc::new(Connections::default());
         spawn_local(relay::server::serve(node.clone(), relayed, relaying.clone()));
-        Self { node, seen, frontend, relaying }
+        Self { node, seen, frontend, callers, relaying }
     }
 
     /// Makes the service keyed, with all keys at the server.
