A relay closes a connection with the response to another request

Cause: a relay passed on whatever response came. A late second copy of an earlier response took the place of the next one. The entry node rejected it by its id, but the relay returned its connection to the pool, where the next request got the delayed response again. Change: a relay compares the id as an entry node does, reports that the request may have run, and closes the connection. Test seen to fail first: reports::a_copy_during_the_next_request_is_no_response (relay, copy within the next head).

--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -2,6 +2,8 @@
 //!
 //! A request goes to the one instance of a server that the entry node chose, or to none. It is sent at
 //! most once; only a reused connection that failed before anything was sent is replaced by a new one.
+//! A response with the id of another request is not passed on, and its connection is closed: the response
+//! to this request may still come on it.
 //! When the entry node gives up and closes its connection, that to the server is closed as well.
 
 use {
@@ -110,6 +112,9 @@
     let id = relayed.parts.headers.get(&names.id);
     let head = limits::Head { status, headers, id, sent: start };
     limits::hear(node, &relayed.server, relayed.life, &head);
+    if headers.get(&names.id) != id {
+        return Err(Fault::Lost);
+    }
     let (mut parts, body) = response.into_parts();
     strip_headers(&mut parts.headers);
     parts.headers.remove(RELAY_FAULT);
--- a/crates/whinspring-router/tests/path/reports.rs
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -233,6 +233,21 @@
     }
 }
 
+/// Guards against a caller that gets the response of an earlier request, whose second copy came while
+/// its own request was under way.
+#[test]
+fn a_copy_during_the_next_request_is_no_response() {
+    for role in [Role::Entry, Role::Relay] {
+        assert_copy_is_discarded(role, Copy::InHead, ARRIVAL_TIME);
+        assert_copy_is_discarded(role, Copy::AfterHead, ARRIVAL_TIME);
+        for ms in [50, 2_000] {
+            let delay = Duration::from_millis(ms);
+            let gap = delay - Duration::from_millis(20);
+            assert_copy_is_discarded(role, Copy::After(delay), gap);
+        }
+    }
+}
+
 /// Guards against a caller that gets the response of an earlier request, whose second copy came on the
 /// connection to a relay.
 #[test]
