A retry goes over a new connection

Cause: a retry has the id of the first sending. A second copy of the rejection of the first sending, on the same connection, was taken for the response to the retry: a request that ran was reported as not run (503). Change: second and later sendings open a connection. Test seen to fail first: reports::a_copy_of_a_rejection_does_not_answer_the_retry.

--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -424,6 +424,7 @@
             backend,
             outcome: ServerOutcome::Completed,
             conn: None,
+            fresh: attempts > 1,
             body: None,
             prefix: None,
             route: self.route.name.clone(),
--- a/crates/whinspring-router/src/request/attempt.rs
+++ b/crates/whinspring-router/src/request/attempt.rs
@@ -34,6 +34,8 @@
     /// Outcome to report once the response has been read.
     pub(super) outcome: ServerOutcome,
     pub(super) conn: Option<Conn<NoStream>>,
+    /// Whether only a new connection is used.
+    pub(super) fresh: bool,
     /// The unread rest of the response.
     pub(super) body: Option<Incoming>,
     /// Bytes that were read but not forwarded.
--- a/crates/whinspring-router/src/request/exchange.rs
+++ b/crates/whinspring-router/src/request/exchange.rs
@@ -4,6 +4,9 @@
 //! nothing was sent. The next requests to that server use a relay at once, as do all requests of a node
 //! that reaches no server. A relay that fails before anything was sent is replaced by another one, as
 //! long as that takes little time.
+//!
+//! A retry has the id of the first sending, so that a second copy of that sending's response cannot be
+//! told from its own. It therefore goes over a new connection.
 
 use {
     super::{Attempt, RoutedRequest},
@@ -191,7 +194,7 @@
         &self,
         attempt: &mut Attempt<P>,
     ) -> Result<Response<Incoming>, SendError> {
-        for fresh in [false, true] {
+        for fresh in [attempt.fresh, true] {
             let conn = tokio::select! {
                 biased;
                 result = self.connect(attempt, fresh) => {
@@ -219,7 +222,7 @@
     ) -> Result<Response<Incoming>, SendError> {
         attempt.conn = None;
         attempt.backend = relay.pool.clone();
-        for fresh in [false, true] {
+        for fresh in [attempt.fresh, true] {
             let conn = self.connect(attempt, fresh).await?;
             let reused = conn.is_reused();
             match self.send_on(conn, attempt, Some(life)).await {
--- a/crates/whinspring-router/tests/path/reports.rs
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -248,6 +248,27 @@
     }
 }
 
+/// Guards against a request that runs and is reported as not run: a server sheds its first sending, and
+/// the second copy of that rejection comes after the second sending, which has the same id.
+#[test]
+fn a_copy_of_a_rejection_does_not_answer_the_retry() {
+    for keyed in [false, true] {
+        block_on(async {
+            let head = "HTTP/1.1 503 No\r\nx-id: i1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+            let (server, events) = start_server(Some((head.into(), Copy::AfterHead))).await;
+            let settings = settings("n1", Limits::default());
+            let rig = Rig::start_node(settings, server, Rc::default(), None).await;
+            if keyed {
+                rig.set_keyed();
+            }
+            let response = rig.send(&build_request(Role::Entry, "POST", "/once/1", "i1")).await;
+            let runs = events.borrow().iter().filter(|(_, event)| event == "i1").count();
+            assert!(runs == 2, "{:?}", events.borrow());
+            assert!(!response.starts_with("HTTP/1.1 503"), "{response}: {:?}", events.borrow());
+        });
+    }
+}
+
 /// Guards against a caller that gets the response of an earlier request, whose second copy came on the
 /// connection to a relay.
 #[test]
