A planned stop does not close a connection with an unread request

Cause: a connection counted as idle until the node had read bytes of its next request. Change: the socket is asked for unread bytes before it is closed. Test seen to fail first: reports::a_stop_does_not_close_a_connection_with_an_unread_request.

--- a/crates/whinspring-http/src/caller.rs
+++ b/crates/whinspring-http/src/caller.rs
@@ -140,13 +140,20 @@
         matches!(SockRef::from(&self.probe).peek(&mut byte), Ok(0))
     }
 
+    /// Returns whether bytes have arrived that have not been read. The socket is asked directly, as in
+    /// [`Conn::ensure_open`].
+    fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&self.probe).peek(&mut byte), Ok(1))
+    }
+
     /// Waits until the connection can be closed without interrupting a request: it has been idle
-    /// and is still idle a moment later.
+    /// and is still idle a moment later, with no unread bytes of a next request.
     pub async fn wait_closable(&self) {
         loop {
             self.wait_idle().await;
             sleep(IDLE_CHECK_TIME).await;
-            if self.is_idle() {
+            if self.is_idle() && !self.has_unread() {
                 return;
             }
         }
--- a/crates/whinspring-router/tests/path/reports.rs
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -433,6 +433,41 @@
     );
 }
 
+/// Guards against a request that has arrived and is cut off by a planned stop, as the node has little
+/// processor time and reads it only when it is about to close the connection as idle.
+#[test]
+fn a_stop_does_not_close_a_connection_with_an_unread_request() {
+    for reused in [false, true] {
+        run(succeed, move |rig| async move {
+            let mut sockets = Vec::new();
+            for _ in 0..CALLERS {
+                let mut socket = rig.connect().await;
+                if reused {
+                    let request = build_request(Role::Entry, "GET", "/safe/1", "i0");
+                    socket.write_all(request.as_bytes()).await.unwrap();
+                    assert!(read_response(&mut socket).await.ends_with("of i0"));
+                }
+                sockets.push(socket.into_std().unwrap());
+            }
+            sleep(ARRIVAL_TIME).await;
+            stop(&rig);
+            sleep(Duration::from_millis(10)).await;
+            for socket in &mut sockets {
+                let request = build_request(Role::Entry, "GET", "/safe/1", "i1");
+                socket.write_all(request.as_bytes()).unwrap();
+            }
+            std::thread::sleep(RUN_TIME);
+            let mut served = 0;
+            for socket in sockets {
+                let mut socket = TcpStream::from_std(socket).unwrap();
+                let response = read_response(&mut socket).await;
+                served += usize::from(response.starts_with("HTTP/1.1"));
+            }
+            assert_eq!(served, CALLERS, "{reused}");
+        });
+    }
+}
+
 /// Guards against requests that wait at a gate and are cut off by a planned stop: those for which there
 /// is time run, and the others are rejected before their connections are closed.
 #[test]
