--- a/crates/whinspring-router/tests/path/main.rs
+++ b/crates/whinspring-router/tests/path/main.rs
@@ -13,6 +13,7 @@
 mod pair;
 mod paths;
 mod relay;
+mod reports;
 mod rig;
 mod slow;
 
