--- a/crates/whinspring-router/src/frontend.rs
+++ b/crates/whinspring-router/src/frontend.rs
@@ -71,6 +71,7 @@
 
 /// `Retry-After` if there is no space for a request's body.
 const NO_SPACE_RETRY: Duration = Duration::from_millis(500);
+
 /// Backlog of listeners, and connections that are accepted of it at the end: callers that open more
 /// could delay the end otherwise.
 pub const BACKLOG: u32 = 1_024;
