Election: a controller that lives keeps its place over an outage

The first node that heard from the store again at 26.1 s took the controller for one that the store no longer confirms, 60 ms before the controller heard of the return itself, and each change of controller begins the wait for the leases of lost servers anew. Change: a controller that is heard has 1.2 s from the return of the store to say that the store responds to it, too.

--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -37,6 +37,10 @@
 /// Time since the store last responded to the controller after which other nodes may campaign.
 const UNCONFIRMED_AFTER: Duration = Duration::from_millis(3_500);
 
+/// Time from the return of the store in which the controller may say that the store responds to it,
+/// too. The first node that hears of the return is not always the controller.
+const RETURN_GRACE: Duration = Duration::from_millis(1_200);
+
 /// Number of terms of an era from which its first one is taken.
 const FIRST_TERMS: u64 = 1 << 13;
 
@@ -116,7 +120,9 @@
     let vacant = match &control.leader {
         None => silence,
         Some(_) if control.store_age > UNCONFIRMED_AFTER => {
-            control.store_age - UNCONFIRMED_AFTER + control.leader_timeout
+            let unconfirmed = control.store_age - UNCONFIRMED_AFTER;
+            let since_return = now.since(node.store_recovered.get()).saturating_sub(RETURN_GRACE);
+            silence.max(unconfirmed.min(since_return) + control.leader_timeout)
         }
         Some(_) => silence,
     };
