Nodes and the stored owners keep the addresses of former servers

Cause: a new controller knew the address of a server only if it had seen its entry itself, so that nothing could prove the end of a server whose entry had lapsed in an outage; its keys waited for the longest lease. Change: each node keeps the addresses of servers that it removes for two minutes; the stored owners name those of all owners and former owners (new field 3, skipped by earlier versions). One lookup, ClusterState::address. Ruled out: that it explains servers-leave-then-the-controller-goes.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -12,6 +12,7 @@
 
 use {
     crate::{
+        former::FormerServers,
         message::{Item, Snapshot},
         platform::{Changes, Dialect, Kind, Listing, Object, Position, ServerEntry},
         record::OwnersRecord,
@@ -20,6 +21,7 @@
     prost::Message,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
+        net::SocketAddr,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -217,6 +219,8 @@
     pub owners: HashMap<Name, (Position, Rc<Ownership>)>,
     /// Servers that were removed, by name.
     ended: HashMap<Name, Ended>,
+    /// Addresses of instances without entries.
+    former: FormerServers,
     /// Entries that name no server because they are malformed.
     pub malformed: MalformedEntries,
     /// Handovers by service that have finished, though the owners still name the former one.
@@ -248,7 +252,7 @@
     pub fn snapshot(&self, kind: Kind) -> Snapshot {
         let Some(raw) = self.raw.get(&kind) else { return Snapshot::default() };
         let items = match kind {
-            Kind::Owners => self.owners.iter().map(owners_item).collect(),
+            Kind::Owners => self.owners.iter().map(|known| self.owners_item(known)).collect(),
             _ => raw.items.values().map(Item::from).collect(),
         };
         Snapshot {
@@ -261,6 +265,15 @@
         }
     }
 
+    /// Encodes the owners of a service for a snapshot.
+    fn owners_item(&self, known: (&Name, &(Position, Rc<Ownership>))) -> Item {
+        let (service, (position, owned)) = known;
+        let address = |instance: &Instance| self.address(instance);
+        let value = OwnersRecord::with_addresses(owned, address).encode_to_vec();
+        let (name, Position { era, revision }) = (service.to_string(), *position);
+        Item { name, revision, value, gone: false, era }
+    }
+
     /// Returns the position of the store up to which all changes of a kind are included.
     pub fn synced(&self, kind: Kind) -> Position {
         self.raw.get(&kind).map_or(Position::default(), |raw| raw.synced)
@@ -425,15 +438,24 @@
     }
 
     /// Keeps the owners that another node knows, unless newer ones are known.
-    pub fn learn_snapshot(&mut self, snapshot: &Snapshot) {
+    pub fn learn_snapshot(&mut self, snapshot: &Snapshot, now: Tick) {
         for item in &snapshot.items {
             let object = Object::from((item.clone(), item.era));
-            if let Some(owned) = decode_owners(&object) {
+            if let Some(owned) = self.decode_owner(&object, now) {
                 self.learn_owners(object.name, object.position, Rc::new(owned));
             }
         }
     }
 
+    /// Returns the address of a server instance, also if its entry is gone.
+    pub fn address(&self, instance: &Instance) -> Option<SocketAddr> {
+        match self.servers.get(&instance.server) {
+            Some(server) if server.entry.start_ms == instance.start_ms => Some(server.entry.addr),
+            Some(_) => None,
+            None => self.former.get(instance),
+        }
+    }
+
     /// Notes handovers that have finished, unless they are not known or no longer pending.
     pub fn note_handovers(&mut self, service: &Name, finished: &[HandoverKey]) {
         let Some((_, owned)) = self.owners.get(service) else { return };
@@ -468,7 +490,7 @@
         match kind {
             Kind::Routes => self.decode_routes(fresh, dialect),
             Kind::Servers => self.decode_servers(fresh, since, dialect, clock),
-            Kind::Owners => self.decode_owners(fresh),
+            Kind::Owners => self.decode_owners(fresh, clock.now()),
             Kind::Evacuations => self.decode_evacuations(changes, since, clock.now()),
             Kind::Control | Kind::Nodes => {}
         }
@@ -497,7 +519,6 @@
         clock: Clock,
     ) {
         let now = clock.now();
-        let Some(raw) = self.raw.get(&Kind::Servers) else { return };
         let mut added = 0;
         for object in fresh {
             let Some(entry) = dialect.parse_server(object) else {
@@ -512,16 +533,10 @@
                 continue;
             }
             let since = gone.map_or(since, |gone| since.min(gone));
-            added += u32::from(update_server(
-                &mut self.servers,
-                &mut self.notices,
-                object,
-                entry,
-                since,
-                clock,
-                added < MAX_LOGGED,
-            ));
+            let log = added < MAX_LOGGED;
+            added += u32::from(self.update_server(object, entry, since, clock, log));
         }
+        let Some(raw) = self.raw.get(&Kind::Servers) else { return };
         self.malformed.names.retain(|name| raw.items.contains_key(name));
         if added > MAX_LOGGED {
             info!(event = "servers", come = added, known = self.servers.len(), revision:% = raw.position; "more new servers than are logged one by one");
@@ -534,9 +549,9 @@
         }
     }
 
-    fn decode_owners<'a>(&mut self, fresh: impl Iterator<Item = &'a Object>) {
+    fn decode_owners<'a>(&mut self, fresh: impl Iterator<Item = &'a Object>, now: Tick) {
         for object in fresh {
-            if let Some(owned) = decode_owners(object) {
+            if let Some(owned) = self.decode_owner(object, now) {
                 self.learn_owners(object.name.clone(), object.position, Rc::new(owned));
             }
         }
@@ -544,6 +559,86 @@
         items.into_iter().flatten().for_each(|item| item.value = Vec::new());
     }
 
+    /// Applies a server's entry, which changed after `since`. Returns whether the server or its instance
+    /// is new.
+    fn update_server(
+        &mut self,
+        object: &Object,
+        entry: ServerEntry,
+        since: Tick,
+        clock: Clock,
+        log: bool,
+    ) -> bool {
+        let now = clock.now();
+        if self
+            .servers
+            .get(&object.name)
+            .is_some_and(|server| is_former_life(server, object, &entry))
+        {
+            return false;
+        }
+        self.notices.record_life(&object.name, entry.life(), now);
+        if entry.leaving
+            && self.notices.record_leaving(&object.name, entry.life(), since, Source::Store)
+            && log
+        {
+            let age = now.since(since).as_millis() as u64;
+            info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), source = Source::Store.text(), age_ms = age, revision:% = object.position; "server announced that it leaves");
+        }
+        match self.servers.get_mut(&object.name) {
+            Some(server)
+                if server.entry.addr == entry.addr && server.entry.start_ms == entry.start_ms =>
+            {
+                server.update(object, entry, since, now);
+                false
+            }
+            _ => {
+                if log {
+                    info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.start_ms, revision:% = object.position; "new server or new instance of a server");
+                }
+                let server = Server {
+                    name: object.name.clone(),
+                    backend: Rc::new(ConnectionPool::new(entry.addr, clock)),
+                    known_since: now,
+                    missing: None,
+                    returned: None,
+                    position: object.position,
+                    is_gone: false,
+                    known_era: object.position.era,
+                    warm_at: now + entry.warmup,
+                    warmth_known: since,
+                    running: Rc::default(),
+                    entry,
+                };
+                if let Some(before) = self.servers.insert(object.name.clone(), server) {
+                    self.former.record(before.instance(), before.entry.addr, now);
+                }
+                true
+            }
+        }
+    }
+
+    /// Decodes the owners of a service and keeps the addresses of those without entries; `None` if
+    /// they are malformed.
+    fn decode_owner(&mut self, object: &Object, now: Tick) -> Option<Ownership> {
+        let record = OwnersRecord::decode(object.value.as_slice()).ok();
+        let known = record.and_then(|record| {
+            let addresses: Vec<_> = record.addresses().collect();
+            Some((Ownership::try_from(record).ok()?, addresses))
+        });
+        let Some((owned, addresses)) = known else {
+            log::warn!(event = "bad_owners", service = object.name.as_str(); "cannot decode the owners of a service; keeping the known ones");
+            return None;
+        };
+        for (instance, addr) in addresses {
+            let listed = self.servers.get(&instance.server);
+            if listed.is_none_or(|server| server.instance() != instance) {
+                self.former.record(instance, addr, now);
+            }
+        }
+        Some(owned)
+    }
+
     /// Applies changed evacuations, which the store acknowledged after `since`. What a listing of a new
     /// era lacks was lost, not deleted.
     fn decode_evacuations(&mut self, changes: &[(Object, bool)], since: Tick, now: Tick) {
@@ -579,9 +674,10 @@
         self.servers.values().for_each(|server| server.backend.evict_expired());
         self.notices.evict(now, |name| self.servers.contains_key(name));
         self.limits.evict(now, |name| self.servers.contains_key(name));
+        self.former.evict(now);
         let era = self.synced(Kind::Servers).era;
         let before = self.servers.len();
-        let ended = &mut self.ended;
+        let (ended, former) = (&mut self.ended, &mut self.former);
         self.servers.retain(|_, server| {
             let Some(since) = server.missing else { return true };
             server.is_gone |= since >= store_back + OUTAGE_GRACE;
@@ -591,6 +687,7 @@
                 let start_ms = server.entry.start_ms;
                 let known = Ended { start_ms, gone: since, at: now, era, back: None };
                 ended.insert(server.name.clone(), known);
+                former.record(server.instance(), server.entry.addr, now);
             }
             used
         });
@@ -617,7 +714,7 @@
         });
         let any = !back.is_empty();
         for (object, entry, since) in back {
-            update_server(&mut self.servers, &mut self.notices, &object, entry, since, clock, true);
+            self.update_server(&object, entry, since, clock, true);
         }
         any
     }
@@ -678,23 +775,6 @@
     }
 }
 
-/// Decodes the owners of a service; `None` if they are malformed.
-fn decode_owners(object: &Object) -> Option<Ownership> {
-    let record = OwnersRecord::decode(object.value.as_slice()).ok();
-    let owned = record.and_then(|record| Ownership::try_from(record).ok());
-    if owned.is_none() {
-        log::warn!(event = "bad_owners", service = object.name.as_str(); "cannot decode the owners of a service; keeping the known ones");
-    }
-    owned
-}
-
-/// Encodes the owners of a service for a snapshot.
-fn owners_item((service, (position, owned)): (&Name, &(Position, Rc<Ownership>))) -> Item {
-    let value = OwnersRecord::from(&**owned).encode_to_vec();
-    let (name, Position { era, revision }) = (service.to_string(), *position);
-    Item { name, revision, value, gone: false, era }
-}
-
 /// Returns whether an entry that came back with a copy of the store is that of a former life of a
 /// server.
 fn is_former_life(server: &Server, object: &Object, entry: &ServerEntry) -> bool {
@@ -722,57 +802,3 @@
         info!(event = "server_leaving", server, source = Source::Store.text(), age_ms = age, revision:% = object.position; "server announced that it leaves");
     }
 }
-
-/// Applies a server's entry, which changed after `since`. Returns whether the server or its instance
-/// is new.
-fn update_server(
-    servers: &mut HashMap<Name, Server>,
-    notices: &mut Notices,
-    object: &Object,
-    entry: ServerEntry,
-    since: Tick,
-    clock: Clock,
-    log: bool,
-) -> bool {
-    let now = clock.now();
-    if servers.get(&object.name).is_some_and(|server| is_former_life(server, object, &entry)) {
-        return false;
-    }
-    notices.record_life(&object.name, entry.life(), now);
-    if entry.leaving
-        && notices.record_leaving(&object.name, entry.life(), since, Source::Store)
-        && log
-    {
-        let age = now.since(since).as_millis() as u64;
-        info!(event = "server_leaving", server = object.name.as_str(), service = entry.service.as_str(), source = Source::Store.text(), age_ms = age, revision:% = object.position; "server announced that it leaves");
-    }
-    match servers.get_mut(&object.name) {
-        Some(server)
-            if server.entry.addr == entry.addr && server.entry.start_ms == entry.start_ms =>
-        {
-            server.update(object, entry, since, now);
-            false
-        }
-        _ => {
-            if log {
-                info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.start_ms, revision:% = object.position; "new server or new instance of a server");
-            }
-            let server = Server {
-                name: object.name.clone(),
-                backend: Rc::new(ConnectionPool::new(entry.addr, clock)),
-                known_since: now,
-                missing: None,
-                returned: None,
-                position: object.position,
-                is_gone: false,
-                known_era: object.position.era,
-                warm_at: now + entry.warmup,
-                warmth_known: since,
-                running: Rc::default(),
-                entry,
-            };
-            servers.insert(object.name.clone(), server);
-            true
-        }
-    }
-}
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -111,8 +111,6 @@
     pub(crate) probes: HashMap<SocketAddr, servers::ProbeRound>,
     /// When a server last responded to a request of any node.
     last_response: HashMap<Name, Tick>,
-    /// Last known addresses of servers, kept after their entries are gone.
-    addresses: HashMap<Instance, SocketAddr>,
     /// Handovers by service.
     handovers: HashMap<Name, progress::Progress>,
 }
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -268,14 +268,5 @@
 
 /// Returns the address of a server instance, also if its entry is gone.
 pub(super) fn address<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> Option<SocketAddr> {
-    let view = node.view.borrow();
-    let mut control = node.control.borrow_mut();
-    match view.servers.get(&instance.server) {
-        Some(server) if server.entry.start_ms == instance.start_ms => {
-            control.addresses.insert(instance.clone(), server.entry.addr);
-            Some(server.entry.addr)
-        }
-        Some(_) => None,
-        None => control.addresses.get(instance).copied(),
-    }
+    node.view.borrow().address(instance)
 }
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -405,7 +405,7 @@
 
 fn adopt_objects<P: Platform>(node: &Rc<Node<P>>, kind: Kind, snapshot: Snapshot) {
     if kind == Kind::Owners {
-        node.view.borrow_mut().learn_snapshot(&snapshot);
+        node.view.borrow_mut().learn_snapshot(&snapshot, node.now());
     }
     let known = {
         let view = node.view.borrow();
--- /dev/null
+++ b/crates/whinspring-router/src/former.rs
@@ -0,0 +1,38 @@
+//! Addresses of server instances that have no entry in the store any more.
+//!
+//! A server that leaves while the store is away loses its entry before its keys can be granted to
+//! another one. Whoever is the controller then asks at its address whether it has ended; without the
+//! address only the longest lease that it may hold bounds the wait. Nodes therefore keep the addresses
+//! of servers that they have removed, and the stored owners name those of all owners, for nodes that
+//! start later.
+
+use {
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    whinspring::{ranges::Instance, time::Tick},
+};
+
+/// Time for which an address is kept. All leases of the server have expired long before.
+const RETENTION: Duration = Duration::from_secs(120);
+
+/// Addresses of former servers.
+#[derive(Debug, Default)]
+pub struct FormerServers {
+    /// Address by instance, and when the instance was last known to be listed.
+    known: HashMap<Instance, (SocketAddr, Tick)>,
+}
+
+impl FormerServers {
+    /// Keeps the address of an instance that has no entry at `now`.
+    pub fn record(&mut self, instance: Instance, addr: SocketAddr, now: Tick) {
+        self.known.insert(instance, (addr, now));
+    }
+
+    pub fn get(&self, instance: &Instance) -> Option<SocketAddr> {
+        self.known.get(instance).map(|(addr, _)| *addr)
+    }
+
+    /// Forgets instances that have been gone for [`RETENTION`].
+    pub fn evict(&mut self, now: Tick) {
+        self.known.retain(|_, (_, at)| now.since(*at) < RETENTION);
+    }
+}
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -3,6 +3,7 @@
 use {
     crate::message::HandoverRecord,
     prost::Message,
+    std::{collections::BTreeSet, net::SocketAddr},
     whinspring::{
         name::Name,
         ranges::{HandoverKey, Instance, Ownership, Span},
@@ -46,6 +47,19 @@
     /// Spans in ascending order, without gaps.
     #[prost(message, repeated, tag = "2")]
     pub spans: Vec<SpanRecord>,
+    /// Addresses of the owners and former owners; empty in records of earlier versions.
+    #[prost(message, repeated, tag = "3")]
+    pub servers: Vec<AddressRecord>,
+}
+
+/// The address of one instance of a server.
+#[derive(Clone, PartialEq, Message)]
+pub struct AddressRecord {
+    #[prost(message, optional, tag = "1")]
+    pub server: Option<InstanceRecord>,
+    /// Address that accepts requests and grants.
+    #[prost(string, tag = "2")]
+    pub addr: String,
 }
 
 /// A span of keys and its owner.
@@ -110,7 +124,32 @@
 
 impl From<&Ownership> for OwnersRecord {
     fn from(owned: &Ownership) -> Self {
-        Self { term: owned.term, spans: owned.spans.iter().map(SpanRecord::from).collect() }
+        let spans = owned.spans.iter().map(SpanRecord::from).collect();
+        Self { term: owned.term, spans, servers: Vec::new() }
+    }
+}
+
+impl OwnersRecord {
+    /// Returns the record of owners with the addresses of those that `address` knows.
+    pub fn with_addresses(
+        owned: &Ownership,
+        address: impl Fn(&Instance) -> Option<SocketAddr>,
+    ) -> Self {
+        let former = owned.spans.iter().filter_map(|span| span.former.as_ref());
+        let named: BTreeSet<&Instance> =
+            owned.spans.iter().map(|span| &span.owner).chain(former).collect();
+        let record = |instance: &Instance| {
+            let addr = address(instance)?.to_string();
+            Some(AddressRecord { server: Some(instance.into()), addr })
+        };
+        Self { servers: named.into_iter().filter_map(record).collect(), ..Self::from(owned) }
+    }
+
+    /// Returns the addresses that the record names; skips those that cannot be read.
+    pub fn addresses(&self) -> impl Iterator<Item = (Instance, SocketAddr)> {
+        let read =
+            |known: &AddressRecord| Some((known.server.clone()?.into(), known.addr.parse().ok()?));
+        self.servers.iter().filter_map(read)
     }
 }
 
