Leases are long only in a lasting outage, and end ten seconds after the last confirmation

Cause: whenever a call to the store had failed, all leases ran for 10 s. Change: 4 s until the store has not confirmed the controller for 2.5 s, then up to 10 s after that confirmation: the later a lease is granted, the less of the outage it has to bridge. A successor assumes no more than that; the control record counts the terms that keep it (field 6), so that it assumes 10 s after a controller of an earlier version. Weighed: leases of 4 s throughout (a controller that is lost in an outage leaves all keys without an owner), renewals by other nodes (their rights would lengthen every wait), a stand-by owner written ahead (a successor cannot tell whether it was used).

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -79,6 +79,8 @@
     first: bool,
     /// Whether grants may exist that the store has lost.
     restored: bool,
+    /// Whether the leases of the last controllers were bounded as [`leases::Terms`] says.
+    is_bounded: bool,
     /// Whether this node is the controller.
     is_leader: bool,
     /// Whether this node is resigning, so that another node may be the controller already.
@@ -250,7 +252,7 @@
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
         let stopped = self.predecessor_stopped.unwrap_or(self.elected_at + HANDOVER_TIMEOUT);
-        now > leases::lease_end(stopped, grants::LEASE_DURATION)
+        now > leases::lease_end(stopped, leases::SHORT_LEASE)
     }
 
     /// Returns the latest time at which the previous controller may have sent a command.
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -44,6 +44,10 @@
 /// Number of terms of an era from which its first one is taken.
 const FIRST_TERMS: u64 = 1 << 13;
 
+/// Consecutive terms with bounded leases from which no lease of an earlier version, which granted
+/// longer ones, is left.
+const MIN_BOUNDED: u32 = 2;
+
 const CONTROLLER_RECORD: &str = "controller";
 
 /// Ratio of CPU shares from which a controller yields to a stronger node.
@@ -176,6 +180,7 @@
         term: next_term(&known, position, node.control.borrow().term),
         era,
         restored: is_restored(&known, era, node.control.borrow().term),
+        bounded: bounded_terms(node, &known, era),
     };
     let value = record.encode_to_vec();
     let written = node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await;
@@ -220,6 +225,15 @@
     if known.era == era && known.term != 0 { known.restored } else { known.term.max(term) != 0 }
 }
 
+/// Returns how many consecutive terms have bounded leases, with one that replaces a record.
+fn bounded_terms<P: Platform>(node: &Rc<Node<P>>, known: &ControlRecord, era: u64) -> u32 {
+    let knows_owners = !node.view.borrow().owners.is_empty();
+    if known.term == 0 && node.control.borrow().term == 0 && era == 0 && !knows_owners {
+        return MIN_BOUNDED;
+    }
+    if known.era == era { known.bounded.saturating_add(1) } else { 1 }
+}
+
 /// Makes this node the controller. `known` is the record that it replaced; one of an earlier era
 /// says nothing of the last controller before this one.
 fn take_office<P: Platform>(
@@ -235,6 +249,7 @@
     control.step_down();
     control.first = absent;
     control.restored = record.restored;
+    control.is_bounded = is_current && known.bounded >= MIN_BOUNDED;
     control.term = record.term;
     control.era = record.era;
     control.is_leader = true;
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -9,6 +9,7 @@
     super::{
         Controller,
         handover::{is_current, start_handovers},
+        leases::Terms,
         restore,
         servers::{address, candidates, refused_recently, restarted_as},
     },
@@ -34,9 +35,6 @@
     },
 };
 
-/// Lease duration while the store responds.
-pub(super) const LEASE_DURATION: Duration = Duration::from_millis(4_000);
-
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_400);
 
 /// Time between two runs of the balancer.
@@ -269,7 +267,9 @@
             node.control.borrow_mut().leases.entry(&service, span).in_flight = false;
             continue;
         }
-        let reply = grant(&node, &service, span, addr, lease_duration(&node), None).await;
+        let unconfirmed = node.now().since(node.control.borrow().confirmed);
+        let duration = lease_terms(&node).duration(unconfirmed);
+        let reply = grant(&node, &service, span, addr, duration, None).await;
         reachable = matches!(reply, Reply::Done(_) | Reply::Fenced);
         if reply == Reply::Fenced {
             node.metrics.count("grant_fenced");
@@ -329,18 +329,14 @@
     reply
 }
 
-fn lease_duration<P: Platform>(node: &Rc<Node<P>>) -> Duration {
-    if node.store_lost.get() { max_lease(node) } else { default_lease(node) }
-}
-
 /// Returns the longest lease that servers accept.
 pub(super) fn max_lease<P: Platform>(node: &Rc<Node<P>>) -> Duration {
     Duration::from_millis(node.settings.limits.hold_ms.into())
 }
 
-/// Returns the lease duration while the store responds.
-pub(super) fn default_lease<P: Platform>(node: &Rc<Node<P>>) -> Duration {
-    LEASE_DURATION.min(max_lease(node))
+/// Returns the durations of the leases that controllers grant.
+pub(super) fn lease_terms<P: Platform>(node: &Rc<Node<P>>) -> Terms {
+    Terms::new(max_lease(node))
 }
 
 /// Clears the former owners of spans whose handover has finished.
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -14,7 +14,7 @@
 use {
     super::{
         FENCE_STEP,
-        grants::{current_ownership, default_lease, grant, max_lease},
+        grants::{current_ownership, grant, lease_terms, max_lease},
         leases::lease_end,
         progress::Outcome,
         servers::{address, is_dead, request_probes, restarted_as},
@@ -139,7 +139,7 @@
             sleep(RETRY_DELAY).await;
             continue;
         }
-        match grant(node, service, span, addr, default_lease(node), token.clone()).await {
+        match grant(node, service, span, addr, lease_terms(node).short(), token.clone()).await {
             Reply::Done(_) => return Outcome::Granted,
             Reply::Fenced | Reply::Down | Reply::Replaced => return Outcome::Rejected,
             Reply::Unsent | Reply::NoResponse => sleep(RETRY_DELAY).await,
@@ -214,7 +214,10 @@
         Some(since) => since.min(control.earlier_last_command()),
         None => control.predecessor_last_command(),
     };
-    expiry.max(lease_end(last, max_lease(node)))
+    let terms = lease_terms(node);
+    let bounded = terms.end_of(last, control.elected_at);
+    let earlier = if control.is_bounded { bounded } else { lease_end(last, max_lease(node)) };
+    expiry.max(earlier)
 }
 
 /// Returns a span for its former owner, with a fencing token above those of all older grants.
--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -2,6 +2,11 @@
 //!
 //! Leases are kept by server instance: while many servers are unreachable, each handover asks again
 //! and again when the leases of its former owner expire.
+//!
+//! A short lease frees the keys of a lost server soon; a long one keeps keys with their owners while
+//! no controller can be elected because the store is away. A lease is therefore long only once the
+//! store has not confirmed the controller for a while, and none of them runs for longer than an
+//! outage has to be bridged: the later it is granted, the shorter it is.
 
 use {
     std::{collections::HashMap, time::Duration},
@@ -12,6 +17,13 @@
     },
 };
 
+/// Lease duration while the store confirms the controller.
+pub(super) const SHORT_LEASE: Duration = Duration::from_millis(4_000);
+
+/// Time since the last confirmation by the store from which leases are long. Until then, the short
+/// ones bridge the outage.
+const OUTAGE_AFTER: Duration = Duration::from_millis(2_500);
+
 /// Allowance for drift of a server's clock, as a divisor of the lease duration.
 const CLOCK_DRIFT_DIVISOR: u32 = 50;
 
@@ -135,6 +147,44 @@
     next > u32::from(last)
 }
 
+/// Durations of the leases that controllers grant, for servers that accept `max`.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms {
+    max: Duration,
+}
+
+impl Terms {
+    pub fn new(max: Duration) -> Self {
+        Self { max }
+    }
+
+    /// Returns the duration of a lease while the store responds.
+    pub fn short(self) -> Duration {
+        SHORT_LEASE.min(self.max)
+    }
+
+    /// Returns the duration of a lease that is granted `unconfirmed` after the last confirmation by
+    /// the store. Long ones end `max` after that confirmation.
+    pub fn duration(self, unconfirmed: Duration) -> Duration {
+        if unconfirmed < OUTAGE_AFTER {
+            return self.short();
+        }
+        self.short().max(self.max.saturating_sub(unconfirmed))
+    }
+
+    /// Returns the longest duration of a lease.
+    pub fn longest(self) -> Duration {
+        self.duration(OUTAGE_AFTER)
+    }
+
+    /// Returns when all leases have expired of a controller that sent its last command by `last` and
+    /// was confirmed for the last time before `successor` was elected.
+    pub fn end_of(self, last: Tick, successor: Tick) -> Tick {
+        let long = lease_end(last, self.longest()).min(lease_end(successor, self.max));
+        lease_end(last, self.short()).max(long)
+    }
+}
+
 /// Returns when a lease that is granted now has expired on the server's clock as well.
 pub fn lease_end(now: Tick, duration: Duration) -> Tick {
     now + lease_time(duration)
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -28,6 +28,9 @@
     /// Whether the store may have lost grants in the history before this era.
     #[prost(bool, tag = "5")]
     pub restored: bool,
+    /// Number of consecutive terms, this one included, whose controllers bound their leases.
+    #[prost(uint32, tag = "6")]
+    pub bounded: u32,
 }
 
 /// The stored record of a node.
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -259,6 +259,11 @@
         self.servers.get_mut(&name(index)).unwrap().unreachable = unreachable;
     }
 
+    /// Cuts a node off from all servers for good.
+    pub fn set_pathless(&mut self, node: &str) {
+        self.pathless.push(node.into());
+    }
+
     /// Makes a server refuse connections while it keeps its keys.
     pub fn refuse_connections(&mut self, index: usize) {
         self.servers.get_mut(&name(index)).unwrap().refusing = true;
@@ -815,8 +820,8 @@
         let refused = node.platform.world.borrow().refuses(node.name());
         if !refused {
             show_servers(&node);
-            node.set_store_reachable(true);
         }
+        node.set_store_reachable(!refused);
         let now = node.now();
         node.view.borrow_mut().sweep(now, node.store_recovered.get(), node.clock);
     }
--- a/crates/whinspring-router/tests/owners/main.rs
+++ b/crates/whinspring-router/tests/owners/main.rs
@@ -6,6 +6,7 @@
 
 mod evacuations;
 mod fake;
+mod outages;
 mod paths;
 mod restores;
 mod scenarios;
