Requests for keys that have had no owner for a while are rejected at once

Cause: each request for a key without an owner waited for 350 ms, also when the keys had had none for seconds because the lease of a silent server had to run out. Change: what counts is how long the keys have had no owner (whinspring::ranges::vacancy). A handover that has just begun is waited for; from 350 ms on requests are rejected at once, and Retry-After is the time that a lease takes to run out.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -31,7 +31,7 @@
         limits::Limits,
         name::Name,
         notices::{Life, Notices, Source},
-        ranges::{HandoverKey, Instance, Ownership, Span},
+        ranges::{HandoverKey, Instance, Ownership, Span, vacancy::Vacancies},
         routes::RouteTable,
         time::Tick,
     },
@@ -223,6 +223,8 @@
     former: FormerServers,
     /// Entries that name no server because they are malformed.
     pub malformed: MalformedEntries,
+    /// Keys by service that are handed over, and since when.
+    vacancies: HashMap<Name, Vacancies>,
     /// Handovers by service that have finished, though the owners still name the former one.
     handed_over: HashMap<Name, HashSet<HandoverKey>>,
 }
@@ -411,7 +413,13 @@
 
     /// Applies the owners of a service's keys that the store has at a position, unless newer ones
     /// are known.
-    pub fn apply_owners(&mut self, service: Name, position: Position, owned: Rc<Ownership>) {
+    pub fn apply_owners(
+        &mut self,
+        service: Name,
+        position: Position,
+        owned: Rc<Ownership>,
+        now: Tick,
+    ) {
         let raw = self.raw.entry(Kind::Owners).or_default();
         let known = raw.items.get(&service).map(|item| item.position);
         if known.is_none_or(|known| known < position) {
@@ -420,12 +428,18 @@
             let object = Object { name: service.clone(), position, value: Vec::new() };
             raw.items.insert(service.clone(), object);
         }
-        self.learn_owners(service, position, owned);
+        self.learn_owners(service, position, owned, now);
     }
 
     /// Keeps owners that this or another node knows, unless newer ones are known, whatever the
     /// store has. Only one node writes owners in a term, and a term lies in one era.
-    pub fn learn_owners(&mut self, service: Name, position: Position, owned: Rc<Ownership>) {
+    pub fn learn_owners(
+        &mut self,
+        service: Name,
+        position: Position,
+        owned: Rc<Ownership>,
+        now: Tick,
+    ) {
         let order = |position: &Position, owned: &Ownership| (owned.term, position.revision);
         let new = order(&position, &owned);
         if self.owners.get(&service).is_some_and(|(at, known)| order(at, known) >= new) {
@@ -434,6 +448,7 @@
         if let Some(finished) = self.handed_over.get_mut(&service) {
             finished.retain(|key| owned.is_pending(key));
         }
+        self.vacancies.entry(service.clone()).or_default().update(&owned, now);
         self.owners.insert(service, (position, owned));
     }
 
@@ -442,7 +457,7 @@
         for item in &snapshot.items {
             let object = Object::from((item.clone(), item.era));
             if let Some(owned) = self.decode_owner(&object, now) {
-                self.learn_owners(object.name, object.position, Rc::new(owned));
+                self.learn_owners(object.name, object.position, Rc::new(owned), now);
             }
         }
     }
@@ -477,6 +492,14 @@
         owned.find(key).filter(is_granted)
     }
 
+    /// Returns since when a key has had no owner that can serve it, if this is so and known.
+    pub fn vacant_since(&self, service: &Name, key: u16) -> Option<Tick> {
+        match self.granted_span(service, key) {
+            Some(span) => self.former.gone_since(&span.owner),
+            None => self.vacancies.get(service)?.since(key),
+        }
+    }
+
     /// Decodes the objects of a kind that are new or have changed after `since`.
     fn decode_changes(
         &mut self,
@@ -552,7 +575,7 @@
     fn decode_owners<'a>(&mut self, fresh: impl Iterator<Item = &'a Object>, now: Tick) {
         for object in fresh {
             if let Some(owned) = self.decode_owner(object, now) {
-                self.learn_owners(object.name.clone(), object.position, Rc::new(owned));
+                self.learn_owners(object.name.clone(), object.position, Rc::new(owned), now);
             }
         }
         let items = self.raw.get_mut(&Kind::Owners).map(|raw| raw.items.values_mut());
@@ -633,7 +656,7 @@
         for (instance, addr) in addresses {
             let listed = self.servers.get(&instance.server);
             if listed.is_none_or(|server| server.instance() != instance) {
-                self.former.record(instance, addr, now);
+                self.former.learn(instance, addr, now);
             }
         }
         Some(owned)
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -198,7 +198,8 @@
         Ok(position) => {
             let before = node.view.borrow().owners.get(service).cloned();
             let after = (position, Rc::new(owned));
-            node.view.borrow_mut().apply_owners(service.clone(), position, after.1.clone());
+            let now = node.now();
+            node.view.borrow_mut().apply_owners(service.clone(), position, after.1.clone(), now);
             owners::publish(node, service, &before.unwrap_or_default(), &after);
             node.notify_change();
             true
--- a/crates/whinspring-router/src/former.rs
+++ b/crates/whinspring-router/src/former.rs
@@ -17,7 +17,7 @@
 /// Addresses of former servers.
 #[derive(Debug, Default)]
 pub struct FormerServers {
-    /// Address by instance, and when the instance was last known to be listed.
+    /// Address by instance, and when the instance was found to have no entry.
     known: HashMap<Instance, (SocketAddr, Tick)>,
 }
 
@@ -27,10 +27,20 @@
         self.known.insert(instance, (addr, now));
     }
 
+    /// Keeps the address of an instance that another node names and this one has no entry of.
+    pub fn learn(&mut self, instance: Instance, addr: SocketAddr, now: Tick) {
+        self.known.entry(instance).or_insert((addr, now));
+    }
+
     pub fn get(&self, instance: &Instance) -> Option<SocketAddr> {
         self.known.get(instance).map(|(addr, _)| *addr)
     }
 
+    /// Returns since when an instance has had no entry, as far as known.
+    pub fn gone_since(&self, instance: &Instance) -> Option<Tick> {
+        self.known.get(instance).map(|(_, at)| *at)
+    }
+
     /// Forgets instances that have been gone for [`RETENTION`].
     pub fn evict(&mut self, now: Tick) {
         self.known.retain(|_, (_, at)| now.since(*at) < RETENTION);
--- a/crates/whinspring-router/src/owners.rs
+++ b/crates/whinspring-router/src/owners.rs
@@ -60,7 +60,7 @@
     next.term = change.term;
     next.apply(spans);
     let position = Position::new(change.era, change.revision);
-    node.view.borrow_mut().apply_owners(service, position, Rc::new(next));
+    node.view.borrow_mut().apply_owners(service, position, Rc::new(next), node.now());
     node.notify_change();
 }
 
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -47,6 +47,7 @@
         },
         name::Name,
         notices::{Purpose, Refusal, Source},
+        ranges::vacancy::{self, Verdict},
         routes::{Route, RouteTable},
         time::Tick,
     },
@@ -392,11 +393,18 @@
                 return Ok(server);
             }
             let now = node.now();
-            if now >= until || now >= self.deadline {
-                info!(event = "no_owner", id = self.id(), service = self.service.as_str(), key, fence, revision:% = position; "rejected: the key still had no owner at the end of the wait");
-                return Err(Rejection::with_retry(Code::NoOwner, RETRY_DELAY));
+            let since = node.view.borrow().vacant_since(&self.service, key).unwrap_or(now);
+            let (wait_end, retry) = match vacancy::judge(since, now) {
+                Verdict::Wait(end) => (end.min(until).min(self.deadline), RETRY_DELAY),
+                Verdict::Reject(retry) => (now, retry),
+            };
+            if now >= wait_end {
+                let vacant_ms = now.since(since).as_millis() as u64;
+                let retry_ms = retry.as_millis() as u64;
+                info!(event = "no_owner", id = self.id(), service = self.service.as_str(), key, fence, revision:% = position, vacant_ms, retry_ms; "rejected: the key has no owner, and gets none in time");
+                return Err(Rejection::with_retry(Code::NoOwner, retry));
             }
-            admission::wait_for_change(node, until.min(self.deadline)).await;
+            admission::wait_for_change(node, wait_end).await;
         }
     }
 
--- a/crates/whinspring-router/tests/eras.rs
+++ b/crates/whinspring-router/tests/eras.rs
@@ -310,13 +310,13 @@
     };
     let owner = |view: &ClusterState| view.owners[&service].1.spans[0].owner.server.clone();
     let mut view = ClusterState::default();
-    view.apply_owners(service.clone(), at(1, 100), owned(5, "s1"));
-    view.apply_owners(service.clone(), at(2, 90), owned(5, "s2"));
+    view.apply_owners(service.clone(), at(1, 100), owned(5, "s1"), Tick::default());
+    view.apply_owners(service.clone(), at(2, 90), owned(5, "s2"), Tick::default());
     assert_eq!(owner(&view), "s1", "the copy is older");
     assert_eq!(view.stored_position(Kind::Owners, &service, 2), at(2, 90));
     assert_eq!(view.stored_position(Kind::Owners, &service, 3), at(3, 0));
-    view.apply_owners(service.clone(), at(2, 91), owned(9, "s3"));
-    view.apply_owners(service.clone(), at(2, 120), owned(5, "s4"));
+    view.apply_owners(service.clone(), at(2, 91), owned(9, "s3"), Tick::default());
+    view.apply_owners(service.clone(), at(2, 120), owned(5, "s4"), Tick::default());
     assert_eq!(owner(&view), "s3", "a late write of the earlier term");
     assert_eq!(view.stored_position(Kind::Owners, &service, 2), at(2, 120));
 }
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -127,7 +127,12 @@
     owned.spans[1].former = Some(owned.spans[0].owner.clone());
     let moved = owned.spans[1].clone();
     let mut view = ClusterState::default();
-    view.apply_owners(service.clone(), Position::new(0, 5), Rc::new(owned.clone()));
+    view.apply_owners(
+        service.clone(),
+        Position::new(0, 5),
+        Rc::new(owned.clone()),
+        Tick::default(),
+    );
     assert!(view.granted_span(&service, moved.first).is_none());
     assert!(view.granted_span(&service, 0).is_some());
 
@@ -138,6 +143,6 @@
     assert_eq!(view.granted_span(&service, moved.last), Some(&moved));
 
     owned.spans[1].fence += 64;
-    view.apply_owners(service.clone(), Position::new(0, 6), Rc::new(owned));
+    view.apply_owners(service.clone(), Position::new(0, 6), Rc::new(owned), Tick::default());
     assert!(view.granted_span(&service, moved.first).is_none(), "another handover has begun");
 }
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -236,7 +236,7 @@
         view.routes = Some(Arc::new(table(true)));
         let owner = view.servers["s1"].instance();
         let owned = Ownership::split_evenly(1, &[owner], || 1);
-        view.apply_owners("plain".into(), Position::new(0, 1), Rc::new(owned));
+        view.apply_owners("plain".into(), Position::new(0, 1), Rc::new(owned), self.node.now());
     }
 
     /// Changes the longest body of a request.
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -9,6 +9,7 @@
 
 pub mod balance;
 pub mod demand;
+pub mod vacancy;
 
 pub const MAX_KEY: u16 = u16::MAX;
 
