Handovers of a lost controller are repeated sooner; the controller's place is free after 2.5 s without the store

Change: the first lease of a new owner runs 2 s until the store knows of the handover, renewed every 0.7 s; a handover that the earlier controller has said to be finished is not repeated; other nodes campaign after 2.5 s (the grace after a return of the store guards against elections in a short outage). Tried and reverted: to recall the keys from the new owner at once (release it, or fence and release it, before the former one is fenced).

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -252,7 +252,10 @@
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
         let stopped = self.predecessor_stopped.unwrap_or(self.elected_at + HANDOVER_TIMEOUT);
-        now > leases::lease_end(stopped, leases::SHORT_LEASE)
+        now > leases::lease_end(
+            stopped,
+            if self.is_bounded { leases::HANDOVER_LEASE } else { leases::SHORT_LEASE },
+        )
     }
 
     /// Returns the latest time at which the previous controller may have sent a command.
@@ -266,6 +269,12 @@
         self.elected_at + COMMAND_TIMEOUT
     }
 
+    /// Returns whether the new owner of a span was granted the keys, and the store does not know of it.
+    fn has_finished(&self, service: &Name, span: &Span) -> bool {
+        let progress = self.handovers.get(service);
+        progress.is_some_and(|progress| progress.finished.contains(&span.handover()))
+    }
+
     /// Steps down in favour of a controller of a later term.
     fn depose(&mut self, term: u64) {
         warn!(event = "deposed", term = self.term, other = term; "another node is the controller of a later term; this one steps down");
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -7,7 +7,7 @@
 //! is not cut off.
 
 use {
-    super::{Controller, grants, progress, restore},
+    super::{Controller, HANDOVER_TIMEOUT, grants, progress, restore},
     crate::{
         follow,
         message::Heartbeat,
@@ -34,8 +34,9 @@
 /// Time between two checks with the store that this node still is the controller.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Time since the store last responded to the controller after which other nodes may campaign.
-const UNCONFIRMED_AFTER: Duration = Duration::from_millis(3_500);
+/// Time since the store last responded to the controller after which other nodes may campaign: from
+/// then on the controller hands no keys over.
+const UNCONFIRMED_AFTER: Duration = HANDOVER_TIMEOUT;
 
 /// Time from the return of the store in which the controller may say that the store responds to it,
 /// too. The first node that hears of the return is not always the controller.
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -37,6 +37,9 @@
 
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_400);
 
+/// The same for leases of handovers that the store does not know to be finished.
+const HANDOVER_RENEW_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Time between two runs of the balancer.
 const PLAN_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -141,7 +144,8 @@
 }
 
 /// Raises the fencing tokens of all spans after a change of controller, except those of an earlier
-/// era, which [`restore::settle`] raises.
+/// era, which [`restore::settle`] raises. Handovers that the earlier controller has said to be finished
+/// are not repeated.
 ///
 /// Owners that were learned in a later era than that of their term come from the copy, or from a
 /// late write that has no place in the lost history. Servers may know higher tokens than those, or
@@ -159,9 +163,10 @@
         let mut control = node.control.borrow_mut();
         next.term = control.term;
         for span in &mut next.spans {
+            let finished = view.is_handed_over(service, span);
+            span.former = span.former.take().filter(|_| !finished);
             if control.is_unsettled(span) {
                 span.fence = if is_sure { span.fence } else { 0 };
-                span.former = span.former.take().filter(|_| !view.is_handed_over(service, span));
             } else {
                 span.fence = control.fence();
             }
@@ -229,12 +234,16 @@
 /// thousands of spans would exceed the memory of the VM.
 fn renew_leases<P: Platform>(node: &Rc<Node<P>>, service: &Name, owned: &Ownership, now: Tick) {
     let mut due: BTreeMap<&Instance, Vec<Span>> = BTreeMap::new();
-    for span in owned.spans.iter().filter(|span| span.former.is_none() && span.fence != 0) {
+    for span in owned.spans.iter().filter(|span| span.fence != 0) {
         let mut control = node.control.borrow_mut();
+        if span.former.is_some() && !control.has_finished(service, span) {
+            continue;
+        }
+        let interval = if span.former.is_some() { HANDOVER_RENEW_INTERVAL } else { RENEW_INTERVAL };
         let unsettled = control.is_unsettled(span);
         let lease = control.leases.entry(service, span);
         let due_at = lease.acked.or(lease.sent.filter(|_| unsettled));
-        if !lease.in_flight && due_at.is_none_or(|at| now.since(at) >= RENEW_INTERVAL) {
+        if !lease.in_flight && due_at.is_none_or(|at| now.since(at) >= interval) {
             due.entry(&span.owner).or_default().push(span.clone());
         }
     }
@@ -269,7 +278,10 @@
             continue;
         }
         let unconfirmed = node.now().since(node.control.borrow().confirmed);
-        let duration = lease_terms(&node).duration(unconfirmed);
+        let duration = match span.former {
+            None => lease_terms(&node).duration(unconfirmed),
+            Some(_) => lease_terms(&node).handover(),
+        };
         let reply = grant(&node, &service, span, addr, duration, None).await;
         reachable = matches!(reply, Reply::Done(_) | Reply::Fenced);
         if reply == Reply::Fenced {
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -139,7 +139,7 @@
             sleep(RETRY_DELAY).await;
             continue;
         }
-        match grant(node, service, span, addr, lease_terms(node).short(), token.clone()).await {
+        match grant(node, service, span, addr, lease_terms(node).handover(), token.clone()).await {
             Reply::Done(_) => return Outcome::Granted,
             Reply::Fenced | Reply::Down | Reply::Replaced => return Outcome::Rejected,
             Reply::Unsent | Reply::NoResponse => sleep(RETRY_DELAY).await,
--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -20,6 +20,10 @@
 /// Lease duration while the store confirms the controller.
 pub(super) const SHORT_LEASE: Duration = Duration::from_millis(4_000);
 
+/// Lease duration of a new owner until the store knows that the keys were handed over. A successor
+/// waits for its end before it repeats the handover.
+pub(super) const HANDOVER_LEASE: Duration = Duration::from_millis(2_000);
+
 /// Time since the last confirmation by the store from which leases are long. Until then, the short
 /// ones bridge the outage.
 const OUTAGE_AFTER: Duration = Duration::from_millis(2_500);
@@ -163,6 +167,11 @@
         SHORT_LEASE.min(self.max)
     }
 
+    /// Returns the duration of a new owner's lease until the store knows of the handover.
+    pub fn handover(self) -> Duration {
+        HANDOVER_LEASE.min(self.max)
+    }
+
     /// Returns the duration of a lease that is granted `unconfirmed` after the last confirmation by
     /// the store. Long ones end `max` after that confirmation.
     pub fn duration(self, unconfirmed: Duration) -> Duration {
--- a/crates/whinspring-router/tests/owners/outages.rs
+++ b/crates/whinspring-router/tests/owners/outages.rs
@@ -114,6 +114,31 @@
     });
 }
 
+/// Guards against a successor that leaves keys without an owner until the longest lease of its
+/// predecessor has expired, because that one was lost in the middle of their handover: the hottest keys
+/// are those that move. The servers respond all the time.
+#[test]
+fn handovers_of_a_lost_controller_are_finished_soon() {
+    for seed in 0..20 {
+        with_paused_clock(seed, async {
+            let cluster = Cluster::start(seed, 1).await;
+            let _successor = start(&cluster.world, "late");
+            advance(1_000).await;
+            for index in LEAVING {
+                cluster.world.borrow_mut().leave(index);
+            }
+            advance(150 + 40 * seed).await;
+            cluster.lose_nodes();
+            cluster.world.borrow_mut().set_pathless("n1");
+            // The election, the right of a predecessor that may live to hand keys over, the lease of a
+            // new owner, and a handover.
+            advance(1_500 + 2_500 + 2_340 + 500).await;
+            assert_eq!(held_by_others(&cluster.world), 1.0, "seed {seed}");
+            cluster.check();
+        });
+    }
+}
+
 /// Guards against leases that all run for the longest time while the store is away: the keys of a
 /// server that is lost silently in the outage then wait for seconds after the store's return.
 #[test]
