--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -92,6 +92,8 @@
     predecessor_stopped: Option<Tick>,
     /// When the last check that the store confirmed was started.
     confirmed: Tick,
+    /// When the last check was started.
+    checked: Tick,
     /// Whether such a check is in progress.
     confirming: bool,
     /// Low part of the last fencing token issued in this term.
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -34,6 +34,9 @@
 /// Time between two checks with the store that this node still is the controller.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Time between two such checks while they fail.
+const CONFIRM_RETRY: Duration = Duration::from_millis(300);
+
 /// Time since the store last responded to the controller after which other nodes may campaign: from
 /// then on the controller hands no keys over.
 const UNCONFIRMED_AFTER: Duration = HANDOVER_TIMEOUT;
@@ -303,10 +306,13 @@
     let now = node.now();
     {
         let mut control = node.control.borrow_mut();
-        if control.confirming || now.since(control.confirmed) < CONFIRM_INTERVAL {
+        let is_due = now.since(control.confirmed) >= CONFIRM_INTERVAL
+            && now.since(control.checked) >= CONFIRM_RETRY;
+        if control.confirming || !is_due {
             return;
         }
         control.confirming = true;
+        control.checked = now;
     }
     let node = node.clone();
     spawn_local(async move {
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -389,9 +389,9 @@
 }
 
 /// Moves keys off overloaded servers and off those that are leaving, unless this node may be cut off
-/// from all servers and take them for dead.
+/// from all servers and take them for dead, or the store does not respond and takes no moves.
 async fn rebalance<P: Platform>(node: &Rc<Node<P>>, service: &Name, now: Tick) {
-    if node.reach.borrow().is_in_doubt() {
+    if node.reach.borrow().is_in_doubt() || node.store_lost.get() {
         return;
     }
     let Some((position, owned)) = current_ownership(node, service) else { return };
