Router: smaller files, two circles of imports less, fields that nothing reads removed

The fields budget and returning of Admit were read by no version; their numbers stay unused. Moves and removals only.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -214,7 +214,6 @@
         avoid: request.avoid.clone().unwrap_or_default().to_string(),
         exclude: request.exclude.iter().map(Name::to_string).collect(),
         limits: limits::known(node, &request.pool),
-        ..Admit::default()
     };
     let own = node.name();
     if gate_node != own && node.send(gate_node, Body::Admit(admit.clone())) {
@@ -292,8 +291,6 @@
         deadline: now + Duration::from_millis(admit.deadline.into()),
         avoid: (!admit.avoid.is_empty()).then(|| admit.avoid.into()),
         exclude: admit.exclude.into_iter().map(Name::from).collect(),
-        budget: Duration::from_millis(admit.budget.into()),
-        returning: admit.returning,
     };
     limits::learn(node, &admit.limits);
     refresh(node, &pool);
--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -10,9 +10,11 @@
 //! term never replace later ones, a server that has announced that it leaves still does, and one
 //! that has ended is not used again unless it writes its entry again.
 
+pub use self::{malformed::MalformedEntries, server::Server};
+
 use {
+    self::former::FormerServers,
     crate::{
-        former::FormerServers,
         message::{Item, Snapshot},
         platform::{Changes, Dialect, Kind, Listing, Object, Position, ServerEntry},
         record::OwnersRecord,
@@ -30,17 +32,18 @@
         evacuation::Evacuations,
         limits::Limits,
         name::Name,
-        notices::{Life, Notices, Source},
+        notices::{Notices, Source},
         ranges::{HandoverKey, Instance, Ownership, Span, vacancy::Vacancies},
         routes::RouteTable,
         time::Tick,
     },
-    whinspring_http::{
-        backend::{ConnectionPool, NoStream},
-        clock::Clock,
-    },
+    whinspring_http::clock::Clock,
 };
 
+mod former;
+mod malformed;
+mod server;
+
 /// Time after the store's return for which a server without an entry is still used: entries that
 /// expired during an outage are back within two seconds.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_300);
@@ -58,86 +61,6 @@
 /// New servers of one change that are logged one by one.
 const MAX_LOGGED: u32 = 8;
 
-#[derive(Debug)]
-pub struct Server {
-    pub name: Name,
-    /// Its entry in the store.
-    pub entry: ServerEntry,
-    /// Connections to it.
-    pub backend: Rc<ConnectionPool<NoStream>>,
-    /// When this instance was first seen.
-    pub known_since: Tick,
-    /// When its entry disappeared.
-    pub missing: Option<Tick>,
-    /// When its entry had disappeared before it came back with a copy of the store, and its position
-    /// then; until the server writes that it is ready.
-    returned: Option<(Tick, Position)>,
-    /// Position of its entry.
-    position: Position,
-    /// Whether the store was not in an outage when its entry disappeared.
-    pub is_gone: bool,
-    /// Era in which this instance was first seen.
-    pub known_era: u64,
-    /// When its warm-up ends, as it said last.
-    pub warm_at: Tick,
-    /// Cloned by each request of this node that runs on it.
-    pub running: Rc<()>,
-    /// When it said that, or earlier.
-    warmth_known: Tick,
-}
-
-impl Server {
-    pub fn instance(&self) -> Instance {
-        Instance { server: self.name.clone(), start_ms: self.entry.start_ms }
-    }
-
-    pub fn life(&self) -> Life {
-        self.entry.life()
-    }
-
-    /// Returns how many requests of this node run on it.
-    pub fn running_count(&self) -> usize {
-        Rc::strong_count(&self.running) - 1
-    }
-
-    /// Returns since when it may have been gone: its entry is missing, or came back with a copy of
-    /// the store and may be that of a server that has ended.
-    fn gone_since(&self) -> Option<Tick> {
-        self.missing.or(self.returned.map(|(since, _)| since))
-    }
-
-    /// Records that the server remains cold for `left`. It said so at `since` or later; what it said
-    /// in a response before a change of its entry extends the warm-up only.
-    pub fn record_warmup(&mut self, left: Duration, since: Tick, now: Tick) {
-        let warm_at = now + left;
-        if since >= self.warmth_known || warm_at > self.warm_at {
-            self.warm_at = warm_at;
-            self.warmth_known = self.warmth_known.max(since);
-        }
-    }
-
-    /// Returns whether it has said since `at` how long it remains cold.
-    pub fn has_stated_warmth(&self, at: Tick) -> bool {
-        self.warmth_known > at
-    }
-
-    /// Applies an entry of the same instance that changed after `since`.
-    fn update(&mut self, object: &Object, entry: ServerEntry, since: Tick, now: Tick) {
-        self.record_warmup(entry.warmup, since, now);
-        let is_copy = object.position.era > self.position.era;
-        if let Some(since) = self.missing.take().filter(|_| is_copy) {
-            self.returned = Some((since, object.position));
-        }
-        let is_written = self.returned.is_some_and(|(_, position)| position != object.position);
-        if is_written && !entry.leaving {
-            self.returned = None;
-        }
-        self.is_gone = false;
-        self.position = object.position;
-        self.entry = entry;
-    }
-}
-
 /// Objects of one kind as the store sent them.
 #[derive(Debug, Default)]
 struct KindCache {
@@ -174,32 +97,6 @@
     back: Option<(Tick, Object, ServerEntry)>,
 }
 
-/// Entries of servers that cannot be parsed.
-#[derive(Debug, Default)]
-pub struct MalformedEntries {
-    names: HashSet<Name>,
-    /// Entries since the last call of [`MalformedEntries::take_count`].
-    count: u64,
-}
-
-impl MalformedEntries {
-    /// Counts an entry; returns whether it was not malformed before.
-    fn record(&mut self, name: &Name) -> bool {
-        self.count += 1;
-        self.names.insert(name.clone())
-    }
-
-    /// Returns the number of objects that are malformed now.
-    pub fn number(&self) -> usize {
-        self.names.len()
-    }
-
-    /// Returns the number of malformed entries that were read since the last call.
-    pub fn take_count(&mut self) -> u64 {
-        std::mem::take(&mut self.count)
-    }
-}
-
 /// The node's replica of the store's objects.
 #[derive(Debug, Default)]
 pub struct ClusterState {
@@ -593,11 +490,8 @@
         log: bool,
     ) -> bool {
         let now = clock.now();
-        if self
-            .servers
-            .get(&object.name)
-            .is_some_and(|server| is_former_life(server, object, &entry))
-        {
+        let known = self.servers.get(&object.name);
+        if known.is_some_and(|server| server.is_former_life(object, &entry)) {
             return false;
         }
         self.notices.record_life(&object.name, entry.life(), now);
@@ -619,20 +513,7 @@
                 if log {
                     info!(event = "server", server = object.name.as_str(), service = entry.service.as_str(), born = entry.start_ms, revision:% = object.position; "new server or new instance of a server");
                 }
-                let server = Server {
-                    name: object.name.clone(),
-                    backend: Rc::new(ConnectionPool::new(entry.addr, clock)),
-                    known_since: now,
-                    missing: None,
-                    returned: None,
-                    position: object.position,
-                    is_gone: false,
-                    known_era: object.position.era,
-                    warm_at: now + entry.warmup,
-                    warmth_known: since,
-                    running: Rc::default(),
-                    entry,
-                };
+                let server = Server::new(object, entry, since, clock);
                 if let Some(before) = self.servers.insert(object.name.clone(), server) {
                     self.former.record(before.instance(), before.entry.addr, now);
                 }
@@ -798,12 +679,6 @@
     }
 }
 
-/// Returns whether an entry that came back with a copy of the store is that of a former life of a
-/// server.
-fn is_former_life(server: &Server, object: &Object, entry: &ServerEntry) -> bool {
-    object.position.era > server.known_era && entry.start_ms < server.entry.start_ms
-}
-
 /// Keeps using a server whose entry is malformed as it was known, but for what the entry says of its
 /// leaving, and since when.
 fn note_malformed(
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod endpoints;
 pub mod evacuations;
 pub mod follow;
-pub mod former;
 pub mod frame;
 pub mod frontend;
 pub mod limits;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         platform::{Kind, Object, Position},
-        record::SpanRecord,
+        record::{HandoverRecord, SpanRecord},
     },
     prost::{Message, Oneof},
     std::time::Duration,
@@ -234,7 +234,8 @@
     pub errors: u32,
 }
 
-/// Requests admission of a request at a gate.
+/// Requests admission of a request at a gate. The numbers 9 and 10 were those of fields that no version
+/// has read.
 #[derive(Clone, PartialEq, Message)]
 pub struct Admit {
     /// Pool that may run it: a server, or a service without keys.
@@ -261,12 +262,6 @@
     /// What the node knows of the limits of the pool's servers.
     #[prost(message, repeated, tag = "8")]
     pub limits: Vec<ServerLimit>,
-    /// Longest time in milliseconds after which the caller may be told to come back.
-    #[prost(uint32, tag = "9")]
-    pub budget: u32,
-    /// Whether the caller comes back as it was told.
-    #[prost(bool, tag = "10")]
-    pub returning: bool,
 }
 
 /// Admits a request.
@@ -484,18 +479,6 @@
     pub relay: bool,
 }
 
-/// The range of keys of a handover, and the fencing token of its new owner.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct HandoverRecord {
-    #[prost(uint32, tag = "1")]
-    pub first: u32,
-    /// Last key, inclusive.
-    #[prost(uint32, tag = "2")]
-    pub last: u32,
-    #[prost(uint64, tag = "3")]
-    pub fence: u64,
-}
-
 /// One object.
 #[derive(Clone, PartialEq, Message)]
 pub struct Item {
--- a/crates/whinspring-router/src/owners.rs
+++ b/crates/whinspring-router/src/owners.rs
@@ -8,10 +8,10 @@
 use {
     crate::{
         frame::Frame,
-        message::{Body, HandoverRecord, HandoversFinished, OwnersChanged},
+        message::{Body, HandoversFinished, OwnersChanged},
         node::Node,
         platform::{Platform, Position},
-        record::SpanRecord,
+        record::{HandoverRecord, SpanRecord},
         spread::{self, Recipient},
     },
     std::rc::Rc,
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -1,7 +1,6 @@
 //! Records in the store.
 
 use {
-    crate::message::HandoverRecord,
     prost::Message,
     std::{collections::BTreeSet, net::SocketAddr},
     whinspring::{
@@ -84,6 +83,18 @@
     pub former: Option<InstanceRecord>,
 }
 
+/// The range of keys of a handover, and the fencing token of its new owner.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct HandoverRecord {
+    #[prost(uint32, tag = "1")]
+    pub first: u32,
+    /// Last key, inclusive.
+    #[prost(uint32, tag = "2")]
+    pub last: u32,
+    #[prost(uint64, tag = "3")]
+    pub fence: u64,
+}
+
 /// One instance of a server; a restart under the same name is another instance.
 #[derive(Clone, PartialEq, Message)]
 pub struct InstanceRecord {
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -23,11 +23,12 @@
     whinspring_router::{
         frame::Frame,
         message::{
-            Admit, Admitted, Body, Check, Done, Envelope, FetchRequest, HandoverRecord,
-            HandoversFinished, Heartbeat, Hello, Item, ServerLimit, Snapshot,
+            Admit, Admitted, Body, Check, Done, Envelope, FetchRequest, HandoversFinished,
+            Heartbeat, Hello, Item, ServerLimit, Snapshot,
         },
         peers,
         platform::Kind,
+        record::HandoverRecord,
         settings::Limits,
     },
 };
@@ -241,7 +242,6 @@
         avoid,
         exclude: Vec::new(),
         limits: Vec::new(),
-        ..Admit::default()
     })
 }
 
--- a/crates/whinspring-router/tests/upgrade.rs
+++ b/crates/whinspring-router/tests/upgrade.rs
@@ -73,8 +73,6 @@
         avoid: "s2".into(),
         exclude: vec!["s3".into()],
         limits: vec![limit.clone()],
-        budget: 700,
-        returning: true,
     };
     let admitted = Admitted { number: 5, server: "s1".into(), limit: Some(limit.clone()) };
     let heartbeat = Heartbeat {
@@ -131,7 +129,6 @@
             }
             Body::Admit(it) => {
                 it.limits.clear();
-                (it.budget, it.returning) = (0, false);
             }
             Body::Admitted(it) => it.limit = None,
             _ => {}
--- a/crates/whinspring/src/gate.rs
+++ b/crates/whinspring/src/gate.rs
@@ -60,10 +60,6 @@
     pub avoid: Option<Name>,
     /// Servers that want nothing from the node of the request now; never chosen.
     pub exclude: Vec<Name>,
-    /// Longest time after which the caller may be told to come back; zero if unknown.
-    pub budget: Duration,
-    /// Whether the caller comes back as it was told.
-    pub returning: bool,
 }
 
 /// Outcome of an admitted request.
--- a/crates/whinspring/src/ranges/balance.rs
+++ b/crates/whinspring/src/ranges/balance.rs
@@ -6,9 +6,12 @@
 //! in proportion to the number of keys.
 
 use {
-    super::{Instance, Ownership, demand::Demand},
+    super::{
+        Instance, Ownership,
+        demand::{Demand, KeyLoads},
+    },
     crate::name::Name,
-    std::collections::{BTreeMap, HashMap, HashSet},
+    std::collections::{HashMap, HashSet},
 };
 
 /// Limit of moves in one round for a small number of servers.
@@ -90,9 +93,6 @@
     pub to: Instance,
 }
 
-/// Recent load of each key, in work per second.
-pub type KeyLoads = BTreeMap<u16, f64>;
-
 /// Where the servers are, and where the load of the keys comes from.
 #[derive(Debug)]
 pub struct Places<'a> {
--- a/crates/whinspring/src/ranges/demand.rs
+++ b/crates/whinspring/src/ranges/demand.rs
@@ -7,7 +7,6 @@
 //! former, scaled by the latter where a block of keys shows a change beyond chance.
 
 use {
-    super::balance::KeyLoads,
     crate::{name::Name, time::Tick},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -39,6 +38,9 @@
 /// times a second.
 const DECAY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Recent load of each key, in work per second.
+pub type KeyLoads = BTreeMap<u16, f64>;
+
 /// Load of the keys of one service, in slots.
 #[derive(Debug, Default)]
 pub struct Demand {
--- a/crates/whinspring/tests/cold.rs
+++ b/crates/whinspring/tests/cold.rs
@@ -190,8 +190,6 @@
                 deadline: now + Duration::from_millis(600),
                 avoid: None,
                 exclude: Vec::new(),
-                budget: Duration::ZERO,
-                returning: false,
             });
         }
         if now.as_millis() % 20 != 0 {
--- a/crates/whinspring/tests/gate.rs
+++ b/crates/whinspring/tests/gate.rs
@@ -75,8 +75,6 @@
             deadline: self.now + Duration::from_millis(1_200),
             avoid: None,
             exclude: Vec::new(),
-            budget: Duration::ZERO,
-            returning: false,
         });
         self.step();
     }
@@ -224,8 +222,6 @@
             deadline: now + Duration::from_millis(1_200),
             avoid: None,
             exclude: Vec::new(),
-            budget: Duration::ZERO,
-            returning: false,
         });
         for decision in gate.decide(now) {
             let Decision::Admit(ticket, server) = decision else { continue };
@@ -253,8 +249,6 @@
             deadline: now + Duration::from_millis(1_200),
             avoid: None,
             exclude: Vec::new(),
-            budget: Duration::ZERO,
-            returning: false,
         });
     }
     let servers: Vec<Name> = gate
@@ -281,8 +275,6 @@
         deadline: now + Duration::from_millis(1_200),
         avoid: None,
         exclude: Vec::new(),
-        budget: Duration::ZERO,
-        returning: false,
     };
     gate.enqueue(request("lost", 1));
     assert_eq!(gate.decide(now).len(), 1);
@@ -302,8 +294,6 @@
         deadline: now + Duration::from_millis(1_200),
         avoid: None,
         exclude: exclude.iter().map(|name| Name::from(*name)).collect(),
-        budget: Duration::ZERO,
-        returning: false,
     }
 }
 
@@ -358,8 +348,6 @@
         deadline: now + Duration::from_secs(2),
         avoid: None,
         exclude: Vec::new(),
-        budget: Duration::ZERO,
-        returning: false,
     });
     assert_eq!(gate.decide(now), [Decision::Admit(ticket, last)]);
 }
--- a/crates/whinspring/tests/health.rs
+++ b/crates/whinspring/tests/health.rs
@@ -99,8 +99,6 @@
                 deadline: self.now + Duration::from_millis(3_000),
                 avoid: None,
                 exclude: Vec::new(),
-                budget: Duration::ZERO,
-                returning: false,
             });
             self.step();
         }
--- a/crates/whinspring/tests/locality.rs
+++ b/crates/whinspring/tests/locality.rs
@@ -113,8 +113,6 @@
             deadline: self.now + Duration::from_millis(3_000),
             avoid: None,
             exclude: Vec::new(),
-            budget: Duration::ZERO,
-            returning: false,
         });
     }
 
--- a/crates/whinspring/tests/overload.rs
+++ b/crates/whinspring/tests/overload.rs
@@ -64,8 +64,6 @@
                 deadline: now + DEADLINE,
                 avoid: None,
                 exclude: Vec::new(),
-                budget: Duration::ZERO,
-                returning: false,
             });
         }
         for decision in gate.decide(now) {
--- a/crates/whinspring/tests/ranges.rs
+++ b/crates/whinspring/tests/ranges.rs
@@ -7,7 +7,8 @@
     std::collections::BTreeMap,
     whinspring::ranges::{
         Instance, MAX_KEY, Ownership,
-        balance::{Candidate, KeyLoads, plan_moves, utilizations},
+        balance::{Candidate, plan_moves, utilizations},
+        demand::KeyLoads,
     },
 };
 
