Owners: no addresses in the record of more than 4,000 servers

Cause: by its format the record of owners takes about 45 B more for each server since it names their addresses, and with those of 13,000 servers it would outgrow the 1 MiB that a store takes. Change: it names none above 4,000; nodes that have seen the servers know their addresses anyway. One expression is written in two steps. The test encodes 3, 4,000 and 10,000 servers.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -254,10 +254,8 @@
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
         let stopped = self.predecessor_stopped.unwrap_or(self.elected_at + HANDOVER_TIMEOUT);
-        now > leases::lease_end(
-            stopped,
-            if self.is_bounded { leases::HANDOVER_LEASE } else { leases::SHORT_LEASE },
-        )
+        let lease = if self.is_bounded { leases::HANDOVER_LEASE } else { leases::SHORT_LEASE };
+        now > leases::lease_end(stopped, lease)
     }
 
     /// Returns the latest time at which the previous controller may have sent a command.
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -54,6 +54,10 @@
     pub servers: Vec<AddressRecord>,
 }
 
+/// Number of servers above which the stored owners name no addresses: with those of ten thousand, the
+/// record comes near the 1 MiB that a store takes. Nodes that have seen the servers know them anyway.
+const MAX_ADDRESSES: usize = 4_000;
+
 /// The address of one instance of a server.
 #[derive(Clone, PartialEq, Message)]
 pub struct AddressRecord {
@@ -150,8 +154,11 @@
         address: impl Fn(&Instance) -> Option<SocketAddr>,
     ) -> Self {
         let former = owned.spans.iter().filter_map(|span| span.former.as_ref());
-        let named: BTreeSet<&Instance> =
+        let mut named: BTreeSet<&Instance> =
             owned.spans.iter().map(|span| &span.owner).chain(former).collect();
+        if named.len() > MAX_ADDRESSES {
+            named.clear();
+        }
         let record = |instance: &Instance| {
             let addr = address(instance)?.to_string();
             Some(AddressRecord { server: Some(instance.into()), addr })
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -2,7 +2,7 @@
 
 use {
     prost::Message,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     whinspring::{
         name::Name,
         ranges::{HandoverKey, Instance, Ownership},
@@ -96,6 +96,24 @@
     assert_eq!(Ownership::try_from(record).unwrap(), owned);
 }
 
+/// Guards against a record that outgrows what the store takes because it names thousands of addresses.
+#[test]
+fn owners_name_the_addresses_of_their_servers_unless_there_are_too_many() {
+    let addr = SocketAddr::from(([10, 0, 0, 1], 8_000));
+    for (count, named) in [(3, 3), (4_000, 4_000), (10_000, 0)] {
+        let instances: Vec<Instance> = (0..count)
+            .map(|index| Instance { server: format!("i-{index:010}").into(), start_ms: 1 << 40 })
+            .collect();
+        let owned = Ownership::split_evenly(4, &instances, || 1 << 40);
+        let record = OwnersRecord::with_addresses(&owned, |_| Some(addr));
+        let bytes = record.encode_to_vec();
+        assert!(bytes.len() < 1 << 20, "{count} servers take {} bytes", bytes.len());
+        let read = OwnersRecord::decode(bytes.as_slice()).unwrap();
+        assert_eq!(read.addresses().count(), named);
+        assert_eq!(Ownership::try_from(read).unwrap(), owned);
+    }
+}
+
 #[test]
 fn owners_with_a_gap_are_rejected() {
     let mut record = OwnersRecord::from(&owners());
