--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -286,6 +286,27 @@
     record: Arc<Record>,
     /// Requests that it ran: id and path.
     pub runs: Mutex<Vec<(String, String)>>,
+    /// Keys of the requests that it began, and when.
+    pub begun: Mutex<Vec<(u16, Instant)>>,
+    /// Times for which it held keys.
+    pub holds: Mutex<Vec<Hold>>,
+    alive: AtomicBool,
+    born: AtomicU64,
+    conns: Mutex<Vec<TcpStream>>,
+}
+
+/// A time for which a backend held keys.
+#[derive(Debug, Clone)]
+pub struct Hold {
+    pub first: u16,
+    pub last: u16,
+    pub fence: u64,
+    pub from: Instant,
+    pub until: Instant,
+}
+
+fn unix_ms() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
 impl Backend {
@@ -309,15 +330,70 @@
             freed: Condvar::new(),
             record: record.clone(),
             runs: Mutex::default(),
+            begun: Mutex::default(),
+            holds: Mutex::default(),
+            alive: AtomicBool::new(true),
+            born: AtomicU64::new(unix_ms()),
+            conns: Mutex::default(),
         });
-        let shared = backend.clone();
+        backend.clone().listen(listener);
+        backend
+    }
+
+    fn listen(self: Arc<Self>, listener: TcpListener) {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let backend = shared.clone();
+                if !self.alive.load(Ordering::SeqCst) {
+                    return;
+                }
+                self.conns.lock().unwrap().extend(stream.try_clone());
+                let backend = self.clone();
                 thread::spawn(move || backend.serve(stream));
             }
         });
-        backend
+    }
+
+    /// Ends the backend: it holds and knows nothing any more, and its address refuses channels.
+    pub fn crash(&self) {
+        self.record.note(&format!("crash {}", self.id));
+        self.alive.store(false, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.addr);
+        for stream in self.conns.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        self.end_holds(0, u16::MAX);
+        *self.state.lock().unwrap() = BackendState::default();
+    }
+
+    /// Starts it again under the id that it had.
+    pub fn restart(self: &Arc<Self>) {
+        let listener = loop {
+            match TcpListener::bind(self.addr) {
+                Ok(listener) => break listener,
+                Err(_) => thread::sleep(Duration::from_millis(10)),
+            }
+        };
+        self.born.store(unix_ms(), Ordering::SeqCst);
+        self.alive.store(true, Ordering::SeqCst);
+        self.record.note(&format!("restart {}", self.id));
+        self.clone().listen(listener);
+    }
+
+    /// Ends the holds of keys now, as far as they lie in a range.
+    fn end_holds(&self, first: u16, last: u16) {
+        let now = Instant::now();
+        let mut holds = self.holds.lock().unwrap();
+        let mut rest = Vec::new();
+        for hold in holds.iter_mut().filter(|h| h.until > now && h.first <= last && h.last >= first) {
+            if hold.first < first {
+                rest.push(Hold { last: first - 1, from: now, ..hold.clone() });
+            }
+            if hold.last > last {
+                rest.push(Hold { first: last + 1, from: now, ..hold.clone() });
+            }
+            hold.until = now;
+        }
+        holds.extend(rest);
     }
 
     /// Registers the backend, and reports every so often, as a backend does.
@@ -328,9 +404,14 @@
             let info = format!(
                 "{{\"Info\":{{\"Service\":\"{service}\",\"Address\":\"{addr}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Slots\":{slots}}}}}"
             );
-            let status =
-                format!("{{\"State\":\"ready\",\"ColdLeftS\":0,\"Sequence\":{sequence}}}");
-            store.put("servers", id, &info, &status);
+            let born = backend.born.load(Ordering::SeqCst);
+            let info = info.replace("\"Info\"", &format!("\"born\":{born},\"Info\""));
+            let status = format!(
+                "{{\"born\":{born},\"State\":\"ready\",\"ColdLeftS\":0,\"Sequence\":{sequence}}}"
+            );
+            if backend.alive.load(Ordering::SeqCst) {
+                store.put("servers", id, &info, &status);
+            }
         };
         report(1);
         thread::spawn(move || {
@@ -379,8 +460,24 @@
             return "409 Conflict";
         }
         state.seen.push((first, last, fence));
-        state.held.retain(|(a, b, ..)| !(*a >= first && *b <= last));
-        state.held.push((first, last, fence, Instant::now() + Duration::from_millis(hold)));
+        let held = std::mem::take(&mut state.held);
+        for (a, b, of, end) in held {
+            if b < first || a > last {
+                state.held.push((a, b, of, end));
+                continue;
+            }
+            if a < first {
+                state.held.push((a, first - 1, of, end));
+            }
+            if b > last {
+                state.held.push((last + 1, b, of, end));
+            }
+        }
+        let until = Instant::now() + Duration::from_millis(hold);
+        state.held.push((first, last, fence, until));
+        self.end_holds(first, last);
+        self.holds.lock().unwrap().push(Hold { first, last, fence, from: Instant::now(), until });
+        self.record.note(&format!("grant {first}-{last} fence {fence} for {hold} ms at {}", self.id));
         "200 OK"
     }
 
@@ -388,7 +485,22 @@
         let text = String::from_utf8_lossy(&message.body).into_owned();
         let number = |name| json_value(&text, name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
         let (first, last) = (number("From") as u16, number("Target") as u16);
-        self.state.lock().unwrap().held.retain(|(a, b, ..)| *b < first || *a > last);
+        let mut state = self.state.lock().unwrap();
+        let held = std::mem::take(&mut state.held);
+        for (a, b, fence, until) in held {
+            if b < first || a > last {
+                state.held.push((a, b, fence, until));
+                continue;
+            }
+            if a < first {
+                state.held.push((a, first - 1, fence, until));
+            }
+            if b > last {
+                state.held.push((last + 1, b, fence, until));
+            }
+        }
+        self.end_holds(first, last);
+        self.record.note(&format!("release {first}-{last} at {}", self.id));
         "200 OK"
     }
 
@@ -404,9 +516,10 @@
             let key: Option<u16> = message.header("shard-key").parse().ok();
             let now = Instant::now();
             let held = |key: u16| state.held.iter().any(|h| h.0 <= key && key <= h.1 && now < h.3);
-            if !key.is_some_and(held) {
+            let Some(key) = key.filter(|key| held(*key)) else {
                 return ("421 Misdirected Request", not_run);
-            }
+            };
+            self.begun.lock().unwrap().push((key, now));
         }
         if state.running >= self.slots && state.waiting >= 8 {
             return ("503 Service Unavailable", not_run);
@@ -586,3 +699,135 @@
 
 /// A flag that ends threads.
 pub type Stop = Arc<AtomicBool>;
+
+/// A proxy that can fall silent: for all channels, or for those whose first bytes hold a name.
+pub struct Proxy {
+    pub addr: SocketAddr,
+    cut: Mutex<Option<String>>,
+}
+
+impl Proxy {
+    pub fn start(addr: SocketAddr, target: SocketAddr) -> Arc<Self> {
+        let listener = TcpListener::bind(addr).expect("the proxy's address is free");
+        let proxy = Arc::new(Self { addr, cut: Mutex::default() });
+        let shared = proxy.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let proxy = shared.clone();
+                thread::spawn(move || proxy.forward(stream, target));
+            }
+        });
+        proxy
+    }
+
+    /// Cuts the channels whose first bytes hold a name; all if it is empty.
+    pub fn cut(&self, name: &str) {
+        *self.cut.lock().unwrap() = Some(name.into());
+    }
+
+    fn is_cut(&self, head: &[u8]) -> bool {
+        let cut = self.cut.lock().unwrap();
+        let holds = |name: &str| head.windows(name.len().max(1)).any(|part| part == name.as_bytes());
+        cut.as_deref().is_some_and(|name| name.is_empty() || holds(name))
+    }
+
+    fn forward(self: Arc<Self>, mut from: TcpStream, target: SocketAddr) {
+        let mut head = vec![0; 4_096];
+        let Ok(bytes) = from.read(&mut head) else { return };
+        head.truncate(bytes);
+        while self.is_cut(&head) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        let Ok(mut to) = TcpStream::connect(target) else { return };
+        let _ = (from.set_nodelay(true), to.set_nodelay(true));
+        let _ = to.write_all(&head);
+        let (mut back_from, mut back_to) = (to.try_clone().unwrap(), from.try_clone().unwrap());
+        let (proxy, tag) = (self.clone(), head.clone());
+        thread::spawn(move || proxy.pump(&mut back_from, &mut back_to, &tag));
+        self.pump(&mut from, &mut to, &head);
+    }
+
+    fn pump(&self, from: &mut TcpStream, to: &mut TcpStream, head: &[u8]) {
+        let mut bytes = vec![0; 64 << 10];
+        loop {
+            let count = from.read(&mut bytes).unwrap_or(0);
+            while self.is_cut(head) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            if count == 0 || to.write_all(&bytes[..count]).is_err() {
+                let _ = (from.shutdown(std::net::Shutdown::Both), to.shutdown(std::net::Shutdown::Both));
+                return;
+            }
+        }
+    }
+}
+
+/// Decodes base64 as far as it goes.
+pub fn decode(text: &str) -> Vec<u8> {
+    let digit = |c: u8| match c {
+        b'A'..=b'Z' => Some(c - b'A'),
+        b'a'..=b'z' => Some(c - b'a' + 26),
+        b'0'..=b'9' => Some(c - b'0' + 52),
+        b'+' => Some(62),
+        b'/' => Some(63),
+        _ => None,
+    };
+    let (mut bits, mut count, mut out) = (0u32, 0, Vec::new());
+    for value in text.bytes().filter_map(digit) {
+        bits = bits << 6 | u32::from(value);
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            out.push((bits >> count) as u8);
+            bits &= (1 << count) - 1;
+        }
+    }
+    out
+}
+
+impl Store {
+    /// Returns the value that the system has stored in an object, decoded.
+    pub fn value(&self, kind: &str, name: &str) -> Vec<u8> {
+        let objects = self.objects.lock().unwrap();
+        let found = objects.kinds.get(kind).and_then(|kind| kind.get(name));
+        found.map(|object| decode(&object.spec)).unwrap_or_default()
+    }
+}
+
+/// Two backends that held the same keys at the same time: first and last key, how long, and whether both began
+/// requests on such keys in that time.
+pub struct Overlap {
+    pub text: String,
+    pub time: Duration,
+    pub both: bool,
+}
+
+/// Finds the times in which two backends held the same keys.
+pub fn overlaps(backends: &[Arc<Backend>]) -> Vec<Overlap> {
+    let mut found = Vec::new();
+    for (index, one) in backends.iter().enumerate() {
+        for other in &backends[index + 1..] {
+            let (holds, others) = (one.holds.lock().unwrap().clone(), other.holds.lock().unwrap().clone());
+            for a in &holds {
+                for b in &others {
+                    let (first, last) = (a.first.max(b.first), a.last.min(b.last));
+                    let (from, until) = (a.from.max(b.from), a.until.min(b.until));
+                    if first > last || from >= until {
+                        continue;
+                    }
+                    let begins = |backend: &Backend| {
+                        let begun = backend.begun.lock().unwrap();
+                        begun.iter().any(|(k, at)| (first..=last).contains(k) && *at >= from && *at < until)
+                    };
+                    let text = format!(
+                        "keys {first}-{last}: {} (fence {}) and {} (fence {})",
+                        one.id, a.fence, other.id, b.fence
+                    );
+                    let both = begins(one) && begins(other);
+                    found.push(Overlap { text, time: until - from, both });
+                }
+            }
+        }
+    }
+    found
+}
