--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -104,7 +104,7 @@
 }
 
 /// Returns what follows a name in JSON text that the node wrote, up to the end of the value.
-fn json_value<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+pub fn json_value<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let at = text.find(&format!("\"{name}\":"))? + name.len() + 3;
     let rest = &text[at..];
     let end = match rest.strip_prefix('"') {
