Admission: requests of two processes of a node never have the same number

Cause: each process of a node numbered its requests from 1, and a gate's decision names the number alone. One that was queued for a killed process decided a request of the next process under that name. Ruled out: a stale list of servers at the gate, and a reused address: in the case neither ever changes. Change: a process counts from a random number of 48 bits. `decision_unmatched` counts decisions that find no request. No message changes. Why it works: a decision, an end or a check of an earlier process names a number that no request of this process has. Test: links::a_decision_for_an_earlier_process_decides_no_request_of_the_next_one fails on (the request goes to s2) and passes now.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -8,6 +8,10 @@
 //!
 //! Messages in flight are lost when a link breaks. Therefore a request without a decision is sent
 //! to the gate again, and a gate asks the nodes of long-running requests whether these still run.
+//!
+//! Messages may also arrive late: what was queued for a node reaches the next process under its name.
+//! The numbers of a process therefore begin at a random one, so that a decision for a request of an
+//! earlier process finds no request.
 
 use {
     crate::{
@@ -63,11 +67,15 @@
 /// Interval between log lines on the overflow of a pool's failure domains; small pools change often.
 const OVERFLOW_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Bits of the random number from which a process counts its requests: a number takes seven bytes in
+/// a message, and those of two processes do not meet.
+const FIRST_NUMBER_BITS: u32 = 48;
+
 /// Result of a request at a gate: the server to use, or the time after which the caller may retry.
 pub type GateResult = Result<Name, Duration>;
 
 /// Gates on this node, and requests of this node at any gate.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Admission {
     /// Gates by pool.
     gates: HashMap<Name, Gate>,
@@ -82,14 +90,29 @@
 }
 
 impl Admission {
-    /// Passes a decision on to the request that waits for it.
-    pub fn resolve(&mut self, number: u64, result: GateResult) {
-        if let Some(waiting) = self.waiting.remove(&number) {
-            let _ = waiting.send(result);
+    /// Creates the state of a process; its requests get numbers that no other process gives out.
+    pub fn new(incarnation: u64) -> Self {
+        Self {
+            gates: HashMap::new(),
+            waiting: HashMap::new(),
+            active: HashSet::new(),
+            last_number: incarnation >> (u64::BITS - FIRST_NUMBER_BITS),
+            last_check: Tick::default(),
+            overflows: HashMap::new(),
         }
     }
 }
 
+/// Passes a decision on to the request that waits for it. Counts one that nothing waits for: its
+/// request has ended, or was one of an earlier process of this node.
+pub fn resolve<P: Platform>(node: &Rc<Node<P>>, number: u64, result: GateResult) {
+    let waiting = node.admission.borrow_mut().waiting.remove(&number);
+    match waiting {
+        Some(waiting) => drop(waiting.send(result)),
+        None => node.metrics.count("decision_unmatched"),
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct AdmissionRequest {
     /// Pool that may run the request: a server, or a service without keys.
@@ -363,7 +386,7 @@
     };
     let number = ticket.number;
     if ticket.node == *node.name() {
-        node.admission.borrow_mut().resolve(number, result);
+        resolve(node, number, result);
         return;
     }
     let body = match result {
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -241,7 +241,7 @@
     /// Pool that may run it: a server, or a service without keys.
     #[prost(string, tag = "1")]
     pub pool: String,
-    /// Number of the request at its node.
+    /// Number of the request at its node; other processes of the node give out other numbers.
     #[prost(uint64, tag = "2")]
     pub number: u64,
     /// Priority; zero is the highest.
--- a/crates/whinspring-router/src/node.rs
+++ b/crates/whinspring-router/src/node.rs
@@ -98,14 +98,15 @@
 
 impl<P: Platform> Node<P> {
     pub fn new(platform: P, settings: Settings, clock: Clock) -> Rc<Self> {
+        let incarnation = fastrand::u64(1..);
         Rc::new(Self {
             platform,
             clock,
             settings,
-            incarnation: fastrand::u64(1..),
+            incarnation,
             view: RefCell::default(),
             peers: RefCell::default(),
-            admission: RefCell::default(),
+            admission: RefCell::new(Admission::new(incarnation)),
             control: RefCell::default(),
             meter: RefCell::default(),
             retries: RefCell::default(),
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -351,11 +351,11 @@
         Body::Check(check) => admission::handle_check(node, from, &check),
         Body::Admitted(admitted) => {
             limits::learn(node, &admitted.limit);
-            node.admission.borrow_mut().resolve(admitted.number, Ok(admitted.server.into()))
+            admission::resolve(node, admitted.number, Ok(admitted.server.into()));
         }
         Body::Rejected(rejected) => {
             let wait = Duration::from_millis(rejected.retry_ms.into());
-            node.admission.borrow_mut().resolve(rejected.number, Err(wait));
+            admission::resolve(node, rejected.number, Err(wait));
         }
         Body::FetchRequest(fetch) => {
             if let Some(kind) = Kind::from_number(fetch.kind) {
--- a/crates/whinspring-router/tests/path/links.rs
+++ b/crates/whinspring-router/tests/path/links.rs
@@ -9,7 +9,9 @@
     rand_chacha::ChaCha8Rng,
     socket2::SockRef,
     std::{
+        cell::Cell,
         net::SocketAddr,
+        rc::Rc,
         time::{Duration, Instant},
     },
     tokio::{
@@ -361,6 +363,48 @@
     );
 }
 
+/// Guards against a request that a server of another service runs: the gate's decision for a request of
+/// a killed process arrives at the next process, while one of its requests waits.
+#[test]
+fn a_decision_for_an_earlier_process_decides_no_request_of_the_next_one() {
+    const CALLER: &str =
+        "GET /once/1 HTTP/1.1\r\nhost: a.example\r\nx-id: i1\r\nx-deadline: 1500\r\n\r\n";
+    let first = Rc::new(Cell::new(0));
+    let killed = first.clone();
+    run(
+        |_| None,
+        |rig| async move {
+            let (mut peer, mut link) = FakePeer::connect(&rig, true, LONG_INTERVAL_MS).await;
+            let mut caller = rig.connect().await;
+            caller.write_all(CALLER.as_bytes()).await.unwrap();
+            let Body::Admit(admit) = peer.next(&mut link).await else {
+                panic!("expected an admission request")
+            };
+            killed.set(admit.number);
+        },
+    );
+    run(
+        |_| None,
+        |rig| async move {
+            rig.list_servers(&["s1", "s2"]);
+            let (mut peer, mut link) = FakePeer::connect(&rig, true, LONG_INTERVAL_MS).await;
+            let mut caller = rig.connect().await;
+            caller.write_all(CALLER.as_bytes()).await.unwrap();
+            let Body::Admit(admit) = peer.next(&mut link).await else {
+                panic!("expected an admission request")
+            };
+            for (number, server) in [(first.get(), "s2"), (admit.number, "s1")] {
+                let server = server.into();
+                peer.send(Body::Admitted(Admitted { number, server, limit: None })).await;
+            }
+            while rig.seen.borrow().is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert!(rig.seen.borrow()[0].contains("x-target: s1"), "{:?}", rig.seen.borrow());
+        },
+    );
+}
+
 /// Guards against lost decisions: a gate repeats its decision when the request is sent again.
 #[test]
 fn a_decision_is_repeated() {
