Relay: a retry goes to the server over a new connection

Cause: a retry has the id of the first sending, so that a late copy of that sending's rejection cannot be told from its own response. The entry node therefore uses a new connection for it, but the relay did not know that it is a retry and took the connection of the first sending. Ruled out: the entry node's own connections (`exchange` opens new ones for a retry, to a relay, too), and a check of ids that is missing (the relay compares them since; the copy has the right one). Change: requests to relays carry the number of the sending; a relay opens a new connection to the server for a retry. Why it works: a copy can only come on the connection on which the first response came, and the retry never uses that one.

--- a/crates/whinspring-router/src/relay/server.rs
+++ b/crates/whinspring-router/src/relay/server.rs
@@ -2,6 +2,8 @@
 //!
 //! A request goes to the one instance of a server that the entry node chose, or to none. It is sent at
 //! most once; only a reused connection that failed before anything was sent is replaced by a new one.
+//! A retry goes over a new connection: the first sending may have used any of the others, and a second
+//! copy of its response has the id of the retry as well.
 //! A response with the id of another request is not passed on, and its connection is closed: the response
 //! to this request may still come on it.
 //! When the entry node gives up and closes its connection, that to the server is closed as well.
@@ -32,7 +34,7 @@
     whinspring_http::{
         backend::{CallError, Conn, ConnectionPool, NoStream, RequestBody},
         caller,
-        headers::{RELAY_FAULT, SERVER_START},
+        headers::{ATTEMPT, RELAY_FAULT, SERVER_START},
     },
     xitca_http::http::RequestExt,
 };
@@ -45,6 +47,8 @@
     parts: Parts,
     body: Bytes,
     deadline: Tick,
+    /// Whether the entry node has sent the request before.
+    is_retry: bool,
 }
 
 /// Accepts connections of other nodes until they are closed.
@@ -137,13 +141,14 @@
         .await
         .map_err(|_| Fault::Unsent)?;
     let start_ms: u64 = parse_number(&parts.headers, &SERVER_START).ok_or(Fault::Unsent)?;
+    let is_retry = parse_number::<u32>(&parts.headers, &ATTEMPT).is_some_and(|number| number > 1);
     let target = parts.headers.get(&names.target).and_then(|value| value.to_str().ok());
     let server = Name::from(target.ok_or(Fault::Unsent)?);
     let view = node.view.borrow();
     let known = view.servers.get(&server).filter(|known| known.entry.start_ms == start_ms);
     let known = known.ok_or(Fault::Unsent)?;
     let (life, pool) = (known.life(), known.backend.clone());
-    Ok(Relayed { server, life, pool, parts, body, deadline })
+    Ok(Relayed { server, life, pool, parts, body, deadline, is_retry })
 }
 
 impl Relayed {
@@ -157,7 +162,7 @@
             self.probe_path(node);
             return Err(Fault::Unsent);
         }
-        for fresh in [false, true] {
+        for fresh in [self.is_retry, true] {
             let conn = match fresh {
                 false => self.pool.acquire(true).await,
                 true => self.pool.open().await,
@@ -208,7 +213,7 @@
         *request.method_mut() = self.parts.method.clone();
         *request.uri_mut() = self.parts.uri.clone();
         let headers = request.headers_mut();
-        *headers = forward_headers(self.parts.headers.clone(), &[&SERVER_START]);
+        *headers = forward_headers(self.parts.headers.clone(), &[&SERVER_START, &ATTEMPT]);
         let left = time_for_server(self.deadline, node.now());
         headers.insert(names.deadline.clone(), left.into());
         request
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -268,7 +268,7 @@
             backend,
             outcome: ServerOutcome::Completed,
             conn: None,
-            fresh: attempts > 1,
+            number: attempts,
             body: None,
             prefix: None,
             route: self.route.name.clone(),
--- a/crates/whinspring-router/src/request/attempt.rs
+++ b/crates/whinspring-router/src/request/attempt.rs
@@ -34,8 +34,8 @@
     /// Outcome to report once the response has been read.
     pub(super) outcome: ServerOutcome,
     pub(super) conn: Option<Conn<NoStream>>,
-    /// Whether only a new connection is used.
-    pub(super) fresh: bool,
+    /// Number of the sending; all but the first use new connections only.
+    pub(super) number: u32,
     /// The unread rest of the response.
     pub(super) body: Option<Incoming>,
     /// Bytes that were read but not forwarded.
@@ -59,6 +59,11 @@
 }
 
 impl<P: Platform> Attempt<P> {
+    /// Returns whether the request was sent to a server before.
+    pub(super) fn is_retry(&self) -> bool {
+        self.number > 1
+    }
+
     /// Polls for the next bytes of the response body.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         if let Some(prefix) = self.prefix.take() {
--- a/crates/whinspring-router/src/request/exchange.rs
+++ b/crates/whinspring-router/src/request/exchange.rs
@@ -6,7 +6,7 @@
 //! long as that takes little time.
 //!
 //! A retry has the id of the first sending, so that a second copy of that sending's response cannot be
-//! told from its own. It therefore goes over a new connection.
+//! told from its own. It therefore goes over new connections all the way: a relay is told that it is one.
 
 use {
     super::{Attempt, RoutedRequest},
@@ -32,7 +32,7 @@
     whinspring_http::{
         backend::{CallError, Conn, NoStream, RequestBody},
         caller,
-        headers::SERVER_START,
+        headers::{ATTEMPT, SERVER_START},
     },
 };
 
@@ -194,7 +194,7 @@
         &self,
         attempt: &mut Attempt<P>,
     ) -> Result<Response<Incoming>, SendError> {
-        for fresh in [attempt.fresh, true] {
+        for fresh in [attempt.is_retry(), true] {
             let conn = tokio::select! {
                 biased;
                 result = self.connect(attempt, fresh) => {
@@ -222,7 +222,7 @@
     ) -> Result<Response<Incoming>, SendError> {
         attempt.conn = None;
         attempt.backend = relay.pool.clone();
-        for fresh in [attempt.fresh, true] {
+        for fresh in [attempt.is_retry(), true] {
             let conn = self.connect(attempt, fresh).await?;
             let reused = conn.is_reused();
             match self.send_on(conn, attempt, Some(life)).await {
@@ -257,7 +257,9 @@
     ) -> Result<Response<Incoming>, SendError> {
         let mut request = self.build_request(&attempt.server);
         if let Some(life) = life {
-            request.headers_mut().insert(SERVER_START, life.start_ms.into());
+            let headers = request.headers_mut();
+            headers.insert(SERVER_START, life.start_ms.into());
+            headers.insert(ATTEMPT, attempt.number.into());
         }
         caller::Conn::current().ensure_open().await;
         let now = self.node.now();
--- a/crates/whinspring-router/tests/path/reports.rs
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -274,6 +274,50 @@
     }
 }
 
+/// The same by way of a relay, which uses the connection of the first sending again for other requests.
+#[test]
+fn a_copy_of_a_rejection_does_not_answer_a_relayed_retry() {
+    block_on(async {
+        let head = "HTTP/1.1 503 No\r\nx-id: i1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+        let (server, events) = start_server(Some((head.into(), Copy::AfterHead))).await;
+        let rig =
+            Rig::start_node(settings("n1", Limits::default()), server, Rc::default(), None).await;
+        let mut last = String::new();
+        for number in 1..=2 {
+            let attempt = format!("whinspring-attempt: {number}\r\n\r\n");
+            let request = build_request(Role::Relay, "POST", "/once/1", "i1");
+            last =
+                rig.send_relayed(&request.replacen("\r\n\r\n", &format!("\r\n{attempt}"), 1)).await;
+        }
+        let events = events.borrow();
+        let runs = events.iter().filter(|(_, event)| event == "i1").count();
+        assert_eq!(runs, 2, "{events:?}");
+        assert!(last.starts_with("HTTP/1.1 200"), "{last}: {events:?}");
+        let (first, second) = (&events[0], &events[events.len() - 1]);
+        assert_ne!(first.0, second.0, "the retry used the connection of the first sending");
+    });
+}
+
+/// Guards against a relay that takes a retry for a first sending, and uses a connection again.
+#[test]
+fn a_relay_is_told_of_a_retry() {
+    let shed = |request: &str| {
+        let id = id_of(request);
+        let head = format!("HTTP/1.1 503 No\r\nx-id: {id}\r\nx-not-run: 1\r\n");
+        (!id.starts_with("first")).then(|| format!("{head}content-length: 0\r\n\r\n"))
+    };
+    run_with_relay(shed, |pair, requests| async move {
+        send(&pair.entry, Role::Entry, "/once/1", "i1").await;
+        let requests = requests.borrow();
+        let sendings: Vec<&String> = requests.iter().filter(|it| id_of(it) == "i1").collect();
+        assert_eq!(sendings.len(), 2, "{requests:?}");
+        for (request, number) in sendings.iter().zip(1..) {
+            let header = format!("whinspring-attempt: {number}\r\n");
+            assert!(request.contains(&header), "{header}: {request}");
+        }
+    });
+}
+
 /// Guards against a caller that gets the response of an earlier request, whose second copy came on the
 /// connection to a relay.
 #[test]
