Controller: commands go only to processes of servers that the store has confirmed it over

Cause: a controller that is cut off renews its grants at a server that has started again under its name and has forgotten the fencing tokens of the successor. A command names a server, not one process of it. The same happens after a handover in good order (second test of owners restarts), so that a wait for dead servers would not mend it. Change: commands go over connections that are older than the controller's last confirmation by the store, or were opened within 400 ms after it, or follow such a one within 400 ms. On others nothing is sent until the store has confirmed the controller again, which it asks for at once. Why it works: a process that started after its keys went to others can only be reached over a connection that is younger than the election of the successor, and so than the last confirmation of the deposed controller.

--- a/crates/whinspring-http/src/backend.rs
+++ b/crates/whinspring-http/src/backend.rs
@@ -15,6 +15,7 @@
     http::HeaderValue,
     parking_lot::Mutex,
     std::{collections::VecDeque, net::SocketAddr, time::Duration},
+    whinspring::time::Tick,
 };
 
 mod body;
@@ -37,6 +38,8 @@
 pub struct ConnectionPool<R: BodyStream> {
     clock: Clock,
     close_mode: CloseMode,
+    /// Time after a response in which a new connection leads to the same process of the server.
+    restart_time: Duration,
     state: Mutex<State<R>>,
 }
 
@@ -57,13 +60,16 @@
     host: HeaderValue,
     /// Idle connections, the most recently used one last.
     idle: VecDeque<Conn<R>>,
+    /// When the last response ended, and since when its connection led to the same process.
+    last: Option<(Tick, Tick)>,
 }
 
 impl<R: BodyStream> ConnectionPool<R> {
     /// Creates an empty pool for the server at `addr`.
     pub fn new(addr: SocketAddr, clock: Clock) -> Self {
-        let state = State { addr, host: host_header(addr), idle: VecDeque::new() };
-        Self { clock, close_mode: CloseMode::Graceful, state: Mutex::new(state) }
+        let state = State { addr, host: host_header(addr), idle: VecDeque::new(), last: None };
+        let (close_mode, restart_time) = (CloseMode::Graceful, Duration::ZERO);
+        Self { clock, close_mode, restart_time, state: Mutex::new(state) }
     }
 
     #[must_use]
@@ -71,6 +77,12 @@
         Self { close_mode, ..self }
     }
 
+    /// Sets the least time in which a server that has responded can end and start again.
+    #[must_use]
+    pub fn with_restart_time(self, restart_time: Duration) -> Self {
+        Self { restart_time, ..self }
+    }
+
     /// Sets the address of the server; if it changes, closes the idle connections.
     pub fn set_addr(&self, addr: SocketAddr) {
         let mut state = self.state.lock();
@@ -78,6 +90,7 @@
             state.addr = addr;
             state.host = host_header(addr);
             state.idle.clear();
+            state.last = None;
         }
     }
 
@@ -103,6 +116,38 @@
         self.open().await
     }
 
+    /// Returns an idle connection to a process that has been the same for at least `age`, see
+    /// [`Conn::since`]. If there is none, there is one to a younger process for later calls when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no idle connection and none can be opened.
+    pub async fn acquire_aged(&self, age: Duration) -> Result<Option<Conn<R>>, CallError> {
+        let mut young = Vec::new();
+        let mut aged = None;
+        while let Some(mut conn) = self.pop(IDLE_TIMEOUT) {
+            if !conn.is_usable().await {
+                continue;
+            }
+            if self.age(&conn) >= age {
+                aged = Some(conn);
+                break;
+            }
+            young.push(conn);
+        }
+        if aged.is_none() && young.is_empty() {
+            let conn = self.open().await?;
+            match self.age(&conn) >= age {
+                true => aged = Some(conn),
+                false => young.push(conn),
+            }
+        }
+        for conn in young {
+            self.release(conn).await;
+        }
+        Ok(aged)
+    }
+
     /// Opens a new connection.
     ///
     /// # Errors
@@ -110,7 +155,13 @@
     /// Fails if the server cannot be reached or refuses the connection.
     pub async fn open(&self) -> Result<Conn<R>, CallError> {
         let addr = self.state.lock().addr;
-        Conn::open(addr, self.clock, self.close_mode).await
+        let mut conn = Conn::open(addr, self.clock, self.close_mode).await?;
+        if let Some((ended, since)) = self.state.lock().last
+            && self.clock.now().since(ended) < self.restart_time
+        {
+            conn.follow(since);
+        }
+        Ok(conn)
     }
 
     /// Closes the connections that have been idle for too long to be reused.
@@ -125,19 +176,27 @@
 
     /// Returns a connection to the pool after its response was read completely.
     pub async fn release(&self, mut conn: Conn<R>) {
-        if !conn.finish().await {
-            return;
-        }
+        let is_open = conn.finish().await;
         let mut state = self.state.lock();
         if state.addr != conn.addr() {
             return;
         }
+        if conn.is_reused() {
+            state.last = Some((self.clock.now(), conn.since()));
+        }
+        if !is_open {
+            return;
+        }
         state.idle.push_back(conn);
         if state.idle.len() > MAX_IDLE {
             state.idle.pop_front();
         }
     }
 
+    fn age(&self, conn: &Conn<R>) -> Duration {
+        self.clock.now().since(conn.since())
+    }
+
     /// Takes the most recently used connection, if it was idle for less than `max_idle`.
     fn pop(&self, max_idle: Duration) -> Option<Conn<R>> {
         let mut state = self.state.lock();
--- a/crates/whinspring-http/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -48,6 +48,8 @@
     deadline: Arc<WriteDeadline>,
     limit: Arc<ReadLimit>,
     addr: SocketAddr,
+    /// When the first connection was opened of those that lead to the same process of the server.
+    since: Tick,
     last_used: Instant,
     /// Whether a request was sent on the connection before.
     reused: bool,
@@ -78,13 +80,25 @@
         let handshake = Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
         let (sender, driver) = handshake.map_err(|_| CallError::Unreachable)?;
         let driver = Some(Box::pin(driver));
-        Ok(Self { sender, driver, deadline, limit, addr, last_used: Instant::now(), reused: false })
+        let (since, last_used, reused) = (clock.now(), Instant::now(), false);
+        Ok(Self { sender, driver, deadline, limit, addr, since, last_used, reused })
     }
 
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
+    /// Returns since when the process of the server has been the same, as far as this connection and those
+    /// that it follows tell.
+    pub fn since(&self) -> Tick {
+        self.since
+    }
+
+    /// Makes the connection follow one that led to the same process since `since`.
+    pub(super) fn follow(&mut self, since: Tick) {
+        self.since = self.since.min(since);
+    }
+
     pub fn idle_time(&self) -> Duration {
         self.last_used.elapsed()
     }
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -2,7 +2,10 @@
 //!
 //! At most one node is the controller of a term. Terms rise; the current one is stored in a record
 //! that is changed by conditional writes only. A deposed controller may not know yet that it was
-//! deposed; `grants` and `handover` explain how fencing makes its late commands harmless. The store
+//! deposed; `grants` and `handover` explain how fencing makes its late commands harmless. A server that
+//! starts again under its name has forgotten the fencing tokens, and commands cannot name one process of
+//! it. A controller therefore sends commands only over connections that are older than its last
+//! confirmation by the store, or were opened soon after it; see [`Controller::conn_age`]. The store
 //! may come back from an older copy, in a new era: a controller's right ends with the era in which
 //! it was elected, and the terms of an era are above those of the eras before; see `restore`.
 
@@ -10,7 +13,7 @@
 
 use {
     self::leases::Leases,
-    crate::message::Heartbeat,
+    crate::{message::Heartbeat, platform::RESTART_TIME},
     log::warn,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     whinspring::{
@@ -109,6 +112,8 @@
     leases: Leases,
     /// Servers that refuse connections or whose address another server has.
     down: HashMap<Instance, servers::Refusals>,
+    /// Servers whose connections are newer than the last confirmation, and when that was.
+    unproven: HashMap<Instance, Tick>,
     /// Servers that did not respond to the last command, and when one was last sent to them.
     silent: HashMap<Instance, Tick>,
     /// Results of connection probes by other nodes, by server address.
@@ -250,6 +255,17 @@
         self.may_command(now) && now.since(self.confirmed) < HANDOVER_TIMEOUT
     }
 
+    /// Returns the least age of a connection for commands at `now`. The process behind an older one cannot
+    /// have started after a successor of this node gave its keys away.
+    fn conn_age(&self, now: Tick) -> Duration {
+        now.since(self.confirmed + RESTART_TIME)
+    }
+
+    /// Returns whether commands wait for a connection that the next confirmation by the store proves.
+    fn has_unproven(&self) -> bool {
+        self.unproven.values().any(|confirmed| *confirmed == self.confirmed)
+    }
+
     /// Returns whether no handover command of the previous controller can still take effect. A
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
@@ -287,6 +303,7 @@
         self.resigning = false;
         self.leader = None;
         self.handovers.clear();
+        self.unproven.clear();
         self.leases = Leases::default();
     }
 }
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -306,8 +306,9 @@
     let now = node.now();
     {
         let mut control = node.control.borrow_mut();
-        let is_due = now.since(control.confirmed) >= CONFIRM_INTERVAL
-            && now.since(control.checked) >= CONFIRM_RETRY;
+        let is_old = now.since(control.confirmed) >= CONFIRM_INTERVAL;
+        let is_due =
+            (is_old || control.has_unproven()) && now.since(control.checked) >= CONFIRM_RETRY;
         if control.confirming || !is_due {
             return;
         }
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -324,7 +324,8 @@
         return Reply::NoResponse;
     }
     let before = node.control.borrow_mut().leases.entry(service, span).record_send(sent, duration);
-    let answer = node.platform.grant(addr, &Grant::new(span, duration, token)).await;
+    let conn_age = node.control.borrow().conn_age(sent);
+    let answer = node.platform.grant(addr, &Grant::new(span, duration, token, conn_age)).await;
     let reply = notices::hear_answer(node, &span.owner, addr, answer);
     let now = node.now();
     let mut control = node.control.borrow_mut();
@@ -336,6 +337,10 @@
             lease.taken.get_or_insert(now);
         }
         Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced => lease.expires = before,
+        Reply::NewConnection => {
+            lease.expires = before;
+            node.metrics.count("grant_withheld");
+        }
         Reply::NoResponse => node.metrics.count("grant_unanswered"),
     }
     control.record_reply(&span.owner, &reply, sent);
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -142,7 +142,7 @@
         match grant(node, service, span, addr, lease_terms(node).handover(), token.clone()).await {
             Reply::Done(_) => return Outcome::Granted,
             Reply::Fenced | Reply::Down | Reply::Replaced => return Outcome::Rejected,
-            Reply::Unsent | Reply::NoResponse => sleep(RETRY_DELAY).await,
+            Reply::Unsent | Reply::NewConnection | Reply::NoResponse => sleep(RETRY_DELAY).await,
         }
     }
 }
@@ -176,7 +176,7 @@
                 Reply::Down if is_dead(node, holder, addr) => return Some(None),
                 Reply::Down => request_probes(node, addr),
                 Reply::Fenced => node.metrics.count("release_fenced"),
-                Reply::Unsent | Reply::NoResponse => {}
+                Reply::Unsent | Reply::NewConnection | Reply::NoResponse => {}
             }
         }
         let deadline = release_deadline(node, service, span, former)
@@ -239,7 +239,8 @@
 ) -> Reply {
     match fence_former(node, service, span, fenced, addr).await {
         Reply::Done(_) => {
-            let grant = Grant::new(fenced, Duration::ZERO, None);
+            let conn_age = node.control.borrow().conn_age(node.now());
+            let grant = Grant::new(fenced, Duration::ZERO, None, conn_age);
             let answer = node.platform.release(addr, &grant).await;
             notices::hear_answer(node, &fenced.owner, addr, answer)
         }
@@ -262,10 +263,11 @@
     let duration = if is_inherited(node, service, span) { INHERITED_LEASE } else { RELEASE_LEASE };
     let before =
         node.control.borrow_mut().leases.entry(service, fenced).record_send(sent, duration);
-    let answer = node.platform.grant(addr, &Grant::new(fenced, duration, None)).await;
+    let conn_age = node.control.borrow().conn_age(sent);
+    let answer = node.platform.grant(addr, &Grant::new(fenced, duration, None, conn_age)).await;
     let reply = notices::hear_answer(node, &fenced.owner, addr, answer);
     let mut control = node.control.borrow_mut();
-    if matches!(reply, Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced) {
+    if !matches!(reply, Reply::Done(_) | Reply::NoResponse) {
         control.leases.entry(service, fenced).expires = before;
     }
     control.record_reply(&fenced.owner, &reply, sent);
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -6,7 +6,7 @@
         cold,
         message::{Body, ProbeRequest, ProbeResult},
         node::Node,
-        platform::{Platform, Reply},
+        platform::{Platform, RESTART_TIME, Reply},
         reach,
     },
     std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
@@ -19,7 +19,7 @@
 };
 
 /// Time for which a server must refuse connections to count as dead.
-const DEAD_AFTER: Duration = Duration::from_millis(400);
+const DEAD_AFTER: Duration = RESTART_TIME;
 
 /// The same for a leaving server, which refuses connections before its last requests end.
 const LEAVING_DEAD_AFTER: Duration = Duration::from_millis(2_000);
@@ -231,6 +231,9 @@
             Reply::Done(_) | Reply::Fenced => {
                 self.down.remove(instance);
             }
+            Reply::NewConnection => {
+                self.unproven.insert(instance.clone(), self.confirmed);
+            }
             Reply::Unsent | Reply::NoResponse => {
                 self.silent.entry(instance.clone()).or_insert(sent);
                 return;
@@ -240,8 +243,12 @@
     }
 
     /// Returns whether a command may be sent to a server now. To a server that does not respond,
-    /// one command at a time is sent.
+    /// one command at a time is sent; one on a new connection waits for a confirmation by the store.
     pub(super) fn may_contact(&mut self, now: Tick, instance: &Instance) -> bool {
+        if self.unproven.get(instance).is_some_and(|confirmed| *confirmed == self.confirmed) {
+            return false;
+        }
+        self.unproven.remove(instance);
         let Some(last) = self.silent.get_mut(instance) else { return true };
         if now.since(*last) < SILENT_RETRY {
             return false;
@@ -250,8 +257,10 @@
         true
     }
 
-    /// Forgets servers that no command was sent to for a long time.
+    /// Forgets servers that no command was sent to for a long time, and connections that are proven.
     pub(super) fn evict_silent(&mut self, now: Tick) {
+        let confirmed = self.confirmed;
+        self.unproven.retain(|_, since| *since == confirmed);
         self.silent.retain(|_, last| now.since(*last) < SILENCE_RETENTION);
     }
 }
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -204,6 +204,10 @@
     }
 }
 
+/// Least time in which a server ends, its keys are given to others, and it starts again under its name: it
+/// counts as dead only after as long.
+pub const RESTART_TIME: Duration = Duration::from_millis(400);
+
 /// A lease on a range of keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grant {
@@ -217,13 +221,16 @@
     pub duration: Duration,
     /// The former owner's token for the handover of its state.
     pub token: Option<Name>,
+    /// Time for which the process that takes the command must have been the same, as far as connections
+    /// to it tell; zero allows any.
+    pub conn_age: Duration,
 }
 
 impl Grant {
     /// Creates the grant of a span to its owner.
-    pub fn new(span: &Span, duration: Duration, token: Option<Name>) -> Self {
+    pub fn new(span: &Span, duration: Duration, token: Option<Name>, conn_age: Duration) -> Self {
         let Span { first, last, fence, .. } = *span;
-        Self { server: span.owner.server.clone(), first, last, fence, duration, token }
+        Self { server: span.owner.server.clone(), first, last, fence, duration, token, conn_age }
     }
 }
 
@@ -240,6 +247,8 @@
     Replaced,
     /// Nothing was sent.
     Unsent,
+    /// Nothing was sent, as the process may be younger than required. A new connection to it is open.
+    NewConnection,
     /// No response; the command may still take effect.
     NoResponse,
 }
@@ -280,7 +289,8 @@
 /// Commands to the servers of keyed services.
 ///
 /// A server refuses a command that is meant for another server at its address
-/// ([`Reply::Replaced`]).
+/// ([`Reply::Replaced`]). It cannot tell one that is meant for an earlier process under its name: only the
+/// connection can ([`Grant::conn_age`]).
 pub trait ServerControl {
     /// Grants keys, or renews a grant.
     fn grant(&self, addr: SocketAddr, grant: &Grant) -> impl Future<Output = Answer>;
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -81,6 +81,11 @@
 }
 
 impl Server {
+    /// Returns whether no connection to it can be opened.
+    fn is_down(&self) -> bool {
+        self.down || self.refusing
+    }
+
     /// Removes the keys of a grant from the leases.
     fn remove_keys(&mut self, grant: &Grant) {
         let mut kept = Vec::new();
@@ -174,6 +179,8 @@
     pub commands: Vec<Name>,
     /// Number of commands sent to each server.
     sent_to: HashMap<Name, usize>,
+    /// When each node opened its connection to each server.
+    conns: HashMap<(Name, Name), Instant>,
     /// Number of commands that each server is carrying out, and the most at any server so far.
     in_flight: HashMap<Name, usize>,
     pub most_in_flight: usize,
@@ -209,6 +216,7 @@
             terms: HashMap::new(),
             commands: Vec::new(),
             sent_to: HashMap::new(),
+            conns: HashMap::new(),
             in_flight: HashMap::new(),
             most_in_flight: 0,
             fault_rates: FaultRates::default(),
@@ -223,6 +231,7 @@
     /// Ends a server's process; its leases are lost.
     pub fn crash(&mut self, index: usize) {
         let now = Instant::now();
+        self.conns.retain(|(_, server), _| *server != name(index));
         let server = self.servers.get_mut(&name(index)).unwrap();
         server.down = true;
         server.held.clear();
@@ -323,6 +332,14 @@
         f64::from(count) / 65_536.0
     }
 
+    /// Returns whether a node's connection to a server is as old as a command requires; opens one if
+    /// there is none.
+    fn is_connected(&mut self, node: &Name, server: &Name, grant: &Grant) -> bool {
+        let now = Instant::now();
+        let opened = *self.conns.entry((node.clone(), server.clone())).or_insert(now);
+        now - opened >= grant.conn_age
+    }
+
     /// Counts a command that a server carries out.
     fn begin_command(&mut self, server: &Name) {
         let count = self.in_flight.entry(server.clone()).or_default();
@@ -397,7 +414,7 @@
     fn apply_grant(&mut self, target: &Name, grant: &Grant, arrived: Instant) -> Reply {
         let now = Instant::now();
         let server = self.servers.get_mut(target).unwrap();
-        if server.down || server.refusing {
+        if server.is_down() {
             return Reply::Down;
         }
         let over = |first: u16, last: u16| first <= grant.last && last >= grant.first;
@@ -577,6 +594,7 @@
             return Reply::Down;
         }
         if lost {
+            self.world.borrow_mut().conns.remove(&(self.node.clone(), target));
             sleep(CONNECT_TIMEOUT).await;
             return Reply::Unsent;
         }
@@ -585,8 +603,14 @@
             let down = self.world.borrow().servers[&target].down;
             return if down { Reply::Down } else { Reply::Replaced };
         }
+        let is_down = self.world.borrow().servers[&target].is_down();
+        if !is_down && !self.world.borrow_mut().is_connected(&self.node, &target, grant) {
+            sleep(RESPONSE_DELAY).await;
+            return Reply::NewConnection;
+        }
         if let Some(delay) = delay {
             let (world, grant) = (self.world.clone(), grant.clone());
+            self.world.borrow_mut().conns.remove(&(self.node.clone(), target.clone()));
             spawn_local(async move {
                 sleep(delay).await;
                 let arrived = if slow { Instant::now() } else { arrived };
@@ -596,9 +620,14 @@
             return Reply::NoResponse;
         }
         self.world.borrow_mut().begin_command(&target);
+        let instance = self.world.borrow().servers[&target].instance;
         sleep(RESPONSE_DELAY).await;
         let mut world = self.world.borrow_mut();
         *world.in_flight.get_mut(&target).unwrap() -= 1;
+        if world.servers[&target].instance != instance {
+            // The connection has ended with the process that the command was sent to.
+            return Reply::NoResponse;
+        }
         act(&mut world, &target, grant, arrived)
     }
 }
--- a/crates/whinspring-router/tests/owners/main.rs
+++ b/crates/whinspring-router/tests/owners/main.rs
@@ -8,6 +8,7 @@
 mod fake;
 mod outages;
 mod paths;
+mod restarts;
 mod restores;
 mod scenarios;
 mod seeds;
--- /dev/null
+++ b/crates/whinspring-router/tests/owners/restarts.rs
@@ -0,0 +1,62 @@
+//! Servers that start again under their names while a deposed controller still commands: the fencing
+//! tokens that shut it out are lost with the process.
+
+use {
+    crate::fake::{Platform, World, advance, exchange_heartbeats, start, with_paused_clock},
+    std::{cell::RefCell, rc::Rc},
+    tokio::task::spawn_local,
+    whinspring_router::node::Node,
+};
+
+const SERVERS: usize = 6;
+
+/// Time in which the second node finds out that the controller is silent, and takes its place.
+const ELECTION_MS: u64 = 2_500;
+
+/// Time in which the keys of a server are given to others.
+const MOVE_MS: u64 = 3_000;
+
+/// Starts two nodes, and cuts the controller off from the store and the other node. Returns the nodes,
+/// the controller last.
+async fn cut_controller_off(world: &Rc<RefCell<World>>) -> [Rc<Node<Platform>>; 2] {
+    let mut nodes = [start(world, "n1"), start(world, "n2")];
+    let isolated = Rc::new(RefCell::new(false));
+    spawn_local(exchange_heartbeats(nodes.to_vec(), isolated.clone()));
+    advance(6_000).await;
+    nodes.sort_by_key(|node| node.control.borrow().is_leader());
+    *isolated.borrow_mut() = true;
+    world.borrow_mut().cut_off.push(nodes[1].name().clone());
+    advance(ELECTION_MS).await;
+    assert!(nodes.iter().all(|node| node.control.borrow().is_leader()));
+    nodes
+}
+
+/// Plays a change at server 0, starts it again when its keys are at other servers, and checks that no two
+/// servers hold a key.
+fn play(seed: u64, change: fn(&mut World)) {
+    with_paused_clock(seed, async {
+        let world = World::new(seed, SERVERS);
+        let _nodes = cut_controller_off(&world).await;
+        change(&mut world.borrow_mut());
+        advance(MOVE_MS + 30 * seed).await;
+        let others: f64 = (1..SERVERS).map(|index| world.borrow().share(index)).sum();
+        assert_eq!(others, 1.0, "seed {seed}: the keys of the server are not at others");
+        world.borrow_mut().restart(0);
+        world.borrow_mut().publish_entry(0);
+        advance(8_000).await;
+        assert_eq!(world.borrow().faults, Vec::<String>::new(), "seed {seed}");
+    });
+}
+
+/// Guards against two servers that hold the same keys: one crashed and its keys went to others, and it
+/// takes renewals of the controller before, which still reaches it, once it has started again.
+#[test]
+fn a_crashed_server_that_starts_again_takes_no_renewals_of_a_deposed_controller() {
+    (0..20).for_each(|seed| play(seed, |world| world.crash(0)));
+}
+
+/// The same after a handover in good order.
+#[test]
+fn a_server_that_handed_its_keys_over_and_starts_again_takes_no_renewals_of_a_deposed_controller() {
+    (0..20).for_each(|seed| play(seed, |world| world.leave(0)));
+}
