--- a/crates/whinspring-router/tests/path/reports.rs
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -4,11 +4,16 @@
 use {
     crate::{
         pair::run_with_relay,
-        rig::{Rig, TEST_TIMEOUT, read_response, run},
+        rig::{Rig, TEST_TIMEOUT},
         setup::settings,
     },
     socket2::SockRef,
-    std::{cell::RefCell, io::Write as _, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -19,17 +24,17 @@
 };
 
 /// Time that the server takes for a request after the first one.
-const RUN_TIME: Duration = Duration::from_millis(100);
+pub const RUN_TIME: Duration = Duration::from_millis(100);
 
 /// Time in which bytes arrive over loopback and are read.
-const ARRIVAL_TIME: Duration = Duration::from_millis(30);
+pub const ARRIVAL_TIME: Duration = Duration::from_millis(30);
 
 /// Size of a body that is streamed instead of buffered, in bytes.
 const LONG_BODY: usize = 100_000;
 
 /// When the server sends the second copy of its first response.
 #[derive(Debug, Clone, Copy)]
-enum Copy {
+pub enum Copy {
     /// A time after the response.
     After(Duration),
     /// A time after the response, once the next request has arrived if it comes on the connection.
@@ -43,23 +48,23 @@
 }
 
 /// What a server saw on its connections, in order: their number and the id of a request, or `copy`.
-type Events = Rc<RefCell<Vec<(usize, String)>>>;
+pub type Events = Rc<RefCell<Vec<(usize, String)>>>;
 
 /// How the requests reach the node under test.
 #[derive(Debug, Clone, Copy)]
-enum Role {
+pub enum Role {
     /// From a caller.
     Entry,
     /// From a node that uses this one as a relay.
     Relay,
 }
 
-fn id_of(request: &str) -> &str {
+pub fn id_of(request: &str) -> &str {
     let line = request.lines().find(|line| line.starts_with("x-id: "));
     line.map_or("", |line| &line[6..])
 }
 
-fn build_request(role: Role, method: &str, path: &str, id: &str) -> String {
+pub fn build_request(role: Role, method: &str, path: &str, id: &str) -> String {
     let internal = match role {
         Role::Entry => "",
         Role::Relay => "x-target: s1\r\nwhinspring-server-start-ms: 0\r\n",
@@ -70,7 +75,7 @@
 }
 
 /// Returns the response to a request of a server that sends its first response twice.
-fn own_response(id: &str) -> String {
+pub fn own_response(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ncontent-length: {}\r\n\r\nof {id}",
         id.len() + 3
@@ -78,7 +83,7 @@
 }
 
 /// Runs a test on one thread.
-fn block_on(test: impl Future<Output = ()>) {
+pub fn block_on(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
         timeout(TEST_TIMEOUT, test).await.expect("the test timed out");
@@ -86,7 +91,7 @@
 }
 
 /// Starts a server. If `copied` is given, it is the first response, and is sent again.
-async fn start_server(copied: Option<(String, Copy)>) -> (SocketAddr, Events) {
+pub async fn start_server(copied: Option<(String, Copy)>) -> (SocketAddr, Events) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     let events = Events::default();
@@ -298,6 +303,63 @@
     });
 }
 
+/// Statuses that promise that a request has not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+fn status_of(response: &str) -> u16 {
+    response.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default()
+}
+
+/// Guards against requests that run and are reported as not run, or run twice: the second copy of the
+/// rejection of an earlier request comes on the connection that they use.
+#[test]
+fn a_copy_of_a_rejection_does_not_answer_another_request() {
+    let roles = [Role::Entry, Role::Relay].into_iter();
+    for (role, status) in roles.flat_map(|role| [(role, 421), (role, 503)]) {
+        for copy in [Copy::InHead, Copy::AfterHead, Copy::During(RUN_TIME)] {
+            for keyed in [false, true] {
+                assert_not_answered_by_copy(role, status, copy, keyed);
+            }
+        }
+    }
+}
+
+/// Sends requests to a server that rejects the first one and sends that rejection again.
+fn assert_not_answered_by_copy(role: Role, status: u16, copy: Copy, keyed: bool) {
+    block_on(async {
+        let head = format!("HTTP/1.1 {status} No\r\nx-id: i1\r\nx-not-run: 1\r\n");
+        let first = format!("{head}content-length: 0\r\n\r\n");
+        let (server, events) = start_server(Some((first, copy))).await;
+        let settings = settings("n1", Limits::default());
+        let rig = Rig::start_node(settings, server, Rc::default(), None).await;
+        if keyed {
+            rig.set_keyed();
+        }
+        post(&rig, role, "i1").await;
+        // Both connections that the first request has left are used.
+        let (second, third) = tokio::join!(post(&rig, role, "i2"), post(&rig, role, "i3"));
+        sleep(RUN_TIME).await;
+        let events = events.borrow();
+        for (id, response) in [("i2", second), ("i3", third)] {
+            let case = format!("{role:?} {status} {copy:?} {keyed} {id}: {response} {events:?}");
+            let runs = events.iter().filter(|(_, event)| event == id).count();
+            assert!(runs <= 1, "ran twice: {case}");
+            let is_promise = PROMISES.contains(&status_of(&response));
+            assert!(runs == 0 || !is_promise, "ran: {case}");
+            assert!(runs == 0 || !response.contains("fault: unsent"), "ran: {case}");
+        }
+        assert!(events.iter().any(|(_, event)| event == "copy"), "{events:?}");
+    });
+}
+
+async fn post(rig: &Rig, role: Role, id: &str) -> String {
+    let request = build_request(role, "POST", "/once/1", id);
+    match role {
+        Role::Entry => rig.send(&request).await,
+        Role::Relay => rig.send_relayed(&request).await,
+    }
+}
+
 /// Guards against a relay that takes a retry for a first sending, and uses a connection again.
 #[test]
 fn a_relay_is_told_of_a_retry() {
@@ -427,6 +489,54 @@
     assert_incomplete(Framing::None, true);
 }
 
+/// Sends the first bytes of `response` to each request and closes the connection, by a reset or not.
+async fn start_stopper(response: &'static [u8], reset: bool) -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let requests = Rc::new(Cell::new(0));
+    let seen = requests.clone();
+    spawn_local(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            if read_head(&mut socket, &mut Vec::new()).await.is_some() {
+                seen.set(seen.get() + 1);
+                let _ = socket.write_all(response).await;
+                if reset {
+                    SockRef::from(&socket).set_linger(Some(Duration::ZERO)).unwrap();
+                }
+            }
+        }
+    });
+    (addr, requests)
+}
+
+/// Guards against a success with an empty or a short body: the server stopped in the middle of the head
+/// of its response, or of an interim one before it.
+#[test]
+fn a_head_that_breaks_off_is_no_response() {
+    const HEADS: [&str; 3] = [
+        "HTTP/1.1 200 OK\r\nx-id: i1\r\nx-seal: s\r\ncontent-length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: i1\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-id: i1\r\nx-seal: s\r\nconnection: close\r\n\r",
+    ];
+    for (head, reset) in HEADS.into_iter().flat_map(|head| [(head, false), (head, true)]) {
+        for role in [Role::Entry, Role::Relay] {
+            for end in 0..=head.len() {
+                block_on(async {
+                    let (server, requests) = start_stopper(&head.as_bytes()[..end], reset).await;
+                    let settings = settings("n1", Limits::default());
+                    let rig = Rig::start_node(settings, server, Rc::default(), None).await;
+                    let response = post(&rig, role, "i1").await;
+                    let case = format!("{role:?} {reset} {:?}: {response}", &head[..end]);
+                    assert_eq!(requests.get(), 1, "{case}");
+                    let is_success = response.starts_with("HTTP/1.1 2");
+                    assert!(!is_success || !is_complete(&response), "{case}");
+                    assert!(!PROMISES.contains(&status_of(&response)), "{case}");
+                });
+            }
+        }
+    }
+}
+
 /// Guards against a response that is taken for complete at an entry node, whose relay was lost halfway.
 #[test]
 fn a_relay_that_is_lost_halfway_never_completes_a_response() {
@@ -466,155 +576,3 @@
 fn a_body_that_ends_with_its_connection_never_looks_complete() {
     assert_incomplete(Framing::None, false);
 }
-
-/// Connections that each test of a planned stop uses, as the order of events on one of them varies.
-const CALLERS: usize = 16;
-
-/// Ends a planned stop, after the time in which the balancer learns of it.
-fn stop(rig: &Rig) {
-    rig.node.leaving.set(true);
-    let callers = rig.callers.clone();
-    spawn_local(async move { callers.close().await });
-}
-
-fn succeed(request: &str) -> Option<String> {
-    Some(own_response(id_of(request)))
-}
-
-/// Guards against a request that is cut off by a planned stop as its head arrives in pieces, before and
-/// after the stop begins.
-#[test]
-fn a_stop_waits_for_a_head_that_has_begun() {
-    for split in [1, 20, 60] {
-        run(succeed, move |rig| async move {
-            let request = build_request(Role::Entry, "GET", "/safe/1", "i1");
-            let (start, rest) = request.as_bytes().split_at(split);
-            let mut socket = rig.connect().await;
-            socket.write_all(start).await.unwrap();
-            sleep(ARRIVAL_TIME).await;
-            stop(&rig);
-            sleep(2 * RUN_TIME).await;
-            socket.write_all(rest).await.unwrap();
-            let response = read_response(&mut socket).await;
-            assert!(response.ends_with("of i1"), "{split}: {response}");
-            assert!(response.contains("connection: close"), "{split}: {response}");
-        });
-    }
-}
-
-/// Guards against a request that is cut off by a planned stop between its head and its body.
-#[test]
-fn a_stop_waits_for_a_body() {
-    run(
-        |request| request.ends_with("\r\n\r\n").then(|| own_response(id_of(request))),
-        |rig| async move {
-            let mut socket = rig.connect().await;
-            let head = build_request(Role::Entry, "POST", "/once/1", "i1");
-            let head = head.replacen("\r\n\r\n", "\r\ncontent-length: 4\r\n\r\n", 1);
-            socket.write_all(head.as_bytes()).await.unwrap();
-            sleep(ARRIVAL_TIME).await;
-            stop(&rig);
-            sleep(2 * RUN_TIME).await;
-            socket.write_all(b"\r\n\r\n").await.unwrap();
-            let response = read_response(&mut socket).await;
-            assert!(response.ends_with("of i1"), "{response}");
-        },
-    );
-}
-
-/// Guards against a request that has arrived and is cut off by a planned stop, as the node has little
-/// processor time and reads it only when it is about to close the connection as idle.
-#[test]
-fn a_stop_does_not_close_a_connection_with_an_unread_request() {
-    for reused in [false, true] {
-        run(succeed, move |rig| async move {
-            let mut sockets = Vec::new();
-            for _ in 0..CALLERS {
-                let mut socket = rig.connect().await;
-                if reused {
-                    let request = build_request(Role::Entry, "GET", "/safe/1", "i0");
-                    socket.write_all(request.as_bytes()).await.unwrap();
-                    assert!(read_response(&mut socket).await.ends_with("of i0"));
-                }
-                sockets.push(socket.into_std().unwrap());
-            }
-            sleep(ARRIVAL_TIME).await;
-            stop(&rig);
-            sleep(Duration::from_millis(10)).await;
-            for socket in &mut sockets {
-                let request = build_request(Role::Entry, "GET", "/safe/1", "i1");
-                socket.write_all(request.as_bytes()).unwrap();
-            }
-            std::thread::sleep(RUN_TIME);
-            let mut served = 0;
-            for socket in sockets {
-                let mut socket = TcpStream::from_std(socket).unwrap();
-                let response = read_response(&mut socket).await;
-                served += usize::from(response.starts_with("HTTP/1.1"));
-            }
-            assert_eq!(served, CALLERS, "{reused}");
-        });
-    }
-}
-
-/// Guards against connections that have not been accepted yet when a node closes its listener: the
-/// kernel resets them, with the requests that they carry.
-#[test]
-fn a_stop_accepts_the_connections_of_the_backlog() {
-    run(succeed, |rig| async move {
-        let addr = rig.connect().await.peer_addr().unwrap();
-        sleep(ARRIVAL_TIME).await;
-        let mut sockets = Vec::new();
-        for _ in 0..CALLERS {
-            let mut socket = std::net::TcpStream::connect(addr).unwrap();
-            let request = build_request(Role::Entry, "GET", "/safe/1", "i1");
-            socket.write_all(request.as_bytes()).unwrap();
-            socket.set_nonblocking(true).unwrap();
-            sockets.push(socket);
-        }
-        rig.callers.close().await;
-        let mut served = 0;
-        for socket in sockets {
-            let mut socket = TcpStream::from_std(socket).unwrap();
-            let response = read_response(&mut socket).await;
-            served += usize::from(response.starts_with("HTTP/1.1"));
-        }
-        assert_eq!(served, CALLERS);
-        assert!(TcpStream::connect(addr).await.is_err(), "the listener is still open");
-    });
-}
-
-/// Guards against requests that wait at a gate and are cut off by a planned stop: those for which there
-/// is time run, and the others are rejected before their connections are closed.
-#[test]
-fn a_stop_answers_the_requests_that_wait_at_a_gate() {
-    for closes_queue in [false, true] {
-        block_on(async {
-            let (server, _) = start_server(None).await;
-            let settings = settings("n1", Limits::default());
-            let rig = Rig::start_node(settings, server, Rc::default(), None).await;
-            let mut sockets = Vec::new();
-            for number in 1..=6 {
-                let mut socket = rig.connect().await;
-                let request = build_request(Role::Entry, "POST", "/once/1", &format!("i{number}"));
-                socket.write_all(request.as_bytes()).await.unwrap();
-                sockets.push(socket);
-            }
-            sleep(RUN_TIME / 2).await;
-            stop(&rig);
-            if closes_queue {
-                rig.node.close_queue();
-            }
-            let mut statuses = Vec::new();
-            for (number, socket) in (1..).zip(&mut sockets) {
-                let response = read_response(socket).await;
-                assert!(response.contains(&format!("x-id: i{number}")), "{response}");
-                assert!(response.contains("connection: close"), "{response}");
-                statuses.push(response[9..12].to_owned());
-            }
-            let rejected = statuses.iter().filter(|status| *status == "503").count();
-            assert_eq!(rejected > 0, closes_queue, "{statuses:?}");
-            assert!(statuses.iter().all(|status| status == "200" || status == "503"));
-        });
-    }
-}
