Controller: an early check of the place is logged; each time of leases stands once

The end of handover leases is worked out in leases.rs, where its constants are private now; the longest wait for an owner was named in two places. `place_checked_early` says why the controller asks the store sooner. No behaviour changes.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -270,8 +270,7 @@
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
         let stopped = self.predecessor_stopped.unwrap_or(self.elected_at + HANDOVER_TIMEOUT);
-        let lease = if self.is_bounded { leases::HANDOVER_LEASE } else { leases::SHORT_LEASE };
-        now > leases::lease_end(stopped, lease)
+        now > leases::handover_end(stopped, self.is_bounded)
     }
 
     /// Returns the latest time at which the previous controller may have sent a command.
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -312,6 +312,10 @@
         if control.confirming || !is_due {
             return;
         }
+        if !is_old {
+            let unconfirmed_ms = now.since(control.confirmed).as_millis() as u64;
+            info!(event = "place_checked_early", term = control.term, unconfirmed_ms; "connections to servers are newer than the last confirmation; commands to them wait for another");
+        }
         control.confirming = true;
         control.checked = now;
     }
--- a/crates/whinspring-router/src/control/leases.rs
+++ b/crates/whinspring-router/src/control/leases.rs
@@ -18,11 +18,11 @@
 };
 
 /// Lease duration while the store confirms the controller.
-pub(super) const SHORT_LEASE: Duration = Duration::from_millis(4_000);
+const SHORT_LEASE: Duration = Duration::from_millis(4_000);
 
 /// Lease duration of a new owner until the store knows that the keys were handed over. A successor
 /// waits for its end before it repeats the handover.
-pub(super) const HANDOVER_LEASE: Duration = Duration::from_millis(2_000);
+const HANDOVER_LEASE: Duration = Duration::from_millis(2_000);
 
 /// Time since the last confirmation by the store from which leases are long. Until then, the short
 /// ones bridge the outage.
@@ -194,6 +194,12 @@
     }
 }
 
+/// Returns when the leases of all handovers have expired that a controller commanded by `last`; those of
+/// versions whose leases are not `bounded` are longer.
+pub(super) fn handover_end(last: Tick, bounded: bool) -> Tick {
+    lease_end(last, if bounded { HANDOVER_LEASE } else { SHORT_LEASE })
+}
+
 /// Returns when a lease that is granted now has expired on the server's clock as well.
 pub fn lease_end(now: Tick, duration: Duration) -> Tick {
     now + lease_time(duration)
--- a/crates/whinspring-router/src/request/acquire.rs
+++ b/crates/whinspring-router/src/request/acquire.rs
@@ -21,9 +21,6 @@
     },
 };
 
-/// Longest wait for a key that currently has no owner.
-const MAX_OWNER_WAIT: Duration = Duration::from_millis(350);
-
 /// `Retry-After` while this node reaches no server: another node may, and the paths are probed often.
 const PATH_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -39,7 +36,7 @@
             info!(event = "no_path", id = self.id(), routes = self.table.version; "rejected: this node reaches no server, and no other node can relay requests");
             return Err(Rejection::with_retry(Code::NoPath, PATH_RETRY_DELAY));
         }
-        let until = node.now() + MAX_OWNER_WAIT;
+        let until = node.now() + vacancy::WORTH_WAITING;
         let mut shunned = Vec::new();
         loop {
             let pool = match self.key {
--- a/crates/whinspring/src/ranges/vacancy.rs
+++ b/crates/whinspring/src/ranges/vacancy.rs
@@ -13,7 +13,7 @@
 };
 
 /// Time without an owner up to which requests wait for one.
-const WORTH_WAITING: Duration = Duration::from_millis(350);
+pub const WORTH_WAITING: Duration = Duration::from_millis(350);
 
 /// Time that a lease takes to run out after its server was lost, in most cases.
 const EXPECTED_LEASE: Duration = Duration::from_millis(4_000);
