--- a/crates/whinspring-http/src/backend.rs
+++ b/crates/whinspring-http/src/backend.rs
@@ -60,8 +60,16 @@
     host: HeaderValue,
     /// Idle connections, the most recently used one last.
     idle: VecDeque<Conn<R>>,
-    /// When the last response ended, and since when its connection led to the same process.
-    last: Option<(Tick, Tick)>,
+    last: Option<LastResponse>,
+}
+
+/// The last response of the server.
+#[derive(Debug)]
+struct LastResponse {
+    /// When it ended.
+    ended: Tick,
+    /// Since when its connection has led to the same process.
+    since: Tick,
 }
 
 impl<R: BodyStream> ConnectionPool<R> {
@@ -142,9 +150,7 @@
                 false => young.push(conn),
             }
         }
-        for conn in young {
-            self.release(conn).await;
-        }
+        young.into_iter().rev().for_each(|conn| self.state.lock().keep(conn));
         Ok(aged)
     }
 
@@ -156,10 +162,10 @@
     pub async fn open(&self) -> Result<Conn<R>, CallError> {
         let addr = self.state.lock().addr;
         let mut conn = Conn::open(addr, self.clock, self.close_mode).await?;
-        if let Some((ended, since)) = self.state.lock().last
-            && self.clock.now().since(ended) < self.restart_time
+        if let Some(last) = &self.state.lock().last
+            && self.clock.now().since(last.ended) < self.restart_time
         {
-            conn.follow(since);
+            conn.follow(last.since);
         }
         Ok(conn)
     }
@@ -178,18 +184,12 @@
     pub async fn release(&self, mut conn: Conn<R>) {
         let is_open = conn.finish().await;
         let mut state = self.state.lock();
-        if state.addr != conn.addr() {
-            return;
-        }
-        if conn.is_reused() {
-            state.last = Some((self.clock.now(), conn.since()));
-        }
-        if !is_open {
-            return;
+        let may_follow = !self.restart_time.is_zero() && state.addr == conn.addr();
+        if may_follow && conn.is_reused() {
+            state.last = Some(LastResponse { ended: self.clock.now(), since: conn.since() });
         }
-        state.idle.push_back(conn);
-        if state.idle.len() > MAX_IDLE {
-            state.idle.pop_front();
+        if is_open {
+            state.keep(conn);
         }
     }
 
@@ -207,6 +207,17 @@
 }
 
 impl<R: BodyStream> State<R> {
+    /// Keeps an idle connection, unless it leads to a former address.
+    fn keep(&mut self, conn: Conn<R>) {
+        if self.addr != conn.addr() {
+            return;
+        }
+        self.idle.push_back(conn);
+        if self.idle.len() > MAX_IDLE {
+            self.idle.pop_front();
+        }
+    }
+
     fn evict_expired(&mut self) {
         while self.idle.front().is_some_and(|conn| conn.idle_time() >= IDLE_TIMEOUT) {
             self.idle.pop_front();
