--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -180,7 +180,8 @@
 pub fn record_reply<P: Platform>(node: &Node<P>, server: &Name, reply: &Reply) {
     match reply {
         Reply::Done(_) | Reply::Fenced | Reply::Replaced => record_response(node),
-        Reply::NewConnection => record_open(node, server, true),
+        // The connection may have been opened long ago, before the path was lost.
+        Reply::NewConnection => {}
         Reply::Down | Reply::Unsent => record_open(node, server, false),
         Reply::NoResponse => record_no_response(node, server),
     }
