Controller: commands are built in one place; what a confirmation proves is a set

The age that a connection needs was worked out before each of three commands; `command` does it now. Which replies leave a lease as it was stood in two lists, one of them inverted; `Reply::may_have_effect` says it. Servers with connections newer than the last confirmation were kept with the time of that confirmation and compared at each use; the set is emptied by the confirmation. Admission::new repeated the default of each field.

--- a/crates/whinspring-router/src/admission.rs
+++ b/crates/whinspring-router/src/admission.rs
@@ -75,7 +75,7 @@
 pub type GateResult = Result<Name, Duration>;
 
 /// Gates on this node, and requests of this node at any gate.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Admission {
     /// Gates by pool.
     gates: HashMap<Name, Gate>,
@@ -92,14 +92,8 @@
 impl Admission {
     /// Creates the state of a process; its requests get numbers that no other process gives out.
     pub fn new(incarnation: u64) -> Self {
-        Self {
-            gates: HashMap::new(),
-            waiting: HashMap::new(),
-            active: HashSet::new(),
-            last_number: incarnation >> (u64::BITS - FIRST_NUMBER_BITS),
-            last_check: Tick::default(),
-            overflows: HashMap::new(),
-        }
+        let last_number = incarnation >> (u64::BITS - FIRST_NUMBER_BITS);
+        Self { last_number, ..Self::default() }
     }
 }
 
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -15,7 +15,11 @@
     self::leases::Leases,
     crate::{message::Heartbeat, platform::RESTART_TIME},
     log::warn,
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
     whinspring::{
         errors::ErrorShare,
         name::Name,
@@ -112,8 +116,8 @@
     leases: Leases,
     /// Servers that refuse connections or whose address another server has.
     down: HashMap<Instance, servers::Refusals>,
-    /// Servers whose connections are newer than the last confirmation, and when that was.
-    unproven: HashMap<Instance, Tick>,
+    /// Servers whose connections are newer than the last confirmation.
+    unproven: HashSet<Instance>,
     /// Servers that did not respond to the last command, and when one was last sent to them.
     silent: HashMap<Instance, Tick>,
     /// Results of connection probes by other nodes, by server address.
@@ -261,11 +265,6 @@
         now.since(self.confirmed + RESTART_TIME)
     }
 
-    /// Returns whether commands wait for a connection that the next confirmation by the store proves.
-    fn has_unproven(&self) -> bool {
-        self.unproven.values().any(|confirmed| *confirmed == self.confirmed)
-    }
-
     /// Returns whether no handover command of the previous controller can still take effect. A
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -308,7 +308,7 @@
         let mut control = node.control.borrow_mut();
         let is_old = now.since(control.confirmed) >= CONFIRM_INTERVAL;
         let is_due =
-            (is_old || control.has_unproven()) && now.since(control.checked) >= CONFIRM_RETRY;
+            (is_old || !control.unproven.is_empty()) && now.since(control.checked) >= CONFIRM_RETRY;
         if control.confirming || !is_due {
             return;
         }
@@ -328,6 +328,7 @@
         let is_own = record.term == control.term && record.incarnation == node.incarnation;
         if control.is_leader && is_own {
             control.confirmed = now;
+            control.unproven.clear();
         } else if control.is_leader {
             control.depose(record.term);
         }
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -324,29 +324,39 @@
         return Reply::NoResponse;
     }
     let before = node.control.borrow_mut().leases.entry(service, span).record_send(sent, duration);
-    let conn_age = node.control.borrow().conn_age(sent);
-    let answer = node.platform.grant(addr, &Grant::new(span, duration, token, conn_age)).await;
+    let answer = node.platform.grant(addr, &command(node, span, duration, token)).await;
     let reply = notices::hear_answer(node, &span.owner, addr, answer);
     let now = node.now();
     let mut control = node.control.borrow_mut();
     let lease = control.leases.entry(service, span);
     lease.in_flight = false;
+    if !reply.may_have_effect() {
+        lease.expires = before;
+    }
     match reply {
         Reply::Done(_) => {
             lease.acked = Some(sent);
             lease.taken.get_or_insert(now);
         }
-        Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced => lease.expires = before,
-        Reply::NewConnection => {
-            lease.expires = before;
-            node.metrics.count("grant_withheld");
-        }
+        Reply::NewConnection => node.metrics.count("grant_withheld"),
         Reply::NoResponse => node.metrics.count("grant_unanswered"),
+        Reply::Down | Reply::Unsent | Reply::Replaced | Reply::Fenced => {}
     }
     control.record_reply(&span.owner, &reply, sent);
     reply
 }
 
+/// Builds a command for the owner of a span, to be sent now.
+pub(super) fn command<P: Platform>(
+    node: &Rc<Node<P>>,
+    span: &Span,
+    duration: Duration,
+    token: Option<Name>,
+) -> Grant {
+    let conn_age = node.control.borrow().conn_age(node.now());
+    Grant::new(span, duration, token, conn_age)
+}
+
 /// Returns the longest lease that servers accept.
 pub(super) fn max_lease<P: Platform>(node: &Rc<Node<P>>) -> Duration {
     Duration::from_millis(node.settings.limits.hold_ms.into())
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -14,7 +14,7 @@
 use {
     super::{
         FENCE_STEP,
-        grants::{current_ownership, grant, lease_terms, max_lease},
+        grants::{command, current_ownership, grant, lease_terms, max_lease},
         leases::lease_end,
         progress::Outcome,
         servers::{address, is_dead, request_probes, restarted_as},
@@ -22,7 +22,7 @@
     crate::{
         node::Node,
         notices, owners,
-        platform::{Grant, Platform, Reply},
+        platform::{Platform, Reply},
     },
     log::warn,
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -239,9 +239,8 @@
 ) -> Reply {
     match fence_former(node, service, span, fenced, addr).await {
         Reply::Done(_) => {
-            let conn_age = node.control.borrow().conn_age(node.now());
-            let grant = Grant::new(fenced, Duration::ZERO, None, conn_age);
-            let answer = node.platform.release(addr, &grant).await;
+            let release = command(node, fenced, Duration::ZERO, None);
+            let answer = node.platform.release(addr, &release).await;
             notices::hear_answer(node, &fenced.owner, addr, answer)
         }
         other => other,
@@ -263,11 +262,10 @@
     let duration = if is_inherited(node, service, span) { INHERITED_LEASE } else { RELEASE_LEASE };
     let before =
         node.control.borrow_mut().leases.entry(service, fenced).record_send(sent, duration);
-    let conn_age = node.control.borrow().conn_age(sent);
-    let answer = node.platform.grant(addr, &Grant::new(fenced, duration, None, conn_age)).await;
+    let answer = node.platform.grant(addr, &command(node, fenced, duration, None)).await;
     let reply = notices::hear_answer(node, &fenced.owner, addr, answer);
     let mut control = node.control.borrow_mut();
-    if !matches!(reply, Reply::Done(_) | Reply::NoResponse) {
+    if !reply.may_have_effect() {
         control.leases.entry(service, fenced).expires = before;
     }
     control.record_reply(&fenced.owner, &reply, sent);
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -232,7 +232,7 @@
                 self.down.remove(instance);
             }
             Reply::NewConnection => {
-                self.unproven.insert(instance.clone(), self.confirmed);
+                self.unproven.insert(instance.clone());
             }
             Reply::Unsent | Reply::NoResponse => {
                 self.silent.entry(instance.clone()).or_insert(sent);
@@ -245,10 +245,9 @@
     /// Returns whether a command may be sent to a server now. To a server that does not respond,
     /// one command at a time is sent; one on a new connection waits for a confirmation by the store.
     pub(super) fn may_contact(&mut self, now: Tick, instance: &Instance) -> bool {
-        if self.unproven.get(instance).is_some_and(|confirmed| *confirmed == self.confirmed) {
+        if self.unproven.contains(instance) {
             return false;
         }
-        self.unproven.remove(instance);
         let Some(last) = self.silent.get_mut(instance) else { return true };
         if now.since(*last) < SILENT_RETRY {
             return false;
@@ -257,10 +256,8 @@
         true
     }
 
-    /// Forgets servers that no command was sent to for a long time, and connections that are proven.
+    /// Forgets servers that no command was sent to for a long time.
     pub(super) fn evict_silent(&mut self, now: Tick) {
-        let confirmed = self.confirmed;
-        self.unproven.retain(|_, since| *since == confirmed);
         self.silent.retain(|_, last| now.since(*last) < SILENCE_RETENTION);
     }
 }
