--- a/crates/whinspring-router/tests/path/reports.rs
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -192,10 +192,17 @@
 
 /// Sends a request on a new connection and returns the response.
 async fn send(rig: &Rig, role: Role, path: &str, id: &str) -> String {
-    let request = build_request(role, "GET", path, id);
+    deliver(rig, role, &build_request(role, "GET", path, id)).await
+}
+
+async fn post(rig: &Rig, role: Role, id: &str) -> String {
+    deliver(rig, role, &build_request(role, "POST", "/once/1", id)).await
+}
+
+async fn deliver(rig: &Rig, role: Role, request: &str) -> String {
     match role {
-        Role::Entry => rig.send(&request).await,
-        Role::Relay => rig.send_relayed(&request).await,
+        Role::Entry => rig.send(request).await,
+        Role::Relay => rig.send_relayed(request).await,
     }
 }
 
@@ -352,14 +359,6 @@
     });
 }
 
-async fn post(rig: &Rig, role: Role, id: &str) -> String {
-    let request = build_request(role, "POST", "/once/1", id);
-    match role {
-        Role::Entry => rig.send(&request).await,
-        Role::Relay => rig.send_relayed(&request).await,
-    }
-}
-
 /// Guards against a relay that takes a retry for a first sending, and uses a connection again.
 #[test]
 fn a_relay_is_told_of_a_retry() {
