--- a/review/standin-2/lib.rs
+++ b/review/standin-2/lib.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::BTreeMap,
     env, fs,
-    io::{self, BufRead, BufReader, Write},
+    io::{self, BufRead, BufReader, Read, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -420,6 +420,83 @@
     }
 }
 
+/// A proxy that can be cut: it then refuses channels, and those that are open are closed.
+pub struct Proxy {
+    listen: SocketAddr,
+    target: SocketAddr,
+    /// If set, only channels whose first bytes contain this are cut.
+    only: Option<String>,
+    cut: Arc<AtomicBool>,
+    listening: Mutex<Option<Arc<Listening>>>,
+    marked: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Proxy {
+    pub fn start(listen: SocketAddr, target: SocketAddr, only: Option<&str>) -> Arc<Proxy> {
+        let proxy = Arc::new(Proxy {
+            listen,
+            target,
+            only: only.map(str::to_string),
+            cut: Arc::default(),
+            listening: Mutex::new(None),
+            marked: Arc::default(),
+        });
+        proxy.listen();
+        proxy
+    }
+
+    fn listen(&self) {
+        let (target, only) = (self.target, self.only.clone());
+        let (cut, marked) = (self.cut.clone(), self.marked.clone());
+        let handler = move |mut stream: TcpStream| {
+            let mut first = vec![0; 4_096];
+            let length = match &only {
+                None => 0,
+                Some(_) => stream.read(&mut first).unwrap_or(0),
+            };
+            if let Some(only) = &only
+                && String::from_utf8_lossy(&first[..length]).contains(only.as_str())
+            {
+                if cut.load(Ordering::SeqCst) {
+                    return;
+                }
+                marked.lock().unwrap().extend(stream.try_clone());
+            }
+            let Ok(mut there) = TcpStream::connect(target) else { return };
+            let _ = there.set_nodelay(true);
+            let (Ok(mut back), Ok(mut from)) = (stream.try_clone(), there.try_clone()) else { return };
+            if there.write_all(&first[..length]).is_err() {
+                return;
+            }
+            thread::spawn(move || {
+                let _ = io::copy(&mut from, &mut back);
+                let _ = back.shutdown(Shutdown::Both);
+            });
+            let _ = io::copy(&mut stream, &mut there);
+            let _ = there.shutdown(Shutdown::Both);
+        };
+        *self.listening.lock().unwrap() = Some(Listening::start(self.listen, handler));
+    }
+
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        match (&self.only, cut) {
+            (Some(_), true) => {
+                for stream in self.marked.lock().unwrap().drain(..) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+            }
+            (None, true) => {
+                if let Some(listening) = self.listening.lock().unwrap().take() {
+                    listening.close();
+                }
+            }
+            (None, false) => self.listen(),
+            (Some(_), false) => {}
+        }
+    }
+}
+
 // ----------------------------------------------------------------------------------------- store
 
 #[derive(Clone)]
@@ -448,17 +525,35 @@
 pub struct Store {
     state: Mutex<StoreState>,
     changed: Condvar,
+    /// Whether calls get no answer, then or later.
+    silent: AtomicBool,
+    /// Number of silences that have begun.
+    silences: AtomicU64,
 }
 
 impl Store {
     pub fn start(addr: SocketAddr) -> Arc<Store> {
         let state = StoreState { revision: 1, ..StoreState::default() };
-        let store = Arc::new(Store { state: Mutex::new(state), changed: Condvar::new() });
+        let store = Arc::new(Store {
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            silent: AtomicBool::new(false),
+            silences: AtomicU64::new(0),
+        });
         let serving = store.clone();
         Listening::start(addr, move |stream| serving.serve(stream));
         store
     }
 
+    /// Begins or ends a silence. A channel on which a call was made or pending in a silence returns
+    /// nothing further; new ones work once it has ended. Nothing is done in it.
+    pub fn set_silent(&self, silent: bool) {
+        if silent {
+            self.silences.fetch_add(1, Ordering::SeqCst);
+        }
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
     fn render(name: &str, object: &Object) -> Json {
         let metadata = Json::obj([
             ("Name", Json::str(name)),
@@ -556,11 +651,29 @@
         true
     }
 
+    /// Serves the store at another address, where some texts in its answers are replaced: the
+    /// addresses by which backends are reached from there.
+    pub fn view(self: &Arc<Self>, addr: SocketAddr, replaced: Vec<(String, String)>) {
+        let store = self.clone();
+        Listening::start(addr, move |stream| store.serve_view(stream, &replaced));
+    }
+
     fn serve(&self, stream: TcpStream) {
+        self.serve_view(stream, &[]);
+    }
+
+    fn serve_view(&self, stream: TcpStream, replaced: &[(String, String)]) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader, false) {
+            let silences = self.silences.load(Ordering::SeqCst);
+            if self.silent.load(Ordering::SeqCst) {
+                return hold(&mut reader);
+            }
             let (status, body) = self.answer(&request);
+            if self.silences.load(Ordering::SeqCst) != silences {
+                return hold(&mut reader);
+            }
             let line = match status {
                 200 => "200 OK",
                 404 => "404 Not Found",
@@ -568,7 +681,11 @@
                 _ => "400 Bad Request",
             };
             let headers = [("Content-Type", "application/json".to_string())];
-            if writer.write_all(&response(line, &headers, body.text().as_bytes())).is_err() {
+            let mut text = body.text();
+            for (from, to) in replaced {
+                text = text.replace(from, to);
+            }
+            if writer.write_all(&response(line, &headers, text.as_bytes())).is_err() {
                 return;
             }
         }
@@ -668,6 +785,12 @@
     }
 }
 
+/// Keeps a channel open without an answer until the caller closes it.
+fn hold(reader: &mut impl BufRead) {
+    let mut byte = [0; 64];
+    while matches!(reader.read(&mut byte), Ok(read) if read > 0) {}
+}
+
 fn revision_of(written: &Result<Json, u16>) -> u64 {
     let object = written.as_ref().ok();
     let metadata = object.and_then(|object| object.get("Metadata"));
@@ -697,6 +820,8 @@
 
 #[derive(Clone)]
 pub struct BackendOptions {
+    /// Address that the entry names, if it is another one than that of the listener.
+    pub public: Option<SocketAddr>,
     pub id: String,
     pub service: String,
     pub zone: String,
@@ -733,6 +858,8 @@
     slots: (Mutex<usize>, Condvar),
     pub draining: AtomicBool,
     pub ended: AtomicBool,
+    /// Whether the backend does not reach the store.
+    pub cut: AtomicBool,
     sequence: AtomicU64,
     /// Held while the entry is written.
     writing: Mutex<()>,
@@ -756,6 +883,7 @@
             slots: (Mutex::new(SLOTS), Condvar::new()),
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             writing: Mutex::new(()),
             keys: Mutex::new(match options.keyed {
@@ -785,7 +913,7 @@
         let spec = Json::obj([
             ("born", Json::num(self.born)),
             ("Service", Json::str(&self.options.service)),
-            ("Address", Json::str(self.options.addr.to_string())),
+            ("Address", Json::str(self.options.public.unwrap_or(self.options.addr).to_string())),
             ("Zone", Json::str(&self.options.zone)),
             ("Version", Json::str("v1")),
             ("Slots", Json::num(SLOTS as u64)),
@@ -799,7 +927,7 @@
     /// Writes the entry; returns when the store has accepted it.
     pub fn write_entry(&self) {
         let _writing = self.writing.lock().unwrap();
-        if self.ended.load(Ordering::SeqCst) {
+        if self.ended.load(Ordering::SeqCst) || self.cut.load(Ordering::SeqCst) {
             return;
         }
         self.sequence.fetch_add(1, Ordering::SeqCst);
@@ -1084,12 +1212,26 @@
 impl Node {
     /// Writes the settings, as `deploy/node.ini` has them, and starts the program.
     pub fn start(dir: &Path, subnet: u8, number: u8, zone: &str) -> Arc<Node> {
+        let store = format!("127.{subnet}.0.1:8169");
+        Node::start_with(dir, subnet, number, zone, &store, "", "0.2")
+    }
+
+    /// The same with an address of the store, further lines of the section `node`, and a share of a core.
+    pub fn start_with(
+        dir: &Path,
+        subnet: u8,
+        number: u8,
+        zone: &str,
+        store: &str,
+        lines: &str,
+        cores: &str,
+    ) -> Arc<Node> {
         let ip = Ipv4Addr::new(127, subnet, 1, number);
         let text = format!(
             "[node]\nname = edge-{zone}-{number}\ndomain = {zone}\ncaller = {ip}:8161\n\
              ready = {ip}:8167\npeer = {ip}:7720\nmetrics = {ip}:7735\n\
-             store = 127.{subnet}.0.1:8169\n\n[limits]\ngrace_s = 6\ndrain_ms = 2000\n\
-             hold_ms = 10000\nretry_ratio = 0.2\nretry_extra = 56\ncores = 0.2\n"
+             store = {store}\n{lines}\n[limits]\ngrace_s = 6\ndrain_ms = 2000\n\
+             hold_ms = 10000\nretry_ratio = 0.2\nretry_extra = 56\ncores = {cores}\n"
         );
         let name = format!("edge-{zone}-{number}");
         let config = dir.join(format!("{name}.ini"));
