--- a/review/standin-2/lib.rs
+++ b/review/standin-2/lib.rs
@@ -529,6 +529,8 @@
     silent: AtomicBool,
     /// Number of silences that have begun.
     silences: AtomicU64,
+    /// How often each kind was listed.
+    lists: Mutex<BTreeMap<String, usize>>,
 }
 
 impl Store {
@@ -539,6 +541,7 @@
             changed: Condvar::new(),
             silent: AtomicBool::new(false),
             silences: AtomicU64::new(0),
+            lists: Mutex::default(),
         });
         let serving = store.clone();
         Listening::start(addr, move |stream| serving.serve(stream));
@@ -751,7 +754,13 @@
         }
     }
 
+    /// Returns how often a kind was listed.
+    pub fn list_count(&self, kind: &str) -> usize {
+        self.lists.lock().unwrap().get(kind).copied().unwrap_or(0)
+    }
+
     fn list(&self, kind: &str) -> Json {
+        *self.lists.lock().unwrap().entry(kind.to_string()).or_default() += 1;
         let state = self.state.lock().unwrap();
         let items = state.objects.iter().filter(|((of, _), _)| of == kind);
         let items = items.map(|((_, name), object)| Store::render(name, object)).collect();
