--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -9,7 +9,10 @@
         platform::{Platform, RESTART_TIME, Reply},
         reach,
     },
-    std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
+    log::info,
+    std::{
+        cell::Cell, collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration,
+    },
     tokio::time::timeout,
     whinspring::{
         name::Name,
@@ -142,11 +145,16 @@
     let has_refused = |name: &Name| probes.is_some_and(|round| round.refused.contains(name));
     let refused = witnesses().filter(|(name, _)| has_refused(name)).count() + 1;
     let reached = probes.is_some_and(|round| round.reached);
-    now.since(refusals.first) >= after
+    let is_dead = now.since(refusals.first) >= after
         && responded < refusals.first
         && node.reach.borrow().has_opened_since(refusals.first)
         && !reached
-        && refused * 3 > live_nodes * 2
+        && refused * 3 > live_nodes * 2;
+    if is_dead && !refusals.logged.replace(true) {
+        let refused_ms = now.since(refusals.first).as_millis() as u64;
+        info!(event = "server_ended", server = instance.server.as_str(), refused_ms, refused, nodes = live_nodes; "server refuses connections of most nodes; its process is taken for ended");
+    }
+    is_dead
 }
 
 /// Asks all nodes to probe whether a server refuses connections, and probes others itself.
@@ -187,6 +195,8 @@
     last: Tick,
     /// Whether another server at the address answered the last one.
     replaced: bool,
+    /// Whether a line has been logged that the server has ended.
+    logged: Cell<bool>,
 }
 
 impl Refusals {
@@ -225,7 +235,9 @@
                 let known = self.down.get(instance);
                 let series = known.filter(|known| sent.since(known.last) <= DOWN_PERIOD);
                 let first = series.map_or(sent, |known| known.first);
-                let refusals = Refusals { first, last: sent, replaced: *reply == Reply::Replaced };
+                let logged = Cell::new(series.is_some_and(|known| known.logged.get()));
+                let replaced = *reply == Reply::Replaced;
+                let refusals = Refusals { first, last: sent, replaced, logged };
                 self.down.insert(instance.clone(), refusals);
             }
             Reply::Done(_) | Reply::Fenced => {
