Controller: refusals prove the end of a server only if its failure domain is reached

Ruled out: leases taken for expired (no waited_out), a second controller (the other one was elected after the cut).

Change: whinspring::server_end decides what proves the end. It now also takes a live node in the server's failure domain that is refused, or another server there that has taken a connection since the first refusal; where no node is in the domain the controller probes some. Otherwise the keys wait for the leases. The stored owners name the failure domains, too, so that a controller that never saw the entry of a former owner can tell.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -16,14 +16,13 @@
     self::former::FormerServers,
     crate::{
         message::{Item, Snapshot},
-        platform::{Changes, Dialect, Kind, Listing, Object, Position, ServerEntry},
+        platform::{Changes, Dialect, Kind, Listing, Location, Object, Position, ServerEntry},
         record::OwnersRecord,
     },
     log::info,
     prost::Message,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
-        net::SocketAddr,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -116,7 +115,7 @@
     pub owners: HashMap<Name, (Position, Rc<Ownership>)>,
     /// Servers that were removed, by name.
     ended: HashMap<Name, Ended>,
-    /// Addresses of instances without entries.
+    /// Locations of instances without entries.
     former: FormerServers,
     /// Entries that name no server because they are malformed.
     pub malformed: MalformedEntries,
@@ -167,8 +166,8 @@
     /// Encodes the owners of a service for a snapshot.
     fn owners_item(&self, known: (&Name, &(Position, Rc<Ownership>))) -> Item {
         let (service, (position, owned)) = known;
-        let address = |instance: &Instance| self.address(instance);
-        let value = OwnersRecord::with_addresses(owned, address).encode_to_vec();
+        let locate = |instance: &Instance| self.location(instance);
+        let value = OwnersRecord::with_locations(owned, locate).encode_to_vec();
         let (name, Position { era, revision }) = (service.to_string(), *position);
         Item { name, revision, value, gone: false, era }
     }
@@ -359,12 +358,14 @@
         }
     }
 
-    /// Returns the address of a server instance, also if its entry is gone.
-    pub fn address(&self, instance: &Instance) -> Option<SocketAddr> {
+    /// Returns the location of a server instance, also if its entry is gone.
+    pub fn location(&self, instance: &Instance) -> Option<Location> {
         match self.servers.get(&instance.server) {
-            Some(server) if server.entry.start_ms == instance.start_ms => Some(server.entry.addr),
+            Some(server) if server.entry.start_ms == instance.start_ms => {
+                Some(server.entry.location())
+            }
             Some(_) => None,
-            None => self.former.get(instance),
+            None => self.former.get(instance).cloned(),
         }
     }
 
@@ -515,29 +516,29 @@
                 }
                 let server = Server::new(object, entry, since, clock);
                 if let Some(before) = self.servers.insert(object.name.clone(), server) {
-                    self.former.record(before.instance(), before.entry.addr, now);
+                    self.former.record(before.instance(), before.entry.location(), now);
                 }
                 true
             }
         }
     }
 
-    /// Decodes the owners of a service and keeps the addresses of those without entries; `None` if
+    /// Decodes the owners of a service and keeps the locations of those without entries; `None` if
     /// they are malformed.
     fn decode_owner(&mut self, object: &Object, now: Tick) -> Option<Ownership> {
         let record = OwnersRecord::decode(object.value.as_slice()).ok();
         let known = record.and_then(|record| {
-            let addresses: Vec<_> = record.addresses().collect();
-            Some((Ownership::try_from(record).ok()?, addresses))
+            let locations: Vec<_> = record.locations().collect();
+            Some((Ownership::try_from(record).ok()?, locations))
         });
-        let Some((owned, addresses)) = known else {
+        let Some((owned, locations)) = known else {
             log::warn!(event = "bad_owners", service = object.name.as_str(); "cannot decode the owners of a service; keeping the known ones");
             return None;
         };
-        for (instance, addr) in addresses {
+        for (instance, location) in locations {
             let listed = self.servers.get(&instance.server);
             if listed.is_none_or(|server| server.instance() != instance) {
-                self.former.learn(instance, addr, now);
+                self.former.learn(instance, location, now);
             }
         }
         Some(owned)
@@ -591,7 +592,7 @@
                 let start_ms = server.entry.start_ms;
                 let known = Ended { start_ms, gone: since, at: now, era, back: None };
                 ended.insert(server.name.clone(), known);
-                former.record(server.instance(), server.entry.addr, now);
+                former.record(server.instance(), server.entry.location(), now);
             }
             used
         });
--- a/crates/whinspring-router/src/cluster/former.rs
+++ b/crates/whinspring-router/src/cluster/former.rs
@@ -1,39 +1,40 @@
-//! Addresses of server instances that have no entry in the store any more.
+//! Locations of server instances that have no entry in the store any more.
 //!
 //! A server that leaves while the store is away loses its entry before its keys can be granted to
 //! another one. Whoever is the controller then asks at its address whether it has ended; without the
-//! address only the longest lease that it may hold bounds the wait. Nodes therefore keep the addresses
+//! address only the longest lease that it may hold bounds the wait. Nodes therefore keep the locations
 //! of servers that they have removed, and the stored owners name those of all owners, for nodes that
 //! start later.
 
 use {
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    crate::platform::Location,
+    std::{collections::HashMap, time::Duration},
     whinspring::{ranges::Instance, time::Tick},
 };
 
-/// Time for which an address is kept. All leases of the server have expired long before.
+/// Time for which a location is kept. All leases of the server have expired long before.
 const RETENTION: Duration = Duration::from_secs(120);
 
-/// Addresses of former servers.
+/// Locations of former servers.
 #[derive(Debug, Default)]
 pub struct FormerServers {
-    /// Address by instance, and when the instance was found to have no entry.
-    known: HashMap<Instance, (SocketAddr, Tick)>,
+    /// Location by instance, and when the instance was found to have no entry.
+    known: HashMap<Instance, (Location, Tick)>,
 }
 
 impl FormerServers {
-    /// Keeps the address of an instance that has no entry at `now`.
-    pub fn record(&mut self, instance: Instance, addr: SocketAddr, now: Tick) {
-        self.known.insert(instance, (addr, now));
+    /// Keeps the location of an instance that has no entry at `now`.
+    pub fn record(&mut self, instance: Instance, location: Location, now: Tick) {
+        self.known.insert(instance, (location, now));
     }
 
-    /// Keeps the address of an instance that another node names and this one has no entry of.
-    pub fn learn(&mut self, instance: Instance, addr: SocketAddr, now: Tick) {
-        self.known.entry(instance).or_insert((addr, now));
+    /// Keeps the location of an instance that another node names and this one has no entry of.
+    pub fn learn(&mut self, instance: Instance, location: Location, now: Tick) {
+        self.known.entry(instance).or_insert((location, now));
     }
 
-    pub fn get(&self, instance: &Instance) -> Option<SocketAddr> {
-        self.known.get(instance).map(|(addr, _)| *addr)
+    pub fn get(&self, instance: &Instance) -> Option<&Location> {
+        self.known.get(instance).map(|(location, _)| location)
     }
 
     /// Returns since when an instance has had no entry, as far as known.
--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -122,6 +122,8 @@
     silent: HashMap<Instance, Tick>,
     /// Results of connection probes by other nodes, by server address.
     pub(crate) probes: HashMap<SocketAddr, servers::ProbeRound>,
+    /// Probes of failure domains without a node.
+    domains: HashMap<Name, servers::DomainProbe>,
     /// When a server last responded to a request of any node.
     last_response: HashMap<Name, Tick>,
     /// Handovers by service.
--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -189,8 +189,8 @@
         return false;
     }
     node.control.borrow_mut().handovers.entry(service.clone()).or_default().writing = true;
-    let address = |instance: &Instance| address(node, instance);
-    let value = OwnersRecord::with_addresses(&owned, address).encode_to_vec();
+    let locate = |instance: &Instance| node.view.borrow().location(instance);
+    let value = OwnersRecord::with_locations(&owned, locate).encode_to_vec();
     let era = node.control.borrow().era;
     let expect = node.view.borrow().stored_position(Kind::Owners, service, era);
     let written = node.platform.write(Kind::Owners, service, expect, &value).await;
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -3,8 +3,8 @@
 //! The former owner is granted the keys once more, with a fencing token of its own, and then
 //! releases them; it thus rejects any older grant that is still in flight. Only then is the new
 //! owner granted the keys. A former owner that cannot be reached keeps its keys until every lease
-//! that it may hold has expired, including those of an earlier controller, unless it is known to be
-//! dead. A server that has restarted under its name may have accepted grants that were meant for
+//! that it may hold has expired, including those of an earlier controller, unless its end is proved
+//! ([`whinspring::server_end`]). A server that has restarted under its name may have accepted grants that were meant for
 //! its previous instance, so that the new instance must release the keys as well.
 //!
 //! Which of two servers with entries at one address has ended cannot be told from their entries:
@@ -17,7 +17,7 @@
         grants::{command, current_ownership, grant, lease_terms, max_lease},
         leases::lease_end,
         progress::Outcome,
-        servers::{address, is_dead, request_probes, restarted_as},
+        servers::{address, has_ended, request_probes, restarted_as},
     },
     crate::{
         node::Node,
@@ -173,8 +173,8 @@
             match release_once(node, service, span, &fenced, addr).await {
                 Reply::Done(token) => return Some(token),
                 Reply::Replaced => return Some(None),
-                Reply::Down if is_dead(node, holder, addr) => return Some(None),
-                Reply::Down => request_probes(node, addr),
+                Reply::Down if has_ended(node, holder, addr) => return Some(None),
+                Reply::Down => request_probes(node, holder, addr),
                 Reply::Fenced => node.metrics.count("release_fenced"),
                 Reply::Unsent | Reply::NewConnection | Reply::NoResponse => {}
             }
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -1,4 +1,5 @@
-//! What the controller knows of servers: which can own keys, and which are certainly dead.
+//! What the controller knows of servers: which can own keys, and which have certainly ended.
+//! [`whinspring::server_end`] decides on the latter.
 
 use {
     super::Controller,
@@ -10,18 +11,17 @@
         reach,
     },
     log::info,
-    std::{
-        cell::Cell, collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration,
-    },
-    tokio::time::timeout,
+    std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{task::spawn_local, time::timeout},
     whinspring::{
         name::Name,
         ranges::{Instance, balance::Candidate},
+        server_end::{Doubt, EndProof, Observation},
         time::Tick,
     },
 };
 
-/// Time for which a server must refuse connections to count as dead.
+/// Time for which a server must refuse connections to count as ended.
 const DEAD_AFTER: Duration = RESTART_TIME;
 
 /// The same for a leaving server, which refuses connections before its last requests end.
@@ -114,53 +114,101 @@
     control.down.get(instance).is_some_and(|known| now.since(known.last) < DOWN_PERIOD / 10)
 }
 
-/// Returns whether a server is certainly dead: it has refused connections for some time, more than
-/// two thirds of the live nodes saw the same, and none got a response meanwhile. One refusal proves
-/// nothing: a server also refuses some nodes when it has too many connections or is partitioned
-/// from them. Nodes that are cut off from all servers are not counted, and prove nothing themselves;
-/// this one must have opened a connection to another server since.
-pub(super) fn is_dead<P: Platform>(
+/// Returns whether it is proved that the process of a server has ended, which refuses connections at an
+/// address. One refusal proves nothing: a server also refuses some nodes when it has too many
+/// connections or is partitioned from them. Nodes that are cut off from all servers are not counted,
+/// and prove nothing themselves.
+pub(super) fn has_ended<P: Platform>(
     node: &Rc<Node<P>>,
     instance: &Instance,
     addr: SocketAddr,
 ) -> bool {
-    let now = node.now();
     if node.reach.borrow().is_in_doubt() {
         return false;
     }
-    let is_serving = {
-        let view = node.view.borrow();
-        let listed = view.servers.get(&instance.server);
-        let is_leaving = view.notices.leaving_since(&instance.server).is_some();
-        listed.is_some_and(|server| server.missing.is_none()) && !is_leaving
-    };
-    let after = if is_serving { DEAD_AFTER } else { LEAVING_DEAD_AFTER };
+    let Some(observed) = observe(node, instance, addr) else { return false };
+    let verdict = observed.conclude();
+    if node.control.borrow_mut().is_news(instance, verdict) {
+        log_verdict(node, instance, &observed, verdict);
+    }
+    verdict.is_ok()
+}
+
+/// Returns what the nodes have seen of a server that refuses connections; `None` if it does not.
+fn observe<P: Platform>(
+    node: &Rc<Node<P>>,
+    instance: &Instance,
+    addr: SocketAddr,
+) -> Option<Observation> {
+    let now = node.now();
+    let domain = domain_of(node, instance);
     let control = node.control.borrow();
-    let Some(refusals) = control.down.get(instance) else { return false };
-    let responded = control.last_response.get(&instance.server).copied().unwrap_or_default();
+    let first = control.down.get(instance)?.first;
+    let responded = control.last_response.get(&instance.server).is_some_and(|at| *at >= first);
+    let domain_reached = control.domains.get(&domain).is_some_and(|probe| probe.reached >= first);
     let probes = control.probes.get(&addr);
     let peers = node.peers.borrow();
     let witnesses = || peers.live(now).filter(|(_, peer)| !peer.heartbeat.cut_off);
-    let live_nodes = witnesses().count() + 1;
-    let has_refused = |name: &Name| probes.is_some_and(|round| round.refused.contains(name));
-    let refused = witnesses().filter(|(name, _)| has_refused(name)).count() + 1;
-    let reached = probes.is_some_and(|round| round.reached);
-    let is_dead = now.since(refusals.first) >= after
-        && responded < refusals.first
-        && node.reach.borrow().has_opened_since(refusals.first)
-        && !reached
-        && refused * 3 > live_nodes * 2;
-    if is_dead && !refusals.logged.replace(true) {
-        let refused_ms = now.since(refusals.first).as_millis() as u64;
-        info!(event = "server_ended", server = instance.server.as_str(), refused_ms, refused, nodes = live_nodes; "server refuses connections of most nodes; its process is taken for ended");
+    let is_refused = |name: &Name| probes.is_some_and(|round| round.refused.contains(name));
+    let refused = || witnesses().filter(|(name, _)| is_refused(name));
+    let is_inside = node.settings.domain == domain;
+    Some(Observation {
+        refusing: now.since(first),
+        required: if is_serving(node, instance) { DEAD_AFTER } else { LEAVING_DEAD_AFTER },
+        responded: responded || probes.is_some_and(|round| round.reached),
+        has_paths: node.reach.borrow().has_opened_since(first),
+        nodes: witnesses().count() + 1,
+        refused: refused().count() + 1,
+        refused_inside: is_inside || refused().any(|(_, peer)| *peer.heartbeat.domain == *domain),
+        domain_reached,
+    })
+}
+
+/// Returns whether a server has an entry and has not announced that it leaves.
+fn is_serving<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> bool {
+    let view = node.view.borrow();
+    let listed = view.servers.get(&instance.server);
+    let is_leaving = view.notices.leaving_since(&instance.server).is_some();
+    listed.is_some_and(|server| server.missing.is_none()) && !is_leaving
+}
+
+/// Returns the failure domain of a server instance, or an empty name.
+fn domain_of<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> Name {
+    node.view.borrow().location(instance).map(|location| location.domain).unwrap_or_default()
+}
+
+fn log_verdict<P: Platform>(
+    node: &Rc<Node<P>>,
+    instance: &Instance,
+    observed: &Observation,
+    verdict: Result<EndProof, Doubt>,
+) {
+    let (server, domain) = (instance.server.as_str(), domain_of(node, instance));
+    let domain = domain.as_str();
+    let refusing_ms = observed.refusing.as_millis() as u64;
+    let Observation { refused, nodes, .. } = *observed;
+    match verdict {
+        Ok(proof) => {
+            node.metrics.count("server_ended");
+            info!(event = "server_ended", server, domain, proof = proof.text(), refusing_ms, refused, nodes; "server refuses connections and its failure domain is reached: its process has ended");
+        }
+        Err(Doubt::DomainSilent) => {
+            node.metrics.count("end_unproved");
+            info!(event = "end_unproved", server, domain, refusing_ms, refused, nodes; "server refuses connections, but nothing in its failure domain is reached, which may be cut off; its keys wait for the end of its leases");
+        }
+        Err(_) => {}
     }
-    is_dead
 }
 
 /// Asks all nodes to probe whether a server refuses connections, and probes others itself.
-pub(super) fn request_probes<P: Platform>(node: &Rc<Node<P>>, addr: SocketAddr) {
+pub(super) fn request_probes<P: Platform>(
+    node: &Rc<Node<P>>,
+    instance: &Instance,
+    addr: SocketAddr,
+) {
     let now = node.now();
     reach::request_round(node);
+    probe_domain(node, domain_of(node, instance));
     {
         let mut control = node.control.borrow_mut();
         let round = control.probes.entry(addr).or_default();
@@ -172,6 +220,38 @@
     node.send_all(Body::ProbeRequest(ProbeRequest { addr: addr.to_string() }));
 }
 
+/// Probes servers of a failure domain that have not refused connections of late, to learn whether the
+/// domain is reached. Does nothing if a node there can tell whether another server refuses it.
+fn probe_domain<P: Platform>(node: &Rc<Node<P>>, domain: Name) {
+    let now = node.now();
+    if domain.is_empty() || has_node(node, &domain, now) {
+        return;
+    }
+    {
+        let mut control = node.control.borrow_mut();
+        let probe = control.domains.entry(domain.clone()).or_default();
+        if probe.sent != Tick::default() && now.since(probe.sent) < PROBE_INTERVAL {
+            return;
+        }
+        probe.sent = now;
+    }
+    let node = node.clone();
+    spawn_local(async move {
+        let refusing: HashSet<Name> =
+            node.control.borrow().down.keys().map(|instance| instance.server.clone()).collect();
+        if reach::reaches_domain(&node, &domain, |server| !refusing.contains(server)).await {
+            node.control.borrow_mut().domains.entry(domain).or_default().reached = now;
+        }
+    });
+}
+
+/// Returns whether a live node that reaches servers is in a failure domain.
+fn has_node<P: Platform>(node: &Rc<Node<P>>, domain: &Name, now: Tick) -> bool {
+    let peers = node.peers.borrow();
+    let mut inside = peers.live(now).filter(|(_, peer)| *peer.heartbeat.domain == **domain);
+    node.settings.domain == *domain || inside.any(|(_, peer)| !peer.heartbeat.cut_off)
+}
+
 /// Probes a server on behalf of another node, and sends it the result. A timeout sends nothing, and
 /// neither does a refusal if this node may be cut off from all servers.
 pub async fn probe_for_peer<P: Platform>(node: Rc<Node<P>>, requester: Name, addr: SocketAddr) {
@@ -195,8 +275,8 @@
     last: Tick,
     /// Whether another server at the address answered the last one.
     replaced: bool,
-    /// Whether a line has been logged that the server has ended.
-    logged: Cell<bool>,
+    /// What was last concluded from the series.
+    verdict: Option<Result<EndProof, Doubt>>,
 }
 
 impl Refusals {
@@ -207,6 +287,15 @@
     }
 }
 
+/// Probes of servers of a failure domain without a node.
+#[derive(Debug, Default)]
+pub struct DomainProbe {
+    /// When the last probes were sent.
+    sent: Tick,
+    /// When the last ones were sent of which one was answered.
+    reached: Tick,
+}
+
 /// Results of one round of probes of a server's address.
 #[derive(Debug, Default)]
 pub struct ProbeRound {
@@ -235,9 +324,9 @@
                 let known = self.down.get(instance);
                 let series = known.filter(|known| sent.since(known.last) <= DOWN_PERIOD);
                 let first = series.map_or(sent, |known| known.first);
-                let logged = Cell::new(series.is_some_and(|known| known.logged.get()));
+                let verdict = series.and_then(|known| known.verdict);
                 let replaced = *reply == Reply::Replaced;
-                let refusals = Refusals { first, last: sent, replaced, logged };
+                let refusals = Refusals { first, last: sent, replaced, verdict };
                 self.down.insert(instance.clone(), refusals);
             }
             Reply::Done(_) | Reply::Fenced => {
@@ -254,6 +343,13 @@
         self.silent.remove(instance);
     }
 
+    /// Records what was concluded of a server that refuses connections. Returns whether it differs from
+    /// what was concluded before.
+    fn is_news(&mut self, instance: &Instance, verdict: Result<EndProof, Doubt>) -> bool {
+        let Some(refusals) = self.down.get_mut(instance) else { return false };
+        refusals.verdict.replace(verdict) != Some(verdict)
+    }
+
     /// Returns whether a command may be sent to a server now. To a server that does not respond,
     /// one command at a time is sent; one on a new connection waits for a confirmation by the store.
     pub(super) fn may_contact(&mut self, now: Tick, instance: &Instance) -> bool {
@@ -286,5 +382,5 @@
 
 /// Returns the address of a server instance, also if its entry is gone.
 pub(super) fn address<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> Option<SocketAddr> {
-    node.view.borrow().address(instance)
+    node.view.borrow().location(instance).map(|location| location.addr)
 }
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -202,6 +202,19 @@
     pub fn life(&self) -> Life {
         Life { start_ms: self.start_ms, addr: self.addr }
     }
+
+    pub fn location(&self) -> Location {
+        Location { addr: self.addr, domain: self.domain.clone() }
+    }
+}
+
+/// Where an instance of a server runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Location {
+    /// Address that accepts requests and grants.
+    pub addr: SocketAddr,
+    /// Failure domain; empty if unknown.
+    pub domain: Name,
 }
 
 /// Least time in which a server ends, its keys are given to others, and it starts again under its name: it
--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -70,6 +70,22 @@
     !is_cut_off && (addrs.is_empty() || 2 * reached > addrs.len())
 }
 
+/// Returns whether a server of a failure domain takes a connection, among a few that are drawn at random
+/// from those that `is_included` allows.
+pub async fn reaches_domain<P: Platform>(
+    node: &Node<P>,
+    domain: &Name,
+    is_included: impl Fn(&Name) -> bool,
+) -> bool {
+    let addrs = draw_servers(node, |reach, targets| {
+        let inside = targets.iter().filter(|target| target.domain == domain);
+        let included: Vec<Target<'_>> =
+            inside.filter(|target| is_included(target.name)).cloned().collect();
+        reach.draw(&included)
+    });
+    count_reached(node, &addrs).await > 0
+}
+
 /// Returns how many of the servers at some addresses take a connection.
 async fn count_reached<P: Platform>(node: &Node<P>, addrs: &[SocketAddr]) -> usize {
     let probes = addrs.iter().map(|addr| timeout(PROBE_TIMEOUT, node.platform.connect(*addr)));
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -1,8 +1,9 @@
 //! Records in the store.
 
 use {
+    crate::platform::Location,
     prost::Message,
-    std::{collections::BTreeSet, net::SocketAddr},
+    std::collections::BTreeSet,
     whinspring::{
         name::Name,
         ranges::{HandoverKey, Instance, Ownership, Span},
@@ -49,23 +50,26 @@
     /// Spans in ascending order, without gaps.
     #[prost(message, repeated, tag = "2")]
     pub spans: Vec<SpanRecord>,
-    /// Addresses of the owners and former owners; empty in records of earlier versions.
+    /// Locations of the owners and former owners; empty in records of earlier versions.
     #[prost(message, repeated, tag = "3")]
-    pub servers: Vec<AddressRecord>,
+    pub servers: Vec<LocationRecord>,
 }
 
-/// Number of servers above which the stored owners name no addresses: with those of ten thousand, the
+/// Number of servers above which the stored owners name no locations: with those of ten thousand, the
 /// record comes near the 1 MiB that a store takes. Nodes that have seen the servers know them anyway.
-const MAX_ADDRESSES: usize = 4_000;
+const MAX_LOCATIONS: usize = 4_000;
 
-/// The address of one instance of a server.
+/// The location of one instance of a server.
 #[derive(Clone, PartialEq, Message)]
-pub struct AddressRecord {
+pub struct LocationRecord {
     #[prost(message, optional, tag = "1")]
     pub server: Option<InstanceRecord>,
     /// Address that accepts requests and grants.
     #[prost(string, tag = "2")]
     pub addr: String,
+    /// Failure domain; empty in records of earlier versions.
+    #[prost(string, tag = "3")]
+    pub domain: String,
 }
 
 /// A span of keys and its owner.
@@ -148,28 +152,32 @@
 }
 
 impl OwnersRecord {
-    /// Returns the record of owners with the addresses of those that `address` knows.
-    pub fn with_addresses(
+    /// Returns the record of owners with the locations of those that `locate` knows.
+    pub fn with_locations(
         owned: &Ownership,
-        address: impl Fn(&Instance) -> Option<SocketAddr>,
+        locate: impl Fn(&Instance) -> Option<Location>,
     ) -> Self {
         let former = owned.spans.iter().filter_map(|span| span.former.as_ref());
         let mut named: BTreeSet<&Instance> =
             owned.spans.iter().map(|span| &span.owner).chain(former).collect();
-        if named.len() > MAX_ADDRESSES {
+        if named.len() > MAX_LOCATIONS {
             named.clear();
         }
         let record = |instance: &Instance| {
-            let addr = address(instance)?.to_string();
-            Some(AddressRecord { server: Some(instance.into()), addr })
+            let Location { addr, domain } = locate(instance)?;
+            let (addr, domain) = (addr.to_string(), domain.to_string());
+            Some(LocationRecord { server: Some(instance.into()), addr, domain })
         };
         Self { servers: named.into_iter().filter_map(record).collect(), ..Self::from(owned) }
     }
 
-    /// Returns the addresses that the record names; skips those that cannot be read.
-    pub fn addresses(&self) -> impl Iterator<Item = (Instance, SocketAddr)> {
-        let read =
-            |known: &AddressRecord| Some((known.server.clone()?.into(), known.addr.parse().ok()?));
+    /// Returns the locations that the record names; skips those that cannot be read.
+    pub fn locations(&self) -> impl Iterator<Item = (Instance, Location)> {
+        let read = |known: &LocationRecord| {
+            let domain = Name::from(known.domain.as_str());
+            let location = Location { addr: known.addr.parse().ok()?, domain };
+            Some((known.server.clone()?.into(), location))
+        };
         self.servers.iter().filter_map(read)
     }
 }
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -36,7 +36,7 @@
         },
         reach,
         record::OwnersRecord,
-        settings::Limits as NodeLimits,
+        settings::{Limits as NodeLimits, Settings},
     },
 };
 
@@ -187,8 +187,11 @@
     pub fault_rates: FaultRates,
     /// A server that says in its responses that it leaves.
     pub speaking: Option<Name>,
-    /// Servers that are in the failure domain `b` instead of `a`.
+    /// Servers and nodes that are in the failure domain `b` instead of `a`.
     pub far: Vec<Name>,
+    /// Whether the failure domains are cut off from each other, and `b` from the store. Connections
+    /// between them are refused.
+    pub is_split: bool,
     pub rng: SeededRng,
     /// Violations found.
     pub faults: Vec<String>,
@@ -222,6 +225,7 @@
             fault_rates: FaultRates::default(),
             speaking: None,
             far: Vec::new(),
+            is_split: false,
             rng: SeededRng(ChaCha8Rng::seed_from_u64(seed)),
             faults: Vec::new(),
             history: Vec::new(),
@@ -407,7 +411,17 @@
 
     /// Returns whether the store refuses calls of a node.
     fn refuses(&self, node: &Name) -> bool {
-        self.store_down || self.cut_off.contains(node)
+        self.store_down || self.cut_off.contains(node) || self.is_split && self.far.contains(node)
+    }
+
+    /// Returns whether a node and another member of the cluster cannot reach each other, as their
+    /// failure domains are cut off from each other.
+    fn are_split(&self, node: &Name, other: &Name) -> bool {
+        self.is_split && self.far.contains(node) != self.far.contains(other)
+    }
+
+    fn domain(&self, member: &Name) -> Name {
+        if self.far.contains(member) { "b" } else { "a" }.into()
     }
 
     /// Carries a grant out at a server. It does not shorten an earlier one to the same server.
@@ -587,7 +601,9 @@
             let delay = (late || slow).then(|| Duration::from_millis(delay));
             let unreachable = world.servers[&target].unreachable;
             let pathless = world.pathless.contains(&self.node);
-            (pathless && world.refuses_pathless, unreachable || pathless, slow, delay)
+            let refused =
+                pathless && world.refuses_pathless || world.are_split(&self.node, &target);
+            (refused, unreachable || pathless, slow, delay)
         };
         if refused {
             sleep(RESPONSE_DELAY).await;
@@ -645,9 +661,11 @@
     async fn connect(&self, addr: SocketAddr) -> io::Result<()> {
         let (lost, refuses) = {
             let world = self.world.borrow();
-            let server = &world.servers[&world.at(addr)];
+            let target = world.at(addr);
+            let server = &world.servers[&target];
             let pathless = world.pathless.contains(&self.node);
-            let refuses = pathless && world.refuses_pathless;
+            let refuses =
+                pathless && world.refuses_pathless || world.are_split(&self.node, &target);
             let lost = server.unreachable || pathless && !refuses;
             (lost, server.down || server.refusing || refuses)
         };
@@ -782,7 +800,7 @@
         Some(ServerEntry {
             service: SERVICE.into(),
             addr: addr(index),
-            domain: if self.world.borrow().far.contains(&object.name) { "b" } else { "a" }.into(),
+            domain: self.world.borrow().domain(&object.name),
             slots: 2,
             leaving: object.value[0] == 1,
             warmup: Duration::ZERO,
@@ -814,7 +832,8 @@
 ) -> Rc<Node<Platform>> {
     let era = Cell::new(0);
     let platform = Platform { world: world.clone(), node: node.into(), era, headers: headers() };
-    let settings = settings(node, limits);
+    let domain = world.borrow().domain(&node.into());
+    let settings = Settings { domain, ..settings(node, limits) };
     let node = Node::new(platform, settings, Clock::from_runtime());
     node.set_store_reachable(true);
     let services = HashMap::from([(Name::from(SERVICE), service())]);
@@ -876,6 +895,9 @@
             let heartbeat = heartbeat_of(from);
             let owners = from.view.borrow().snapshot(Kind::Owners);
             for to in nodes.iter().filter(|to| to.name() != from.name()) {
+                if from.platform.world.borrow().are_split(from.name(), to.name()) {
+                    continue;
+                }
                 to.learn_era(heartbeat.era);
                 to.learn_era_age(heartbeat.era, Duration::from_millis(heartbeat.era_age_ms));
                 if from.platform.world.borrow().shares_owners {
@@ -895,6 +917,7 @@
     let control = node.control.borrow();
     Heartbeat {
         node: node.name().to_string(),
+        domain: node.settings.domain.to_string(),
         incarnation: node.incarnation,
         term: control.term(),
         addr: node.settings.advertised.to_string(),
--- a/crates/whinspring-router/tests/owners/main.rs
+++ b/crates/whinspring-router/tests/owners/main.rs
@@ -4,6 +4,7 @@
 //! Controllers run on Tokio's paused clock, which advances when all tasks wait. The store and the
 //! servers are fakes that check every grant. Faults and their times are drawn from seeds.
 
+mod domains;
 mod evacuations;
 mod fake;
 mod outages;
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -9,8 +9,12 @@
         time::Tick,
     },
     whinspring_router::{
-        cluster::ClusterState, crashes::Crashes, platform::Position, record::OwnersRecord,
-        retries::RetryBudget, settings::Settings,
+        cluster::ClusterState,
+        crashes::Crashes,
+        platform::{Location, Position},
+        record::OwnersRecord,
+        retries::RetryBudget,
+        settings::Settings,
     },
 };
 
@@ -96,20 +100,21 @@
     assert_eq!(Ownership::try_from(record).unwrap(), owned);
 }
 
-/// Guards against a record that outgrows what the store takes because it names thousands of addresses.
+/// Guards against a record that outgrows what the store takes because it names thousands of locations.
 #[test]
-fn owners_name_the_addresses_of_their_servers_unless_there_are_too_many() {
+fn owners_name_the_locations_of_their_servers_unless_there_are_too_many() {
     let addr = SocketAddr::from(([10, 0, 0, 1], 8_000));
+    let location = Location { addr, domain: "eu-central-a".into() };
     for (count, named) in [(3, 3), (4_000, 4_000), (10_000, 0)] {
         let instances: Vec<Instance> = (0..count)
             .map(|index| Instance { server: format!("i-{index:010}").into(), start_ms: 1 << 40 })
             .collect();
         let owned = Ownership::split_evenly(4, &instances, || 1 << 40);
-        let record = OwnersRecord::with_addresses(&owned, |_| Some(addr));
+        let record = OwnersRecord::with_locations(&owned, |_| Some(location.clone()));
         let bytes = record.encode_to_vec();
         assert!(bytes.len() < 1 << 20, "{count} servers take {} bytes", bytes.len());
         let read = OwnersRecord::decode(bytes.as_slice()).unwrap();
-        assert_eq!(read.addresses().count(), named);
+        assert_eq!(read.locations().count(), named);
         assert_eq!(Ownership::try_from(read).unwrap(), owned);
     }
 }
--- a/crates/whinspring/src/lib.rs
+++ b/crates/whinspring/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod replica;
 pub mod request;
 pub mod routes;
+pub mod server_end;
 pub mod settings;
 pub mod sketch;
 pub mod time;
