Crash reports: a refusal counts only if the server's failure domain is reached

Callers would see: 503 for a minute for a harmless request that two nodes had at work at servers of a domain as it was cut off and refused connections.

Change: another server of the same domain must take a connection, too, if there is one.

Test: path paths::a_refusal_from_a_domain_that_is_not_reached_is_no_crash, red before, green with the change. The tests of paths in path and owners pass (11).

--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -10,7 +10,7 @@
         peers,
         platform::{Platform, Reply},
     },
-    futures_util::future::join_all,
+    futures_util::future::{join, join_all},
     log::{info, warn},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -57,17 +57,22 @@
     node.doubted.notify_one();
 }
 
-/// Returns whether this node reaches most of a few other servers that are drawn at random, so that a
-/// failure at `server` is not the node's own.
+/// Returns whether this node reaches most of a few other servers that are drawn at random, and one of
+/// those in the failure domain of `server` if there are others, so that a failure at `server` is not
+/// that of a path.
 pub async fn has_paths<P: Platform>(node: &Node<P>, server: &Name) -> bool {
     let addrs = draw_servers(node, |reach, targets| {
         let others: Vec<Target<'_>> =
             targets.iter().filter(|target| target.name != server).cloned().collect();
         reach.draw(&others)
     });
-    let reached = count_reached(node, &addrs).await;
+    let domain = node.view.borrow().servers.get(server).map(|known| known.entry.domain.clone());
+    let inside = draw_inside(node, &domain.unwrap_or_default(), |name| name != server);
+    let (reached, reached_inside) =
+        join(count_reached(node, &addrs), count_reached(node, &inside)).await;
     let is_cut_off = node.reach.borrow().is_cut_off().is_some();
-    !is_cut_off && (addrs.is_empty() || 2 * reached > addrs.len())
+    let is_domain_reached = inside.is_empty() || reached_inside > 0;
+    !is_cut_off && is_domain_reached && (addrs.is_empty() || 2 * reached > addrs.len())
 }
 
 /// Returns whether a server of a failure domain takes a connection, among a few that are drawn at random
@@ -77,13 +82,22 @@
     domain: &Name,
     is_included: impl Fn(&Name) -> bool,
 ) -> bool {
-    let addrs = draw_servers(node, |reach, targets| {
+    let addrs = draw_inside(node, domain, is_included);
+    count_reached(node, &addrs).await > 0
+}
+
+/// Draws a few servers of a failure domain from those that `is_included` allows. Returns their addresses.
+fn draw_inside<P: Platform>(
+    node: &Node<P>,
+    domain: &Name,
+    is_included: impl Fn(&Name) -> bool,
+) -> Vec<SocketAddr> {
+    draw_servers(node, |reach, targets| {
         let inside = targets.iter().filter(|target| target.domain == domain);
         let included: Vec<Target<'_>> =
             inside.filter(|target| is_included(target.name)).cloned().collect();
         reach.draw(&included)
-    });
-    count_reached(node, &addrs).await > 0
+    })
 }
 
 /// Returns how many of the servers at some addresses take a connection.
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -432,7 +432,8 @@
 }
 
 /// Probes whether a server crashed while it ran a request; if so, records the crash here and on the
-/// other nodes. A refusal proves nothing if this node may be cut off from the servers.
+/// other nodes. A refusal proves nothing if this node, or the failure domain of the server, may be cut
+/// off.
 pub async fn probe_server<P: Platform>(
     node: Rc<Node<P>>,
     server: Name,
--- a/crates/whinspring-router/tests/path/paths.rs
+++ b/crates/whinspring-router/tests/path/paths.rs
@@ -16,6 +16,7 @@
     whinspring_router::{
         message::{Admitted, Body},
         reach,
+        request::probe_server,
     },
 };
 
@@ -65,6 +66,27 @@
     );
 }
 
+/// Guards against refusals of a harmless request: its connection breaks as the failure domain of its
+/// server is cut off, which refuses connections like a server that has crashed.
+#[test]
+fn a_refusal_from_a_domain_that_is_not_reached_is_no_crash() {
+    for (servers, is_crash) in [(["b1", "b2", "s1", "s2"], false), (["b1", "s1", "s2", "s3"], true)]
+    {
+        run(
+            |_| None,
+            |rig| async move {
+                let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+                rig.node.platform.far.set(listener.local_addr().ok());
+                drop(listener);
+                rig.list_servers(&servers);
+                let pool = rig.node.view.borrow().servers["b1"].backend.clone();
+                probe_server(rig.node.clone(), "b1".into(), pool, 7).await;
+                assert_eq!(rig.node.crashes.borrow().is_empty(), !is_crash, "{servers:?}");
+            },
+        );
+    }
+}
+
 /// Returns the outcome that a gate on another node learns of a request whose connection is refused,
 /// after connections to `failed` of three servers have failed.
 async fn outcome_of_refused(rig: &Rig, failed: usize) -> ServerOutcome {
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -77,6 +77,8 @@
     pub server: Cell<SocketAddr>,
     /// Whether probes reach no server.
     pub pathless: Cell<bool>,
+    /// Address of the servers in the failure domain `b`, if probes do not reach these.
+    pub far: Cell<Option<SocketAddr>>,
     headers: Headers,
 }
 
@@ -127,8 +129,9 @@
 }
 
 impl ServerControl for Platform {
-    async fn connect(&self, _: SocketAddr) -> io::Result<()> {
-        if self.pathless.get() { Err(io::ErrorKind::ConnectionRefused.into()) } else { Ok(()) }
+    async fn connect(&self, addr: SocketAddr) -> io::Result<()> {
+        let is_refused = self.pathless.get() || self.far.get() == Some(addr);
+        if is_refused { Err(io::ErrorKind::ConnectionRefused.into()) } else { Ok(()) }
     }
 
     async fn grant(&self, _: SocketAddr, _: &Grant) -> Answer {
@@ -156,10 +159,11 @@
     /// The value of an object is the time for which its server remains cold, in milliseconds.
     fn parse_server(&self, object: &Object) -> Option<ServerEntry> {
         let left = str::from_utf8(&object.value).ok()?.parse().unwrap_or(0);
+        let is_far = object.name.starts_with('b');
         Some(ServerEntry {
             service: "plain".into(),
-            addr: self.server.get(),
-            domain: if object.name.starts_with('b') { "b" } else { "a" }.into(),
+            addr: self.far.get().filter(|_| is_far).unwrap_or(self.server.get()),
+            domain: if is_far { "b" } else { "a" }.into(),
             slots: 2,
             leaving: false,
             warmup: Duration::from_millis(left),
@@ -423,8 +427,20 @@
     let listing = RefCell::new(Listing { position: Position::new(0, 1), items: Vec::new() });
     let (watches, wait, era) = (Cell::new(0), Cell::default(), Cell::new(0));
     let (silent, calm, compacted) = (Cell::new(false), Cell::new(false), Cell::new(false));
-    let (server, pathless) = (Cell::new(server), Cell::new(false));
-    Platform { watches, wait, silent, calm, listing, compacted, era, server, pathless, headers }
+    let (server, pathless, far) = (Cell::new(server), Cell::new(false), Cell::new(None));
+    Platform {
+        watches,
+        wait,
+        silent,
+        calm,
+        listing,
+        compacted,
+        era,
+        server,
+        pathless,
+        far,
+        headers,
+    }
 }
 
 fn table(keyed: bool) -> RouteTable {
