Nodes that come up are told which requests crash servers

Cause: crashes are kept by each process and reported once, to the nodes that run at the time. Logs of the case: each node has two died_with lines for the request after its second start, none has refused_crashing; the fingerprint is the same in all. Ruled out: that they are told and forget, and that another node sends the request.

Change: catch_up tells a node that comes up what the store does not have: notices, as notices::tell did, and up to 128 requests that crash servers, with their counts and the time for which they are still refused. Counts are merged by the higher one.

Tests: path notices::a_node_that_comes_up_is_told_which_requests_crash_servers and notices::a_request_is_refused_for_the_crashes_that_other_nodes_know_of, red with telling and merging taken out; parts, spread.

--- a/crates/whinspring-router/src/cluster.rs
+++ b/crates/whinspring-router/src/cluster.rs
@@ -160,6 +160,7 @@
             synced_revision: raw.synced.revision,
             era: raw.synced.era,
             notices: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        cold, evacuations,
+        catch_up, cold, evacuations,
         frame::Frame,
         message::{Body, Item, ObjectsChanged, ServerNotice, Snapshot},
         node::Node,
@@ -383,6 +383,7 @@
 /// Applies a snapshot of another node, if it is newer than what this node has. Newer owners and
 /// notices of servers that leave are kept whatever the store has.
 pub fn adopt_snapshot<P: Platform>(node: &Rc<Node<P>>, mut snapshot: Snapshot) {
+    catch_up::apply_crashes(node, std::mem::take(&mut snapshot.crashes));
     let kind = Kind::from_number(snapshot.kind).filter(|kind| follows(node, *kind));
     let Some(kind) = kind else { return };
     let notices = std::mem::take(&mut snapshot.notices);
--- a/crates/whinspring-router/src/lib.rs
+++ b/crates/whinspring-router/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod buffers;
+pub mod catch_up;
 pub mod cluster;
 pub mod cold;
 pub mod control;
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -393,6 +393,9 @@
     /// Servers that leave, or evacuated domains in place of servers, as far as the sender knows.
     #[prost(message, repeated, tag = "6")]
     pub notices: Vec<ServerNotice>,
+    /// Requests that crashed servers, as far as the sender knows; for a node that has come up.
+    #[prost(message, repeated, tag = "7")]
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// Objects of a kind that have changed.
@@ -507,6 +510,20 @@
     pub print: u64,
 }
 
+/// What a node knows of a request that crashed servers.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct CrashRecord {
+    /// Fingerprint of the request.
+    #[prost(uint64, tag = "1")]
+    pub print: u64,
+    /// Number of crashes.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+    /// Time for which the request is still rejected, if it has crashed enough servers.
+    #[prost(uint32, tag = "3")]
+    pub left_ms: u32,
+}
+
 /// Asks to probe whether a server refuses connections.
 #[derive(Clone, PartialEq, Message)]
 pub struct ProbeRequest {
--- a/crates/whinspring-router/src/notices.rs
+++ b/crates/whinspring-router/src/notices.rs
@@ -5,10 +5,10 @@
     crate::{
         cluster::ClusterState,
         evacuations,
-        message::{Body, ServerNotice, Snapshot},
+        message::{Body, ServerNotice},
         node::Node,
         owners,
-        platform::{Answer, Kind, Platform, Reply, Word},
+        platform::{Answer, Platform, Reply, Word},
         reach,
     },
     log::info,
@@ -189,19 +189,6 @@
     }
 }
 
-/// Tells a node that has come up which servers leave: it may have started after the store has lost
-/// their notices, or have missed hints. In a large cluster the nodes of its failure domain do.
-pub fn tell<P: Platform>(node: &Rc<Node<P>>, to: &Name, domain: &str) {
-    if node.peers.borrow().is_large_cluster() && *node.settings.domain != *domain {
-        return;
-    }
-    let notices = known(node, |_| true);
-    if !notices.is_empty() {
-        let kind = Kind::Servers.number();
-        node.send(to, Body::Snapshot(Snapshot { kind, notices, ..Snapshot::default() }));
-    }
-}
-
 /// Returns what this node knows of servers that leave, for other nodes.
 pub fn known<P: Platform>(
     node: &Rc<Node<P>>,
--- a/crates/whinspring-router/src/owners.rs
+++ b/crates/whinspring-router/src/owners.rs
@@ -12,7 +12,7 @@
         node::Node,
         platform::{Platform, Position},
         record::{HandoverRecord, SpanRecord},
-        spread::{self, Recipient},
+        spread,
     },
     std::rc::Rc,
     whinspring::{
@@ -101,13 +101,7 @@
     if !peers.is_large_cluster() {
         return peers.send_all(&frame);
     }
-    let nodes = peers.nodes.iter().map(|(name, peer)| Recipient {
-        name,
-        domain: &peer.heartbeat.domain,
-        is_live: peer.is_live(now),
-        cpu_share: peer.heartbeat.cpu_share,
-    });
-    let found = spread::recipients(&node.settings.domain, nodes);
+    let found = spread::recipients(&node.settings.domain, peers.recipients(now));
     peers.send_each(&found.direct, &frame);
     peers.send_each(&found.relays, &Frame::new(relayed));
 }
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        admission, cold,
+        admission, catch_up, cold,
         control::servers,
         follow,
         frame::{self, Frame, MAX_MESSAGE_BYTES},
@@ -15,7 +15,7 @@
         node::Node,
         notices, owners,
         platform::{Kind, Platform, Position},
-        spread,
+        spread::{self, Recipient},
     },
     bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
@@ -77,7 +77,7 @@
     /// When the newest heartbeat that it has echoed was sent to it.
     last_echoed: Tick,
     link_opened: Tick,
-    /// When it came up, unless it has been told since then which servers leave.
+    /// When it came up, unless it has been told since then what it may have missed.
     untold: Option<Tick>,
     /// Its last heartbeat, without measurements.
     pub heartbeat: Heartbeat,
@@ -158,6 +158,16 @@
         self.nodes.get(name).is_some_and(|peer| peer.is_live(now))
     }
 
+    /// Returns the other nodes as recipients of a change.
+    pub fn recipients(&self, now: Tick) -> impl Iterator<Item = Recipient<'_>> {
+        self.nodes.iter().map(move |(name, peer)| Recipient {
+            name,
+            domain: &peer.heartbeat.domain,
+            is_live: peer.is_live(now),
+            cpu_share: peer.heartbeat.cpu_share,
+        })
+    }
+
     /// Returns the live nodes.
     pub fn live(&self, now: Tick) -> impl Iterator<Item = (&Name, &Peer)> {
         self.nodes.iter().filter(move |(_, peer)| peer.is_live(now))
@@ -423,7 +433,7 @@
         tell = peer.untold.take_if(|up| echo > *up && echo <= now).is_some();
     }
     if tell {
-        notices::tell(node, from, &heartbeat.domain);
+        catch_up::tell(node, from, &heartbeat.domain);
     }
     if restarted {
         admission::drop_node(node, from);
--- a/crates/whinspring-router/src/spread.rs
+++ b/crates/whinspring-router/src/spread.rs
@@ -19,6 +19,9 @@
 /// Relays in each failure domain.
 const RELAYS_PER_DOMAIN: usize = 2;
 
+/// Nodes outside its failure domain that tell a node that has come up what it may have missed.
+const OUTSIDE_TELLERS: usize = 3;
+
 /// Order in which the nodes of a failure domain are chosen to serve the others. VMs with more CPU
 /// come first: their network links are faster, too.
 pub fn order(name: &Name, cpu_share: u32) -> (Reverse<u32>, u64) {
@@ -36,6 +39,13 @@
     pub cpu_share: u32,
 }
 
+/// A node and its failure domain.
+#[derive(Debug, Clone, Copy)]
+pub struct Member<'a> {
+    pub name: &'a Name,
+    pub domain: &'a str,
+}
+
 /// Recipients of a change, by what they do with it.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Recipients {
@@ -70,3 +80,19 @@
     }
     found
 }
+
+/// Returns whether a node tells one that has come up what it may have missed. The nodes of its failure
+/// domain do, and a few others, drawn by name: the whole domain may have started at once.
+pub fn tells<'a>(
+    own: Member<'_>,
+    newcomer: Member<'_>,
+    others: impl Iterator<Item = Recipient<'a>>,
+) -> bool {
+    if own.domain == newcomer.domain {
+        return true;
+    }
+    let order = |name: &Name| rank(&[newcomer.name, name], 0);
+    let own_order = order(own.name);
+    let outside = others.filter(|other| other.is_live && other.domain != newcomer.domain);
+    outside.filter(|other| order(other.name) > own_order).count() < OUTSIDE_TELLERS
+}
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -80,6 +80,26 @@
     assert!(!crashes.is_refused(now + Duration::from_secs(61), 7));
 }
 
+/// Guards against rejections that last longer at nodes that were told of the crashes, and against a message
+/// that grows with the number of requests.
+#[test]
+fn the_last_crashes_are_told_with_the_time_that_is_left() {
+    let at = Tick::from_millis;
+    let mut known = Crashes::default();
+    for print in 0..500 {
+        known.record(at(print), print);
+        known.record(at(print), print);
+    }
+    let told = known.recent(at(500));
+    assert_eq!(told.len(), 128);
+    assert!(told.iter().all(|crash| crash.print >= 372));
+    let mut other = Crashes::default();
+    told.into_iter().for_each(|crash| other.merge(at(500), crash));
+    assert!(other.is_refused(at(500), 499) && !other.is_refused(at(500), 371));
+    assert!(!other.is_refused(at(499) + Duration::from_secs(60), 499));
+    assert!(known.recent(at(500) + Duration::from_secs(61)).is_empty());
+}
+
 fn owners() -> Ownership {
     let instances: Vec<Instance> = (0..3)
         .map(|index| Instance { server: format!("s{index}").into(), start_ms: index })
--- a/crates/whinspring-router/tests/path/evacuations.rs
+++ b/crates/whinspring-router/tests/path/evacuations.rs
@@ -287,6 +287,7 @@
         synced_revision: 50,
         era: 0,
         notices: domains.iter().map(notice).collect(),
+        ..Snapshot::default()
     }
 }
 
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -182,6 +182,7 @@
                     synced_revision: 31,
                     era: 0,
                     notices: Vec::new(),
+                    ..Snapshot::default()
                 }))
                 .await;
             other.heartbeat().await;
--- a/crates/whinspring-router/tests/path/notices.rs
+++ b/crates/whinspring-router/tests/path/notices.rs
@@ -13,7 +13,9 @@
     },
     whinspring_router::{
         follow,
-        message::{Admitted, Body, FetchRequest, Item, ObjectsChanged, ServerNotice, Snapshot},
+        message::{
+            Admitted, Body, CrashRecord, FetchRequest, Item, ObjectsChanged, ServerNotice, Snapshot,
+        },
         notices,
         platform::{Kind, Listing, Object, Position, Word},
     },
@@ -227,6 +229,41 @@
     });
 }
 
+/// Guards against a node that sends a request to servers which other nodes know to crash by it, since it has
+/// started after they were told.
+#[test]
+fn a_node_that_comes_up_is_told_which_requests_crash_servers() {
+    run(leaving, |rig| async move {
+        for print in [7, 7, 8] {
+            rig.node.crashes.borrow_mut().record(rig.node.now(), print);
+        }
+        let (mut peer, mut link) = FakePeer::connect(&rig, false, LONG_INTERVAL_MS).await;
+        let told = peer.next(&mut link).await;
+        let Body::Snapshot(Snapshot { items, crashes, .. }) = told else { panic!("{told:?}") };
+        assert!(items.is_empty());
+        let mut known: Vec<(u64, u32)> =
+            crashes.iter().map(|crash| (crash.print, crash.count)).collect();
+        known.sort_unstable();
+        assert_eq!(known, [(7, 2), (8, 1)]);
+    });
+}
+
+/// Guards against a node that does not act on what it is told, and against one that counts a crash again with
+/// each node that tells of it.
+#[test]
+fn a_request_is_refused_for_the_crashes_that_other_nodes_know_of() {
+    run(leaving, |rig| async move {
+        let kind = Kind::Servers.number();
+        let tell = |count| {
+            let crashes = vec![CrashRecord { print: 7, count, left_ms: 1_000 }];
+            follow::adopt_snapshot(&rig.node, Snapshot { kind, crashes, ..Snapshot::default() });
+            rig.node.crashes.borrow().is_refused(rig.node.now(), 7)
+        };
+        assert!(!tell(1) && !tell(1) && !tell(1));
+        assert!(tell(2));
+    });
+}
+
 #[test]
 fn a_hint_on_another_life_is_ignored() {
     run(leaving, |rig| async move {
--- a/crates/whinspring-router/tests/spread.rs
+++ b/crates/whinspring-router/tests/spread.rs
@@ -6,7 +6,7 @@
     rand_chacha::ChaCha8Rng,
     std::collections::BTreeSet,
     whinspring::name::Name,
-    whinspring_router::spread::{Recipient, recipients},
+    whinspring_router::spread::{Member, Recipient, recipients, tells},
 };
 
 const DOMAINS: usize = 6;
@@ -40,6 +40,10 @@
     })
 }
 
+fn member(node: &Node) -> Member<'_> {
+    Member { name: &node.name, domain: &node.domain }
+}
+
 /// Returns the nodes that get a change if those in `lost` forward nothing.
 fn reached(nodes: &[Node], lost: &[Name]) -> BTreeSet<Name> {
     let found = recipients("d0", known(nodes));
@@ -105,3 +109,24 @@
     nodes.iter_mut().filter(|node| node.domain == "d3").for_each(|node| node.is_live = false);
     assert_eq!(reached(&nodes, &[]).len(), nodes.len());
 }
+
+/// Guards against a node that is told nothing, as all nodes of its failure domain have started with it or
+/// it is alone there.
+#[test]
+fn a_node_that_comes_up_is_told_by_its_domain_and_by_a_few_others() {
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        for count in [30, 90] {
+            let nodes = cluster(count, &mut rng);
+            let newcomer = &nodes[seed as usize % nodes.len()];
+            let tellers = nodes.iter().filter(|own| own.name != newcomer.name).filter(|own| {
+                let others = known(&nodes).filter(|other| other.name != &own.name);
+                tells(member(own), member(newcomer), others)
+            });
+            let (inside, outside): (Vec<_>, Vec<_>) =
+                tellers.partition(|own| own.domain == newcomer.domain);
+            let domain = nodes.iter().filter(|node| node.domain == newcomer.domain).count();
+            assert_eq!((inside.len(), outside.len()), (domain - 1, 3), "{count} nodes");
+        }
+    }
+}
