Backend connections: a status that is not one of a final response is no response

Reported by another operator: a backend in trouble answered with the status 000, and the client got it as an answer.

Here: 000 and 10 other malformed statuses end with 502 already. 600 and 999 reached the caller as they were, and 101 as an answer without an end, directly and through a relay, as hyper takes any three digits from 100 on. Conn::send now takes 200 to 599.

--- a/crates/whinspring-http/src/backend/conn.rs
+++ b/crates/whinspring-http/src/backend/conn.rs
@@ -19,6 +19,7 @@
         future::poll_fn,
         io,
         net::SocketAddr,
+        ops::RangeInclusive,
         pin::{Pin, pin},
         sync::Arc,
         task::{Context, Poll, ready},
@@ -36,6 +37,10 @@
 /// Maximum size of the head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Statuses of final responses. The parser takes any three digits from 100 on, and 101 for the end of
+/// HTTP on the connection, which no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Future that reads and writes the socket; `None` once it has completed.
 type Driver<R> = Option<Pin<Box<Connection<GuardedStream, RequestBody<R>>>>>;
 
@@ -122,8 +127,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails, if writing the request has not begun before `until`, or if what is
-    /// read has no end.
+    /// Fails if the connection fails, if writing the request has not begun before `until`, if what is
+    /// read has no end, or if its status is not one of a final response.
     pub async fn send(
         &mut self,
         request: Request<RequestBody<R>>,
@@ -140,7 +145,13 @@
         .await;
         self.last_used = Instant::now();
         self.reused = true;
-        response.map_err(|_| if deadline.wrote() { CallError::Sent } else { CallError::Unsent })
+        let fault = |_| if deadline.wrote() { CallError::Sent } else { CallError::Unsent };
+        let response = response.map_err(fault)?;
+        if FINAL_STATUSES.contains(&response.status().as_u16()) {
+            Ok(response)
+        } else {
+            Err(CallError::Sent)
+        }
     }
 
     /// Returns the next chunk of a response body; `None` after the last one.
--- a/crates/whinspring-http/src/backend/error.rs
+++ b/crates/whinspring-http/src/backend/error.rs
@@ -12,7 +12,8 @@
     /// The connection failed or the write deadline passed before a byte of the request was written.
     #[snafu(display("no byte of the request was sent in time; the request may be retried"))]
     Unsent,
-    /// The connection failed after a byte of the request was written, or the response was too long.
+    /// The connection failed after a byte of the request was written, or the response was too long or
+    /// had no valid status.
     #[snafu(display("the request was sent without a complete response; it may have run"))]
     Sent,
 }
--- a/crates/whinspring-router/tests/path/reports.rs
+++ b/crates/whinspring-router/tests/path/reports.rs
@@ -536,6 +536,37 @@
     }
 }
 
+/// Time in which a request is answered for good.
+const FINAL_TIME: Duration = Duration::from_millis(2_500);
+
+/// Statuses that no final response of the protocol has.
+const BAD_STATUSES: [&str; 14] =
+    ["000", "001", "099", "100", "101", "103", "199", "600", "999", "1000", "20", "2e2", "-20", ""];
+
+/// Guards against a caller that gets an answer with a status that is none: a server in trouble sent it,
+/// with all that makes a response valid otherwise.
+#[test]
+fn a_response_with_a_status_that_is_none_reaches_no_caller() {
+    for status in BAD_STATUSES {
+        let headers = "x-id: i1\r\nx-seal: s\r\n";
+        let response = format!("HTTP/1.1 {status} OK\r\n{headers}content-length: 5\r\n\r\nhello");
+        let response: &'static [u8] = response.leak().as_bytes();
+        for role in [Role::Entry, Role::Relay] {
+            block_on(async {
+                let (server, requests) = start_stopper(response, false).await;
+                let settings = settings("n1", Limits::default());
+                let rig = Rig::start_node(settings, server, Rc::default(), None).await;
+                let response =
+                    timeout(FINAL_TIME, post(&rig, role, "i1")).await.unwrap_or_default();
+                let case = format!("{role:?} {status:?}: {response}");
+                assert_eq!(requests.get(), 1, "{case}");
+                assert_eq!(status_of(&response), 502, "{case}");
+                assert!(!response.contains("hello"), "{case}");
+            });
+        }
+    }
+}
+
 /// Guards against a response that is taken for complete at an entry node, whose relay was lost halfway.
 #[test]
 fn a_relay_that_is_lost_halfway_never_completes_a_response() {
