Election: nodes without a controller call a store that did not respond

Cause: a node whose last call to the store had failed did not campaign, as the controller finds out for all when the store is back. The store was silent before the first election: there was no controller, all watches had begun in the silence, and no node called the store for 15 s.

Change: while the store does not respond and no controller is heard, nodes campaign in turn, the one of rank r every 0.5 (r + 1) s. Nothing changes while a controller is heard.

Tests: path follow::a_node_without_a_controller_finds_out_that_the_store_is_back, red before (no call in 2.5 s), green with it; follow (14) and owners (66) pass.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -80,6 +80,8 @@
     term: u64,
     /// Era of the store in which this node was elected.
     era: u64,
+    /// When this node last campaigned although the store had not responded to its last call.
+    store_probed: Tick,
     /// Whether this node was the controller when the era of its election ended.
     dispossessed: bool,
     /// Whether no controller can have been elected before this one.
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -2,7 +2,8 @@
 //!
 //! The controller is named by a record in the store that is changed by conditional writes only. A
 //! node campaigns when the controller is silent, has not been confirmed by the store for too long,
-//! or has resigned. Nodes with a larger CPU share campaign first. A node that is cut off from all
+//! or has resigned. While the store does not respond, the controller finds out for all when it does
+//! again; without a controller, the nodes' attempts to become one do. Nodes with a larger CPU share campaign first. A node that is cut off from all
 //! servers is no use as the controller: it resigns, and does not campaign, while another live node
 //! is not cut off.
 
@@ -41,6 +42,10 @@
 /// then on the controller hands no keys over.
 const UNCONFIRMED_AFTER: Duration = HANDOVER_TIMEOUT;
 
+/// Time between two attempts of the first node to become the controller while the store does not respond.
+/// Those after it wait longer by their rank, so that the calls of a large cluster stay few.
+const LOST_RETRY: Duration = Duration::from_millis(500);
+
 /// Time from the return of the store in which the controller may say that the store responds to it,
 /// too. The first node that hears of the return is not always the controller.
 const RETURN_GRACE: Duration = Duration::from_millis(1_200);
@@ -117,10 +122,13 @@
 /// Returns whether there seems to be no controller and it is this node's turn to campaign.
 fn should_campaign<P: Platform>(node: &Rc<Node<P>>) -> bool {
     let now = node.now();
-    if node.leaving.get() || node.store_lost.get() || is_outdone(node) {
+    if node.leaving.get() || is_outdone(node) {
         return false;
     }
     let control = node.control.borrow();
+    if node.store_lost.get() {
+        return should_probe_store(node, now, &control);
+    }
     if control.dispossessed {
         return true;
     }
@@ -139,6 +147,15 @@
     vacant > delay + RANK_DELAY * rank
 }
 
+/// Returns whether it is this node's turn to campaign although the store did not respond to its last
+/// call: there is no controller that would find out when it does again.
+fn should_probe_store<P: Platform>(node: &Rc<Node<P>>, now: Tick, control: &Controller) -> bool {
+    let rank = election_rank(node, now, control);
+    let delay = if control.leader.is_some() { control.leader_timeout } else { Duration::ZERO };
+    let is_vacant = now.since(control.last_heard) > delay + RANK_DELAY * rank;
+    is_vacant && now.since(control.store_probed) >= LOST_RETRY * (rank + 1)
+}
+
 /// Returns the number of live nodes that campaign before this one: those with a larger CPU share,
 /// and among equals those that rank first in an order drawn for each term. Nodes that are cut off from
 /// all servers count only if this one is, too.
@@ -168,6 +185,10 @@
 
 /// Tries to become the controller.
 async fn campaign<P: Platform>(node: &Rc<Node<P>>) {
+    if node.store_lost.get() {
+        node.control.borrow_mut().store_probed = node.now();
+        node.metrics.count("store_probed");
+    }
     let (known, position) = match read_record(node).await {
         Ok(found) => found,
         Err(error) => return log::debug!("cannot read the controller's record: {error}; retrying"),
--- a/crates/whinspring-router/tests/path/follow.rs
+++ b/crates/whinspring-router/tests/path/follow.rs
@@ -397,6 +397,53 @@
     );
 }
 
+/// Time after its return within which a store is found again by a node that is alone.
+const FIND_TIME: Duration = Duration::from_millis(1_200);
+
+/// Guards against nodes that never call the store again: it fell silent before they had a controller, and
+/// their watches began in the silence.
+#[test]
+fn a_node_without_a_controller_finds_out_that_the_store_is_back() {
+    run(
+        |_| None,
+        |rig| async move {
+            let platform = &rig.node.platform;
+            rig.node.set_store_reachable(true);
+            rig.node.set_store_reachable(false);
+            spawn_local(control::run(rig.node.clone()));
+            sleep(DECISION_TIME).await;
+            assert!((2..=6).contains(&platform.reads.get()), "{} calls", platform.reads.get());
+            assert!(!rig.node.control.borrow().is_leader());
+            platform.calm.set(true);
+            sleep(FIND_TIME).await;
+            assert!(!rig.node.store_lost.get());
+            assert!(rig.node.control.borrow().is_leader());
+        },
+    );
+}
+
+/// Load pattern: an outage of the store, in which each call of each node costs time and money. The
+/// controller calls it for all.
+#[test]
+fn a_node_that_hears_the_controller_leaves_it_to_call_a_store_that_is_lost() {
+    run(
+        |_| None,
+        |rig| async move {
+            let (mut leader, _link) = FakePeer::connect(&rig, true, 250).await;
+            leader.term = 1;
+            leader.heartbeat().await;
+            rig.node.set_store_reachable(false);
+            spawn_local(control::run(rig.node.clone()));
+            let start = rig.node.now();
+            while rig.node.now().since(start) < DECISION_TIME {
+                leader.store_age = rig.node.now().since(start).as_millis() as u32;
+                leader.heartbeat().await;
+            }
+            assert_eq!(rig.node.platform.reads.get(), 0);
+        },
+    );
+}
+
 /// Nodes of an earlier version watch no evacuations, so that a node which relied on them would hear of
 /// none.
 #[test]
--- a/crates/whinspring-router/tests/path/rig.rs
+++ b/crates/whinspring-router/tests/path/rig.rs
@@ -61,6 +61,8 @@
 pub struct Platform {
     /// Number of watches that were started.
     pub watches: Cell<u32>,
+    /// Number of objects that were read.
+    pub reads: Cell<u32>,
     /// How long the last watch asked the store to wait.
     pub wait: Cell<Duration>,
     /// Whether watches get no answer and do not end.
@@ -120,6 +122,7 @@
     }
 
     async fn read(&self, _: Kind, _: &str) -> Result<Option<Object>, StoreError> {
+        self.reads.set(self.reads.get() + 1);
         if self.calm.get() { Ok(None) } else { Err(StoreError::NoResponse) }
     }
 
@@ -430,6 +433,7 @@
     let (server, pathless, far) = (Cell::new(server), Cell::new(false), Cell::new(None));
     Platform {
         watches,
+        reads: Cell::new(0),
         wait,
         silent,
         calm,
