Election: a controller's record tells of all controllers before it that may still act

Cause: a controller knew one predecessor, the one in the record. If that one resigned, the end of all was taken for proved, while the one before it was cut off from the store and renewed leases of servers that its successors did not reach, for up to 12 s.

Change: the record states for how long controllers before its own may still send commands (earlier_ms); a successor counts that from its election. A controller writes zero once all have stopped.

Tests: owners restarts::a_controller_waits_for_all_earlier_ones_and_not_only_for_the_last, red before, and the_record_of_a_controller_tells_when_all_earlier_ones_have_stopped; owners (68) pass.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -99,6 +99,9 @@
     predecessor: Option<(Name, u64)>,
     /// When the previous controller was known to have stopped sending commands.
     predecessor_stopped: Option<Tick>,
+    /// By when all controllers before the previous one have stopped sending commands. One of them may
+    /// be cut off and not know of its successors.
+    earlier_stop: Tick,
     /// When the last check that the store confirmed was started.
     confirmed: Tick,
     /// When the last check was started.
@@ -272,17 +275,20 @@
     /// Returns whether no handover command of the previous controller can still take effect. A
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
-        let stopped = self.predecessor_stopped.unwrap_or(self.elected_at + HANDOVER_TIMEOUT);
+        let latest = self.elected_at + HANDOVER_TIMEOUT;
+        let stopped = self.predecessor_stopped.unwrap_or(latest).max(self.earlier_stop.min(latest));
         now > leases::handover_end(stopped, self.is_bounded)
     }
 
-    /// Returns the latest time at which the previous controller may have sent a command.
-    fn predecessor_last_command(&self) -> Tick {
-        self.predecessor_stopped.unwrap_or(self.elected_at + COMMAND_TIMEOUT)
+    /// Returns the latest time at which any earlier controller may have sent a command, from what is
+    /// known of the end of each.
+    fn predecessors_last_command(&self) -> Tick {
+        let stopped = self.predecessor_stopped.unwrap_or(self.elected_at + COMMAND_TIMEOUT);
+        stopped.max(self.earlier_stop)
     }
 
-    /// Returns the latest time at which any earlier controller may have sent a command: the store
-    /// confirmed none of them after the election of this one.
+    /// Returns the same if nothing is known of them: the store confirmed none of them after the
+    /// election of this one.
     fn earlier_last_command(&self) -> Tick {
         self.elected_at + COMMAND_TIMEOUT
     }
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -8,7 +8,7 @@
 //! is not cut off.
 
 use {
-    super::{Controller, HANDOVER_TIMEOUT, grants, progress, restore},
+    super::{COMMAND_TIMEOUT, Controller, HANDOVER_TIMEOUT, grants, progress, restore},
     crate::{
         follow,
         message::Heartbeat,
@@ -206,6 +206,7 @@
         era,
         restored: is_restored(&known, era, node.control.borrow().term),
         bounded: bounded_terms(node, &known, era),
+        earlier_ms: earlier_left(&known).as_millis() as u64,
     };
     let value = record.encode_to_vec();
     let written = node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await;
@@ -259,6 +260,18 @@
     if known.era == era { known.bounded.saturating_add(1) } else { 1 }
 }
 
+/// Returns the longest time for which controllers may still send commands that were elected before one that
+/// replaces a record now. One that has resigned sends none.
+fn earlier_left(known: &ControlRecord) -> Duration {
+    let has_stopped = known.term == 0 || known.incarnation == 0;
+    if has_stopped { stated_left(known) } else { COMMAND_TIMEOUT }
+}
+
+/// Returns what a record says of the controllers before the one that it names.
+fn stated_left(known: &ControlRecord) -> Duration {
+    Duration::from_millis(known.earlier_ms).min(COMMAND_TIMEOUT)
+}
+
 /// Makes this node the controller. `known` is the record that it replaced; one of an earlier era
 /// says nothing of the last controller before this one.
 fn take_office<P: Platform>(
@@ -283,6 +296,7 @@
     control.predecessor_stopped = resigned.then_some(control.elected_at);
     let predecessor = (Name::from(known.node.as_str()), known.incarnation);
     control.predecessor = Some(predecessor).filter(|_| is_current);
+    control.earlier_stop = control.elected_at + stated_left(known);
     control.confirmed = confirmed;
     control.fence_count = 0;
 }
@@ -343,19 +357,47 @@
     let node = node.clone();
     spawn_local(async move {
         let found = read_record(&node).await;
-        let mut control = node.control.borrow_mut();
-        control.confirming = false;
-        let Ok((record, _)) = found else { return };
-        let is_own = record.term == control.term && record.incarnation == node.incarnation;
-        if control.is_leader && is_own {
-            control.confirmed = now;
-            control.unproven.clear();
-        } else if control.is_leader {
-            control.depose(record.term);
+        let is_own = {
+            let mut control = node.control.borrow_mut();
+            control.confirming = false;
+            let Ok((record, _)) = &found else { return };
+            let is_own = record.term == control.term && record.incarnation == node.incarnation;
+            if control.is_leader && is_own {
+                control.confirmed = now;
+                control.unproven.clear();
+            } else if control.is_leader {
+                control.depose(record.term);
+            }
+            control.is_leader && is_own
+        };
+        if let Ok((record, position)) = found
+            && is_own
+        {
+            record_ends(&node, record, position).await;
         }
     });
 }
 
+/// Writes into this controller's record that all earlier ones have stopped, once they have: the next one
+/// cannot tell how long ago the record was written.
+async fn record_ends<P: Platform>(
+    node: &Rc<Node<P>>,
+    mut record: ControlRecord,
+    position: Position,
+) {
+    let last_command = node.control.borrow().predecessors_last_command();
+    if record.earlier_ms == 0 || node.now() <= last_command {
+        return;
+    }
+    record.earlier_ms = 0;
+    let value = record.encode_to_vec();
+    if let Err(error) =
+        node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await
+    {
+        log::debug!("cannot write the controller's record: {error}; trying again later");
+    }
+}
+
 /// Resigns in the store, so that another node can take over at once. No commands are sent from the
 /// start of the call on: the next controller may be elected before the store's response arrives.
 pub async fn resign<P: Platform>(node: &Rc<Node<P>>) {
@@ -372,6 +414,8 @@
     }
     record.node.clear();
     record.incarnation = 0;
+    let last_command = node.control.borrow().predecessors_last_command();
+    record.earlier_ms = last_command.since(node.now()).as_millis() as u64;
     let value = record.encode_to_vec();
     let written =
         node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await.is_ok();
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -212,7 +212,7 @@
     );
     let last = match covered {
         Some(since) => since.min(control.earlier_last_command()),
-        None => control.predecessor_last_command(),
+        None => control.predecessors_last_command(),
     };
     let terms = lease_terms(node);
     let bounded = terms.end_of(last, control.elected_at);
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -31,6 +31,10 @@
     /// Number of consecutive terms, this one included, whose controllers bound their leases.
     #[prost(uint32, tag = "6")]
     pub bounded: u32,
+    /// Longest time from the writing for which controllers before this one may still send commands;
+    /// zero in records of earlier versions.
+    #[prost(uint64, tag = "7")]
+    pub earlier_ms: u64,
 }
 
 /// The stored record of a node.
--- a/crates/whinspring-router/tests/owners/fake.rs
+++ b/crates/whinspring-router/tests/owners/fake.rs
@@ -35,7 +35,7 @@
             ServerControl, ServerEntry, Store, StoreError, Word,
         },
         reach,
-        record::OwnersRecord,
+        record::{ControlRecord, OwnersRecord},
         settings::{Limits as NodeLimits, Settings},
     },
 };
@@ -166,6 +166,8 @@
     pub cut_off: Vec<Name>,
     /// Nodes that reach no server.
     pub pathless: Vec<Name>,
+    /// Server that some nodes do not reach, and these.
+    pub unreached: Option<(Name, Vec<Name>)>,
     /// Whether their connections are refused; otherwise these do not open.
     pub refuses_pathless: bool,
     pub store_down: bool,
@@ -189,6 +191,8 @@
     pub speaking: Option<Name>,
     /// Servers and nodes that are in the failure domain `b` instead of `a`.
     pub far: Vec<Name>,
+    /// Node that the others do not hear, and that does not hear them.
+    pub split_off: Option<Name>,
     /// Whether the failure domains are cut off from each other, and `b` from the store. Connections
     /// between them are refused.
     pub is_split: bool,
@@ -212,6 +216,7 @@
             servers: (0..servers).map(server).collect(),
             cut_off: Vec::new(),
             pathless: Vec::new(),
+            unreached: None,
             refuses_pathless: false,
             store_down: false,
             shares_owners: false,
@@ -225,6 +230,7 @@
             fault_rates: FaultRates::default(),
             speaking: None,
             far: Vec::new(),
+            split_off: None,
             is_split: false,
             rng: SeededRng(ChaCha8Rng::seed_from_u64(seed)),
             faults: Vec::new(),
@@ -383,6 +389,15 @@
         values.into_iter().map(object).collect()
     }
 
+    /// Returns the stored record of the controller.
+    pub fn control_record(&self) -> ControlRecord {
+        let mut found =
+            self.objects.iter().filter(|((kind, _), _)| *kind == Kind::Control.number());
+        found.next().map_or_else(ControlRecord::default, |(_, (_, value))| {
+            ControlRecord::decode(value.as_slice()).unwrap()
+        })
+    }
+
     fn position(&self, revision: u64) -> Position {
         Position::new(self.era, revision)
     }
@@ -420,6 +435,19 @@
         self.is_split && self.far.contains(node) != self.far.contains(other)
     }
 
+    /// Returns whether two nodes do not hear each other.
+    fn are_deaf(&self, node: &Name, other: &Name) -> bool {
+        let is_off = |node| self.split_off.as_ref() == Some(node);
+        is_off(node) || is_off(other) || self.are_split(node, other)
+    }
+
+    /// Returns whether connections of a node to a server do not open.
+    fn is_lost(&self, node: &Name, server: &Name) -> bool {
+        let is_unreached =
+            |(name, nodes): &(Name, Vec<Name>)| name == server && nodes.contains(node);
+        self.servers[server].unreachable || self.unreached.as_ref().is_some_and(is_unreached)
+    }
+
     fn domain(&self, member: &Name) -> Name {
         if self.far.contains(member) { "b" } else { "a" }.into()
     }
@@ -599,7 +627,7 @@
             let slow = world.rng.0.random_ratio(slow, 100);
             let delay = world.rng.0.random_range(if slow { 550..900 } else { 2_000..12_000 });
             let delay = (late || slow).then(|| Duration::from_millis(delay));
-            let unreachable = world.servers[&target].unreachable;
+            let unreachable = world.is_lost(&self.node, &target);
             let pathless = world.pathless.contains(&self.node);
             let refused =
                 pathless && world.refuses_pathless || world.are_split(&self.node, &target);
@@ -666,7 +694,7 @@
             let pathless = world.pathless.contains(&self.node);
             let refuses =
                 pathless && world.refuses_pathless || world.are_split(&self.node, &target);
-            let lost = server.unreachable || pathless && !refuses;
+            let lost = world.is_lost(&self.node, &target) || pathless && !refuses;
             (lost, server.down || server.refusing || refuses)
         };
         sleep(if lost { CONNECT_TIMEOUT } else { RESPONSE_DELAY }).await;
@@ -895,7 +923,7 @@
             let heartbeat = heartbeat_of(from);
             let owners = from.view.borrow().snapshot(Kind::Owners);
             for to in nodes.iter().filter(|to| to.name() != from.name()) {
-                if from.platform.world.borrow().are_split(from.name(), to.name()) {
+                if from.platform.world.borrow().are_deaf(from.name(), to.name()) {
                     continue;
                 }
                 to.learn_era(heartbeat.era);
--- a/crates/whinspring-router/tests/owners/restarts.rs
+++ b/crates/whinspring-router/tests/owners/restarts.rs
@@ -1,11 +1,11 @@
-//! Servers that start again under their names while a deposed controller still commands: the fencing
-//! tokens that shut it out are lost with the process.
+//! A deposed controller that still commands: servers that start again under their names have lost the
+//! fencing tokens that shut it out, and those that its successors do not reach never had them.
 
 use {
-    crate::fake::{Platform, World, advance, exchange_heartbeats, start, with_paused_clock},
+    crate::fake::{Platform, World, advance, exchange_heartbeats, name, start, with_paused_clock},
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
-    whinspring_router::node::Node,
+    whinspring_router::{control, node::Node},
 };
 
 const SERVERS: usize = 6;
@@ -60,3 +60,57 @@
 fn a_server_that_handed_its_keys_over_and_starts_again_takes_no_renewals_of_a_deposed_controller() {
     (0..20).for_each(|seed| play(seed, |world| world.leave(0)));
 }
+
+/// Time from the election of a controller until the leases of all earlier ones have expired.
+const ALL_EXPIRED_MS: u64 = 12_000 + 10_500;
+
+/// Guards against two servers that hold the same keys: the controller is cut off and goes on renewing the
+/// leases of a server that the others do not reach, its successor resigns, and the one after that
+/// takes the end of the second for the end of both.
+#[test]
+fn a_controller_waits_for_all_earlier_ones_and_not_only_for_the_last() {
+    for seed in 0..10 {
+        with_paused_clock(seed, async {
+            let world = World::new(seed, SERVERS);
+            let mut nodes = ["n1", "n2", "n3"].map(|node| start(&world, node)).to_vec();
+            let isolated = Rc::new(RefCell::new(false));
+            spawn_local(exchange_heartbeats(nodes.clone(), isolated.clone()));
+            advance(6_000).await;
+            nodes.sort_by_key(|node| !node.control.borrow().is_leader());
+            let others: Vec<_> = nodes[1..].iter().map(|node| node.name().clone()).collect();
+            world.borrow_mut().cut_off.push(nodes[0].name().clone());
+            world.borrow_mut().unreached = Some((name(0), others));
+            world.borrow_mut().leave(0);
+            world.borrow_mut().split_off = Some(nodes[0].name().clone());
+            while !nodes[1..].iter().any(|node| node.control.borrow().is_leader()) {
+                advance(50).await;
+            }
+            advance(100 + 70 * seed).await;
+            nodes[1..].sort_by_key(|node| !node.control.borrow().is_leader());
+            control::resign(&nodes[1]).await;
+            nodes[1].leaving.set(true);
+            advance(ALL_EXPIRED_MS).await;
+            assert!(nodes[2].control.borrow().is_leader(), "seed {seed}");
+            assert_eq!(world.borrow().faults, Vec::<String>::new(), "seed {seed}");
+            let others: f64 = (1..SERVERS).map(|index| world.borrow().share(index)).sum();
+            assert_eq!(others, 1.0, "seed {seed}: the keys of the server are not at others");
+        });
+    }
+}
+
+/// Guards against controllers that wait for others which have stopped long ago: the record of the last
+/// one was written when they had not.
+#[test]
+fn the_record_of_a_controller_tells_when_all_earlier_ones_have_stopped() {
+    with_paused_clock(0, async {
+        let world = World::new(0, SERVERS);
+        let nodes = cut_controller_off(&world).await;
+        let earlier_ms = || world.borrow().control_record().earlier_ms;
+        assert_eq!(earlier_ms(), 12_000);
+        advance(8_000).await;
+        assert_eq!(earlier_ms(), 12_000);
+        advance(6_000).await;
+        assert_eq!(earlier_ms(), 0);
+        assert!(nodes[0].control.borrow().is_leader());
+    });
+}
