Commands: a release goes over a connection of its own

Cause: answers to commands name no command. A late copy of the answer to the grant that fences a former owner was taken for that to the release on the same connection, which the server gives only when its work on the keys has ended.

Change: a release takes a connection on which no other call was answered, as old as commands require.

--- a/crates/whinspring-http/src/backend.rs
+++ b/crates/whinspring-http/src/backend.rs
@@ -124,36 +124,52 @@
         self.open().await
     }
 
-    /// Returns an idle connection to a process that has been the same for at least `age`, see
-    /// [`Conn::since`]. If there is none, there is one to a younger process for later calls when this returns.
+    /// Returns a connection to a process that has been the same for at least `age`, see [`Conn::since`],
+    /// on which a request may have been sent before if `reused` says so. If there is none, there is one to
+    /// a younger process for later calls when this returns.
     ///
     /// # Errors
     ///
     /// Fails if there is no idle connection and none can be opened.
-    pub async fn acquire_aged(&self, age: Duration) -> Result<Option<Conn<R>>, CallError> {
-        let mut young = Vec::new();
+    pub async fn acquire_aged(
+        &self,
+        age: Duration,
+        reused: bool,
+    ) -> Result<Option<Conn<R>>, CallError> {
+        let mut others = Vec::new();
         let mut aged = None;
         while let Some(mut conn) = self.pop(IDLE_TIMEOUT) {
             if !conn.is_usable().await {
                 continue;
             }
-            if self.age(&conn) >= age {
+            if self.age(&conn) >= age && (reused || !conn.is_reused()) {
                 aged = Some(conn);
                 break;
             }
-            young.push(conn);
+            others.push(conn);
         }
-        if aged.is_none() && young.is_empty() {
-            let conn = self.open().await?;
-            match self.age(&conn) >= age {
-                true => aged = Some(conn),
-                false => young.push(conn),
+        let is_missing = others.iter().all(|conn| !reused && conn.is_reused());
+        if aged.is_none() && is_missing {
+            let conn = self.open().await;
+            match conn {
+                Ok(conn) if self.age(&conn) >= age => aged = Some(conn),
+                Ok(conn) => others.insert(0, conn),
+                Err(error) => {
+                    self.keep_all(others);
+                    return Err(error);
+                }
             }
         }
-        young.into_iter().rev().for_each(|conn| self.state.lock().keep(conn));
+        self.keep_all(others);
         Ok(aged)
     }
 
+    /// Puts idle connections back that were taken out one after the other.
+    fn keep_all(&self, conns: Vec<Conn<R>>) {
+        let mut state = self.state.lock();
+        conns.into_iter().rev().for_each(|conn| state.keep(conn));
+    }
+
     /// Opens a new connection.
     ///
     /// # Errors
