--- a/crates/whinspring-http/src/backend.rs
+++ b/crates/whinspring-http/src/backend.rs
@@ -124,9 +124,9 @@
         self.open().await
     }
 
-    /// Returns a connection to a process that has been the same for at least `age`, see [`Conn::since`],
-    /// on which a request may have been sent before if `reused` says so. If there is none, there is one to
-    /// a younger process for later calls when this returns.
+    /// Returns a connection to a process that has been the same for at least `age`, see [`Conn::since`];
+    /// unless it `allows_reused`, one on which no request was sent before. If there is none, there is one
+    /// to a younger process for later calls when this returns.
     ///
     /// # Errors
     ///
@@ -134,7 +134,7 @@
     pub async fn acquire_aged(
         &self,
         age: Duration,
-        reused: bool,
+        allows_reused: bool,
     ) -> Result<Option<Conn<R>>, CallError> {
         let mut others = Vec::new();
         let mut aged = None;
@@ -142,16 +142,15 @@
             if !conn.is_usable().await {
                 continue;
             }
-            if self.age(&conn) >= age && (reused || !conn.is_reused()) {
+            if self.age(&conn) >= age && (allows_reused || !conn.is_reused()) {
                 aged = Some(conn);
                 break;
             }
             others.push(conn);
         }
-        let is_missing = others.iter().all(|conn| !reused && conn.is_reused());
-        if aged.is_none() && is_missing {
-            let conn = self.open().await;
-            match conn {
+        let has_younger = others.iter().any(|conn| allows_reused || !conn.is_reused());
+        if aged.is_none() && !has_younger {
+            match self.open().await {
                 Ok(conn) if self.age(&conn) >= age => aged = Some(conn),
                 Ok(conn) => others.insert(0, conn),
                 Err(error) => {
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -4,8 +4,8 @@
 //! releases them; it thus rejects any older grant that is still in flight. Only then is the new
 //! owner granted the keys. A former owner that cannot be reached keeps its keys until every lease
 //! that it may hold has expired, including those of an earlier controller, unless its end is proved
-//! ([`whinspring::server_end`]). A server that has restarted under its name may have accepted grants that were meant for
-//! its previous instance, so that the new instance must release the keys as well.
+//! ([`whinspring::server_end`]). A server that has restarted under its name may have accepted grants
+//! that were meant for its previous instance, so that the new instance must release the keys as well.
 //!
 //! Which of two servers with entries at one address has ended cannot be told from their entries:
 //! that of a server that has ended may be written again after an outage. The server at the address
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -22,10 +22,10 @@
 };
 
 /// Time for which a server must refuse connections to count as ended.
-const DEAD_AFTER: Duration = RESTART_TIME;
+const ENDED_AFTER: Duration = RESTART_TIME;
 
 /// The same for a leaving server, which refuses connections before its last requests end.
-const LEAVING_DEAD_AFTER: Duration = Duration::from_millis(2_000);
+const LEAVING_ENDED_AFTER: Duration = Duration::from_millis(2_000);
 
 /// Time between two rounds of probes of a server by all nodes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
@@ -145,22 +145,23 @@
     let control = node.control.borrow();
     let first = control.down.get(instance)?.first;
     let responded = control.last_response.get(&instance.server).is_some_and(|at| *at >= first);
-    let domain_reached = control.domains.get(&domain).is_some_and(|probe| probe.reached >= first);
+    let domain_probe = domain.as_ref().and_then(|domain| control.domains.get(domain));
     let probes = control.probes.get(&addr);
     let peers = node.peers.borrow();
     let witnesses = || peers.live(now).filter(|(_, peer)| !peer.heartbeat.cut_off);
     let is_refused = |name: &Name| probes.is_some_and(|round| round.refused.contains(name));
     let refused = || witnesses().filter(|(name, _)| is_refused(name));
-    let is_inside = node.settings.domain == domain;
+    let is_inside = |other: &str| domain.as_ref().is_some_and(|domain| **domain == *other);
+    let has_inside = refused().any(|(_, peer)| is_inside(&peer.heartbeat.domain));
     Some(Observation {
         refusing: now.since(first),
-        required: if is_serving(node, instance) { DEAD_AFTER } else { LEAVING_DEAD_AFTER },
+        required: if is_serving(node, instance) { ENDED_AFTER } else { LEAVING_ENDED_AFTER },
         responded: responded || probes.is_some_and(|round| round.reached),
         has_paths: node.reach.borrow().has_opened_since(first),
         nodes: witnesses().count() + 1,
         refused: refused().count() + 1,
-        refused_inside: is_inside || refused().any(|(_, peer)| *peer.heartbeat.domain == *domain),
-        domain_reached,
+        refused_inside: has_inside || is_inside(&node.settings.domain),
+        domain_reached: domain_probe.is_some_and(|probe| probe.reached >= first),
     })
 }
 
@@ -172,9 +173,10 @@
     listed.is_some_and(|server| server.missing.is_none()) && !is_leaving
 }
 
-/// Returns the failure domain of a server instance, or an empty name.
-fn domain_of<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> Name {
-    node.view.borrow().location(instance).map(|location| location.domain).unwrap_or_default()
+/// Returns the failure domain of a server instance, if it is known.
+fn domain_of<P: Platform>(node: &Rc<Node<P>>, instance: &Instance) -> Option<Name> {
+    let location = node.view.borrow().location(instance)?;
+    Some(location.domain).filter(|domain| !domain.is_empty())
 }
 
 fn log_verdict<P: Platform>(
@@ -183,8 +185,8 @@
     observed: &Observation,
     verdict: Result<EndProof, Doubt>,
 ) {
-    let (server, domain) = (instance.server.as_str(), domain_of(node, instance));
-    let domain = domain.as_str();
+    let domain = domain_of(node, instance).unwrap_or_default();
+    let (server, domain) = (instance.server.as_str(), domain.as_str());
     let refusing_ms = observed.refusing.as_millis() as u64;
     let Observation { refused, nodes, .. } = *observed;
     match verdict {
@@ -208,7 +210,9 @@
 ) {
     let now = node.now();
     reach::request_round(node);
-    probe_domain(node, domain_of(node, instance));
+    if let Some(domain) = domain_of(node, instance) {
+        probe_domain(node, domain);
+    }
     {
         let mut control = node.control.borrow_mut();
         let round = control.probes.entry(addr).or_default();
@@ -224,7 +228,7 @@
 /// domain is reached. Does nothing if a node there can tell whether another server refuses it.
 fn probe_domain<P: Platform>(node: &Rc<Node<P>>, domain: Name) {
     let now = node.now();
-    if domain.is_empty() || has_node(node, &domain, now) {
+    if has_node(node, &domain, now) {
         return;
     }
     {
