Election: the record names earlier controllers, so that their ends are known

Cause: the record told for how long earlier controllers may act, counted by the successor from its election. After the loss of all nodes that is up to 12 s too long, although the earlier controllers are heard to have started again. That the wait is the cause is by reading: no play with logs broke.

Change: the record names the runs of earlier controllers that are not known to have stopped. Each controller hears of their ends as of its predecessor's, and takes them out of its record.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -63,6 +63,15 @@
 /// the era alone.
 const ERAS: u64 = 1 << 11;
 
+/// A controller before the previous one.
+#[derive(Debug)]
+struct EarlierController {
+    name: Name,
+    incarnation: u64,
+    /// When it was known to have stopped sending commands.
+    stopped: Option<Tick>,
+}
+
 /// The node's view of the controller, and the controller's own state if this node is the
 /// controller.
 #[derive(Debug, Default)]
@@ -99,9 +108,9 @@
     predecessor: Option<(Name, u64)>,
     /// When the previous controller was known to have stopped sending commands.
     predecessor_stopped: Option<Tick>,
-    /// By when all controllers before the previous one have stopped sending commands. One of them may
-    /// be cut off and not know of its successors.
-    earlier_stop: Tick,
+    /// Controllers before the previous one that may still send commands: one of them may be cut off
+    /// and not know of its successors.
+    earlier: Vec<EarlierController>,
     /// When the last check that the store confirmed was started.
     confirmed: Tick,
     /// When the last check was started.
@@ -179,6 +188,10 @@
         if self.predecessor_stopped.is_none() && predecessor.is_some_and(|(_, run)| ended(*run)) {
             self.predecessor_stopped = Some(now);
         }
+        let earlier = self.earlier.iter_mut().filter(|earlier| earlier.name == *from);
+        for earlier in earlier.filter(|earlier| ended(earlier.incarnation)) {
+            earlier.stopped.get_or_insert(now);
+        }
         let resigned = heartbeat.leaving || (!heartbeat.is_leader && heartbeat.term >= self.term);
         let leader = self.leader.as_ref().filter(|(name, _)| name == from);
         if leader.is_some_and(|(_, run)| *run != heartbeat.incarnation || resigned) {
@@ -275,16 +288,22 @@
     /// Returns whether no handover command of the previous controller can still take effect. A
     /// server may execute a command late, and a lease counts from the arrival of its grant.
     fn predecessor_expired(&self, now: Tick) -> bool {
-        let latest = self.elected_at + HANDOVER_TIMEOUT;
-        let stopped = self.predecessor_stopped.unwrap_or(latest).max(self.earlier_stop.min(latest));
+        let stopped = self.predecessors_stop(self.elected_at + HANDOVER_TIMEOUT);
         now > leases::handover_end(stopped, self.is_bounded)
     }
 
     /// Returns the latest time at which any earlier controller may have sent a command, from what is
     /// known of the end of each.
     fn predecessors_last_command(&self) -> Tick {
-        let stopped = self.predecessor_stopped.unwrap_or(self.elected_at + COMMAND_TIMEOUT);
-        stopped.max(self.earlier_stop)
+        self.predecessors_stop(self.elected_at + COMMAND_TIMEOUT)
+    }
+
+    /// Returns by when all earlier controllers have stopped, if each that is not known to have stops
+    /// at `latest`.
+    fn predecessors_stop(&self, latest: Tick) -> Tick {
+        let earlier = self.earlier.iter().map(|earlier| earlier.stopped);
+        let all = earlier.chain([self.predecessor_stopped]);
+        all.map(|stopped| stopped.unwrap_or(latest)).max().unwrap_or(latest)
     }
 
     /// Returns the same if nothing is known of them: the store confirmed none of them after the
--- a/crates/whinspring-router/src/control/election.rs
+++ b/crates/whinspring-router/src/control/election.rs
@@ -8,14 +8,16 @@
 //! is not cut off.
 
 use {
-    super::{COMMAND_TIMEOUT, Controller, HANDOVER_TIMEOUT, grants, progress, restore},
+    super::{
+        COMMAND_TIMEOUT, Controller, EarlierController, HANDOVER_TIMEOUT, grants, progress, restore,
+    },
     crate::{
         follow,
         message::Heartbeat,
         node::Node,
         peers,
         platform::{Kind, Platform, Position, StoreError},
-        record::ControlRecord,
+        record::{ControlRecord, ControllerRecord},
     },
     log::{info, warn},
     prost::Message,
@@ -206,7 +208,7 @@
         era,
         restored: is_restored(&known, era, node.control.borrow().term),
         bounded: bounded_terms(node, &known, era),
-        earlier_ms: earlier_left(&known).as_millis() as u64,
+        earlier: controllers_before(&known),
     };
     let value = record.encode_to_vec();
     let written = node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await;
@@ -260,16 +262,35 @@
     if known.era == era { known.bounded.saturating_add(1) } else { 1 }
 }
 
-/// Returns the longest time for which controllers may still send commands that were elected before one that
-/// replaces a record now. One that has resigned sends none.
-fn earlier_left(known: &ControlRecord) -> Duration {
-    let has_stopped = known.term == 0 || known.incarnation == 0;
-    if has_stopped { stated_left(known) } else { COMMAND_TIMEOUT }
+/// Returns the controllers that may still send commands though a record is replaced now. One that has
+/// resigned sends none.
+fn controllers_before(known: &ControlRecord) -> Vec<ControllerRecord> {
+    let mut before = known.earlier.clone();
+    if known.incarnation != 0 {
+        before.push(ControllerRecord { node: known.node.clone(), incarnation: known.incarnation });
+    }
+    before
 }
 
-/// Returns what a record says of the controllers before the one that it names.
-fn stated_left(known: &ControlRecord) -> Duration {
-    Duration::from_millis(known.earlier_ms).min(COMMAND_TIMEOUT)
+/// Returns the controllers before this one that are not known to have stopped.
+fn running_before(control: &Controller, now: Tick) -> Vec<ControllerRecord> {
+    if now > control.elected_at + COMMAND_TIMEOUT {
+        return Vec::new();
+    }
+    let earlier = control.earlier.iter().filter(|earlier| earlier.stopped.is_none());
+    let mut running: Vec<ControllerRecord> = earlier
+        .map(|earlier| ControllerRecord {
+            node: earlier.name.to_string(),
+            incarnation: earlier.incarnation,
+        })
+        .collect();
+    let predecessor =
+        control.predecessor.as_ref().filter(|_| control.predecessor_stopped.is_none());
+    running.extend(predecessor.map(|(name, incarnation)| ControllerRecord {
+        node: name.to_string(),
+        incarnation: *incarnation,
+    }));
+    running
 }
 
 /// Makes this node the controller. `known` is the record that it replaced; one of an earlier era
@@ -296,7 +317,7 @@
     control.predecessor_stopped = resigned.then_some(control.elected_at);
     let predecessor = (Name::from(known.node.as_str()), known.incarnation);
     control.predecessor = Some(predecessor).filter(|_| is_current);
-    control.earlier_stop = control.elected_at + stated_left(known);
+    control.earlier = known.earlier.iter().map(EarlierController::from).collect();
     control.confirmed = confirmed;
     control.fence_count = 0;
 }
@@ -378,18 +399,17 @@
     });
 }
 
-/// Writes into this controller's record that all earlier ones have stopped, once they have: the next one
-/// cannot tell how long ago the record was written.
+/// Takes the controllers that have stopped out of this controller's record, for the next one.
 async fn record_ends<P: Platform>(
     node: &Rc<Node<P>>,
     mut record: ControlRecord,
     position: Position,
 ) {
-    let last_command = node.control.borrow().predecessors_last_command();
-    if record.earlier_ms == 0 || node.now() <= last_command {
+    let running = running_before(&node.control.borrow(), node.now());
+    if record.earlier == running {
         return;
     }
-    record.earlier_ms = 0;
+    record.earlier = running;
     let value = record.encode_to_vec();
     if let Err(error) =
         node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await
@@ -414,8 +434,7 @@
     }
     record.node.clear();
     record.incarnation = 0;
-    let last_command = node.control.borrow().predecessors_last_command();
-    record.earlier_ms = last_command.since(node.now()).as_millis() as u64;
+    record.earlier = running_before(&node.control.borrow(), node.now());
     let value = record.encode_to_vec();
     let written =
         node.platform.write(Kind::Control, CONTROLLER_RECORD, position, &value).await.is_ok();
@@ -423,3 +442,10 @@
     node.control.borrow_mut().step_down();
     peers::send_heartbeats(node, node.now());
 }
+
+impl From<&ControllerRecord> for EarlierController {
+    fn from(record: &ControllerRecord) -> Self {
+        let (name, incarnation) = (Name::from(record.node.as_str()), record.incarnation);
+        Self { name, incarnation, stopped: None }
+    }
+}
--- a/crates/whinspring-router/src/record.rs
+++ b/crates/whinspring-router/src/record.rs
@@ -31,10 +31,21 @@
     /// Number of consecutive terms, this one included, whose controllers bound their leases.
     #[prost(uint32, tag = "6")]
     pub bounded: u32,
-    /// Longest time from the writing for which controllers before this one may still send commands;
-    /// zero in records of earlier versions.
-    #[prost(uint64, tag = "7")]
-    pub earlier_ms: u64,
+    /// Controllers before this one that were not known to have stopped sending commands; none in records
+    /// of earlier versions.
+    #[prost(message, repeated, tag = "7")]
+    pub earlier: Vec<ControllerRecord>,
+}
+
+/// One run of a node as the controller.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ControllerRecord {
+    /// Name of the node.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Incarnation of the node.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
 }
 
 /// The stored record of a node.
--- a/crates/whinspring-router/tests/owners/restarts.rs
+++ b/crates/whinspring-router/tests/owners/restarts.rs
@@ -5,7 +5,7 @@
     crate::fake::{Platform, World, advance, exchange_heartbeats, name, start, with_paused_clock},
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
-    whinspring_router::{control, node::Node},
+    whinspring_router::{control, message::Heartbeat, node::Node},
 };
 
 const SERVERS: usize = 6;
@@ -98,19 +98,56 @@
     }
 }
 
-/// Guards against controllers that wait for others which have stopped long ago: the record of the last
-/// one was written when they had not.
+/// Returns a heartbeat of another run of a node.
+fn restarted(node: &Node<Platform>) -> Heartbeat {
+    Heartbeat { node: node.name().to_string(), incarnation: 7, ..Heartbeat::default() }
+}
+
+/// Guards against a successor that waits for controllers which have stopped: their runs are named in the
+/// record, so that it knows them by their heartbeats, and they go out of it.
+#[test]
+fn the_record_of_a_controller_names_the_earlier_ones_that_may_still_act() {
+    for is_heard in [false, true] {
+        with_paused_clock(0, async {
+            let world = World::new(0, SERVERS);
+            let [second, first] = cut_controller_off(&world).await;
+            let named = || -> Vec<u64> {
+                let record = world.borrow().control_record();
+                record.earlier.iter().map(|earlier| earlier.incarnation).collect()
+            };
+            assert_eq!(named(), [first.incarnation]);
+            if is_heard {
+                let heartbeat = restarted(&first);
+                second.control.borrow_mut().on_heartbeat(second.now(), first.name(), &heartbeat);
+            }
+            advance(4_000).await;
+            assert_eq!(named().is_empty(), is_heard);
+            advance(10_000).await;
+            assert!(named().is_empty() && second.control.borrow().is_leader());
+        });
+    }
+}
+
+/// Guards against keys that wait for a controller that was named in the record and has started again.
 #[test]
-fn the_record_of_a_controller_tells_when_all_earlier_ones_have_stopped() {
+fn a_controller_does_not_wait_for_earlier_ones_that_have_started_again() {
     with_paused_clock(0, async {
         let world = World::new(0, SERVERS);
-        let nodes = cut_controller_off(&world).await;
-        let earlier_ms = || world.borrow().control_record().earlier_ms;
-        assert_eq!(earlier_ms(), 12_000);
-        advance(8_000).await;
-        assert_eq!(earlier_ms(), 12_000);
-        advance(6_000).await;
-        assert_eq!(earlier_ms(), 0);
-        assert!(nodes[0].control.borrow().is_leader());
+        let [second, first] = cut_controller_off(&world).await;
+        let third = start(&world, "n3");
+        advance(1_000).await;
+        control::resign(&second).await;
+        second.leaving.set(true);
+        let heartbeat = restarted(&first);
+        while !third.control.borrow().is_leader() {
+            advance(50).await;
+        }
+        world.borrow_mut().split_off = Some(first.name().clone());
+        third.control.borrow_mut().on_heartbeat(third.now(), first.name(), &heartbeat);
+        world.borrow_mut().set_unreachable(0, true);
+        world.borrow_mut().leave(0);
+        advance(9_000).await;
+        let others: f64 = (1..SERVERS).map(|index| world.borrow().share(index)).sum();
+        assert_eq!(others, 1.0);
     });
 }
