--- a/review/standin-3/rig.rs
+++ b/review/standin-3/rig.rs
@@ -9,10 +9,14 @@
     collections::{BTreeMap, VecDeque},
     env, fs,
     io::{BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     path::PathBuf,
     process::{Child, Command, Stdio, exit},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering::SeqCst},
+    },
     thread::{sleep, spawn},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -134,6 +138,66 @@
     Ok(())
 }
 
+// ---------------------------------------------------------------- paths that can be cut
+
+unsafe extern "C" {
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// Resets a connection, whoever else has its descriptor: connecting to no address disconnects.
+fn reset(stream: &TcpStream) {
+    let address = [0_u8; 16];
+    unsafe { connect(stream.as_raw_fd(), address.as_ptr(), 16) };
+}
+
+/// The path from all machines to one server. While it is cut, channels are reset and new ones refused.
+struct Port {
+    cut: AtomicBool,
+}
+
+/// Serves connections as [`serve`] does, on a path that can be cut.
+fn serve_behind(
+    port: Arc<Port>,
+    addr: SocketAddr,
+    handler: Arc<dyn Fn(Message) -> Option<Vec<u8>> + Send + Sync>,
+) {
+    let mut listener = Some(TcpListener::bind(addr).expect("a free address"));
+    spawn(move || {
+        let mut open: Vec<TcpStream> = Vec::new();
+        loop {
+            if port.cut.load(SeqCst) {
+                listener = None;
+                open.drain(..).for_each(|stream| reset(&stream));
+                sleep(ms(5));
+                continue;
+            }
+            let current = listener
+                .get_or_insert_with(|| TcpListener::bind(addr).expect("the address is still free"));
+            let _ = current.set_nonblocking(true);
+            let Ok((stream, _)) = current.accept() else {
+                sleep(ms(2));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let _ = stream.set_nodelay(true);
+            let (Ok(mut out), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
+                continue;
+            };
+            open.push(kept);
+            let handler = handler.clone();
+            spawn(move || {
+                let mut reader = BufReader::new(stream);
+                while let Some(request) = read_message(&mut reader) {
+                    let Some(bytes) = handler(request) else { return };
+                    if out.write_all(&bytes).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
 // ---------------------------------------------------------------- store
 
 /// Objects by kind and name: revision and content of `Spec`.
@@ -572,6 +636,8 @@
     store: Arc<Store>,
     nodes: Mutex<Nodes>,
     servers: Vec<Arc<Server>>,
+    /// Paths to the servers.
+    ports: Vec<Arc<Port>>,
 }
 
 const ZONES: usize = 3;
@@ -632,7 +698,7 @@
             all.logs.push(temp.join(format!("edge-{index}.log")));
             all.running.push(None);
         }
-        let mut backends = Vec::new();
+        let (mut backends, mut ports) = (Vec::new(), Vec::new());
         for index in 0..servers {
             let id = format!("i-{index:04x}");
             let state = ServerState {
@@ -649,7 +715,9 @@
             });
             let addr: SocketAddr = format!("127.{subnet}.2.{}:8080", index + 1).parse().unwrap();
             let handler = server.clone();
-            serve(addr, Arc::new(move |request| handler.handle(request))).unwrap();
+            let port = Arc::new(Port { cut: AtomicBool::new(false) });
+            serve_behind(port.clone(), addr, Arc::new(move |request| handler.handle(request)));
+            ports.push(port);
             let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
             let entry = format!(
                 r#"{{"Address":"{addr}","born":{born},"Info":{{"Service":"checks","Zone":"z{}","Version":"v1","Slots":{SLOTS}}},"Status":{{"State":"ready","Sequence":1,"ColdLeftS":0}}}}"#,
@@ -669,7 +737,8 @@
                 }
             });
         }
-        let world = Arc::new(Self { record, store, nodes: Mutex::new(all), servers: backends });
+        let world =
+            Arc::new(Self { record, store, nodes: Mutex::new(all), servers: backends, ports });
         world.write_config();
         world.start_all();
         world
@@ -742,6 +811,42 @@
     (broken.len(), broken.values().max().copied().unwrap_or_default())
 }
 
+/// Two servers of twelve are cut off from all machines for a moment, three times; their channels are reset.
+fn cut_servers(out: &PathBuf, trouble: bool) -> i32 {
+    let world = World::build(out, 6, 12, 12, Duration::ZERO);
+    let watcher = {
+        let (world, end) = (world.clone(), Instant::now() + Duration::from_secs(32));
+        spawn(move || watch_owners(&world, end))
+    };
+    sleep(ms(8_000));
+    let is_held = |key: &usize| world.servers.iter().any(|it| it.holds(*key));
+    let held = (0..KEYS).step_by(256).filter(is_held).count();
+    world.record.line(&format!("{held} of 256 keys are held"));
+    for round in 0..3 {
+        let cut = [round * 2, round * 2 + 1];
+        let names: Vec<&str> = cut.iter().map(|it| world.servers[*it].id.as_str()).collect();
+        if trouble {
+            world.record.line(&format!("{} are cut off from all machines", names.join(" and ")));
+            cut.iter().for_each(|it| world.ports[*it].cut.store(true, SeqCst));
+        }
+        sleep(ms(1_600));
+        cut.iter().for_each(|it| world.ports[*it].cut.store(false, SeqCst));
+        world.record.line(&format!("{} are reached again", names.join(" and ")));
+        sleep(ms(6_400));
+    }
+    let (keys, longest) = watcher.join().unwrap();
+    world.end();
+    let text = format!(
+        "{keys} of 256 keys had two holders for over half a second, the longest {longest:?}"
+    );
+    world.record.line(&text);
+    println!("{text}");
+    if held < 128 {
+        return 2;
+    }
+    i32::from(keys > 0)
+}
+
 /// The store comes back from a copy that is older than the first election, while all processes are down.
 fn empty_copy(out: &PathBuf, trouble: bool) -> i32 {
     let world = World::build(out, 6, 12, 6, ms(2_500));
@@ -792,6 +897,7 @@
     let out = PathBuf::from(out);
     let case = case.clone();
     let run = spawn(move || match case.as_str() {
+        "cut-servers" => cut_servers(&out, trouble),
         "empty-copy" => empty_copy(&out, trouble),
         _ => 2,
     });
