Controller: refused connections are no proof that a server has ended

Servers that a partition cuts off from all nodes for 1.6 s, with resets, are taken for ended after 0.4 to 0.7 s.

Cause: the class of the proof. server_end counted refusals and asked whether the failure domain of the server was reached. A cut of a single server looks the same from every node, inside the domain too, while the other servers there respond. The log line server_ended with proof refused_inside or domain_reached stood before each grant, and no waited_out. Ruled out: leases taken for too short (no waited_out), another server at the address.

Change: keys of a server that refuses connections wait for the end of its leases. Proof is what the server says or the process in its place: released, restarted, replaced. The probes of all nodes and of domains go, and what the controller kept for them. An earlier controller's probe request gets no answer, so that it waits as well. A refusal together with a missing entry was ruled out: the server may be cut off from the store, too.

--- a/crates/whinspring-router/src/control.rs
+++ b/crates/whinspring-router/src/control.rs
@@ -17,7 +17,6 @@
     log::warn,
     std::{
         collections::{HashMap, HashSet},
-        net::SocketAddr,
         time::Duration,
     },
     whinspring::{
@@ -34,7 +33,7 @@
 mod leases;
 mod progress;
 mod restore;
-pub mod servers;
+mod servers;
 
 /// Time without a confirmation by the store after which the controller grants and renews nothing.
 /// Leases survive a store outage of nine seconds.
@@ -134,12 +133,6 @@
     unproven: HashSet<Instance>,
     /// Servers that did not respond to the last command, and when one was last sent to them.
     silent: HashMap<Instance, Tick>,
-    /// Results of connection probes by other nodes, by server address.
-    pub(crate) probes: HashMap<SocketAddr, servers::ProbeRound>,
-    /// Probes of failure domains without a node.
-    domains: HashMap<Name, servers::DomainProbe>,
-    /// When a server last responded to a request of any node.
-    last_response: HashMap<Name, Tick>,
     /// Handovers by service.
     handovers: HashMap<Name, progress::Progress>,
 }
@@ -209,17 +202,12 @@
             demand.record(load.key as u16, f64::from(load.work_ms) / 1_000.0, &domain);
         }
         for latency in &heartbeat.latencies {
-            let server = Name::from(latency.server.as_str());
-            if latency.errors > 0 {
-                self.last_response.insert(server.clone(), now);
-            }
-            let known = self.errors.entry(server).or_default();
+            let known = self.errors.entry(Name::from(latency.server.as_str())).or_default();
             known.record(now, latency.count, latency.errors);
         }
         for latency in heartbeat.latencies.iter().filter(|latency| latency.expected_ms > 0) {
             let ratio = f64::from(latency.total_ms) / f64::from(latency.expected_ms);
             let server = Name::from(latency.server.as_str());
-            self.last_response.insert(server.clone(), now);
             let each = f64::from(latency.expected_ms) / f64::from(latency.count.max(1)) / 1_000.0;
             self.work.insert(server.clone(), each);
             if heartbeat.cut_off {
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -3,8 +3,8 @@
 //! The former owner is granted the keys once more, with a fencing token of its own, and then
 //! releases them; it thus rejects any older grant that is still in flight. Only then is the new
 //! owner granted the keys. A former owner that cannot be reached keeps its keys until every lease
-//! that it may hold has expired, including those of an earlier controller, unless its end is proved
-//! ([`whinspring::server_end`]). A server that has restarted under its name may have accepted grants
+//! that it may hold has expired, including those of an earlier controller, unless another server
+//! responds at its address ([`whinspring::server_end`]). A server that has restarted under its name may have accepted grants
 //! that were meant for its previous instance, so that the new instance must release the keys as well.
 //!
 //! Which of two servers with entries at one address has ended cannot be told from their entries:
@@ -17,19 +17,20 @@
         grants::{command, current_ownership, grant, lease_terms, max_lease},
         leases::lease_end,
         progress::Outcome,
-        servers::{address, has_ended, request_probes, restarted_as},
+        servers::{address, note_refusal, restarted_as},
     },
     crate::{
         node::Node,
         notices, owners,
         platform::{Platform, Reply},
     },
-    log::warn,
+    log::{info, warn},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
     whinspring::{
         name::Name,
         ranges::{Instance, Ownership, Span},
+        server_end::EndProof,
         time::Tick,
     },
 };
@@ -155,37 +156,55 @@
     span: &Span,
 ) -> Option<Option<Name>> {
     let former = span.former.as_ref()?;
+    let begun = node.now();
     let mut number = 0;
-    loop {
+    let proof = loop {
         if !is_current(node, service, span) {
             return None;
         }
         let restarted = restarted_as(node, former);
         if restarted.as_ref() == Some(&span.owner) {
-            return Some(None);
+            break EndProof::Restarted;
         }
         let holder = restarted.as_ref().unwrap_or(former);
         let now = node.now();
         let addr = address(node, holder);
+        let deadline = || {
+            let own = release_deadline(node, service, span, former);
+            own.max(release_deadline(node, service, span, holder))
+        };
         if let Some(addr) = addr.filter(|_| node.control.borrow_mut().may_contact(now, holder)) {
             number = (number + 1).min(FENCE_STEP - 1);
             let fenced = fenced_span(span, number, holder);
             match release_once(node, service, span, &fenced, addr).await {
                 Reply::Done(token) => return Some(token),
-                Reply::Replaced => return Some(None),
-                Reply::Down if has_ended(node, holder, addr) => return Some(None),
-                Reply::Down => request_probes(node, holder, addr),
+                Reply::Replaced => break EndProof::Replaced,
+                Reply::Down => note_refusal(node, holder, deadline()),
                 Reply::Fenced => node.metrics.count("release_fenced"),
                 Reply::Unsent | Reply::NewConnection | Reply::NoResponse => {}
             }
         }
-        let deadline = release_deadline(node, service, span, former)
-            .max(release_deadline(node, service, span, holder));
-        if now > deadline {
-            warn!(event = "waited_out", service = service.as_str(), former = former.server.as_str(), first = span.first, last = span.last; "former owner cannot be reached, but its leases have expired; granting its keys to the new owner");
-            return Some(None);
+        if now > deadline() {
+            break EndProof::Expired;
         }
         sleep(RETRY_DELAY).await;
+    };
+    log_end(service, span, former, proof, node.now().since(begun));
+    Some(None)
+}
+
+/// Logs why a span may be granted to its new owner though the former one has not released it.
+fn log_end(service: &Name, span: &Span, former: &Instance, proof: EndProof, waited: Duration) {
+    let (service, former) = (service.as_str(), former.server.as_str());
+    let Span { first, last, .. } = *span;
+    let waited_ms = waited.as_millis() as u64;
+    match proof {
+        EndProof::Expired => {
+            warn!(event = "waited_out", service, former, first, last, waited_ms; "former owner cannot be reached, but its leases have expired; granting its keys to the new owner");
+        }
+        EndProof::Restarted | EndProof::Replaced => {
+            info!(event = "server_ended", service, former, first, last, proof = proof.text(), waited_ms; "former owner has ended; granting its keys to the new owner");
+        }
     }
 }
 
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -50,7 +50,7 @@
     /// A request crashed a server.
     #[prost(message, tag = "8")]
     CrashReport(CrashReport),
-    /// Asks to probe whether a server refuses connections.
+    /// Sent by earlier versions only, as is the result.
     #[prost(message, tag = "9")]
     ProbeRequest(ProbeRequest),
     #[prost(message, tag = "10")]
@@ -524,7 +524,7 @@
     pub left_ms: u32,
 }
 
-/// Asks to probe whether a server refuses connections.
+/// Asks to probe whether a server refuses connections; sent by earlier versions only.
 #[derive(Clone, PartialEq, Message)]
 pub struct ProbeRequest {
     /// Address of the server.
@@ -532,7 +532,7 @@
     pub addr: String,
 }
 
-/// Result of a probe.
+/// Result of such a probe.
 #[derive(Clone, PartialEq, Message)]
 pub struct ProbeResult {
     /// Address of the server.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -6,9 +6,7 @@
 
 use {
     crate::{
-        admission, catch_up, cold,
-        control::servers,
-        follow,
+        admission, catch_up, cold, follow,
         frame::{self, Frame, MAX_MESSAGE_BYTES},
         limits,
         message::{Body, Envelope, FetchRequest, Heartbeat, Hello},
@@ -373,17 +371,9 @@
             }
         }
         Body::Snapshot(snapshot) => follow::adopt_snapshot(node, snapshot),
-        Body::ProbeRequest(request) => {
-            if let Ok(addr) = request.addr.parse() {
-                spawn_local(servers::probe_for_peer(node.clone(), from.clone(), addr));
-            }
-        }
-        Body::ProbeResult(result) => {
-            if let Ok(addr) = result.addr.parse() {
-                let mut control = node.control.borrow_mut();
-                control.probes.entry(addr).or_default().record(from, result.refused);
-            }
-        }
+        // A controller of an earlier version takes refusals for the end of a server; without results
+        // it waits for the leases.
+        Body::ProbeRequest(_) | Body::ProbeResult(_) => {}
         Body::OwnersChanged(change) => owners::apply_change(node, change),
         Body::HandoversFinished(finished) => owners::apply_handovers(node, finished),
         Body::ServerNotice(notice) => notices::apply_hint(node, notice),
--- a/crates/whinspring-router/src/platform.rs
+++ b/crates/whinspring-router/src/platform.rs
@@ -217,8 +217,7 @@
     pub domain: Name,
 }
 
-/// Least time in which a server ends, its keys are given to others, and it starts again under its name: it
-/// counts as dead only after as long.
+/// Least time in which a server ends, its keys are given to others, and it starts again under its name.
 pub const RESTART_TIME: Duration = Duration::from_millis(400);
 
 /// A lease on a range of keys.
@@ -254,7 +253,8 @@
     Done(Option<Name>),
     /// Refused: the server has seen a higher fencing token.
     Fenced,
-    /// No process listens at the server's address.
+    /// The connection was refused: no process listens at the address, or a partition resets connections
+    /// to it. Nothing was sent.
     Down,
     /// Another server uses the address.
     Replaced,
--- a/crates/whinspring-router/src/reach.rs
+++ b/crates/whinspring-router/src/reach.rs
@@ -32,7 +32,7 @@
         if node.reach.borrow().is_probe_due(node.now()) {
             probe_servers(&node).await;
         }
-        let is_waiting = node.reach.borrow().wants_probes();
+        let is_waiting = node.reach.borrow().is_in_doubt();
         tokio::select! {
             () = node.doubted.notified() => {}
             () = sleep(CHECK_INTERVAL), if is_waiting => {}
@@ -51,12 +51,6 @@
     }
 }
 
-/// Has servers probed soon, to learn whether the failure of one is the node's own.
-pub fn request_round<P: Platform>(node: &Node<P>) {
-    node.reach.borrow_mut().request_round();
-    node.doubted.notify_one();
-}
-
 /// Returns whether this node reaches most of a few other servers that are drawn at random, and one of
 /// those in the failure domain of `server` if there are others, so that a failure at `server` is not
 /// that of a path.
@@ -75,17 +69,6 @@
     !is_cut_off && is_domain_reached && (addrs.is_empty() || 2 * reached > addrs.len())
 }
 
-/// Returns whether a server of a failure domain takes a connection, among a few that are drawn at random
-/// from those that `is_included` allows.
-pub async fn reaches_domain<P: Platform>(
-    node: &Node<P>,
-    domain: &Name,
-    is_included: impl Fn(&Name) -> bool,
-) -> bool {
-    let addrs = draw_inside(node, domain, is_included);
-    count_reached(node, &addrs).await > 0
-}
-
 /// Draws a few servers of a failure domain from those that `is_included` allows. Returns their addresses.
 fn draw_inside<P: Platform>(
     node: &Node<P>,
--- a/crates/whinspring-router/tests/owners/main.rs
+++ b/crates/whinspring-router/tests/owners/main.rs
@@ -9,6 +9,7 @@
 mod fake;
 mod outages;
 mod paths;
+mod refusals;
 mod restarts;
 mod restores;
 mod scenarios;
--- /dev/null
+++ b/crates/whinspring-router/tests/owners/refusals.rs
@@ -0,0 +1,110 @@
+//! Single servers that refuse the connections of all nodes: as they are cut off for a moment, or as they
+//! have ended.
+
+use {
+    crate::fake::{
+        Platform, World, advance, call_servers, exchange_heartbeats, name, start, with_paused_clock,
+    },
+    std::{cell::RefCell, rc::Rc},
+    tokio::task::spawn_local,
+    whinspring_router::node::Node,
+};
+
+const SERVERS: usize = 12;
+const SEEDS: u64 = 10;
+
+/// Time after which the entry of a server that writes it no more is removed.
+const ENTRY_MS: u64 = 2_600;
+
+/// Longest time from the end of a server until others hold its keys: the longest lease that it may have
+/// while the store responds, on a slow clock, and the rounds of the controller.
+const OWNED_AFTER_MS: u64 = 5_000;
+
+/// Starts nodes, one of them in each of two failure domains, and servers in both. Waits until all keys
+/// are held.
+async fn cluster(world: &Rc<RefCell<World>>, nodes: &[&str]) {
+    let far = (0..SERVERS).step_by(2).map(name).chain(["n2".into()]);
+    world.borrow_mut().far = far.collect();
+    let nodes: Vec<Rc<Node<Platform>>> = nodes.iter().map(|node| start(world, node)).collect();
+    spawn_local(exchange_heartbeats(nodes.clone(), Rc::default()));
+    for node in nodes {
+        spawn_local(call_servers(node, SERVERS));
+    }
+    advance(6_000).await;
+    assert_eq!(held(world), 1.0);
+}
+
+/// Returns the fraction of all keys that servers hold now.
+fn held(world: &Rc<RefCell<World>>) -> f64 {
+    (0..SERVERS).map(|index| world.borrow().share(index)).sum()
+}
+
+/// Cuts servers off from all nodes for a while, and waits for the end of the leases before the cut.
+async fn cut_servers(world: &Rc<RefCell<World>>, cut: &[usize], cut_ms: u64) {
+    cut.iter().for_each(|index| world.borrow_mut().reset_connections(*index, true));
+    advance(cut_ms).await;
+    cut.iter().for_each(|index| world.borrow_mut().reset_connections(*index, false));
+    advance(6_000).await;
+}
+
+fn check(world: &Rc<RefCell<World>>, seed: u64) {
+    assert_eq!(world.borrow().faults, Vec::<String>::new(), "seed {seed}");
+}
+
+/// Guards against two owners of a key: servers that a partition cuts off from all nodes, with resets,
+/// are taken for ended while they hold their keys. Other servers of their domain respond.
+#[test]
+fn servers_that_refuse_connections_for_a_moment_are_not_taken_for_ended() {
+    for seed in 0..SEEDS {
+        for nodes in [&["n1"][..], &["n1", "n2"]] {
+            for cut_ms in [500, 1_000, 1_600, 2_600, 4_500] {
+                with_paused_clock(seed, async {
+                    let world = World::new(seed, SERVERS);
+                    cluster(&world, nodes).await;
+                    advance(seed * 130).await;
+                    for round in 0..3 {
+                        cut_servers(&world, &[2 * round, 2 * round + 5], cut_ms).await;
+                        assert_eq!(held(&world), 1.0, "seed {seed}, cut of {cut_ms} ms");
+                        check(&world, seed);
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// Guards against the same where the store has removed the entries of the servers, as these are cut off
+/// from it, too: a missing entry proves as little as a refusal.
+#[test]
+fn servers_without_an_entry_that_refuse_connections_are_not_taken_for_ended() {
+    for seed in 0..SEEDS {
+        with_paused_clock(seed, async {
+            let world = World::new(seed, SERVERS);
+            cluster(&world, &["n1"]).await;
+            advance(seed * 130).await;
+            (1..3).for_each(|index| world.borrow_mut().list(index, false));
+            cut_servers(&world, &[1, 2], 1_600).await;
+            assert_eq!(held(&world), 1.0, "seed {seed}");
+            check(&world, seed);
+        });
+    }
+}
+
+/// Guards against keys that stay without an owner longer than the leases of a crashed server require,
+/// and against owners before that.
+#[test]
+fn keys_of_a_crashed_server_move_when_its_leases_have_expired() {
+    for seed in 0..SEEDS {
+        with_paused_clock(seed, async {
+            let world = World::new(seed, SERVERS);
+            cluster(&world, &["n1", "n2"]).await;
+            advance(seed * 130).await;
+            world.borrow_mut().crash(3);
+            advance(ENTRY_MS).await;
+            world.borrow_mut().list(3, false);
+            advance(OWNED_AFTER_MS - ENTRY_MS).await;
+            assert_eq!(held(&world), 1.0, "seed {seed}");
+            check(&world, seed);
+        });
+    }
+}
--- a/crates/whinspring/src/reach.rs
+++ b/crates/whinspring/src/reach.rs
@@ -111,8 +111,6 @@
     probed: Option<Tick>,
     /// Whether that round is in progress.
     probing: bool,
-    /// Whether a round was requested since then.
-    requested: bool,
 }
 
 impl Reach {
@@ -126,7 +124,6 @@
             cut: None,
             probed: None,
             probing: false,
-            requested: false,
         }
     }
 
@@ -174,25 +171,10 @@
         if self.known < 2 * MIN_FAILED { self.known.div_ceil(2).max(1) } else { MIN_FAILED }
     }
 
-    /// Returns whether a connection to any server was opened at `since` or later.
-    pub fn has_opened_since(&self, since: Tick) -> bool {
-        self.opens.last_success.is_some_and(|at| at >= since)
-    }
-
-    /// Requests a round of probes though there is no doubt.
-    pub fn request_round(&mut self) {
-        self.requested = true;
-    }
-
     /// Returns whether a round of probes is due.
     pub fn is_probe_due(&self, now: Tick) -> bool {
         let is_recent = self.probed.is_some_and(|at| now.since(at) < PROBE_INTERVAL);
-        !self.probing && !is_recent && self.wants_probes()
-    }
-
-    /// Returns whether servers are to be probed, now or soon.
-    pub fn wants_probes(&self) -> bool {
-        self.requested || self.is_in_doubt()
+        !self.probing && !is_recent && self.is_in_doubt()
     }
 
     /// Starts a round of probes. Returns the servers to probe, of as many failure domains as
@@ -221,12 +203,11 @@
     /// Returns whether the paths have changed.
     pub fn end_round(&mut self, tried: usize, reached: usize, now: Tick) -> Option<Change> {
         self.probing = false;
-        self.requested = false;
         let start = self.probed.unwrap_or(now);
         if tried == 0 || now.since(start) > MAX_ROUND {
             return None;
         }
-        let opened_since = self.has_opened_since(start);
+        let opened_since = self.opens.last_success.is_some_and(|at| at >= start);
         let evidence = self.evidence(tried, reached, start);
         match self.cut {
             Some(_) if 2 * reached > tried => {
--- a/crates/whinspring/src/server_end.rs
+++ b/crates/whinspring/src/server_end.rs
@@ -1,91 +1,34 @@
-//! What proves that the process of a server has ended, so that its keys may be granted to another one.
+//! What proves that a server no longer holds its keys, so that they may be granted to another one.
 //!
 //! A server holds its keys until its leases expire, whether or not a node reaches it. A refused
-//! connection speaks of a path, not of a process: a partition refuses connections just as a crash
-//! does, while the servers behind it serve the callers of their failure domain. All nodes on this side
-//! see the same, so that their number alone proves nothing. A refusal counts only while the path into
-//! the failure domain of the server is known to be open: a node there is refused as well, or another
-//! server there takes connections. Without such evidence the keys wait for the end of the leases.
+//! connection speaks of a path, not of a process: a partition refuses connections and resets open ones
+//! just as a crash does. One of a single server looks the same from every node, those in its failure
+//! domain included, while the other servers of the domain respond; neither the number of refusals nor
+//! their duration tells it from a crash, and the server holds its keys when the path is back. Only what
+//! the server says itself, or the process that took its place, is proof; without it the keys wait for
+//! the end of the leases.
 //!
-//! Load pattern: all servers of a failure domain refuse connections at one moment, while callers go on
-//! sending requests to them by way of the nodes there.
+//! Load pattern: some servers refuse the connections of all nodes for a second or two, while callers go
+//! on sending requests for their keys.
 
-use std::time::Duration;
-
-/// What the nodes have seen of a server that refuses connections.
-#[derive(Debug, Clone, Copy)]
-pub struct Observation {
-    /// Time since the first refusal.
-    pub refusing: Duration,
-    /// Time for which the server must have refused connections.
-    pub required: Duration,
-    /// Whether any node has got a response or a connection from it since the first refusal.
-    pub responded: bool,
-    /// Whether the node that decides has opened a connection to another server since then.
-    pub has_paths: bool,
-    /// Live nodes that reach servers, the one that decides included.
-    pub nodes: usize,
-    /// Those of them whose connections were refused.
-    pub refused: usize,
-    /// Whether a node in the failure domain of the server is one of these.
-    pub refused_inside: bool,
-    /// Whether another server of the failure domain has taken a connection since the first refusal.
-    pub domain_reached: bool,
-}
-
-impl Observation {
-    /// Returns what proves that the server has ended, or why nothing does.
-    pub fn conclude(&self) -> Result<EndProof, Doubt> {
-        if self.refusing < self.required {
-            return Err(Doubt::Recent);
-        }
-        if self.responded {
-            return Err(Doubt::Responded);
-        }
-        if !self.has_paths {
-            return Err(Doubt::OwnPaths);
-        }
-        if self.refused * 3 <= self.nodes * 2 {
-            return Err(Doubt::FewNodes);
-        }
-        match (self.refused_inside, self.domain_reached) {
-            (true, _) => Ok(EndProof::RefusedInside),
-            (false, true) => Ok(EndProof::DomainReached),
-            (false, false) => Err(Doubt::DomainSilent),
-        }
-    }
-}
-
-/// What proves that a server that refuses connections has ended.
+/// What proves that a former owner holds keys no longer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndProof {
-    /// A node in its failure domain is refused as well.
-    RefusedInside,
-    /// Another server in its failure domain takes connections.
-    DomainReached,
+    /// It has started again under its name and may be granted the keys anew.
+    Restarted,
+    /// Another server responds at its address, which no two servers have at a time.
+    Replaced,
+    /// All leases that it may hold have expired.
+    Expired,
 }
 
 impl EndProof {
     /// Returns a short name for log lines.
     pub fn text(self) -> &'static str {
         match self {
-            Self::RefusedInside => "refused_inside",
-            Self::DomainReached => "domain_reached",
+            Self::Restarted => "restarted",
+            Self::Replaced => "replaced",
+            Self::Expired => "expired",
         }
     }
 }
-
-/// Why refusals prove nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
-    /// The server has not refused connections for long enough.
-    Recent,
-    /// Some node has heard from it meanwhile.
-    Responded,
-    /// The node that decides may be cut off from all servers.
-    OwnPaths,
-    /// Not enough of the nodes are refused.
-    FewNodes,
-    /// Nothing shows that the failure domain of the server is reached.
-    DomainSilent,
-}
