Crashes: one is withdrawn if the entry of the server shows that it lived on

Cause: a connection that breaks with a request, and a refusal after it, pass for a crash that the request caused.

Change: the crash counts at once as before, as a suspicion of one process that the report names. 8 s later, with the store calm, it is withdrawn at each node if the entry of that process still stands. Ruled out: waiting for the entry first, as a request that does crash servers would take the next ones meanwhile.

Tests: owners refusals::a_request_is_taken_again_once_its_servers_are_known_to_have_lived, red with the withdrawal switched off; a_request_that_crashed_its_servers_stays_rejected; parts, with a hand-moved clock.

--- a/crates/whinspring-router/src/cluster/server.rs
+++ b/crates/whinspring-router/src/cluster/server.rs
@@ -74,7 +74,7 @@
 
     /// Returns since when it may have been gone: its entry is missing, or came back with a copy of
     /// the store and may be that of a server that has ended.
-    pub(super) fn gone_since(&self) -> Option<Tick> {
+    pub(crate) fn gone_since(&self) -> Option<Tick> {
         self.missing.or(self.returned.map(|(since, _)| since))
     }
 
--- a/crates/whinspring-router/src/follow.rs
+++ b/crates/whinspring-router/src/follow.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        catch_up, cold, evacuations,
+        catch_up, cold, crashes, evacuations,
         frame::Frame,
         message::{Body, Item, ObjectsChanged, ServerNotice, Snapshot},
         node::Node,
@@ -443,6 +443,7 @@
         notices::count(&node);
         count_malformed(&node);
         cold::sweep(&node);
+        crashes::sweep(&node);
         node.metrics.buffered.set(node.buffers.used() as i64);
         node.metrics.stalled.set(node.stalls.waiting() as i64);
         let now = node.now();
--- a/crates/whinspring-router/src/message.rs
+++ b/crates/whinspring-router/src/message.rs
@@ -13,6 +13,7 @@
     whinspring::{
         gate::{ServerOutcome, load::Load},
         name::Name,
+        ranges::Instance,
     },
 };
 
@@ -508,6 +509,27 @@
     /// Fingerprint of the request.
     #[prost(uint64, tag = "1")]
     pub print: u64,
+    /// The server; empty if the sender is of an earlier version.
+    #[prost(string, tag = "2")]
+    pub server: String,
+    /// Start time of its process in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "3")]
+    pub start_ms: u64,
+}
+
+impl CrashReport {
+    /// Creates the report of a request that a process ran, if that is known.
+    pub fn new(print: u64, instance: Option<Instance>) -> Self {
+        let (server, start_ms) =
+            instance.map(|it| (it.server.to_string(), it.start_ms)).unwrap_or_default();
+        Self { print, server, start_ms }
+    }
+
+    /// Returns the process that seems to have crashed, if the sender names it.
+    pub fn instance(&self) -> Option<Instance> {
+        let server = Name::from(self.server.as_str());
+        (!server.is_empty()).then(|| Instance { server, start_ms: self.start_ms })
+    }
 }
 
 /// What a node knows of a request that crashed servers.
--- a/crates/whinspring-router/src/peers.rs
+++ b/crates/whinspring-router/src/peers.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        admission, catch_up, cold, follow,
+        admission, catch_up, cold, crashes, follow,
         frame::{self, Frame, MAX_MESSAGE_BYTES},
         limits,
         message::{Body, Envelope, FetchRequest, Heartbeat, Hello},
@@ -378,7 +378,7 @@
         Body::HandoversFinished(finished) => owners::apply_handovers(node, finished),
         Body::ServerNotice(notice) => notices::apply_hint(node, notice),
         Body::ObjectsChanged(changed) => follow::apply_forwarded(node, from, changed),
-        Body::CrashReport(crash) => node.crashes.borrow_mut().record(node.now(), crash.print),
+        Body::CrashReport(crash) => crashes::apply_report(node, &crash),
     }
 }
 
--- a/crates/whinspring-router/src/request.rs
+++ b/crates/whinspring-router/src/request.rs
@@ -12,8 +12,9 @@
     },
     crate::{
         admission::Permit,
-        cold, limits,
-        message::{self, CrashReport},
+        cluster::Server,
+        cold, crashes, limits,
+        message::CrashReport,
         node::Node,
         notices,
         platform::{Platform, Word},
@@ -440,15 +441,15 @@
     backend: Rc<ConnectionPool<NoStream>>,
     fingerprint: u64,
 ) {
+    let instance = node.view.borrow().servers.get(&server).map(Server::instance);
     sleep(PROBE_DELAY).await;
     let result = backend.open().await;
     reach::record_conn(&node, &server, &result);
     if !matches!(result, Err(CallError::Refused)) || !reach::has_paths(&node, &server).await {
         return;
     }
-    info!(event = "died_with", print = fingerprint; "a server crashed while it ran a request");
-    node.crashes.borrow_mut().record(node.now(), fingerprint);
-    node.send_all(message::Body::CrashReport(CrashReport { print: fingerprint }));
+    info!(event = "died_with", print = fingerprint, server = server.as_str(); "a server seems to have crashed while it ran a request");
+    crashes::report(&node, CrashReport::new(fingerprint, instance));
 }
 
 /// Returns the result code of a request that a server wants no part of.
--- a/crates/whinspring-router/tests/owners/refusals.rs
+++ b/crates/whinspring-router/tests/owners/refusals.rs
@@ -7,7 +7,7 @@
     },
     std::{cell::RefCell, rc::Rc},
     tokio::task::spawn_local,
-    whinspring_router::node::Node,
+    whinspring_router::{crashes, node::Node},
 };
 
 const SERVERS: usize = 12;
@@ -108,3 +108,45 @@
         });
     }
 }
+
+/// Time from a suspected crash until it is withdrawn if the server lives.
+const WITHDRAWN_AFTER_MS: u64 = 8_500;
+
+/// Returns whether a request is still rejected that two servers seemed to crash by, after `change` was
+/// done to them and some time.
+fn is_rejected_after(change: fn(&mut World, usize)) -> bool {
+    with_paused_clock(1, async {
+        let world = World::new(1, SERVERS);
+        let node = start(&world, "n1");
+        advance(6_000).await;
+        for index in [3, 4] {
+            let server = node.view.borrow().servers[&name(index)].instance();
+            node.crashes.borrow_mut().suspect(node.now(), 7, server);
+            change(&mut world.borrow_mut(), index);
+        }
+        assert!(node.crashes.borrow().is_refused(node.now(), 7));
+        advance(WITHDRAWN_AFTER_MS).await;
+        crashes::sweep(&node);
+        node.crashes.borrow().is_refused(node.now(), 7)
+    })
+}
+
+/// Guards against a harmless request that is rejected for a minute: the connections on which it ran were
+/// reset by a cut of two servers, which refused others for a moment as crashed ones do.
+#[test]
+fn a_request_is_taken_again_once_its_servers_are_known_to_have_lived() {
+    assert!(!is_rejected_after(|_, _| ()));
+}
+
+/// Guards against a request that crashes a server each few seconds as its crashes are withdrawn.
+#[test]
+fn a_request_that_crashed_its_servers_stays_rejected() {
+    assert!(is_rejected_after(|world, index| {
+        world.restart(index);
+        world.publish_entry(index);
+    }));
+    assert!(is_rejected_after(|world, index| {
+        world.crash(index);
+        world.list(index, false);
+    }));
+}
--- a/crates/whinspring-router/tests/parts.rs
+++ b/crates/whinspring-router/tests/parts.rs
@@ -80,6 +80,23 @@
     assert!(!crashes.is_refused(now + Duration::from_secs(61), 7));
 }
 
+/// Guards against a crash that is withdrawn before the entry of its server can have expired: while the
+/// store is away entries stand though their servers have crashed.
+#[test]
+fn a_crash_is_withdrawn_only_once_the_store_was_calm_for_long_enough() {
+    let at = Tick::from_millis;
+    let server = |start_ms| Instance { server: "s1".into(), start_ms };
+    let mut crashes = Crashes::default();
+    crashes.suspect(at(1_000), 7, server(1));
+    crashes.suspect(at(2_000), 7, server(2));
+    assert!(crashes.withdraw(at(8_999), at(0), |_| true).is_empty());
+    assert!(crashes.withdraw(at(12_999), at(5_000), |_| true).is_empty());
+    assert!(crashes.is_refused(at(12_999), 7));
+    assert_eq!(crashes.withdraw(at(13_000), at(5_000), |it| *it == server(2)), [7]);
+    assert!(!crashes.is_refused(at(13_000), 7) && !crashes.is_empty());
+    assert!(crashes.withdraw(at(30_000), at(5_000), |_| true).is_empty());
+}
+
 /// Guards against rejections that last longer at nodes that were told of the crashes, and against a message
 /// that grows with the number of requests.
 #[test]
