Owners: only a later process of a server proves that the one before has ended

Cause, by reading: restarted_as took any other start time in the entry that the controller knows for a restart. A controller whose view is old knows the process before the owner, and what it learns at that one's address (another server responds there) passed for the end of the owner.

Test: ranges only_a_later_process_of_a_server_succeeds_another; the comparison before (any other start) fails it.

--- a/crates/whinspring-router/src/cluster/former.rs
+++ b/crates/whinspring-router/src/cluster/former.rs
@@ -2,9 +2,9 @@
 //!
 //! A server that leaves while the store is away loses its entry before its keys can be granted to
 //! another one. Whoever is the controller then asks at its address for the keys, or learns there that
-//! another server has it; without the address only the longest lease that it may hold bounds the wait. Nodes therefore keep the locations
-//! of servers that they have removed, and the stored owners name those of all owners, for nodes that
-//! start later.
+//! another server has it; without the address only the longest lease that it may hold bounds the wait.
+//! Nodes therefore keep the locations of servers that they have removed, and the stored owners name those
+//! of all owners, for nodes that start later.
 
 use {
     crate::platform::Location,
--- a/crates/whinspring-router/src/control/handover.rs
+++ b/crates/whinspring-router/src/control/handover.rs
@@ -4,8 +4,9 @@
 //! releases them; it thus rejects any older grant that is still in flight. Only then is the new
 //! owner granted the keys. A former owner that cannot be reached keeps its keys until every lease
 //! that it may hold has expired, including those of an earlier controller, unless another server
-//! responds at its address ([`whinspring::server_end`]). A server that has restarted under its name may have accepted grants
-//! that were meant for its previous instance, so that the new instance must release the keys as well.
+//! responds at its address ([`whinspring::server_end`]). A server that has restarted under its name may
+//! have accepted grants that were meant for its previous instance, so that the new instance must release
+//! the keys as well.
 //!
 //! Which of two servers with entries at one address has ended cannot be told from their entries:
 //! that of a server that has ended may be written again after an outage. The server at the address
@@ -189,20 +190,29 @@
         }
         sleep(RETRY_DELAY).await;
     };
-    log_end(service, span, former, proof, node.now().since(begun));
+    record_end(node, service, span, proof, node.now().since(begun));
     Some(None)
 }
 
-/// Logs why a span may be granted to its new owner though the former one has not released it.
-fn log_end(service: &Name, span: &Span, former: &Instance, proof: EndProof, waited: Duration) {
-    let (service, former) = (service.as_str(), former.server.as_str());
+/// Counts and logs why a span may be granted to its new owner though the former one has not released it.
+fn record_end<P: Platform>(
+    node: &Rc<Node<P>>,
+    service: &Name,
+    span: &Span,
+    proof: EndProof,
+    waited: Duration,
+) {
+    let service = service.as_str();
+    let former = span.former.as_ref().map_or("", |former| former.server.as_str());
     let Span { first, last, .. } = *span;
     let waited_ms = waited.as_millis() as u64;
     match proof {
         EndProof::Expired => {
+            node.metrics.count("waited_out");
             warn!(event = "waited_out", service, former, first, last, waited_ms; "former owner cannot be reached, but its leases have expired; granting its keys to the new owner");
         }
         EndProof::Restarted | EndProof::Replaced => {
+            node.metrics.count("server_ended");
             info!(event = "server_ended", service, former, first, last, proof = proof.text(), waited_ms; "former owner has ended; granting its keys to the new owner");
         }
     }
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -187,8 +187,8 @@
     instance: &Instance,
 ) -> Option<Instance> {
     let view = node.view.borrow();
-    let server = view.servers.get(&instance.server)?;
-    (server.entry.start_ms != instance.start_ms).then(|| server.instance())
+    let current = view.servers.get(&instance.server)?.instance();
+    current.succeeds(instance).then_some(current)
 }
 
 /// Returns the address of a server instance, also if its entry is gone.
--- a/crates/whinspring/src/ranges.rs
+++ b/crates/whinspring/src/ranges.rs
@@ -21,6 +21,14 @@
     pub start_ms: u64,
 }
 
+impl Instance {
+    /// Returns whether it is a later process of the same server, so that the other one has ended. An entry
+    /// that a node has not seen change yet names an earlier one.
+    pub fn succeeds(&self, other: &Self) -> bool {
+        self.server == other.server && self.start_ms > other.start_ms
+    }
+}
+
 /// A range of keys with one owner; `first` and `last` are inclusive.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Span {
--- a/crates/whinspring/tests/ranges.rs
+++ b/crates/whinspring/tests/ranges.rs
@@ -269,3 +269,15 @@
     servers.iter_mut().for_each(|server| server.leaving = true);
     assert_eq!(plan_moves(&even(4), &servers, &hot_loads(1), BASE), []);
 }
+
+/// Guards against a controller that knows an old entry of a server and takes the process before for the
+/// next one: what happened to that one, whose address another server may have, says nothing of the owner.
+#[test]
+fn only_a_later_process_of_a_server_succeeds_another() {
+    let process = |server: &str, start_ms| Instance { server: server.into(), start_ms };
+    let owner = process("s1", 2_000);
+    assert!(process("s1", 2_001).succeeds(&owner));
+    assert!(!owner.succeeds(&owner));
+    assert!(!process("s1", 1_000).succeeds(&owner));
+    assert!(!process("s2", 3_000).succeeds(&owner));
+}
