Controller: a server that goes on refusing connections gets no keys

Cause: a refused command keeps keys away from a server for 1.5 s. Once its keys have moved, no command is sent to it, so that it counts as recovered though nothing was heard of it; its entry is renewed, as it reaches the store. It gets keys again, which have no owner until the next refusal and another handover.

Change: the controller opens a connection to such a server each 700 ms, to at most eight in one round; a refusal prolongs the 1.5 s. What was recorded of refusals is forgotten when these are over.

--- a/crates/whinspring-router/src/control/grants.rs
+++ b/crates/whinspring-router/src/control/grants.rs
@@ -11,7 +11,7 @@
         handover::{is_current, start_handovers},
         leases::Terms,
         restore,
-        servers::{address, candidates, refused_recently, restarted_as},
+        servers::{address, candidates, probe_refusing, refused_recently, restarted_as},
     },
     crate::{
         node::Node,
@@ -67,6 +67,7 @@
         }
     }
     let now = node.now();
+    probe_refusing(node, now);
     let mut control = node.control.borrow_mut();
     control.leases.evict_expired(now);
     control.evict_silent(now);
--- a/crates/whinspring-router/src/control/servers.rs
+++ b/crates/whinspring-router/src/control/servers.rs
@@ -10,7 +10,8 @@
         platform::{Platform, Reply},
     },
     log::info,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{task::spawn_local, time::timeout},
     whinspring::{
         name::Name,
         ranges::{Instance, balance::Candidate},
@@ -22,6 +23,15 @@
 /// move to other servers.
 const DOWN_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Time between two probes of a server that refused a command.
+const PROBE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Longest time to connect to a server for a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Most probes that are started in one round: a partition may refuse connections to hundreds of servers.
+const MAX_PROBES: usize = 8;
+
 /// Time after a command was answered by another server at the address for which a server gets no
 /// keys. The entry of a server that has ended expires within this time.
 const REPLACED_PERIOD: Duration = Duration::from_millis(5_000);
@@ -116,11 +126,34 @@
     info!(event = "end_unproved", server, domain = domain.as_str(), left_ms; "server refuses connections, as a partition does as well; its keys wait for the end of its leases");
 }
 
+/// Probes servers that refused commands, so that they get no keys while they go on refusing: once their keys
+/// have moved, no more commands are sent to them.
+pub(super) fn probe_refusing<P: Platform>(node: &Rc<Node<P>>, now: Tick) {
+    for instance in node.control.borrow_mut().start_probes(now) {
+        if let Some(addr) = address(node, &instance) {
+            spawn_local(probe(node.clone(), instance, addr));
+        }
+    }
+}
+
+async fn probe<P: Platform>(node: Rc<Node<P>>, instance: Instance, addr: SocketAddr) {
+    let sent = node.now();
+    let Ok(Err(error)) = timeout(PROBE_TIMEOUT, node.platform.connect(addr)).await else { return };
+    if error.kind() != ErrorKind::ConnectionRefused {
+        return;
+    }
+    if let Some(refusals) = node.control.borrow_mut().down.get_mut(&instance) {
+        refusals.last = refusals.last.max(sent);
+    }
+}
+
 /// Refused connections and commands of a server instance.
 #[derive(Debug)]
 pub struct Refusals {
     /// When the last one was sent.
     last: Tick,
+    /// When it was last probed.
+    probed: Tick,
     /// Whether another server at the address answered the last one.
     replaced: bool,
     /// Whether the log tells of the current series.
@@ -133,6 +166,12 @@
         let period = if self.replaced { REPLACED_PERIOD } else { DOWN_PERIOD };
         now.since(self.last) < period
     }
+
+    /// Returns whether a probe is due.
+    fn is_probe_due(&self, now: Tick) -> bool {
+        let tried = self.last.max(self.probed);
+        !self.replaced && self.are_recent(now) && now.since(tried) >= PROBE_INTERVAL
+    }
 }
 
 impl Controller {
@@ -144,7 +183,7 @@
                 let series = known.filter(|known| sent.since(known.last) <= DOWN_PERIOD);
                 let noted = series.is_some_and(|known| known.noted);
                 let replaced = *reply == Reply::Replaced;
-                let refusals = Refusals { last: sent, replaced, noted };
+                let refusals = Refusals { last: sent, probed: Tick::default(), replaced, noted };
                 self.down.insert(instance.clone(), refusals);
             }
             Reply::Done(_) | Reply::Fenced => {
@@ -175,9 +214,21 @@
         true
     }
 
+    /// Returns the servers to probe now, a few at a time, those first that were probed longest ago.
+    fn start_probes(&mut self, now: Tick) -> Vec<Instance> {
+        let mut due: Vec<_> = self.down.iter_mut().filter(|(_, it)| it.is_probe_due(now)).collect();
+        due.sort_unstable_by_key(|(_, refusals)| refusals.probed);
+        let started = due.into_iter().take(MAX_PROBES).map(|(instance, refusals)| {
+            refusals.probed = now;
+            instance.clone()
+        });
+        started.collect()
+    }
+
     /// Forgets servers that no command was sent to for a long time.
     pub(super) fn evict_silent(&mut self, now: Tick) {
         self.silent.retain(|_, last| now.since(*last) < SILENCE_RETENTION);
+        self.down.retain(|_, refusals| refusals.are_recent(now));
     }
 }
 
--- a/crates/whinspring-router/tests/owners/refusals.rs
+++ b/crates/whinspring-router/tests/owners/refusals.rs
@@ -90,6 +90,30 @@
     }
 }
 
+/// Guards against keys that are given back to a server that goes on refusing connections, as no command was
+/// sent to it for a while: they would have no owner until its next refusal.
+#[test]
+fn a_server_that_goes_on_refusing_gets_no_keys() {
+    for seed in 0..SEEDS {
+        with_paused_clock(seed, async {
+            let world = World::new(seed, SERVERS);
+            cluster(&world, &["n1"]).await;
+            advance(seed * 130).await;
+            world.borrow_mut().reset_connections(3, true);
+            advance(OWNED_AFTER_MS).await;
+            for ms in (0..8_000).step_by(100) {
+                let others = held(&world) - world.borrow().share(3);
+                assert_eq!(others, 1.0, "seed {seed}: after {ms} ms more");
+                advance(100).await;
+            }
+            world.borrow_mut().reset_connections(3, false);
+            advance(6_000).await;
+            assert!(world.borrow().share(3) > 0.0, "seed {seed}: it gets keys again");
+            check(&world, seed);
+        });
+    }
+}
+
 /// Guards against keys that stay without an owner longer than the leases of a crashed server require:
 /// those of grants that it acknowledged need no margin for their delivery.
 #[test]
