--- a/crates/whinspring-router/tests/owners/refusals.rs
+++ b/crates/whinspring-router/tests/owners/refusals.rs
@@ -20,6 +20,9 @@
 /// just before, on a slow clock, and a round of the handover.
 const OWNED_AFTER_MS: u64 = 4_080 + 220;
 
+/// Time from a suspected crash until it is withdrawn if the server lives.
+const WITHDRAWN_AFTER_MS: u64 = 8_500;
+
 /// Starts nodes, one of them in each of two failure domains, and servers in both. Waits until all keys
 /// are held.
 async fn cluster(world: &Rc<RefCell<World>>, nodes: &[&str]) {
@@ -133,9 +136,6 @@
     }
 }
 
-/// Time from a suspected crash until it is withdrawn if the server lives.
-const WITHDRAWN_AFTER_MS: u64 = 8_500;
-
 /// Returns whether a request is still rejected that two servers seemed to crash by, after `change` was
 /// done to them and some time.
 fn is_rejected_after(change: fn(&mut World, usize)) -> bool {
